--- /dev/null
+++ b/oleander-config/src/snapshot.rs
@@ -0,0 +1,101 @@
+//! The compiled form of a document: arenas and the look-ups that requests need.
+
+use std::collections::HashMap;
+
+use la_arena::Arena;
+use la_arena::Idx;
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::Revision;
+use oleander_core::ids::WorkspaceId;
+
+use crate::model::Database;
+use crate::model::Document;
+use crate::model::KeyHash;
+use crate::model::Matcher;
+use crate::model::Rate;
+use crate::model::Route;
+use crate::model::Workspace;
+
+/// `WorkspaceIdx` is the key of a workspace in one snapshot.
+pub type WorkspaceIdx = Idx<Workspace>;
+/// `DatabaseIdx` is the key of a database in one snapshot.
+pub type DatabaseIdx = Idx<Database>;
+/// `RouteIdx` is the key of a route in one snapshot.
+pub type RouteIdx = Idx<Route>;
+
+/// `Snapshot` is one accepted revision of the configuration, ready for look-ups.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// The revision of the document.
+    pub revision: Revision,
+    /// The workspaces.
+    pub workspaces: Arena<Workspace>,
+    /// The databases.
+    pub databases: Arena<Database>,
+    /// The routes.
+    pub routes: Arena<Route>,
+    keys: HashMap<KeyHash, WorkspaceIdx>,
+    rates: HashMap<WorkspaceId, Rate>,
+    workspace_ids: HashMap<WorkspaceId, WorkspaceIdx>,
+    database_ids: HashMap<DatabaseId, DatabaseIdx>,
+    matchers: HashMap<Matcher, RouteIdx>,
+}
+
+impl Snapshot {
+    /// Compiles a checked document.
+    pub fn new(revision: Revision, document: Document) -> Self {
+        let mut snapshot = Self { revision, ..Self::default() };
+        for workspace in document.workspaces {
+            snapshot.add_workspace(workspace);
+        }
+        for rate in document.rates {
+            snapshot.rates.insert(WorkspaceId::from_name(&rate.workspace), rate);
+        }
+        for database in document.upstreams {
+            let id = DatabaseId::from_name(&database.name);
+            let idx = snapshot.databases.alloc(database);
+            snapshot.database_ids.insert(id, idx);
+        }
+        for route in document.routes {
+            let matcher = route.matcher.clone();
+            let idx = snapshot.routes.alloc(route);
+            snapshot.matchers.insert(matcher, idx);
+        }
+        snapshot
+    }
+
+    /// Gets the workspace that holds the key with this hash.
+    pub fn workspace_of_key(&self, hash: &KeyHash) -> Option<WorkspaceIdx> {
+        self.keys.get(hash).copied()
+    }
+
+    /// Gets the workspace with this identifier.
+    pub fn workspace(&self, id: WorkspaceId) -> Option<&Workspace> {
+        self.workspace_ids.get(&id).map(|idx| &self.workspaces[*idx])
+    }
+
+    /// Gets the rate of a workspace; `None` if it is not limited.
+    pub fn rate(&self, id: WorkspaceId) -> Option<&Rate> {
+        self.rates.get(&id)
+    }
+
+    /// Gets the database with this identifier.
+    pub fn database(&self, id: DatabaseId) -> Option<&Database> {
+        self.database_ids.get(&id).map(|idx| &self.databases[*idx])
+    }
+
+    /// Gets the route that takes requests of this form.
+    pub fn route(&self, matcher: &Matcher) -> Option<&Route> {
+        self.matchers.get(matcher).map(|idx| &self.routes[*idx])
+    }
+
+    fn add_workspace(&mut self, workspace: Workspace) {
+        let id = WorkspaceId::from_name(&workspace.name);
+        let hashes: Vec<KeyHash> = workspace.keys.iter().map(|key| key.hash).collect();
+        let idx = self.workspaces.alloc(workspace);
+        self.workspace_ids.insert(id, idx);
+        for hash in hashes {
+            self.keys.insert(hash, idx);
+        }
+    }
+}
--- /dev/null
+++ b/oleander-core/src/ids.rs
@@ -0,0 +1,126 @@
+//! Identifiers that travel between processes.
+//!
+//! An identifier of a named thing is the stable hash of its name, so that all
+//! VMs agree on it without an exchange. The configuration check refuses two
+//! names with the same identifier.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hash;
+
+macro_rules! named_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Derives the identifier from a name.
+            pub fn from_name(name: &str) -> Self {
+                Self(hash::stable_hash(name.as_bytes()))
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{:016x}", self.0)
+            }
+        }
+    };
+}
+
+named_id! {
+    /// `VmId` is the identifier of a VM, derived from its name.
+    VmId
+}
+named_id! {
+    /// `WorkspaceId` is the identifier of a workspace, derived from its name.
+    WorkspaceId
+}
+named_id! {
+    /// `DatabaseId` is the identifier of an upstream database, derived from its name.
+    DatabaseId
+}
+
+/// `InstanceId` is one instance of a database: the database and the ordinal in its `instances` list.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct InstanceId {
+    /// The database that the instance belongs to.
+    pub database: DatabaseId,
+    /// The place in the database's list of instances, from 0.
+    pub ordinal: u8,
+}
+
+/// `Incarnation` is the number of one life of a VM's agent; each restart has a higher one.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// `ShareId` is one of the fixed number of shares that VMs own.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct ShareId(pub u16);
+
+/// `Revision` is the number of an accepted configuration; it only grows.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+/// `ChangeId` is chosen by the operator tool and names one change to the configuration.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct ChangeId(pub u64);
+
+/// `RequestId` is unique in one life of an entry VM and names one caller's request.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct RequestId {
+    /// The VM that took the request from the caller.
+    pub entry: VmId,
+    /// The serial number on that VM.
+    pub serial: u64,
+}
+
+/// `TransactionId` is an open transaction, with the home that holds its connection.
+///
+/// The text form is `HOME-INCARNATION-SERIAL`, each part in hexadecimal.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct TransactionId {
+    /// The VM that holds the transaction's connection.
+    pub home: VmId,
+    /// The life of that VM's proxy.
+    pub incarnation: Incarnation,
+    /// The unpredictable number of the transaction in that life.
+    pub serial: u64,
+}
+
+impl std::fmt::Display for TransactionId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:x}-{:x}-{:x}", self.home.0, self.incarnation.0, self.serial)
+    }
+}
+
+impl std::str::FromStr for TransactionId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts =
+            text.splitn(3, '-').map(|part| u64::from_str_radix(part, 16).map_err(|_| ParseIdError));
+        let mut next = || parts.next().unwrap_or(Err(ParseIdError));
+        Ok(Self { home: VmId(next()?), incarnation: Incarnation(next()?), serial: next()? })
+    }
+}
+
+/// `ParseIdError` says that a text is not an identifier of the expected form.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ParseIdError;
+
+impl std::fmt::Display for ParseIdError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("core: malformed identifier")
+    }
+}
--- /dev/null
+++ b/oleander-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Vocabulary shared by all crates of oleanderrudder.
+//!
+//! The crate holds identifiers, log positions, time, verdicts, statements and
+//! event numbers. It does no I/O, reads no clock and draws no random numbers.
+
+pub mod events;
+pub mod hash;
+pub mod ids;
+pub mod places;
+pub mod statement;
+pub mod terms;
+pub mod time;
+pub mod timers;
+pub mod verdict;
--- /dev/null
+++ b/oleander-core/src/places.rs
@@ -0,0 +1,41 @@
+//! Regions and availability zones.
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+
+/// `Place` is where a VM or an instance stands: a region and an availability zone in it.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Place {
+    /// The name of the region.
+    pub region: String,
+    /// The name of the availability zone, unique over all regions.
+    pub zone: String,
+}
+
+/// `Distance` is how far two places are apart; a smaller value is nearer.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize, Display,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Distance {
+    /// The same availability zone.
+    Zone,
+    /// Another availability zone of the same region.
+    Region,
+    /// Another region.
+    Remote,
+}
+
+impl Place {
+    /// Gets the distance to `other`.
+    pub fn distance(&self, other: &Place) -> Distance {
+        if self.zone == other.zone && self.region == other.region {
+            Distance::Zone
+        } else if self.region == other.region {
+            Distance::Region
+        } else {
+            Distance::Remote
+        }
+    }
+}
--- /dev/null
+++ b/oleander-core/src/timers.rs
@@ -0,0 +1,115 @@
+//! A queue of timers without a clock.
+//!
+//! The timer service of the runtime owns one queue and wakes the parts that
+//! subscribed to it. Decisions hold no timers of their own.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashSet;
+
+use crate::time::Time;
+
+/// `TimerId` names a scheduled timer.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TimerId(u64);
+
+/// `TimerQueue` holds timers in order of the time at which they are due.
+#[derive(Debug)]
+pub struct TimerQueue<T> {
+    heap: BinaryHeap<Reverse<Entry<T>>>,
+    live: HashSet<TimerId>,
+    serial: u64,
+}
+
+impl<T> TimerQueue<T> {
+    /// Makes an empty queue.
+    pub fn new() -> Self {
+        Self { heap: BinaryHeap::new(), live: HashSet::new(), serial: 0 }
+    }
+
+    /// Schedules `item` at `due`. Items with the same time come in order of scheduling.
+    pub fn schedule(&mut self, due: Time, item: T) -> TimerId {
+        self.serial += 1;
+        let id = TimerId(self.serial);
+        self.live.insert(id);
+        self.heap.push(Reverse(Entry { due, id, item }));
+        id
+    }
+
+    /// Cancels a timer. Returns `true` if it was still waiting.
+    pub fn cancel(&mut self, id: TimerId) -> bool {
+        self.live.remove(&id)
+    }
+
+    /// Gets the time at which the next timer is due.
+    pub fn next_due(&mut self) -> Option<Time> {
+        self.drop_cancelled();
+        self.heap.peek().map(|Reverse(entry)| entry.due)
+    }
+
+    /// Takes the next item that is due at `now`.
+    pub fn pop_due(&mut self, now: Time) -> Option<T> {
+        self.drop_cancelled();
+        if self.heap.peek().is_none_or(|Reverse(entry)| now < entry.due) {
+            return None;
+        }
+        let Reverse(entry) = self.heap.pop()?;
+        self.live.remove(&entry.id);
+        Some(entry.item)
+    }
+
+    /// Gets the number of waiting timers.
+    pub fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Returns `true` if no timer waits.
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty()
+    }
+
+    fn drop_cancelled(&mut self) {
+        while self.heap.peek().is_some_and(|Reverse(entry)| !self.live.contains(&entry.id)) {
+            self.heap.pop();
+        }
+    }
+}
+
+impl<T> Default for TimerQueue<T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    due: Time,
+    id: TimerId,
+    item: T,
+}
+
+impl<T> Entry<T> {
+    fn key(&self) -> (Time, TimerId) {
+        (self.due, self.id)
+    }
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl<T> Eq for Entry<T> {}
+
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.key().cmp(&other.key())
+    }
+}
--- /dev/null
+++ b/oleander-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! `oleanderctl` is the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/oleander-failover/src/lib.rs
@@ -0,0 +1,3 @@
+//! Failure detection, promotion and acknowledgement of replicated writes.
+
+pub mod messages;
--- /dev/null
+++ b/oleander-limits/src/lib.rs
@@ -0,0 +1,3 @@
+//! Limits over the whole fleet and at one home: rates, queues, slots and open transactions.
+
+pub mod messages;
--- /dev/null
+++ b/oleander-membership/src/lib.rs
@@ -0,0 +1,5 @@
+//! Membership of the fleet, ownership of shares, spread of the configuration and currency.
+
+pub mod messages;
+pub mod roster;
+pub mod shares;
--- /dev/null
+++ b/oleander-peer/src/lib.rs
@@ -0,0 +1,6 @@
+//! The protocol between the fleet's own processes: `h2` streams that carry `bincode` frames.
+//!
+//! A stream carries one request frame and one or more reply frames. Frames are
+//! versioned and bounded; a bad frame ends its stream with a typed error.
+
+pub mod messages;
--- /dev/null
+++ b/oleander-peer/src/messages.rs
@@ -0,0 +1,162 @@
+//! The requests and replies of the peer protocol.
+
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::InstanceId;
+use oleander_core::ids::RequestId;
+use oleander_core::ids::Revision;
+use oleander_core::ids::TransactionId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::statement::Access;
+use oleander_core::statement::Rows;
+use oleander_core::statement::Statement;
+use oleander_core::terms::LogPoint;
+use oleander_core::time::Span;
+use oleander_core::verdict::Refusal;
+use oleander_failover::messages::FailoverReply;
+use oleander_failover::messages::FailoverRequest;
+use oleander_limits::messages::LimitReply;
+use oleander_limits::messages::LimitRequest;
+use oleander_membership::messages::MemberReply;
+use oleander_membership::messages::MemberRequest;
+use oleander_membership::messages::View;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// `Request` is the first frame of a stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// An entry proxy asks a home to run work on its database.
+    Work(WorkRequest),
+    /// A proxy asks another about rate limits.
+    Limit(LimitRequest),
+    /// An agent talks to another about membership, shares and configuration.
+    Member(MemberRequest),
+    /// An agent talks to another about instances.
+    Failover(FailoverRequest),
+    /// A proxy subscribes to its agent's views; the stream carries a `Reply::View` for each.
+    Subscribe(SubscribeRequest),
+    /// A proxy reports to its agent.
+    Report(ProxyReport),
+    /// The operator tool asks for the state of a process.
+    Status,
+    /// The operator tool asks for recent log events.
+    Events,
+    /// The operator tool asks a VM to drain.
+    Drain,
+}
+
+/// `Reply` is a frame that answers a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The result of work.
+    Work(Result<WorkAnswer, Refusal>),
+    /// The answer about rate limits.
+    Limit(LimitReply),
+    /// The answer about membership.
+    Member(MemberReply),
+    /// The answer about an instance.
+    Failover(FailoverReply),
+    /// A view for the subscribed proxy.
+    View(Box<View>),
+    /// The state of the process as JSON.
+    Status(String),
+    /// Recent log events, oldest first, one JSON text each.
+    Events(Vec<String>),
+    /// The request was taken in and has no other answer.
+    Accepted,
+    /// The receiver does not serve this kind of request.
+    Unsupported,
+}
+
+/// `WorkRequest` is a caller's request on its way to a home.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkRequest {
+    /// The identifier that the entry VM chose.
+    pub id: RequestId,
+    /// The revision by which the entry VM decided.
+    pub revision: Revision,
+    /// The workspace whose key came with the request.
+    pub workspace: WorkspaceId,
+    /// The SHA-256 of the caller's key; `None` on a route open to all.
+    pub key: Option<[u8; 32]>,
+    /// The database.
+    pub database: DatabaseId,
+    /// The cost of the request in queue shares.
+    pub cost: u32,
+    /// The time that is left until the caller's deadline.
+    pub remaining: Span,
+    /// What is to be done.
+    pub work: Work,
+}
+
+/// `Work` is what a home does for a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Work {
+    /// Runs one statement by itself.
+    Single {
+        /// The statement.
+        statement: Statement,
+        /// What the statement does.
+        access: Access,
+        /// The log point that the session has seen.
+        seen: Option<LogPoint>,
+        /// The age of data that a read accepts.
+        age: Option<Span>,
+    },
+    /// Opens a transaction on the primary.
+    Begin,
+    /// Runs a statement in an open transaction.
+    InTransaction {
+        /// The transaction.
+        transaction: TransactionId,
+        /// The statement.
+        statement: Statement,
+    },
+    /// Commits an open transaction.
+    Commit {
+        /// The transaction.
+        transaction: TransactionId,
+    },
+    /// Rolls an open transaction back.
+    Rollback {
+        /// The transaction.
+        transaction: TransactionId,
+    },
+}
+
+/// `WorkAnswer` is the result of work that ran.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkAnswer {
+    /// The identifier from the request, so that a crossed answer is noticed.
+    pub id: RequestId,
+    /// The rows; empty for transaction control.
+    pub rows: Rows,
+    /// The log point that the answer proves.
+    pub point: LogPoint,
+    /// The instance that ran the work.
+    pub instance: InstanceId,
+    /// `true` if the instance was a replica at the time.
+    pub replica: bool,
+    /// The open transaction, for `Work::Begin` and statements in it.
+    pub transaction: Option<TransactionId>,
+    /// The time spent in the home's queue.
+    pub queued: Span,
+}
+
+/// `SubscribeRequest` opens a proxy's subscription to its agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct SubscribeRequest {
+    /// The revision that the proxy has in force; 0 for none.
+    pub revision: Revision,
+}
+
+/// `ProxyReport` is what a proxy tells its agent from time to time.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ProxyReport {
+    /// The revision in force at the proxy.
+    pub revision: Revision,
+    /// The requests and transactions that are still open.
+    pub open: u64,
+    /// `true` once the proxy drains.
+    pub draining: bool,
+}
--- /dev/null
+++ b/oleander-runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! `oleander-runtime`.
