--- a/oleander-load/src/lib.rs
+++ b/oleander-load/src/lib.rs
@@ -1,1 +1,4 @@
-//! `oleander-load`.
+//! Load, experiments, history checks and measures for oleanderrudder.
+
+pub mod experiments;
+pub mod report;
--- /dev/null
+++ b/oleander-load/src/main.rs
@@ -0,0 +1,50 @@
+//! `oleander-load` runs experiments, measurements and history checks.
+
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use clap::Parser;
+use clap::Subcommand;
+use oleander_load::experiments;
+use oleander_load::experiments::Experiment;
+use oleander_load::report::Report;
+
+/// Load, experiments and checks for oleanderrudder.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a seeded experiment and prints policy and baselines side by side.
+    Experiment {
+        /// The name of the experiment.
+        #[arg(value_parser = Experiment::from_str)]
+        name: Experiment,
+        /// The seed of the run.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    match Arguments::parse().command {
+        Command::Experiment { name, seed, json } => print(&experiments::run(name, seed), json),
+    }
+}
+
+/// Prints the report; the exit code says whether all targets were met.
+fn print(report: &Report, json: bool) -> ExitCode {
+    if json {
+        println!("{}", serde_json::to_string_pretty(report).unwrap_or_default());
+    } else {
+        print!("{report}");
+    }
+    if report.missed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
