Add the peer protocol: h2 streams with bincode frames

Calls carry the time left, a dropped call resets its stream, and a connection whose ping goes unanswered is closed, so that open calls fail at once as possibly run. A graceful stop finishes open calls and refuses later ones as not run.

--- /dev/null
+++ b/oleander-peer/src/client.rs
@@ -0,0 +1,88 @@
+//! Calls to peers over shared connections, one to each address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_core::time::Span;
+use tokio::sync::Mutex;
+use tokio::time;
+
+use crate::connection::Connection;
+use crate::connection::ConnectionOptions;
+use crate::connection::ReplyStream;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::errors::connect_error;
+use crate::errors::lost_error;
+use crate::errors::timeout_error;
+use crate::messages::Reply;
+use crate::messages::Request;
+
+/// `PeerClient` calls peers; its clones share their connections.
+#[derive(Clone, Debug, Default)]
+pub struct PeerClient {
+    connections: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
+    options: ConnectionOptions,
+}
+
+/// A slot is locked while its connection is being opened, so that callers share the attempt.
+type Slot = Arc<Mutex<Option<Connection>>>;
+
+impl PeerClient {
+    /// Makes a client with the given connection times.
+    pub fn new(options: ConnectionOptions) -> Self {
+        Self { connections: Arc::default(), options }
+    }
+
+    /// Sends `request` to the peer at `address` and waits for its one reply.
+    ///
+    /// The error's verdict says whether the peer may have run the request.
+    pub async fn call(&self, address: SocketAddr, request: &Request, limit: Span) -> Result<Reply> {
+        let deadline = time::Instant::now() + limit.duration();
+        match self.call_once(address, request, limit, deadline).await {
+            // The peer is closing this connection; it takes the request on a new one if it still listens.
+            Err(Error::Refused(_)) => self.call_once(address, request, limit, deadline).await,
+            outcome => outcome,
+        }
+    }
+
+    /// Sends `request` and returns the stream of its replies.
+    pub async fn subscribe(&self, address: SocketAddr, request: &Request) -> Result<ReplyStream> {
+        self.connection(address).await?.open_stream(request, None).await
+    }
+
+    /// Drops the connections to addresses that `keep` refuses.
+    pub async fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        self.connections.lock().await.retain(|address, _| keep(*address));
+    }
+
+    async fn call_once(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        limit: Span,
+        deadline: time::Instant,
+    ) -> Result<Reply> {
+        let connected = time::timeout_at(deadline, self.connection(address)).await;
+        // Nothing has been sent when the time runs out here.
+        let connection = connected.unwrap_or(Err(connect_error("no connection in time")))?;
+        let exchange = async {
+            let mut replies = connection.open_stream(request, Some(limit)).await?;
+            replies.next().await?.ok_or(lost_error("the stream ended without a reply"))
+        };
+        time::timeout_at(deadline, exchange).await.unwrap_or(Err(timeout_error("no reply in time")))
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Connection> {
+        let slot = self.connections.lock().await.entry(address).or_default().clone();
+        let mut held = slot.lock().await;
+        if let Some(connection) = held.as_ref().filter(|connection| !connection.is_closed()) {
+            return Ok(connection.clone());
+        }
+        *held = None;
+        let connection = Connection::open(address, self.options).await?;
+        *held = Some(connection.clone());
+        Ok(connection)
+    }
+}
--- /dev/null
+++ b/oleander-peer/src/connection.rs
@@ -0,0 +1,225 @@
+//! One client connection to a peer, watched by pings.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use h2::Ping;
+use h2::PingPong;
+use h2::RecvStream;
+use h2::client::SendRequest;
+use oleander_core::time::Span;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::codec;
+use crate::codec::FrameBuffer;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::errors::connect_error;
+use crate::errors::decode_error;
+use crate::errors::lost_error;
+use crate::errors::refused_error;
+use crate::messages::Reply;
+use crate::messages::Request;
+
+/// The header with the time that the caller still waits, in microseconds.
+pub const DEADLINE_HEADER: &str = "oleander-remaining-micros";
+
+/// The flow-control window of a stream, in bytes.
+pub const STREAM_WINDOW: u32 = 1024 * 1024;
+
+/// The flow-control window of a connection, in bytes.
+pub const CONNECTION_WINDOW: u32 = 8 * 1024 * 1024;
+
+/// `ConnectionOptions` are the times of a peer connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionOptions {
+    /// The time within which a connection must be open.
+    pub connect: Span,
+    /// The time between pings while streams are open.
+    pub ping: Span,
+    /// The time between pings while no stream is open.
+    pub idle: Span,
+    /// The time within which a ping must be answered; a connection silent for longer is closed.
+    pub silence: Span,
+}
+
+impl Default for ConnectionOptions {
+    fn default() -> Self {
+        Self {
+            connect: Span::from_millis(1_000),
+            ping: Span::from_millis(500),
+            idle: Span::from_secs(10),
+            silence: Span::from_millis(1_000),
+        }
+    }
+}
+
+/// `Connection` is an open connection; its clones share it.
+#[derive(Clone, Debug)]
+pub struct Connection {
+    sender: SendRequest<Bytes>,
+    state: Arc<ConnectionState>,
+}
+
+#[derive(Debug, Default)]
+struct ConnectionState {
+    closed: AtomicBool,
+    streams: AtomicU64,
+}
+
+impl Connection {
+    /// Opens a connection to `address`.
+    pub async fn open(address: SocketAddr, options: ConnectionOptions) -> Result<Self> {
+        time::timeout(options.connect.duration(), Self::handshake(address, options))
+            .await
+            .unwrap_or(Err(connect_error("the peer did not answer in time")))
+    }
+
+    /// Returns `true` if the connection can carry no further streams.
+    pub fn is_closed(&self) -> bool {
+        self.state.closed.load(Ordering::Acquire)
+    }
+
+    /// Opens a stream and sends `request`; `remaining` tells the peer how long the caller waits.
+    pub async fn open_stream(
+        &self,
+        request: &Request,
+        remaining: Option<Span>,
+    ) -> Result<ReplyStream> {
+        let frame = codec::encode(request)?;
+        let head = request_head(remaining)?;
+        let mut sender = self.sender.clone().ready().await.map_err(|_| self.retire())?;
+        let (response, mut body) = sender.send_request(head, false).map_err(|_| self.retire())?;
+        let guard = StreamGuard::new(self.state.clone());
+        body.send_data(frame, true).map_err(|_| lost_error("the stream broke in the request"))?;
+        let response = response.await.map_err(|error| stream_error(&error))?;
+        Ok(ReplyStream {
+            body: response.into_body(),
+            buffer: FrameBuffer::default(),
+            _guard: guard,
+        })
+    }
+
+    /// Marks the connection as closed, so that the next call opens another.
+    fn retire(&self) -> Error {
+        self.state.closed.store(true, Ordering::Release);
+        refused_error("the connection takes no streams")
+    }
+
+    async fn handshake(address: SocketAddr, options: ConnectionOptions) -> Result<Self> {
+        let stream =
+            TcpStream::connect(address).await.map_err(|_| connect_error("the address refused"))?;
+        // Small frames must not wait for each other.
+        let _ = stream.set_nodelay(true);
+        let mut builder = h2::client::Builder::new();
+        builder
+            .initial_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW);
+        let (sender, mut driver) =
+            builder.handshake(stream).await.map_err(|_| connect_error("handshake failed"))?;
+        let pings = driver.ping_pong().ok_or(connect_error("the connection has no pings"))?;
+        let state = Arc::new(ConnectionState::default());
+        tokio::spawn(drive(driver, pings, state.clone(), options));
+        Ok(Self { sender, state })
+    }
+}
+
+/// `ReplyStream` yields the replies of one call; dropping it cancels the call at the peer.
+#[derive(Debug)]
+pub struct ReplyStream {
+    body: RecvStream,
+    buffer: FrameBuffer,
+    _guard: StreamGuard,
+}
+
+impl ReplyStream {
+    /// Waits for the next reply; `None` once the peer has ended the stream.
+    pub async fn next(&mut self) -> Result<Option<Reply>> {
+        loop {
+            if let Some(reply) = self.buffer.take()? {
+                return Ok(Some(reply));
+            }
+            let Some(chunk) = self.body.data().await else {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(decode_error("the stream ended in a frame"))
+                };
+            };
+            let chunk = chunk.map_err(|error| stream_error(&error))?;
+            self.buffer.extend(&chunk)?;
+            let _ = self.body.flow_control().release_capacity(chunk.len());
+        }
+    }
+}
+
+/// Runs the connection until it ends or a ping goes unanswered.
+async fn drive(
+    driver: h2::client::Connection<TcpStream, Bytes>,
+    pings: PingPong,
+    state: Arc<ConnectionState>,
+    options: ConnectionOptions,
+) {
+    tokio::select! {
+        _ = driver => {}
+        () = watch_silence(pings, &state, options) => {}
+    }
+    // Dropping the driver closes the socket, which fails the open streams at once.
+    state.closed.store(true, Ordering::Release);
+}
+
+/// Returns once a ping has gone unanswered for too long.
+async fn watch_silence(mut pings: PingPong, state: &ConnectionState, options: ConnectionOptions) {
+    let mut idle = Span::ZERO;
+    loop {
+        time::sleep(options.ping.duration()).await;
+        idle = idle + options.ping;
+        if state.streams.load(Ordering::Acquire) == 0 && idle < options.idle {
+            continue;
+        }
+        idle = Span::ZERO;
+        let answer = time::timeout(options.silence.duration(), pings.ping(Ping::opaque())).await;
+        if !matches!(answer, Ok(Ok(_))) {
+            return;
+        }
+    }
+}
+
+fn request_head(remaining: Option<Span>) -> Result<http::Request<()>> {
+    let mut builder = http::Request::post("http://peer/oleander");
+    if let Some(remaining) = remaining {
+        builder = builder.header(DEADLINE_HEADER, remaining.0);
+    }
+    builder.body(()).map_err(|_| refused_error("malformed request head"))
+}
+
+fn stream_error(error: &h2::Error) -> Error {
+    if error.reason() == Some(h2::Reason::REFUSED_STREAM) {
+        return refused_error("the peer refused the stream");
+    }
+    lost_error("the stream broke before the reply")
+}
+
+/// `StreamGuard` counts an open stream for as long as it lives.
+#[derive(Debug)]
+struct StreamGuard {
+    state: Arc<ConnectionState>,
+}
+
+impl StreamGuard {
+    fn new(state: Arc<ConnectionState>) -> Self {
+        state.streams.fetch_add(1, Ordering::AcqRel);
+        Self { state }
+    }
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.state.streams.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/oleander-peer/tests/calls.rs
@@ -0,0 +1,205 @@
+//! Calls over real sockets on the loopback address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::verdict::Verdict;
+use oleander_limits::messages::LimitReply;
+use oleander_limits::messages::LimitRequest;
+use oleander_peer::client::PeerClient;
+use oleander_peer::connection::ConnectionOptions;
+use oleander_peer::errors::Error;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_peer::server;
+use oleander_peer::server::Incoming;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+/// A limit that no passing test reaches.
+const LIMIT: Span = Span::from_secs(20);
+
+struct Server {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: tokio::task::JoinHandle<()>,
+    entered: Arc<Notify>,
+    left: Arc<Notify>,
+    release: Arc<Notify>,
+}
+
+/// Answers `Limit` at once, `Status` after `release`, and `Events` with two replies.
+async fn start_server() -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let (stop, stopped) = watch::channel(false);
+    let [entered, left, release] = [(); 3].map(|()| Arc::new(Notify::new()));
+    let notes = (entered.clone(), left.clone(), release.clone());
+    let task = tokio::spawn(server::serve(listener, stopped, move |incoming| {
+        answer(incoming, notes.clone())
+    }));
+    Server { address, stop, task, entered, left, release }
+}
+
+async fn answer(
+    incoming: Incoming,
+    (entered, left, release): (Arc<Notify>, Arc<Notify>, Arc<Notify>),
+) {
+    match incoming.request {
+        Request::Limit(LimitRequest::Tokens { count, .. }) => {
+            let _ = incoming.responder.send(Reply::Limit(LimitReply::Tokens { count })).await;
+        }
+        Request::Status => {
+            let _note = NotifyOnDrop(left);
+            entered.notify_one();
+            release.notified().await;
+            let _ = incoming.responder.send(Reply::Status("{}".to_owned())).await;
+        }
+        _ => {
+            let _ = incoming.responder.send(Reply::Accepted).await;
+            let _ = incoming.responder.send(Reply::Unsupported).await;
+        }
+    }
+}
+
+struct NotifyOnDrop(Arc<Notify>);
+
+impl Drop for NotifyOnDrop {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
+fn tokens(count: u32) -> Request {
+    Request::Limit(LimitRequest::Tokens { workspace: WorkspaceId(1), count })
+}
+
+#[tokio::test]
+async fn each_of_many_calls_at_once_gets_its_own_reply() {
+    let server = start_server().await;
+    let client = PeerClient::default();
+    let calls = (0..200).map(|count| {
+        let client = client.clone();
+        let address = server.address;
+        async move { (count, client.call(address, &tokens(count), LIMIT).await) }
+    });
+    for (count, reply) in futures::future::join_all(calls).await {
+        assert_eq!(reply, Ok(Reply::Limit(LimitReply::Tokens { count })));
+    }
+}
+
+#[tokio::test]
+async fn a_subscription_yields_all_replies_and_ends() {
+    let server = start_server().await;
+    let mut replies =
+        PeerClient::default().subscribe(server.address, &Request::Events).await.expect("a stream");
+    assert_eq!(replies.next().await, Ok(Some(Reply::Accepted)));
+    assert_eq!(replies.next().await, Ok(Some(Reply::Unsupported)));
+    assert_eq!(replies.next().await, Ok(None));
+}
+
+#[tokio::test]
+async fn a_dropped_call_cancels_the_work_at_the_peer() {
+    let server = start_server().await;
+    let client = PeerClient::default();
+    tokio::select! {
+        _ = client.call(server.address, &Request::Status, LIMIT) => panic!("the peer never answers"),
+        () = server.entered.notified() => {}
+    }
+    // Only the reset of the stream can end the handler.
+    server.left.notified().await;
+}
+
+#[tokio::test]
+async fn a_graceful_stop_lets_open_calls_finish() {
+    let server = start_server().await;
+    let client = PeerClient::default();
+    let call = {
+        let client = client.clone();
+        tokio::spawn(async move { client.call(server.address, &Request::Status, LIMIT).await })
+    };
+    server.entered.notified().await;
+    server.stop.send_replace(true);
+    server.release.notify_one();
+    assert_eq!(call.await.expect("the call ends"), Ok(Reply::Status("{}".to_owned())));
+    server.task.await.expect("the server ends");
+    let late =
+        client.call(server.address, &tokens(1), LIMIT).await.expect_err("the server has gone");
+    assert_eq!(late.verdict(), Verdict::NotRun);
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    drop(listener);
+    let error =
+        PeerClient::default().call(address, &tokens(1), LIMIT).await.expect_err("nothing listens");
+    assert!(matches!(error, Error::Connect(_)));
+    assert_eq!(error.verdict(), Verdict::NotRun);
+}
+
+#[tokio::test]
+async fn bytes_that_are_not_the_protocol_end_their_connection_only() {
+    let server = start_server().await;
+    let mut stranger = TcpStream::connect(server.address).await.expect("the server listens");
+    stranger.write_all(&[0xff; 4_096]).await.expect("the socket takes the bytes");
+    let reply = PeerClient::default().call(server.address, &tokens(5), LIMIT).await;
+    assert_eq!(reply, Ok(Reply::Limit(LimitReply::Tokens { count: 5 })));
+}
+
+/// Forwards connections until told to fall silent; new ones work again after that.
+async fn start_forwarder(target: SocketAddr) -> (SocketAddr, watch::Sender<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let (silence, epochs) = watch::channel(0);
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let mut epochs = epochs.clone();
+            epochs.mark_unchanged();
+            tokio::spawn(async move {
+                let mut far = TcpStream::connect(target).await.expect("the target listens");
+                tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
+                    _ = epochs.changed() => {}
+                }
+                // Keeps both sockets open without reading, as a lost table entry in the network does.
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    (address, silence)
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_closed_and_a_new_one_works() {
+    let server = start_server().await;
+    let (address, silence) = start_forwarder(server.address).await;
+    let options = ConnectionOptions {
+        ping: Span::from_millis(20),
+        idle: Span::from_millis(20),
+        silence: Span::from_millis(200),
+        ..ConnectionOptions::default()
+    };
+    let client = PeerClient::new(options);
+    client.call(address, &tokens(1), LIMIT).await.expect("the forwarder forwards");
+    let open = {
+        let client = client.clone();
+        tokio::spawn(async move { client.call(address, &Request::Status, LIMIT).await })
+    };
+    server.entered.notified().await;
+    silence.send_replace(1);
+    let error = open.await.expect("the call ends").expect_err("the connection is silent");
+    assert!(
+        matches!(error, Error::Lost(_)),
+        "closed by the ping, long before the deadline: {error}"
+    );
+    assert_eq!(error.verdict(), Verdict::MayHaveRun);
+    let reply = client.call(address, &tokens(2), LIMIT).await;
+    assert_eq!(reply, Ok(Reply::Limit(LimitReply::Tokens { count: 2 })));
+}
