--- a/oleander-peer/tests/codec.rs
+++ b/oleander-peer/tests/codec.rs
@@ -37,7 +37,7 @@
     let good = codec::encode(&request()).expect("the message fits").to_vec();
     let mut other_version = good.clone();
     other_version[0] = 99;
-    let mut spare_byte = good.clone();
+    let mut spare_byte = good;
     spare_byte[4] += 1;
     spare_byte.push(0);
     let cases = [
