Bound the use of a delayed view and acknowledge views by number

A view that waited in a socket while its receiver was paused would have been counted from its arrival. Views now echo the receiver's own time of its last report, and the times of use count from there. Reports name the last view that the proxy obeys, so that a share is handed over only after its use ended. The share record marks shares that were taken from an owner that is gone.

--- a/oleander-membership/src/messages.rs
+++ b/oleander-membership/src/messages.rs
@@ -5,6 +5,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::terms::InstanceStatus;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -61,12 +62,18 @@
     pub sections: Option<Vec<SectionBody>>,
     /// The VMs of the fleet.
     pub members: Vec<Member>,
-    /// The owners of the shares.
+    /// The owners of the shares. A share of this VM that it may not use yet, or no more, is
+    /// shown without an owner, so the receiver uses exactly the shares that name its own VM.
     pub shares: ShareMap,
-    /// The time for which this VM may use its own shares, from the sending of the view.
+    /// The time for which this VM may use its own shares, counted from `echo`.
     pub shares_for: Span,
-    /// The time for which this VM counts as current, from the sending of the view.
+    /// The time for which this VM counts as current, counted from `echo`.
     pub current_for: Span,
+    /// The receiver's own time when it sent the last report or subscription that the agent got.
+    /// Counting from there keeps a view that was delayed in transit from being used too long.
+    pub echo: Time,
+    /// The number of the view on this stream; reports acknowledge it.
+    pub serial: u64,
     /// The instances that this VM's agent pings.
     pub instances: Vec<InstanceReport>,
     /// `true` once this VM is to drain.
--- a/oleander-membership/src/shares.rs
+++ b/oleander-membership/src/shares.rs
@@ -26,6 +26,10 @@
     pub version: u64,
     /// The owners; `None` for a share that nobody owns.
     pub owners: Vec<Option<ShareOwner>>,
+    /// The shares that were taken from an owner that had not handed them over, in order. The
+    /// present owner waits out the former owner's time of use before its first use.
+    #[serde(default)]
+    pub reclaimed: Vec<ShareId>,
 }
 
 impl ShareMap {
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -11,6 +11,7 @@
 use oleander_core::statement::Statement;
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_failover::messages::FailoverReply;
 use oleander_failover::messages::FailoverRequest;
@@ -148,9 +149,12 @@
 pub struct SubscribeRequest {
     /// The revision that the proxy has in force; 0 for none.
     pub revision: Revision,
+    /// The proxy's own monotonic time when it sent the request; views echo it.
+    pub sent: Time,
 }
 
-/// `ProxyReport` is what a proxy tells its agent from time to time.
+/// `ProxyReport` is what a proxy tells its agent after each view that changed its shares, and
+/// at least every 500 milliseconds.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ProxyReport {
     /// The revision in force at the proxy.
@@ -159,4 +163,8 @@
     pub open: u64,
     /// `true` once the proxy drains.
     pub draining: bool,
+    /// The serial number of the last view whose shares the proxy obeys: it uses no other share.
+    pub view: u64,
+    /// The proxy's own monotonic time when it sent the report; later views echo it.
+    pub sent: Time,
 }
