--- a/oleander-core/src/time.rs
+++ b/oleander-core/src/time.rs
@@ -86,3 +86,63 @@
         Span(self.0.saturating_add(other.0))
     }
 }
+
+impl std::fmt::Display for Span {
+    /// Writes the span with the largest unit of `s` and `ms` that loses nothing, else in `us`.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        if self.0.is_multiple_of(1_000_000) {
+            write!(f, "{}s", self.0 / 1_000_000)
+        } else if self.0.is_multiple_of(1_000) {
+            write!(f, "{}ms", self.0 / 1_000)
+        } else {
+            write!(f, "{}us", self.0)
+        }
+    }
+}
+
+impl std::str::FromStr for Span {
+    type Err = ParseSpanError;
+
+    /// Reads a whole number and a unit, `ms` or `s`, such as `500ms` or `2s`.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+        let (number, unit) = text.split_at(digits);
+        if number.is_empty() {
+            return Err(ParseSpanError::NoNumber);
+        }
+        let micros: u64 = match unit {
+            "ms" => 1_000,
+            "s" => 1_000_000,
+            "" => return Err(ParseSpanError::NoUnit),
+            _ => return Err(ParseSpanError::UnknownUnit),
+        };
+        let count: u64 = number.parse().map_err(|_| ParseSpanError::TooLong)?;
+        count.checked_mul(micros).map(Span).ok_or(ParseSpanError::TooLong)
+    }
+}
+
+/// `ParseSpanError` says why a text is not a span.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ParseSpanError {
+    /// The text does not start with a whole number.
+    NoNumber,
+    /// The number has no unit.
+    NoUnit,
+    /// The unit is neither `ms` nor `s`.
+    UnknownUnit,
+    /// The span does not fit in 64 bits of microseconds.
+    TooLong,
+}
+
+impl std::fmt::Display for ParseSpanError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            ParseSpanError::NoNumber => "a duration starts with a whole number, such as 500ms",
+            ParseSpanError::NoUnit => "a duration needs a unit, ms or s",
+            ParseSpanError::UnknownUnit => "the unit of a duration is ms or s",
+            ParseSpanError::TooLong => "the duration is too long",
+        })
+    }
+}
+
+impl std::error::Error for ParseSpanError {}
--- /dev/null
+++ b/oleander-runtime/src/clock.rs
@@ -0,0 +1,78 @@
+//! The monotonic clock.
+
+use oleander_core::time::Time;
+
+/// `Clock` reads monotonic time since the clock was made. Copies share the same start.
+///
+/// On Linux the clock also advances while the machine is suspended, so that a
+/// lease runs out during a suspension. The standard library's clock, used on
+/// other systems, may stand still then.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: source::Start,
+}
+
+impl Clock {
+    /// Makes a clock that starts now.
+    pub fn new() -> Self {
+        Self { start: source::Start::now() }
+    }
+
+    /// Gets the time since the clock was made.
+    pub fn now(&self) -> Time {
+        Time(self.start.micros())
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[cfg(target_os = "linux")]
+mod source {
+    use rustix::time::ClockId;
+    use rustix::time::clock_gettime;
+
+    const NANOS_PER_MICRO: i64 = 1_000;
+    const MICROS_PER_SECOND: i64 = 1_000_000;
+
+    /// `Start` is the reading of the boot clock at which a `Clock` was made.
+    #[derive(Clone, Copy, Debug)]
+    pub(super) struct Start(i64);
+
+    impl Start {
+        pub(super) fn now() -> Self {
+            Self(read())
+        }
+
+        pub(super) fn micros(self) -> u64 {
+            (read() - self.0).max(0).unsigned_abs()
+        }
+    }
+
+    fn read() -> i64 {
+        let time = clock_gettime(ClockId::Boottime);
+        time.tv_sec * MICROS_PER_SECOND + time.tv_nsec / NANOS_PER_MICRO
+    }
+}
+
+#[cfg(not(target_os = "linux"))]
+mod source {
+    use std::time::Instant;
+
+    /// `Start` is the instant at which a `Clock` was made.
+    #[derive(Clone, Copy, Debug)]
+    pub(super) struct Start(Instant);
+
+    impl Start {
+        pub(super) fn now() -> Self {
+            Self(Instant::now())
+        }
+
+        pub(super) fn micros(self) -> u64 {
+            u64::try_from(self.0.elapsed().as_micros()).unwrap_or(u64::MAX)
+        }
+    }
+}
