--- /dev/null
+++ b/oleander-limits/src/home/estimate.rs
@@ -0,0 +1,41 @@
+//! Estimates of service time, from what finished requests took.
+
+use oleander_core::time::Span;
+
+/// The service time assumed before the first request has finished.
+const INITIAL_SERVICE: Span = Span::from_millis(5);
+/// One over the weight of a new sample in the moving average.
+const SMOOTHING: u64 = 16;
+
+/// `ServiceEstimate` is a moving average of the service time of one unit of cost.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceEstimate {
+    unit: Span,
+    samples: u64,
+}
+
+impl ServiceEstimate {
+    /// Takes in that a request of `cost` units was served in `service`.
+    pub fn record(&mut self, cost: u32, service: Span) {
+        let sample = service.0 / u64::from(cost.max(1));
+        // The first samples count as a plain mean, so that the initial value is soon forgotten.
+        self.samples = (self.samples + 1).min(SMOOTHING);
+        self.unit = Span((self.unit.0 * (self.samples - 1) + sample) / self.samples);
+    }
+
+    /// Gets the time in which one server serves `cost` units.
+    pub fn service(&self, cost: u64) -> Span {
+        self.unit.times(cost)
+    }
+
+    /// Gets the time in which `servers` servers together serve `cost` units; longest if there are none.
+    pub fn drain(&self, cost: u64, servers: u32) -> Span {
+        self.unit.times(cost).0.checked_div(u64::from(servers)).map_or(Span::MAX, Span)
+    }
+}
+
+impl Default for ServiceEstimate {
+    fn default() -> Self {
+        Self { unit: INITIAL_SERVICE, samples: 0 }
+    }
+}
--- /dev/null
+++ b/oleander-limits/src/home/queue.rs
@@ -0,0 +1,320 @@
+//! The queue of one database at one home.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
+use strum::EnumCount;
+
+use crate::home::estimate::ServiceEstimate;
+use crate::home::fair::FairQueue;
+use crate::home::fair::Item;
+use crate::home::slots::Slots;
+
+/// The least time after which a refused caller is asked to come back.
+const MIN_RETRY: Span = Span::from_millis(1);
+
+/// `Ticket` names one request in a queue; the caller chooses it and never uses it twice.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
+/// `Class` tells apart what can run where; each class has its own fair queue.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EnumCount)]
+pub enum Class {
+    /// A statement, commit or rollback of an open transaction; it keeps the transaction's connection.
+    Transaction,
+    /// A write or the start of a transaction; only the primary serves it.
+    Write,
+    /// A read that one of several instances may serve.
+    Read,
+}
+
+/// `QueueOptions` are the bounds of a home queue.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueOptions {
+    /// The requests of all workspaces that may wait.
+    pub total: usize,
+    /// The requests of one workspace that may wait.
+    pub workspace: usize,
+}
+
+impl Default for QueueOptions {
+    fn default() -> Self {
+        Self { total: 1024, workspace: 256 }
+    }
+}
+
+/// `Waiting` is a request in the queue.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    /// The name of the request.
+    pub ticket: Ticket,
+    /// The workspace to which the service is charged.
+    pub workspace: WorkspaceId,
+    /// The workspace's weight in fair queueing, 1 or more.
+    pub weight: u32,
+    /// The cost in queue units, 1 or more.
+    pub cost: u32,
+    /// The time by which the answer is wanted.
+    pub deadline: Time,
+    /// What the request needs.
+    pub class: Class,
+}
+
+/// `Start` tells the caller to run a request now.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// The request.
+    pub request: Waiting,
+    /// The ordinal of the instance; its slot is taken until `HomeQueue::finish`.
+    pub ordinal: u8,
+    /// The time spent in the queue.
+    pub queued: Span,
+}
+
+/// `HomeQueue` decides for one database at one home what waits, what starts and what is refused.
+#[derive(Debug)]
+pub struct HomeQueue {
+    options: QueueOptions,
+    slots: Slots,
+    queues: [FairQueue; Class::COUNT],
+    estimates: [ServiceEstimate; Class::COUNT],
+    waiting: HashMap<Ticket, Queued>,
+    running: HashMap<Ticket, Running>,
+    counts: HashMap<WorkspaceId, usize>,
+    deadlines: BinaryHeap<Reverse<(Time, Ticket)>>,
+    turn: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Queued {
+    request: Waiting,
+    since: Time,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    class: Class,
+    cost: u32,
+    ordinal: u8,
+}
+
+impl HomeQueue {
+    /// Makes an empty queue over the home's slots.
+    pub fn new(options: QueueOptions, slots: Slots) -> Self {
+        Self {
+            options,
+            slots,
+            queues: Default::default(),
+            estimates: Default::default(),
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            counts: HashMap::new(),
+            deadlines: BinaryHeap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Gets the slots and connections in use.
+    pub fn slots(&self) -> &Slots {
+        &self.slots
+    }
+
+    /// Gets the slots to set the home's parts, or to give a connection back.
+    pub fn slots_mut(&mut self) -> &mut Slots {
+        &mut self.slots
+    }
+
+    /// Adds a request to the queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal "not run" if the queue is full or the request cannot
+    /// be answered by its deadline.
+    pub fn push(&mut self, now: Time, request: Waiting) -> Result<(), Refusal> {
+        let request =
+            Waiting { weight: request.weight.max(1), cost: request.cost.max(1), ..request };
+        let wait = self.expected_wait(&request);
+        self.check_room(&request, wait)?;
+        self.check_deadline(now, &request, wait)?;
+        *self.counts.entry(request.workspace).or_default() += 1;
+        let latest = self.latest_start(&request);
+        self.deadlines.push(Reverse((latest, request.ticket)));
+        let item = Item { ticket: request.ticket, cost: request.cost };
+        self.queues[request.class as usize].push(request.workspace, request.weight, item);
+        self.waiting.insert(request.ticket, Queued { request, since: now });
+        Ok(())
+    }
+
+    /// Takes the next request that can start now, with its slot.
+    ///
+    /// `place` chooses the instance for a request, or `None` if it has to wait;
+    /// it may consult the given slots. The caller calls `pop` until it gets
+    /// `None`, whenever a request was pushed, a slot came free or routing changed.
+    pub fn pop(
+        &mut self,
+        now: Time,
+        mut place: impl FnMut(&Waiting, &Slots) -> Option<u8>,
+    ) -> Option<Start> {
+        if !self.slots.any_slot(now) {
+            return None;
+        }
+        let start = self.pop_class(now, Class::Transaction, &mut place);
+        if start.is_some() {
+            return start;
+        }
+        // Reads and writes take turns, so that neither can keep the other from the primary.
+        let order = [[Class::Write, Class::Read], [Class::Read, Class::Write]][self.turn];
+        self.turn = 1 - self.turn;
+        order.into_iter().find_map(|class| self.pop_class(now, class, &mut place))
+    }
+
+    /// Takes in that a request that was started has ended, and frees its slot.
+    ///
+    /// `service` is the time from its start. The connection is freed too, but
+    /// for statements of a transaction and a request that opened one: `finish`
+    /// leaves a connection in place if `keep` says so.
+    pub fn finish(&mut self, ticket: Ticket, service: Span, connection: Connection) {
+        let Some(running) = self.running.remove(&ticket) else { return };
+        self.estimates[running.class as usize].record(running.cost, service);
+        self.slots.finish(running.ordinal);
+        if connection == Connection::Free {
+            self.slots.disconnect(running.ordinal);
+        }
+    }
+
+    /// Removes a waiting request whose caller has gone. Returns `true` if it was waiting.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.remove(ticket).is_some()
+    }
+
+    /// Removes the requests that can no longer be answered by their deadline.
+    ///
+    /// The caller answers each with a refusal "not run".
+    pub fn expire(&mut self, now: Time) -> Vec<Ticket> {
+        let mut expired = Vec::new();
+        while let Some(Reverse((latest, ticket))) = self.deadlines.peek().copied() {
+            if now <= latest {
+                break;
+            }
+            self.deadlines.pop();
+            if self.remove(ticket).is_some() {
+                expired.push(ticket);
+            }
+        }
+        expired
+    }
+
+    /// Gets the earliest time at which `expire` may have something to do.
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.deadlines.peek().map(|Reverse((latest, _))| *latest + Span(1))
+    }
+
+    /// Gets the time that a new request would probably wait before it starts.
+    pub fn expected_wait(&self, request: &Waiting) -> Span {
+        let class = request.class as usize;
+        let ahead = self.queues[class].cost_ahead(request.workspace, request.weight);
+        self.estimates[class].drain(ahead, self.servers(request.class))
+    }
+
+    /// Gets the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns `true` if no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    fn pop_class(
+        &mut self,
+        now: Time,
+        class: Class,
+        place: &mut impl FnMut(&Waiting, &Slots) -> Option<u8>,
+    ) -> Option<Start> {
+        let slots = &mut self.slots;
+        let waiting = &self.waiting;
+        let (ticket, ordinal) = self.queues[class as usize].pop(|ticket| {
+            let request = &waiting.get(&ticket)?.request;
+            let ordinal = place(request, slots)?;
+            take_slot(slots, now, class, ordinal).then_some(ordinal)
+        })?;
+        let queued = self.waiting.remove(&ticket)?;
+        self.uncount(queued.request.workspace);
+        let running = Running { class, cost: queued.request.cost, ordinal };
+        self.running.insert(ticket, running);
+        Some(Start { request: queued.request, ordinal, queued: now.since(queued.since) })
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let Queued { request, .. } = self.waiting.remove(&ticket)?;
+        self.queues[request.class as usize].remove(request.workspace, ticket);
+        self.uncount(request.workspace);
+        Some(request)
+    }
+
+    fn uncount(&mut self, workspace: WorkspaceId) {
+        let Some(count) = self.counts.get_mut(&workspace) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.counts.remove(&workspace);
+        }
+    }
+
+    fn check_room(&self, request: &Waiting, wait: Span) -> Result<(), Refusal> {
+        let own = self.counts.get(&request.workspace).copied().unwrap_or(0);
+        if own < self.options.workspace && self.waiting.len() < self.options.total {
+            return Ok(());
+        }
+        Err(Refusal::not_run(RefusalCode::QueueFull, "home: the queue is full")
+            .after(wait.max(MIN_RETRY)))
+    }
+
+    fn check_deadline(&self, now: Time, request: &Waiting, wait: Span) -> Result<(), Refusal> {
+        let latest = self.latest_start(request);
+        if now < latest && wait <= latest.since(now) {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(
+            RefusalCode::DeadlineExceeded,
+            "home: the request cannot be answered by its deadline",
+        );
+        Err(refusal.after(wait.saturating_sub(latest.since(now)).max(MIN_RETRY)))
+    }
+
+    /// Gets the time after which the request, once started, would miss its deadline.
+    fn latest_start(&self, request: &Waiting) -> Time {
+        let service = self.estimates[request.class as usize].service(u64::from(request.cost));
+        Time(request.deadline.0.saturating_sub(service.0))
+    }
+
+    /// Gets the slots that serve a class: only the primary takes writes.
+    fn servers(&self, class: Class) -> u32 {
+        match class {
+            Class::Read => self.slots.total(),
+            Class::Write | Class::Transaction => self.slots.largest(),
+        }
+    }
+}
+
+/// `Connection` says what becomes of the connection on which a request ran.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Connection {
+    /// Nothing uses the connection any more.
+    Free,
+    /// An open transaction keeps the connection; `Slots::disconnect` gives it back.
+    Kept,
+}
+
+fn take_slot(slots: &mut Slots, now: Time, class: Class, ordinal: u8) -> bool {
+    match class {
+        Class::Transaction => slots.start_in_transaction(now, ordinal),
+        Class::Read | Class::Write => slots.start(now, ordinal),
+    }
+}
--- a/oleander-limits/src/lib.rs
+++ b/oleander-limits/src/lib.rs
@@ -1,3 +1,4 @@
 //! Limits over the whole fleet and at one home: rates, queues, slots and open transactions.
 
+pub mod home;
 pub mod messages;
