--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -9,7 +9,6 @@
 use oleander_core::statement::Access;
 use oleander_core::statement::Rows;
 use oleander_core::statement::Statement;
-use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_failover::messages::FailoverReply;
@@ -19,6 +18,7 @@
 use oleander_membership::messages::MemberReply;
 use oleander_membership::messages::MemberRequest;
 use oleander_membership::messages::View;
+use oleander_session::token::SeenPoint;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -98,13 +98,16 @@
         statement: Statement,
         /// What the statement does.
         access: Access,
-        /// The log point that the session has seen.
-        seen: Option<LogPoint>,
+        /// The log points of the database that the session has seen.
+        seen: Vec<SeenPoint>,
         /// The age of data that a read accepts.
         age: Option<Span>,
     },
     /// Opens a transaction on the primary.
-    Begin,
+    Begin {
+        /// The log points of the database that the session has seen.
+        seen: Vec<SeenPoint>,
+    },
     /// Runs a statement in an open transaction.
     InTransaction {
         /// The transaction.
@@ -132,7 +135,7 @@
     /// The rows; empty for transaction control.
     pub rows: Rows,
     /// The log point that the answer proves.
-    pub point: LogPoint,
+    pub seen: SeenPoint,
     /// The instance that ran the work.
     pub instance: InstanceId,
     /// `true` if the instance was a replica at the time.
--- /dev/null
+++ b/oleander-session/src/proof.rs
@@ -0,0 +1,88 @@
+//! Whether the history of an instance includes a point that a session has seen.
+//!
+//! The rules rest on how a promotion works. A promoter fences a majority of the
+//! group at its term and promotes the fenced instance with the greatest
+//! `(term, position)`; that position is the `start` of the term.
+//!
+//! - A point that a majority held is in every later term, however many
+//!   promotions later, since the two majorities share an instance.
+//! - A point of the term just before is in the new term exactly up to `start`.
+//!   This needs one rule of the promoter: it promotes at term `t + 1` only an
+//!   instance whose log ends in term `t`, unless no primary ever held term `t`.
+//! - Of any other older point `start` says too little: the terms between may
+//!   have begun before the point and so dropped it. It counts as lost.
+
+use oleander_core::ids::InstanceId;
+use oleander_core::terms::InstanceStatus;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Role;
+
+use crate::token::SeenPoint;
+
+/// `Proof` is how an instance's history stands to what a session has seen.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Proof {
+    /// The instance has all that the session has seen.
+    Fresh,
+    /// The instance does not have it yet.
+    Behind,
+    /// The term of the instance dropped a part of it, or cannot be shown to include it.
+    Lost,
+}
+
+/// Checks one point against a status of any age.
+///
+/// `Fresh` and `Lost` stay true for the instance's term; `Behind` may have passed since.
+pub fn proves(status: &InstanceStatus, seen: SeenPoint) -> Proof {
+    let has = status.point;
+    let point = seen.point;
+    if has.term < point.term {
+        return Proof::Behind;
+    }
+    let is_next = point.term.0.checked_add(1) == Some(has.term.0);
+    let is_shared =
+        point.term == has.term || seen.durable || (is_next && point.position <= status.start);
+    if !is_shared {
+        return Proof::Lost;
+    }
+    // A replica may have joined the term and still lack a part of the shared history.
+    if point.position <= has.position { Proof::Fresh } else { Proof::Behind }
+}
+
+/// Checks all points of a session against a status of any age. The worst outcome counts.
+pub fn proves_all(status: &InstanceStatus, seen: &[SeenPoint]) -> Proof {
+    seen.iter().map(|seen| proves(status, *seen)).max().unwrap_or(Proof::Fresh)
+}
+
+/// Checks all points of a session against a status that was asked for after the request had come.
+///
+/// A primary that is behind a point of its own term will never have it: the
+/// point is forged, or the primary lost a part of its log.
+pub fn proves_now(status: &InstanceStatus, seen: &[SeenPoint]) -> Proof {
+    let proof = proves_all(status, seen);
+    let of_own_term = seen.iter().all(|seen| seen.point.term <= status.point.term)
+        && status.role == Role::Primary;
+    if proof == Proof::Behind && of_own_term { Proof::Lost } else { proof }
+}
+
+/// Returns `true` if a majority of a group of `size` instances is known to hold `point`.
+///
+/// `answered` is the instance whose own answer proved the point; `known` are the
+/// last known statuses. The primary of the term always holds what any other
+/// instance has of that term, so a replica's point counts for both.
+pub fn is_durable(
+    point: LogPoint,
+    answered: InstanceId,
+    role: Role,
+    known: impl IntoIterator<Item = (InstanceId, InstanceStatus)>,
+    size: usize,
+) -> bool {
+    let primaries = usize::from(role == Role::Replica);
+    let others = known.into_iter().filter(|(instance, status)| {
+        let holds = status.point.term == point.term && point.position <= status.point.position;
+        holds && *instance != answered
+    });
+    // The primary may or may not be among the others.
+    size / 2 < 1 + others.count().max(primaries)
+}
--- /dev/null
+++ b/oleander-session/tests/proof.rs
@@ -0,0 +1,97 @@
+//! What an instance's status proves of a session's points.
+
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::InstanceId;
+use oleander_core::terms::InstanceStatus;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Position;
+use oleander_core::terms::Role;
+use oleander_core::terms::Term;
+use oleander_session::proof;
+use oleander_session::proof::Proof;
+use oleander_session::token::SeenPoint;
+use rstest::rstest;
+
+struct Case {
+    /// The instance's term, position and start of the term.
+    has: (u64, u64, u64),
+    /// The point seen.
+    seen: SeenPoint,
+    proof: Proof,
+}
+
+fn seen(term: u64, position: u64) -> SeenPoint {
+    SeenPoint { point: point(term, position), durable: false }
+}
+
+fn durable(term: u64, position: u64) -> SeenPoint {
+    SeenPoint { point: point(term, position), durable: true }
+}
+
+fn point(term: u64, position: u64) -> LogPoint {
+    LogPoint { term: Term(term), position: Position(position) }
+}
+
+fn status(role: Role, (term, position, start): (u64, u64, u64)) -> InstanceStatus {
+    InstanceStatus { role, point: point(term, position), fence: Term(term), start: Position(start) }
+}
+
+#[rstest]
+#[case::same_term_at(Case { has: (2, 50, 10), seen: seen(2, 50), proof: Proof::Fresh })]
+#[case::same_term_before(Case { has: (2, 49, 10), seen: seen(2, 50), proof: Proof::Behind })]
+#[case::of_a_newer_term(Case { has: (2, 50, 10), seen: seen(3, 1), proof: Proof::Behind })]
+#[case::previous_term_before_start(Case { has: (2, 50, 40), seen: seen(1, 39), proof: Proof::Fresh })]
+#[case::previous_term_at_start(Case { has: (2, 50, 40), seen: seen(1, 40), proof: Proof::Fresh })]
+#[case::previous_term_past_start(Case { has: (2, 50, 40), seen: seen(1, 41), proof: Proof::Lost })]
+#[case::joined_but_not_caught_up(Case { has: (2, 30, 40), seen: seen(1, 35), proof: Proof::Behind })]
+#[case::two_terms_ago(Case { has: (3, 90, 80), seen: seen(1, 10), proof: Proof::Lost })]
+#[case::two_terms_ago_durable(Case { has: (3, 90, 80), seen: durable(1, 10), proof: Proof::Fresh })]
+#[case::durable_not_caught_up(Case { has: (3, 9, 80), seen: durable(1, 10), proof: Proof::Behind })]
+#[case::forged_position(Case { has: (2, 50, 10), seen: seen(2, u64::MAX), proof: Proof::Behind })]
+#[case::forged_term(Case { has: (2, 50, 10), seen: seen(u64::MAX, 1), proof: Proof::Behind })]
+fn a_status_proves_a_point(#[case] case: Case) {
+    assert_eq!(proof::proves(&status(Role::Replica, case.has), case.seen), case.proof);
+}
+
+#[test]
+fn the_worst_point_counts() {
+    let has = status(Role::Replica, (2, 50, 40));
+    assert_eq!(proof::proves_all(&has, &[]), Proof::Fresh);
+    assert_eq!(proof::proves_all(&has, &[seen(2, 50), seen(2, 51)]), Proof::Behind);
+    assert_eq!(proof::proves_all(&has, &[seen(1, 45), seen(2, 51)]), Proof::Lost);
+}
+
+#[test]
+fn a_primary_behind_its_own_term_has_lost_the_point() {
+    let primary = status(Role::Primary, (2, 50, 40));
+    assert_eq!(proof::proves_now(&primary, &[seen(2, 51)]), Proof::Lost);
+    assert_eq!(proof::proves_now(&primary, &[seen(3, 1)]), Proof::Behind);
+    let replica = status(Role::Replica, (2, 50, 40));
+    assert_eq!(proof::proves_now(&replica, &[seen(2, 51)]), Proof::Behind);
+}
+
+struct Holders {
+    role: Role,
+    /// The other instances: role, term and position.
+    known: &'static [(Role, u64, u64)],
+    size: usize,
+    durable: bool,
+}
+
+#[rstest]
+#[case::replica_of_three(Holders { role: Role::Replica, known: &[], size: 3, durable: true })]
+#[case::replica_of_five(Holders { role: Role::Replica, known: &[], size: 5, durable: false })]
+#[case::primary_alone(Holders { role: Role::Primary, known: &[], size: 3, durable: false })]
+#[case::primary_of_one(Holders { role: Role::Primary, known: &[], size: 1, durable: true })]
+#[case::replica_is_behind(Holders { role: Role::Primary, known: &[(Role::Replica, 2, 9)], size: 3, durable: false })]
+#[case::replica_has_it(Holders { role: Role::Primary, known: &[(Role::Replica, 2, 10)], size: 3, durable: true })]
+#[case::other_term(Holders { role: Role::Primary, known: &[(Role::Replica, 3, 10)], size: 3, durable: false })]
+#[case::fenced_primary_counts_once(Holders { role: Role::Replica, known: &[(Role::Fenced, 2, 10)], size: 5, durable: false })]
+#[case::fenced_alone(Holders { role: Role::Fenced, known: &[], size: 3, durable: false })]
+fn a_point_is_durable_with_a_majority(#[case] case: Holders) {
+    let id = |ordinal| InstanceId { database: DatabaseId(1), ordinal };
+    let known = case.known.iter().enumerate().map(|(at, (role, term, position))| {
+        (id(at as u8 + 1), status(*role, (*term, *position, 0)))
+    });
+    assert_eq!(proof::is_durable(point(2, 10), id(0), case.role, known, case.size), case.durable);
+}
