Add the client of the platform's store and the publication of sections

A section is published by compare-and-swap on a small head, and conflicts only if that section has moved. The change identifier tells whether an attempt whose answer was lost is in.

--- /dev/null
+++ b/oleander-membership/src/head.rs
@@ -0,0 +1,141 @@
+//! The head of the configuration in the store, and the rule by which an edit is accepted.
+
+use oleander_core::ids::ChangeId;
+use oleander_core::ids::Revision;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// The number of changes that the head remembers, so that a lost answer can be recognised.
+pub const REMEMBERED_CHANGES: usize = 64;
+
+/// `BodyHash` is the SHA-256 of a section's text.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct BodyHash(pub [u8; 32]);
+
+/// `SectionHead` names the body of one section.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct SectionHead {
+    /// The name of the section in kebab case.
+    pub section: String,
+    /// The hash of its text.
+    pub hash: BodyHash,
+}
+
+/// `Change` is an accepted edit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// The identifier that the operator tool chose.
+    pub id: ChangeId,
+    /// The revision that the edit made.
+    pub revision: Revision,
+}
+
+/// `Head` is the small record by which the whole configuration is known.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// The revision; each accepted edit adds one.
+    pub revision: Revision,
+    /// The sections, ordered by name.
+    pub sections: Vec<SectionHead>,
+    /// The latest changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// `Edit` is a new text for one section, made from a known older text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Edit {
+    /// The name of the section.
+    pub section: String,
+    /// The hash of the text that the operator started from; `None` for a new section.
+    pub base: Option<BodyHash>,
+    /// The hash of the new text.
+    pub hash: BodyHash,
+    /// The identifier of the change, the same in each attempt.
+    pub change: ChangeId,
+}
+
+/// `EditOutcome` is what an edit comes to against the present head.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EditOutcome {
+    /// The edit is in already, by an attempt whose answer was lost.
+    Done(Revision),
+    /// Another edit has changed this section; holds the hash that it has now.
+    Conflict(Option<BodyHash>),
+    /// The head that is to replace the present one.
+    Next(Head),
+}
+
+impl BodyHash {
+    /// Computes the hash of `text`.
+    pub fn of(text: &str) -> Self {
+        Self(Sha256::digest(text.as_bytes()).into())
+    }
+}
+
+impl Head {
+    /// Gets the hash of a section's body.
+    pub fn hash(&self, section: &str) -> Option<BodyHash> {
+        self.sections.iter().find(|entry| entry.section == section).map(|entry| entry.hash)
+    }
+
+    /// Decides on an edit. Only a change to the edited section is a conflict.
+    pub fn edit(&self, edit: &Edit) -> EditOutcome {
+        if let Some(change) = self.changes.iter().find(|change| change.id == edit.change) {
+            return EditOutcome::Done(change.revision);
+        }
+        let present = self.hash(&edit.section);
+        if present != edit.base {
+            return EditOutcome::Conflict(present);
+        }
+        EditOutcome::Next(self.with(edit))
+    }
+
+    fn with(&self, edit: &Edit) -> Head {
+        let mut next = self.clone();
+        next.revision = Revision(self.revision.0 + 1);
+        next.sections.retain(|entry| entry.section != edit.section);
+        next.sections.push(SectionHead { section: edit.section.clone(), hash: edit.hash });
+        next.sections.sort_by(|left, right| left.section.cmp(&right.section));
+        next.changes.push(Change { id: edit.change, revision: next.revision });
+        let excess = next.changes.len().saturating_sub(REMEMBERED_CHANGES);
+        next.changes.drain(..excess);
+        next
+    }
+}
+
+impl std::fmt::Display for BodyHash {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl std::fmt::Debug for BodyHash {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "BodyHash({self})")
+    }
+}
+
+impl From<BodyHash> for String {
+    fn from(hash: BodyHash) -> String {
+        hash.to_string()
+    }
+}
+
+impl TryFrom<String> for BodyHash {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        const MALFORMED: &str = "membership: a body hash is 64 hexadecimal digits";
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(MALFORMED);
+        }
+        let mut bytes = [0; 32];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * at..2 * at + 2], 16).map_err(|_| MALFORMED)?;
+        }
+        Ok(Self(bytes))
+    }
+}
--- /dev/null
+++ b/oleander-platform/src/http.rs
@@ -0,0 +1,96 @@
+//! The HTTP client, with deadlines and a fresh connection pool after a silent connection.
+
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use oleander_core::time::Span;
+use reqwest::Client;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use serde::de::DeserializeOwned;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::errors::from_http;
+
+/// The time for which an unused connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// `HttpClient` calls one of several equal endpoints.
+#[derive(Debug)]
+pub(crate) struct HttpClient {
+    endpoints: Vec<String>,
+    current: AtomicUsize,
+    client: RwLock<Client>,
+    connect: Span,
+}
+
+impl HttpClient {
+    pub(crate) fn new(endpoints: Vec<String>, connect: Span) -> Self {
+        let client = RwLock::new(build_client(connect));
+        Self { endpoints, current: AtomicUsize::new(0), client, connect }
+    }
+
+    /// Prepares a request to the endpoint in use.
+    pub(crate) fn request(
+        &self,
+        build: impl Fn(&Client, String) -> RequestBuilder,
+        path: &str,
+    ) -> RequestBuilder {
+        let at = self.current.load(Ordering::Relaxed);
+        let endpoint = self.endpoints.get(at).map_or("", |endpoint| endpoint.trim_end_matches('/'));
+        let client = self.client.read().unwrap_or_else(PoisonError::into_inner);
+        build(&client, format!("{endpoint}{path}"))
+    }
+
+    /// Sends a request; the answer's head must come before the request's own deadline.
+    pub(crate) async fn send(&self, request: RequestBuilder) -> Result<Response> {
+        let result = request.send().await.map_err(|error| from_http(&error));
+        self.observe(result).and_then(check_status)
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn fetch<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T> {
+        let response = self.send(request).await?;
+        let result = response.json().await.map_err(|error| from_http(&error));
+        self.observe(result)
+    }
+
+    /// Gives up the connections and moves to the next endpoint.
+    ///
+    /// A connection that has gone silent stays silent, and its siblings may have been lost with
+    /// it. The next call therefore opens a connection of its own.
+    pub(crate) fn abandon_connections(&self) {
+        let next = self.current.load(Ordering::Relaxed) + 1;
+        self.current.store(next % self.endpoints.len().max(1), Ordering::Relaxed);
+        *self.client.write().unwrap_or_else(PoisonError::into_inner) = build_client(self.connect);
+    }
+
+    fn observe<T>(&self, result: Result<T>) -> Result<T> {
+        if let Err(Error::Connect(_) | Error::Timeout(_) | Error::Lost(_)) = &result {
+            self.abandon_connections();
+        }
+        result
+    }
+}
+
+fn build_client(connect: Span) -> Client {
+    let builder =
+        Client::builder().connect_timeout(connect.duration()).pool_idle_timeout(IDLE_TIME);
+    // Building can fail only for TLS and proxy options, of which none is set.
+    builder.no_proxy().build().unwrap_or_default()
+}
+
+fn check_status(response: Response) -> Result<Response> {
+    let status = response.status();
+    if status.is_success() {
+        Ok(response)
+    } else if status.is_client_error() {
+        Err(Error::Refused(status.as_u16()))
+    } else {
+        Err(Error::Failed(status.as_u16()))
+    }
+}
--- /dev/null
+++ b/oleander-platform/src/json.rs
@@ -0,0 +1,169 @@
+//! The JSON form of the store's requests and answers: 64-bit integers are strings, bytes base64.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Bytes64(pub(crate) Vec<u8>);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Int64(pub(crate) i64);
+
+impl Serialize for Bytes64 {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Bytes64 {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        STANDARD.decode(text).map(Self).map_err(serde::de::Error::custom)
+    }
+}
+
+impl Serialize for Int64 {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Int64 {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Form {
+            Number(i64),
+            Text(String),
+        }
+        match Form::deserialize(deserializer)? {
+            Form::Number(number) => Ok(Self(number)),
+            Form::Text(text) => text.parse().map(Self).map_err(serde::de::Error::custom),
+        }
+    }
+}
+
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct RangeRequest {
+    pub(crate) key: Bytes64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) range_end: Option<Bytes64>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct PutRequest {
+    pub(crate) key: Bytes64,
+    pub(crate) value: Bytes64,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct Compare {
+    pub(crate) result: &'static str,
+    pub(crate) target: &'static str,
+    pub(crate) key: Bytes64,
+    pub(crate) mod_revision: Int64,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) enum Operation {
+    #[serde(rename = "request_range")]
+    Range(RangeRequest),
+    #[serde(rename = "request_put")]
+    Put(PutRequest),
+    #[serde(rename = "request_delete_range")]
+    Delete(RangeRequest),
+}
+
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct TxnRequest {
+    pub(crate) compare: Vec<Compare>,
+    pub(crate) success: Vec<Operation>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseRequest {
+    #[serde(rename = "ID")]
+    pub(crate) id: Int64,
+    #[serde(rename = "TTL", skip_serializing_if = "Option::is_none")]
+    pub(crate) ttl: Option<Int64>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct WatchRequest {
+    pub(crate) create_request: WatchCreate,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct WatchCreate {
+    pub(crate) key: Bytes64,
+    pub(crate) range_end: Bytes64,
+    pub(crate) start_revision: Int64,
+    pub(crate) progress_notify: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Header {
+    pub(crate) revision: Int64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct KeyValue {
+    pub(crate) key: Bytes64,
+    pub(crate) mod_revision: Int64,
+    pub(crate) value: Bytes64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RangeResponse {
+    pub(crate) header: Header,
+    pub(crate) kvs: Vec<KeyValue>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct OperationResponse {
+    pub(crate) response_range: RangeResponse,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnResponse {
+    pub(crate) header: Header,
+    pub(crate) succeeded: bool,
+    pub(crate) responses: Vec<OperationResponse>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseResponse {
+    #[serde(rename = "ID")]
+    pub(crate) id: Int64,
+    #[serde(rename = "TTL")]
+    pub(crate) ttl: Int64,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct Streamed<T> {
+    pub(crate) result: T,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchResponse {
+    pub(crate) header: Header,
+    pub(crate) canceled: bool,
+    pub(crate) events: Vec<WatchEvent>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchEvent {
+    pub(crate) kv: KeyValue,
+}
