Add stand-ins for the store, the VM list and database groups

The whole path needs something to talk to in tests and in the demo. Each stand-in is served through a relay that can refuse, go silent, delay, silence open connections only, or lose the answers to chosen requests after they took effect; the relay also counts sightings of a watched text. The group keeps a log an instance, with fences, promotion at a fenced term and dropping of history that the new primary lacks; overruns of slots are counted and reported.

--- /dev/null
+++ b/oleander-standin/src/group/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for database groups: instances on the PostgreSQL wire with terms, positions and replication.
+
+pub mod instance;
+pub mod log;
+pub mod replication;
+pub mod server;
+pub mod session;
+pub mod sql;
+
+pub use server::Group;
+pub use server::GroupOptions;
--- /dev/null
+++ b/oleander-standin/src/group/server.rs
@@ -0,0 +1,204 @@
+//! The sockets of a group and the switches of its faults.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use oleander_core::terms::InstanceStatus;
+use oleander_core::terms::Role;
+use pgwire::tokio::process_socket;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::gate::Gate;
+use crate::gate::Passage;
+use crate::gate::lock;
+use crate::group::instance::Counters;
+use crate::group::instance::LinkState;
+use crate::group::log::Change;
+use crate::group::replication::GroupState;
+use crate::group::session::Handlers;
+use crate::group::session::Session;
+
+/// `GroupOptions` says how a group is built.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupOptions {
+    /// The number of instances.
+    pub instances: u8,
+    /// The number of data statements that an instance runs at a time.
+    pub slots: u32,
+    /// The number of connections that an instance accepts.
+    pub connections: u32,
+    /// The time by which replicas lag.
+    pub lag: Duration,
+    /// The time that a data statement takes.
+    pub service: Duration,
+    /// The time that a new connection takes.
+    pub connect: Duration,
+}
+
+impl Default for GroupOptions {
+    fn default() -> Self {
+        Self {
+            instances: 3,
+            slots: 2,
+            connections: 16,
+            lag: Duration::from_millis(5),
+            service: Duration::ZERO,
+            connect: Duration::ZERO,
+        }
+    }
+}
+
+/// `Shared` is what the connections of a group have in common.
+#[derive(Debug)]
+pub struct Shared {
+    /// The state of the instances.
+    pub state: Mutex<GroupState>,
+    /// How the group was built.
+    pub options: GroupOptions,
+    /// The number of restarts of each instance; a change closes its connections.
+    pub restarts: Vec<watch::Sender<u64>>,
+}
+
+/// `Group` is a running database group.
+#[derive(Debug)]
+pub struct Group {
+    shared: Arc<Shared>,
+    gates: Vec<Gate>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Group {
+    /// Starts the instances, each on a free port of 127.0.0.1.
+    ///
+    /// # Errors
+    /// Fails if a port cannot be bound.
+    pub async fn start(options: GroupOptions) -> io::Result<Self> {
+        let state =
+            GroupState::new(options.instances, options.lag, options.service, Instant::now());
+        let restarts = (0..options.instances).map(|_| watch::Sender::new(0)).collect();
+        let shared = Arc::new(Shared { state: Mutex::new(state), options, restarts });
+        let mut group = Self { shared, gates: Vec::new(), tasks: Vec::new() };
+        for ordinal in 0..usize::from(options.instances) {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            group.gates.push(Gate::start(listener.local_addr()?).await?);
+            let shared = Arc::clone(&group.shared);
+            group.tasks.push(tokio::spawn(serve(listener, shared, ordinal)));
+        }
+        Ok(group)
+    }
+
+    /// Gets the addresses of the instances by ordinal.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.gates.iter().map(Gate::address).collect()
+    }
+
+    /// Gets the relay in front of an instance, with faults of its own connections.
+    pub fn gate(&self, ordinal: usize) -> &Gate {
+        &self.gates[ordinal]
+    }
+
+    /// Gets the status of an instance now.
+    pub fn status(&self, ordinal: usize) -> InstanceStatus {
+        lock(&self.shared.state).status(ordinal, Instant::now())
+    }
+
+    /// Gets the ordinal of the primary with the highest term.
+    pub fn primary(&self) -> Option<usize> {
+        let state = lock(&self.shared.state);
+        let primaries = state.instances.iter().enumerate();
+        let primaries = primaries.filter(|(_, instance)| instance.role == Role::Primary);
+        primaries.max_by_key(|(_, instance)| instance.term).map(|(ordinal, _)| ordinal)
+    }
+
+    /// Gets what an instance has counted.
+    pub fn counters(&self, ordinal: usize) -> Counters {
+        lock(&self.shared.state).instances[ordinal].counters
+    }
+
+    /// Gets the changes in the history of an instance, oldest first.
+    pub fn changes(&self, ordinal: usize) -> Vec<Change> {
+        let mut state = lock(&self.shared.state);
+        state.catch_up(Instant::now());
+        let entries = state.instances[ordinal].log.entries();
+        entries.iter().filter_map(|entry| entry.change.clone()).collect()
+    }
+
+    /// Sets by how much a replica lags.
+    pub fn set_lag(&self, ordinal: usize, lag: Duration) {
+        lock(&self.shared.state).set_lag(ordinal, lag, Instant::now());
+    }
+
+    /// Sets the time that a data statement takes on an instance.
+    pub fn set_service(&self, ordinal: usize, service: Duration) {
+        lock(&self.shared.state).instances[ordinal].service = service;
+    }
+
+    /// Cuts an instance off from callers and from the other instances; connections hang.
+    pub fn partition(&self, ordinal: usize) {
+        self.isolate(ordinal, Passage::Silent);
+    }
+
+    /// Stops an instance: connections are cut and refused, and replication ends.
+    pub fn kill(&self, ordinal: usize) {
+        self.isolate(ordinal, Passage::Refuse);
+    }
+
+    /// Ends a partition or starts a stopped instance again, with the role that it had.
+    pub fn heal(&self, ordinal: usize) {
+        lock(&self.shared.state).set_link(ordinal, LinkState::Up, Instant::now());
+        self.gates[ordinal].set_passage(Passage::Open);
+    }
+
+    fn isolate(&self, ordinal: usize, passage: Passage) {
+        lock(&self.shared.state).set_link(ordinal, LinkState::Down, Instant::now());
+        self.gates[ordinal].set_passage(passage);
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, shared: Arc<Shared>, ordinal: usize) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else { continue };
+        let _ = socket.set_nodelay(true);
+        let session = Arc::new(Session::new(Arc::clone(&shared), ordinal));
+        tokio::spawn(run_session(socket, Arc::clone(&shared), ordinal, session));
+    }
+}
+
+/// Runs a connection until it ends or the instance drops history on behalf of another.
+async fn run_session(
+    socket: TcpStream,
+    shared: Arc<Shared>,
+    ordinal: usize,
+    session: Arc<Session>,
+) {
+    let mut restarts = shared.restarts[ordinal].subscribe();
+    let connection = process_socket(socket, None, Handlers(Arc::clone(&session)));
+    tokio::pin!(connection);
+    loop {
+        // A restart comes before any further statement.
+        tokio::select! {
+            biased;
+            _ = restarts.changed() => {
+                if !session.take_spared() {
+                    return;
+                }
+            }
+            _ = &mut connection => return,
+        }
+    }
+}
--- /dev/null
+++ b/oleander-standin/src/group/session.rs
@@ -0,0 +1,439 @@
+//! One connection to an instance: identity, transaction and statements.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use futures::Sink;
+use futures::stream;
+use oleander_core::terms::Role;
+use oleander_core::terms::Term;
+use pgwire::api::ClientInfo;
+use pgwire::api::ClientPortalStore;
+use pgwire::api::PgWireServerHandlers;
+use pgwire::api::Type;
+use pgwire::api::auth::StartupHandler;
+use pgwire::api::auth::noop::NoopStartupHandler;
+use pgwire::api::portal::Format;
+use pgwire::api::portal::Portal;
+use pgwire::api::query::ExtendedQueryHandler;
+use pgwire::api::results::DataRowEncoder;
+use pgwire::api::results::QueryResponse;
+use pgwire::api::results::Response;
+use pgwire::api::results::Tag;
+use pgwire::api::store::PortalStore;
+use pgwire::error::PgWireError;
+use pgwire::error::PgWireResult;
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::PgWireFrontendMessage;
+
+use crate::gate::lock;
+use crate::group::log::Change;
+use crate::group::log::ChangeKind;
+use crate::group::replication::Followed;
+use crate::group::replication::Refused;
+use crate::group::server::Shared;
+use crate::group::sql::Command;
+use crate::group::sql::Parser;
+use crate::group::sql::fatal_error;
+use crate::group::sql::user_error;
+
+const READ_ONLY_STATE: &str = "25006";
+const TOO_MANY_CONNECTIONS_STATE: &str = "53300";
+const WRONG_TERM_STATE: &str = "55000";
+const NO_WORKSPACE_STATE: &str = "42501";
+const BAD_PARAMETER_STATE: &str = "22023";
+const DIVISION_STATE: &str = "22012";
+const FAILED_TRANSACTION_STATE: &str = "25P02";
+const TRANSACTION_STATE: &str = "25001";
+
+/// `Session` is the state of one connection.
+#[derive(Debug)]
+pub struct Session {
+    shared: Arc<Shared>,
+    ordinal: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    counted: bool,
+    spared: bool,
+    workspace: Option<String>,
+    transaction: Option<Transaction>,
+}
+
+#[derive(Clone, Debug)]
+struct Transaction {
+    number: u64,
+    term: Term,
+    role: Role,
+    changes: Vec<Change>,
+    failed: bool,
+}
+
+/// `Cell` is a value of an answer.
+#[derive(Clone, Debug)]
+enum Cell {
+    Int(i64),
+    Text(String),
+}
+
+impl Session {
+    /// Makes the state of a new connection.
+    pub fn new(shared: Arc<Shared>, ordinal: usize) -> Self {
+        Self { shared, ordinal, state: Mutex::new(State::default()) }
+    }
+
+    /// Returns `true` once after this connection itself made the instance drop history.
+    pub fn take_spared(&self) -> bool {
+        std::mem::take(&mut lock(&self.state).spared)
+    }
+
+    async fn run(&self, command: Command, portal: &Portal<Command>) -> PgWireResult<Response> {
+        if command.takes_slot() {
+            let _slot = Slot::take(&self.shared, self.ordinal);
+            pause(self.duration(command, portal)?).await;
+            return self.run_now(command, portal);
+        }
+        self.run_now(command, portal)
+    }
+
+    fn run_now(&self, command: Command, portal: &Portal<Command>) -> PgWireResult<Response> {
+        self.check_transaction(command)?;
+        match command {
+            Command::Status => self.status(portal),
+            Command::Fence | Command::Promote | Command::Follow => self.steer(command, portal),
+            Command::SetWorkspace => self.set_workspace(portal),
+            Command::Reset => self.reset(),
+            Command::Begin => self.begin(),
+            Command::Commit => self.commit(),
+            Command::Rollback => {
+                lock(&self.state).transaction = None;
+                Ok(Response::TransactionEnd(Tag::new("ROLLBACK")))
+            }
+            Command::Ping => rows(command, &portal.result_column_format, vec![vec![Cell::Int(1)]]),
+            Command::Read | Command::Count => self.read(command, portal),
+            Command::Append => self.change(ChangeKind::Append, portal),
+            Command::Replace => self.change(ChangeKind::Replace, portal),
+            Command::Sleep => {
+                let row = vec![Cell::Text(String::new())];
+                rows(command, &portal.result_column_format, vec![row])
+            }
+            Command::Fail => Err(user_error(DIVISION_STATE, "division by zero")),
+            Command::Series => {
+                let last = int(portal, 0)?;
+                let series = (1..=last).map(|number| vec![Cell::Int(number)]).collect();
+                rows(command, &portal.result_column_format, series)
+            }
+        }
+    }
+
+    fn duration(&self, command: Command, portal: &Portal<Command>) -> PgWireResult<Duration> {
+        let service = lock(&self.shared.state).instances[self.ordinal].service;
+        if command != Command::Sleep {
+            return Ok(service);
+        }
+        Ok(Duration::from_millis(u64::try_from(int(portal, 0)?).unwrap_or(0)))
+    }
+
+    fn check_transaction(&self, command: Command) -> PgWireResult<()> {
+        let state = lock(&self.state);
+        let failed = state.transaction.as_ref().is_some_and(|transaction| transaction.failed);
+        if failed && !matches!(command, Command::Commit | Command::Rollback) {
+            return Err(user_error(FAILED_TRANSACTION_STATE, "the transaction has failed"));
+        }
+        Ok(())
+    }
+
+    fn fail_transaction(&self) {
+        if let Some(transaction) = &mut lock(&self.state).transaction {
+            transaction.failed = true;
+        }
+    }
+
+    fn status(&self, portal: &Portal<Command>) -> PgWireResult<Response> {
+        let status = lock(&self.shared.state).status(self.ordinal, Instant::now());
+        let cells = vec![
+            Cell::Text(status.role.to_string()),
+            Cell::Int(status.point.term.0 as i64),
+            Cell::Int(status.point.position.0 as i64),
+            Cell::Int(status.fence.0 as i64),
+            Cell::Int(status.start.0 as i64),
+        ];
+        rows(Command::Status, &portal.result_column_format, vec![cells])
+    }
+
+    fn steer(&self, command: Command, portal: &Portal<Command>) -> PgWireResult<Response> {
+        let term = Term(u64::try_from(int(portal, 0)?).unwrap_or(0));
+        let now = Instant::now();
+        let mut state = lock(&self.shared.state);
+        let result = match command {
+            Command::Fence => state.fence(self.ordinal, term, now).map(|()| Followed::Kept),
+            Command::Promote => state.promote(self.ordinal, term, now).map(|()| Followed::Kept),
+            _ => state.follow(self.ordinal, term, now),
+        };
+        drop(state);
+        let followed =
+            result.map_err(|_| user_error(WRONG_TERM_STATE, "the term is not allowed"))?;
+        if followed == Followed::Dropped {
+            lock(&self.state).spared = true;
+            self.shared.restarts[self.ordinal].send_modify(|count| *count += 1);
+        }
+        self.status(portal)
+    }
+
+    fn set_workspace(&self, portal: &Portal<Command>) -> PgWireResult<Response> {
+        let workspace = text(portal, 0)?;
+        lock(&self.state).workspace = Some(workspace.clone());
+        let row = vec![Cell::Text(workspace)];
+        rows(Command::SetWorkspace, &portal.result_column_format, vec![row])
+    }
+
+    fn reset(&self) -> PgWireResult<Response> {
+        let mut state = lock(&self.state);
+        if state.transaction.is_some() {
+            return Err(user_error(TRANSACTION_STATE, "DISCARD ALL inside a transaction"));
+        }
+        state.workspace = None;
+        Ok(Response::Execution(Tag::new("DISCARD ALL")))
+    }
+
+    fn begin(&self) -> PgWireResult<Response> {
+        let mut group = lock(&self.shared.state);
+        let number = group.next_transaction();
+        let instance = &group.instances[self.ordinal];
+        let transaction = Transaction {
+            number,
+            term: instance.term,
+            role: instance.role,
+            changes: Vec::new(),
+            failed: false,
+        };
+        lock(&self.state).transaction = Some(transaction);
+        Ok(Response::TransactionStart(Tag::new("BEGIN")))
+    }
+
+    fn commit(&self) -> PgWireResult<Response> {
+        let Some(transaction) = lock(&self.state).transaction.take() else {
+            return Ok(Response::TransactionEnd(Tag::new("COMMIT")));
+        };
+        if transaction.failed {
+            return Ok(Response::TransactionEnd(Tag::new("ROLLBACK")));
+        }
+        if !transaction.changes.is_empty() {
+            self.write(transaction.term, &transaction.changes)?;
+        }
+        Ok(Response::TransactionEnd(Tag::new("COMMIT")))
+    }
+
+    fn read(&self, command: Command, portal: &Portal<Command>) -> PgWireResult<Response> {
+        let workspace = self.workspace()?;
+        let mut group = lock(&self.shared.state);
+        group.catch_up(Instant::now());
+        let log = &group.instances[self.ordinal].log;
+        if command == Command::Count {
+            let count = log.count(&workspace) as i64;
+            return rows(command, &portal.result_column_format, vec![vec![Cell::Int(count)]]);
+        }
+        let key = text(portal, 0)?;
+        let mut values = log.values(&workspace, &key).to_vec();
+        drop(group);
+        self.overlay(&workspace, &key, &mut values);
+        let values = values.into_iter().map(|value| vec![Cell::Text(value)]).collect();
+        rows(command, &portal.result_column_format, values)
+    }
+
+    /// Applies the transaction's own changes to what it reads.
+    fn overlay(&self, workspace: &str, key: &str, values: &mut Vec<String>) {
+        let state = lock(&self.state);
+        let changes = state.transaction.iter().flat_map(|transaction| &transaction.changes);
+        for change in changes.filter(|change| change.workspace == workspace && change.key == key) {
+            match change.kind {
+                ChangeKind::Append => values.push(change.value.clone()),
+                ChangeKind::Replace => values.fill(change.value.clone()),
+            }
+        }
+    }
+
+    fn change(&self, kind: ChangeKind, portal: &Portal<Command>) -> PgWireResult<Response> {
+        let workspace = self.workspace()?;
+        let (key, value) = (text(portal, 0)?, text(portal, 1)?);
+        let mut change = Change { workspace, key, value, kind, transaction: 0 };
+        let tag = match kind {
+            ChangeKind::Append => Tag::new("INSERT 0").with_rows(1),
+            ChangeKind::Replace => Tag::new("UPDATE").with_rows(1),
+        };
+        if let Some(transaction) = &mut lock(&self.state).transaction {
+            if transaction.role != Role::Primary {
+                return Err(user_error(READ_ONLY_STATE, "the instance is not primary"));
+            }
+            change.transaction = transaction.number;
+            transaction.changes.push(change);
+            return Ok(Response::Execution(tag));
+        }
+        let (number, term) = {
+            let mut group = lock(&self.shared.state);
+            (group.next_transaction(), group.instances[self.ordinal].term)
+        };
+        change.transaction = number;
+        self.write(term, &[change])?;
+        Ok(Response::Execution(tag))
+    }
+
+    fn write(&self, term: Term, changes: &[Change]) -> PgWireResult<()> {
+        let mut group = lock(&self.shared.state);
+        let written = group.write(self.ordinal, term, changes, Instant::now());
+        written.map_err(|refused| match refused {
+            Refused::NotPrimary => user_error(READ_ONLY_STATE, "the instance is not primary"),
+            Refused::WrongTerm => user_error(WRONG_TERM_STATE, "the term is not allowed"),
+        })
+    }
+
+    fn workspace(&self) -> PgWireResult<String> {
+        let workspace = lock(&self.state).workspace.clone();
+        workspace.ok_or_else(|| user_error(NO_WORKSPACE_STATE, "no workspace is set"))
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        if lock(&self.state).counted {
+            lock(&self.shared.state).instances[self.ordinal].counters.connections -= 1;
+        }
+    }
+}
+
+#[async_trait]
+impl NoopStartupHandler for Session {
+    async fn post_startup<C>(
+        &self,
+        _client: &mut C,
+        _message: PgWireFrontendMessage,
+    ) -> PgWireResult<()>
+    where
+        C: ClientInfo + Sink<PgWireBackendMessage> + Unpin + Send,
+        C::Error: std::fmt::Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        pause(self.shared.options.connect).await;
+        let mut group = lock(&self.shared.state);
+        let counters = &mut group.instances[self.ordinal].counters;
+        if self.shared.options.connections <= counters.connections {
+            counters.refused += 1;
+            return Err(fatal_error(TOO_MANY_CONNECTIONS_STATE, "too many connections"));
+        }
+        counters.connections += 1;
+        counters.peak_connections = counters.peak_connections.max(counters.connections);
+        lock(&self.state).counted = true;
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl ExtendedQueryHandler for Session {
+    type Statement = Command;
+    type QueryParser = Parser;
+
+    fn query_parser(&self) -> Arc<Parser> {
+        Arc::new(Parser)
+    }
+
+    async fn do_query<C>(
+        &self,
+        _client: &mut C,
+        portal: &Portal<Command>,
+        _max_rows: usize,
+    ) -> PgWireResult<Response>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore<Statement = Command>,
+        C::Error: std::fmt::Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let answer = self.run(portal.statement.statement, portal).await;
+        if answer.is_err() {
+            self.fail_transaction();
+        }
+        answer
+    }
+}
+
+/// `Handlers` gives the wire protocol its handlers for one connection.
+#[derive(Clone, Debug)]
+pub struct Handlers(pub Arc<Session>);
+
+impl PgWireServerHandlers for Handlers {
+    fn extended_query_handler(&self) -> Arc<impl ExtendedQueryHandler> {
+        Arc::clone(&self.0)
+    }
+
+    fn startup_handler(&self) -> Arc<impl StartupHandler> {
+        Arc::clone(&self.0)
+    }
+}
+
+/// `Slot` counts a running data statement until it is dropped.
+#[derive(Debug)]
+struct Slot {
+    shared: Arc<Shared>,
+    ordinal: usize,
+}
+
+impl Slot {
+    fn take(shared: &Arc<Shared>, ordinal: usize) -> Self {
+        let mut group = lock(&shared.state);
+        let counters = &mut group.instances[ordinal].counters;
+        if shared.options.slots <= counters.running {
+            counters.overruns += 1;
+        }
+        counters.running += 1;
+        counters.statements += 1;
+        counters.peak_running = counters.peak_running.max(counters.running);
+        Self { shared: Arc::clone(shared), ordinal }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        lock(&self.shared.state).instances[self.ordinal].counters.running -= 1;
+    }
+}
+
+async fn pause(span: Duration) {
+    if !span.is_zero() {
+        tokio::time::sleep(span).await;
+    }
+}
+
+fn rows(command: Command, format: &Format, cells: Vec<Vec<Cell>>) -> PgWireResult<Response> {
+    let fields = Arc::new(command.fields(format));
+    let mut encoder = DataRowEncoder::new(Arc::clone(&fields));
+    let mut data = Vec::with_capacity(cells.len());
+    for row in cells {
+        for cell in row {
+            match cell {
+                Cell::Int(number) => encoder.encode_field(&number)?,
+                Cell::Text(text) => encoder.encode_field(&text)?,
+            }
+        }
+        data.push(Ok(encoder.take_row()));
+    }
+    Ok(Response::Query(QueryResponse::new(fields, stream::iter(data))))
+}
+
+fn text(portal: &Portal<Command>, at: usize) -> PgWireResult<String> {
+    let kind = portal.statement.parameter_types.get(at).cloned().flatten().unwrap_or(Type::TEXT);
+    if kind == Type::INT8 {
+        return int(portal, at).map(|number| number.to_string());
+    }
+    let missing = || user_error(BAD_PARAMETER_STATE, "a text is missing");
+    portal.parameter::<String>(at, &kind)?.ok_or_else(missing)
+}
+
+fn int(portal: &Portal<Command>, at: usize) -> PgWireResult<i64> {
+    let missing = || user_error(BAD_PARAMETER_STATE, "a number is missing");
+    portal.parameter::<i64>(at, &Type::INT8)?.ok_or_else(missing)
+}
--- /dev/null
+++ b/oleander-standin/src/store/mod.rs
@@ -0,0 +1,7 @@
+//! A stand-in for the platform's key-value store: the JSON form of etcd v3.
+
+pub mod engine;
+pub mod json;
+pub mod server;
+
+pub use server::Store;
