--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -9,8 +9,8 @@
 use oleander_core::statement::Access;
 use oleander_core::statement::Rows;
 use oleander_core::statement::Statement;
-use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_failover::messages::FailoverReply;
 use oleander_failover::messages::FailoverRequest;
@@ -19,6 +19,7 @@
 use oleander_membership::messages::MemberReply;
 use oleander_membership::messages::MemberRequest;
 use oleander_membership::messages::View;
+use oleander_session::token::SeenPoint;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -98,13 +99,16 @@
         statement: Statement,
         /// What the statement does.
         access: Access,
-        /// The log point that the session has seen.
-        seen: Option<LogPoint>,
+        /// The log points of the database that the session has seen.
+        seen: Vec<SeenPoint>,
         /// The age of data that a read accepts.
         age: Option<Span>,
     },
     /// Opens a transaction on the primary.
-    Begin,
+    Begin {
+        /// The log points of the database that the session has seen.
+        seen: Vec<SeenPoint>,
+    },
     /// Runs a statement in an open transaction.
     InTransaction {
         /// The transaction.
@@ -132,7 +136,7 @@
     /// The rows; empty for transaction control.
     pub rows: Rows,
     /// The log point that the answer proves.
-    pub point: LogPoint,
+    pub seen: SeenPoint,
     /// The instance that ran the work.
     pub instance: InstanceId,
     /// `true` if the instance was a replica at the time.
@@ -148,9 +152,12 @@
 pub struct SubscribeRequest {
     /// The revision that the proxy has in force; 0 for none.
     pub revision: Revision,
+    /// The proxy's own monotonic time when it sent the request; views echo it.
+    pub sent: Time,
 }
 
-/// `ProxyReport` is what a proxy tells its agent from time to time.
+/// `ProxyReport` is what a proxy tells its agent after each view that changed its shares, and
+/// at least every 500 milliseconds.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ProxyReport {
     /// The revision in force at the proxy.
@@ -159,4 +166,8 @@
     pub open: u64,
     /// `true` once the proxy drains.
     pub draining: bool,
+    /// The serial number of the last view whose shares the proxy obeys: it uses no other share.
+    pub view: u64,
+    /// The proxy's own monotonic time when it sent the report; later views echo it.
+    pub sent: Time,
 }
