Add the decisions about roster, liveness, currency, shares and configuration

Heartbeats ask: only answers carry ages, counted from the sending of the request, so that a delayed message proves nothing. A VM is current, and may use its shares, for a window after the latest read of the store that it knows of, by whichever VM, or while it hears most of the fleet and nobody knows of a newer read. A share is handed over only after its use ended; one that is taken from a VM which the platform dropped waits out the window before its first use. Sections travel between VMs as differences to the bodies that the receiver holds.

--- a/oleander-membership/src/lib.rs
+++ b/oleander-membership/src/lib.rs
@@ -1,6 +1,13 @@
 //! Membership of the fleet, ownership of shares, spread of the configuration and currency.
 
+pub mod claims;
+pub mod currency;
 pub mod head;
+pub mod liveness;
 pub mod messages;
+pub mod node;
+pub mod patch;
+pub mod plan;
 pub mod roster;
 pub mod shares;
+pub mod spread;
--- /dev/null
+++ b/oleander-membership/src/node/gossip.rs
@@ -0,0 +1,215 @@
+//! Heartbeats: rounds, requests and replies.
+
+use oleander_core::hash;
+use oleander_core::ids::VmId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use smallvec::SmallVec;
+
+use super::Action;
+use super::Node;
+use crate::messages::MemberNews;
+use crate::messages::MemberReply;
+use crate::messages::MemberRequest;
+use crate::messages::Pull;
+use crate::messages::Pulled;
+use crate::roster::MemberState;
+use crate::shares::ShareOwner;
+
+/// The time for which rosters may differ before the whole roster is fetched.
+const MISMATCH_TIME: Span = Span::from_secs(3);
+
+/// The time between fetches of a whole roster.
+const SYNC_TIME: Span = Span::from_secs(10);
+
+/// One of so many heartbeats goes to any VM, suspected ones among them.
+const ANY_PEER: u64 = 8;
+
+impl Node {
+    /// Starts a round of heartbeats; `entropy` is a fresh random number.
+    pub fn round(&mut self, now: Time, entropy: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for peer in self.choose_peers(now, entropy, self.options.fanout) {
+            let request = MemberRequest::Pull(self.pull());
+            actions.push(Action::Send { to: peer, request });
+        }
+        actions.extend(self.tend_store(now, entropy));
+        actions.extend(self.tend_shares(now));
+        actions
+    }
+
+    /// Answers a request of a peer; `entropy` is a fresh random number.
+    pub fn request(
+        &mut self,
+        now: Time,
+        request: MemberRequest,
+        entropy: u64,
+    ) -> (MemberReply, Vec<Action>) {
+        match request {
+            MemberRequest::Pull(pull) => {
+                let actions = self.learn_state(now, pull, entropy);
+                (MemberReply::Pulled(self.pulled(now)), actions)
+            }
+            MemberRequest::Roster => (MemberReply::Roster(self.roster.copy()), Vec::new()),
+            MemberRequest::Shares => (MemberReply::Shares(self.claims.map().clone()), Vec::new()),
+            MemberRequest::Sections { held } => {
+                (MemberReply::Sections(self.spread.copy(&held)), Vec::new())
+            }
+            MemberRequest::AskShares { asker, count } => {
+                (MemberReply::Granted(self.grant(now, asker, count)), Vec::new())
+            }
+        }
+    }
+
+    /// Takes in the reply of `from` to a request that was sent at `asked`.
+    pub fn reply(
+        &mut self,
+        now: Time,
+        asked: Time,
+        from: VmId,
+        reply: MemberReply,
+        entropy: u64,
+    ) -> Vec<Action> {
+        match reply {
+            MemberReply::Pulled(pulled) => self.learn_pulled(now, asked, pulled, entropy),
+            MemberReply::Roster(copy) => {
+                self.roster.merge_copy(copy);
+                self.roster_changed(now)
+            }
+            MemberReply::Shares(map) => {
+                self.learn_shares(now, map);
+                Vec::new()
+            }
+            MemberReply::Sections(copy) => self.learn_sections(copy),
+            MemberReply::Granted(count) => {
+                // The owner's commit follows; the record is fetched when its version is told.
+                if count == 0 {
+                    self.next_ask = now + self.options.settle;
+                }
+                self.liveness.note(from, asked);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Tells a few peers at once of what is new here.
+    pub(super) fn push(&mut self, now: Time, entropy: u64) -> Vec<Action> {
+        let peers = self.choose_peers(now, entropy, self.options.eager);
+        let send = |to| Action::Send { to, request: MemberRequest::Pull(self.pull()) };
+        peers.into_iter().map(send).collect()
+    }
+
+    /// Takes in changes of the roster that came by any way.
+    pub(super) fn roster_changed(&mut self, now: Time) -> Vec<Action> {
+        for vm in self.roster.ids() {
+            self.liveness.meet(vm, now);
+        }
+        self.liveness.retain(|vm| self.roster.member(vm).is_some());
+        let own = ShareOwner { vm: self.own.vm, incarnation: self.own.incarnation };
+        if self.roster.is_removed(own) {
+            return vec![Action::Rejoin];
+        }
+        let told = self.roster.member(own.vm).map(|member| member.state);
+        if told == Some(MemberState::Leaving) && !self.left {
+            return vec![Action::Leave];
+        }
+        Vec::new()
+    }
+
+    fn pull(&mut self) -> Pull {
+        Pull {
+            from: self.own.vm,
+            incarnation: self.own.incarnation,
+            revision: self.spread.revision(),
+            shares: self.claims.map().version,
+            roster: self.roster.digest(),
+            news: self.roster.take_news(),
+        }
+    }
+
+    fn pulled(&mut self, now: Time) -> Pulled {
+        self.liveness.note(self.own.vm, now);
+        Pulled {
+            reading: self.currency.reading(now),
+            ages: self.liveness.pack(now, self.roster.ids()),
+            state: self.pull(),
+        }
+    }
+
+    fn learn_pulled(
+        &mut self,
+        now: Time,
+        asked: Time,
+        pulled: Pulled,
+        entropy: u64,
+    ) -> Vec<Action> {
+        let Pulled { state, reading, ages } = pulled;
+        self.liveness.note(state.from, asked);
+        if let Some(reading) = reading {
+            self.currency.note(asked, reading, self.held());
+        }
+        let is_same = state.roster == self.roster.digest();
+        if is_same {
+            self.liveness.unpack(asked, &ages, self.roster.ids());
+        }
+        let from = state.from;
+        let mut actions = self.learn_state(now, state, entropy);
+        actions.extend(self.compare_rosters(now, from, is_same));
+        actions
+    }
+
+    fn learn_state(&mut self, now: Time, state: Pull, entropy: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let changes = state.news.into_iter().filter(|news| self.roster.merge(news.clone())).count();
+        if 0 < changes {
+            actions.extend(self.roster_changed(now));
+        }
+        if self.claims.map().version < state.shares {
+            actions.push(Action::Send { to: state.from, request: MemberRequest::Shares });
+        }
+        actions.extend(self.want_sections(now, state.from, state.revision, entropy));
+        actions
+    }
+
+    /// Rosters differ for a moment after each change; only a lasting difference costs a copy.
+    fn compare_rosters(&mut self, now: Time, from: VmId, is_same: bool) -> Option<Action> {
+        if is_same {
+            self.mismatched = None;
+            return None;
+        }
+        let since = *self.mismatched.get_or_insert(now);
+        if now < since + MISMATCH_TIME || now < self.next_sync {
+            return None;
+        }
+        self.next_sync = now + SYNC_TIME;
+        Some(Action::Send { to: from, request: MemberRequest::Roster })
+    }
+
+    fn choose_peers(&self, now: Time, entropy: u64, count: usize) -> SmallVec<[VmId; 4]> {
+        let others = || self.roster.ids().filter(|vm| *vm != self.own.vm);
+        let any: Vec<VmId> = others().collect();
+        let able: Vec<VmId> = others().filter(|vm| !self.is_suspect(now, *vm)).collect();
+        let mut chosen = SmallVec::new();
+        for turn in 0..count as u64 {
+            let draw = hash::combine(entropy, turn);
+            let pool = if able.is_empty() || draw.is_multiple_of(ANY_PEER) { &any } else { &able };
+            if pool.is_empty() {
+                break;
+            }
+            let peer = pool[(hash::mix(draw) % pool.len() as u64) as usize];
+            if !chosen.contains(&peer) {
+                chosen.push(peer);
+            }
+        }
+        chosen
+    }
+
+    /// Tells the fleet that this VM leaves.
+    pub fn leave(&mut self, now: Time, entropy: u64) -> Vec<Action> {
+        self.left = true;
+        self.own.state = MemberState::Leaving;
+        self.roster.merge(MemberNews::Present(self.own.clone()));
+        self.release_all(now);
+        self.push(now, entropy)
+    }
+}
--- /dev/null
+++ b/oleander-membership/src/node/ownership.rs
@@ -0,0 +1,188 @@
+//! Shares: claims, requests for more, hand-over, and taking over from VMs that are gone.
+
+use oleander_core::ids::VmId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+
+use super::Action;
+use super::Node;
+use crate::messages::MemberRequest;
+use crate::plan;
+use crate::plan::Counts;
+use crate::roster::MemberState;
+use crate::shares::ShareMap;
+use crate::shares::ShareOwner;
+
+/// The time between two requests for shares.
+const ASK_TIME: Span = Span::from_secs(1);
+
+/// The time after the start during which no VM claims more than the least fair part.
+const FIRST_CLAIMS: Span = Span::from_secs(1);
+
+/// The difference between the richest owner and this VM from which on it asks for shares.
+const ASK_DIFFERENCE: usize = 2;
+
+/// `SharePlan` is the next record of shares and the registrations that go with its commit.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SharePlan {
+    /// The record.
+    pub next: ShareMap,
+    /// The VMs whose registrations are deleted, with the lives that the plan is made for.
+    pub removed: Vec<ShareOwner>,
+}
+
+impl Node {
+    /// Gets the record that should follow `present`, the one that the store holds; `None` if
+    /// this VM has nothing to change.
+    pub fn plan(&self, now: Time, present: &ShareMap) -> Option<SharePlan> {
+        let mut next = present.clone();
+        next.owners.resize(usize::from(self.options.shares), None);
+        let mut changed = self.claims.hand_over(now, &mut next);
+        if !self.left {
+            changed |= self.claims.inherit(&mut next);
+            changed |= plan::claim_free(
+                &mut next,
+                &self.takers(now),
+                self.claims.own(),
+                self.claim_limit(now),
+            );
+        }
+        let removed = self.reclaim(now, &mut next);
+        changed |= !removed.is_empty();
+        if !changed {
+            return None;
+        }
+        next.version = present.version + 1;
+        Some(SharePlan { next, removed })
+    }
+
+    /// Takes in a record of shares. Returns `true` if it is newer.
+    pub fn learn_shares(&mut self, now: Time, map: ShareMap) -> bool {
+        let wait = self.wait();
+        let learned = self.claims.learn(now, map, wait);
+        if learned {
+            self.currency.update(self.held());
+        }
+        learned
+    }
+
+    /// Notes that the proxy obeys what this VM said about shares at `since`.
+    pub fn confirm_shares(&mut self, now: Time, since: Time) {
+        let wait = self.wait();
+        self.claims.confirm(now, since, wait);
+    }
+
+    /// Returns `true` once a leaving VM owns nothing any more.
+    pub fn is_empty_handed(&self) -> bool {
+        plan::shares_of(self.claims.map(), self.claims.own()).next().is_none()
+    }
+
+    /// Returns `true` if shares are being handed over.
+    pub fn is_releasing(&self) -> bool {
+        self.claims.is_releasing()
+    }
+
+    pub(super) fn release_all(&mut self, now: Time) {
+        let wait = self.wait();
+        let takers = self.takers(now);
+        self.claims.release_all(now, &takers, wait);
+    }
+
+    /// Answers a VM that asks for shares. Returns how many it will get.
+    pub(super) fn grant(&mut self, now: Time, asker: ShareOwner, count: u16) -> u16 {
+        let takers = self.takers(now);
+        if !takers.contains(&asker) || self.left {
+            return 0;
+        }
+        let poorer = Counts::new(self.claims.map(), &takers).of(asker);
+        let surplus = self.claims.kept().saturating_sub(poorer) / 2;
+        let wait = self.wait();
+        let granted = self.claims.release(now, asker, surplus.min(usize::from(count)), wait);
+        granted as u16
+    }
+
+    pub(super) fn tend_shares(&mut self, now: Time) -> Vec<Action> {
+        let roster = &self.roster;
+        self.claims.cancel_releases(|to| {
+            let member = roster.member(to.vm);
+            member.is_some_and(|member| member.incarnation == to.incarnation)
+        });
+        if self.left {
+            self.release_all(now);
+        }
+        let mut actions = Vec::new();
+        if self.claims.can_hand_over(now) || self.plan(now, self.claims.map()).is_some() {
+            actions.push(Action::ReadStore);
+        }
+        actions.extend(self.ask_for_shares(now));
+        actions
+    }
+
+    fn ask_for_shares(&mut self, now: Time) -> Option<Action> {
+        if self.left || now < self.next_ask || self.claims.map().owners.contains(&None) {
+            return None;
+        }
+        let (richest, most) = Counts::new(self.claims.map(), &self.takers(now)).richest()?;
+        let difference = most.saturating_sub(self.claims.kept());
+        if difference < ASK_DIFFERENCE || richest.vm == self.own.vm {
+            return None;
+        }
+        self.next_ask = now + ASK_TIME;
+        let count = (difference / 2) as u16;
+        let request = MemberRequest::AskShares { asker: self.claims.own(), count };
+        Some(Action::Send { to: richest.vm, request })
+    }
+
+    /// Gets the lives that may own shares: members that neither leave nor are suspected.
+    fn takers(&self, now: Time) -> Vec<ShareOwner> {
+        let members = self.roster.members().filter(|member| member.state == MemberState::Alive);
+        members
+            .filter(|member| !self.is_suspect(now, member.vm))
+            .map(|member| ShareOwner { vm: member.vm, incarnation: member.incarnation })
+            .collect()
+    }
+
+    /// While the fleet starts, no VM claims more than its part, so that late ones find theirs.
+    fn claim_limit(&self, now: Time) -> usize {
+        let total = usize::from(self.options.shares);
+        let expected = self.roster.len().max(self.listed_live()).max(1);
+        if self.started + self.options.settle <= now {
+            total
+        } else if self.started + FIRST_CLAIMS <= now {
+            total.div_ceil(expected)
+        } else {
+            (total / expected).max(1)
+        }
+    }
+
+    /// Moves the shares of VMs that the platform has dropped, and of lives that are over.
+    fn reclaim(&self, now: Time, next: &mut ShareMap) -> Vec<ShareOwner> {
+        let dropped = self.dropped(now);
+        if dropped.is_empty() || !self.may_reclaim(now) {
+            return Vec::new();
+        }
+        let takers: Vec<ShareOwner> =
+            self.takers(now).into_iter().filter(|owner| !dropped.contains(&owner.vm)).collect();
+        let mut counts = Counts::new(next, &takers);
+        plan::reclaim(
+            next,
+            |owner| dropped.contains(&owner.vm),
+            |share| counts.take_poorest(share),
+        );
+        let life = |vm: &VmId| {
+            let member = self.roster.member(*vm)?;
+            Some(ShareOwner { vm: *vm, incarnation: member.incarnation })
+        };
+        dropped.iter().filter_map(life).collect()
+    }
+
+    /// A VM that cannot reach the store goes on with its shares as long as it hears most of the
+    /// fleet. So this VM must hear at least half of it before it takes anything: then the owner
+    /// cannot have most of it on its side.
+    fn may_reclaim(&self, now: Time) -> bool {
+        let since = Time(now.0.saturating_sub(self.options.window.0));
+        let is_heard = |vm: &VmId| *vm == self.own.vm || self.liveness.is_heard(*vm, since);
+        let heard = self.roster.ids().filter(is_heard).count();
+        self.roster.len() <= 2 * heard
+    }
+}
--- /dev/null
+++ b/oleander-membership/src/plan.rs
@@ -0,0 +1,119 @@
+//! Which VM should own which share: pure functions over the record.
+
+use std::collections::BTreeMap;
+
+use oleander_core::hash;
+use oleander_core::ids::ShareId;
+use oleander_core::ids::VmId;
+
+use crate::shares::ShareMap;
+use crate::shares::ShareOwner;
+
+/// Gets the shares that `owner` owns.
+pub fn shares_of(map: &ShareMap, owner: ShareOwner) -> impl Iterator<Item = ShareId> + '_ {
+    all(map).filter(move |share| map.owner(*share) == Some(owner))
+}
+
+/// Gets all shares.
+pub fn all(map: &ShareMap) -> impl Iterator<Item = ShareId> + use<> {
+    (0..map.owners.len()).map(|at| ShareId(at as u16))
+}
+
+/// Gets the preference of `share` for `vm`; the greatest is the first choice among equals.
+pub fn affinity(share: ShareId, vm: VmId) -> u64 {
+    hash::combine(hash::mix(u64::from(share.0)), vm.0)
+}
+
+/// `Counts` holds how many shares each member owns.
+#[derive(Clone, Debug)]
+pub struct Counts(BTreeMap<ShareOwner, usize>);
+
+impl Counts {
+    /// Counts the shares of `members`.
+    pub fn new(map: &ShareMap, members: &[ShareOwner]) -> Self {
+        let mut counts: BTreeMap<ShareOwner, usize> =
+            members.iter().map(|owner| (*owner, 0)).collect();
+        for owner in map.owners.iter().flatten() {
+            if let Some(count) = counts.get_mut(owner) {
+                *count += 1;
+            }
+        }
+        Self(counts)
+    }
+
+    /// Gives `share` to the member with the fewest shares.
+    pub fn take_poorest(&mut self, share: ShareId) -> Option<ShareOwner> {
+        let key = |(owner, count): &(&ShareOwner, &mut usize)| {
+            (**count, std::cmp::Reverse(affinity(share, owner.vm)))
+        };
+        let (owner, count) = self.0.iter_mut().min_by_key(key)?;
+        *count += 1;
+        Some(*owner)
+    }
+
+    /// Gets the member with the most shares, and their number.
+    pub fn richest(&self) -> Option<(ShareOwner, usize)> {
+        let richest = self.0.iter().max_by_key(|(_, count)| **count);
+        richest.map(|(owner, count)| (*owner, *count))
+    }
+
+    /// Gets the number of shares of a member.
+    pub fn of(&self, owner: ShareOwner) -> usize {
+        self.0.get(&owner).copied().unwrap_or(0)
+    }
+}
+
+/// Gives the shares that nobody owns to `own`, as far as it is their poorest member and stays
+/// within `limit` shares. Returns `true` if there are any.
+pub fn claim_free(
+    next: &mut ShareMap,
+    members: &[ShareOwner],
+    own: ShareOwner,
+    limit: usize,
+) -> bool {
+    let mut counts = Counts::new(next, members);
+    let mut owned = counts.of(own);
+    let mut changed = false;
+    for share in all(next).filter(|share| next.owner(*share).is_none()).collect::<Vec<_>>() {
+        let is_own = counts.take_poorest(share) == Some(own);
+        if is_own && owned < limit {
+            owned += 1;
+            next.owners[usize::from(share.0)] = Some(own);
+            next.reclaimed.retain(|reclaimed| *reclaimed != share);
+            changed = true;
+        }
+    }
+    changed
+}
+
+/// Gives the shares of owners that `is_gone` accepts to the VMs that `choose` names. Their new
+/// owners wait before the first use. Returns `true` if there are any.
+pub fn reclaim(
+    next: &mut ShareMap,
+    is_gone: impl Fn(ShareOwner) -> bool,
+    mut choose: impl FnMut(ShareId) -> Option<ShareOwner>,
+) -> bool {
+    let mut changed = false;
+    for share in all(next).collect::<Vec<_>>() {
+        if !next.owner(share).is_some_and(&is_gone) {
+            continue;
+        }
+        let Some(owner) = choose(share) else { continue };
+        next.owners[usize::from(share.0)] = Some(owner);
+        if let Err(at) = next.reclaimed.binary_search(&share) {
+            next.reclaimed.insert(at, share);
+        }
+        changed = true;
+    }
+    changed
+}
+
+/// Gives `share` from an owner that has stopped using it to `to`, which may use it at once.
+pub fn assign_clean(next: &mut ShareMap, share: ShareId, from: ShareOwner, to: ShareOwner) -> bool {
+    if next.owner(share) != Some(from) {
+        return false;
+    }
+    next.owners[usize::from(share.0)] = Some(to);
+    next.reclaimed.retain(|reclaimed| *reclaimed != share);
+    true
+}
