--- /dev/null
+++ b/oleander-config/src/edit.rs
@@ -0,0 +1,150 @@
+//! Edits of the `workspaces` section's text that keep the operators' layout and comments.
+
+use crate::model::KeyHash;
+use crate::nodes;
+use crate::nodes::Data;
+use crate::nodes::Entry;
+use crate::nodes::Node;
+
+/// `EditError` says why a text was not edited.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EditError {
+    /// The text is not a list of workspaces.
+    Malformed,
+    /// No workspace has the name.
+    UnknownWorkspace,
+    /// The workspace has no key with the name.
+    UnknownKey,
+    /// The workspace already has a key with the name.
+    DuplicateKey,
+    /// The workspace or its keys are written in one line and must be edited by hand.
+    FlowStyle,
+}
+
+impl std::fmt::Display for EditError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            EditError::Malformed => "config: the section is not a list of workspaces",
+            EditError::UnknownWorkspace => "config: no workspace has the name",
+            EditError::UnknownKey => "config: the workspace has no key with the name",
+            EditError::DuplicateKey => "config: the workspace already has a key with the name",
+            EditError::FlowStyle => "config: write each key on a line of its own, led by a dash",
+        })
+    }
+}
+
+impl std::error::Error for EditError {}
+
+/// Adds a key to a workspace in the text of the section `workspaces`.
+///
+/// # Errors
+/// Fails if the text cannot be edited or the workspace has a key of that name.
+pub fn grant_key(
+    text: &str,
+    workspace: &str,
+    key: &str,
+    hash: &KeyHash,
+) -> Result<String, EditError> {
+    let root = nodes::load(text).map_err(|_| EditError::Malformed)?;
+    let entries = find_workspace(&root, workspace)?;
+    let line = format!("- {{name: {key}, sha256: {hash}}}");
+    let Some(keys) = entries.iter().find(|entry| entry.key == "keys") else {
+        // The name's line is there, for the workspace was found by it.
+        let name = entries.iter().find(|entry| entry.key == "name").ok_or(EditError::Malformed)?;
+        let indent = " ".repeat(name.column);
+        let added = [format!("{indent}keys:"), format!("{indent}  {line}")];
+        return insert(text, name.line, &added);
+    };
+    match &keys.value.data {
+        Data::Null => {
+            let indent = " ".repeat(keys.column + 2);
+            insert(text, keys.line, &[format!("{indent}{line}")])
+        }
+        Data::List(items) => {
+            if items.iter().any(|item| name_of(item) == Some(key)) {
+                return Err(EditError::DuplicateKey);
+            }
+            let dash = dash_column(text, items.first()).ok_or(EditError::FlowStyle)?;
+            insert(text, keys.line, &[format!("{}{line}", " ".repeat(dash))])
+        }
+        _ => Err(EditError::Malformed),
+    }
+}
+
+/// Removes a key from a workspace in the text of the section `workspaces`.
+///
+/// # Errors
+/// Fails if the text cannot be edited or the workspace has no such key.
+pub fn withdraw_key(text: &str, workspace: &str, key: &str) -> Result<String, EditError> {
+    let root = nodes::load(text).map_err(|_| EditError::Malformed)?;
+    let entries = find_workspace(&root, workspace)?;
+    let keys = entries.iter().find(|entry| entry.key == "keys").ok_or(EditError::UnknownKey)?;
+    let Data::List(items) = &keys.value.data else {
+        return Err(EditError::UnknownKey);
+    };
+    let item = items.iter().find(|item| name_of(item) == Some(key)).ok_or(EditError::UnknownKey)?;
+    let dash = dash_column(text, Some(item)).ok_or(EditError::FlowStyle)?;
+    Ok(remove(text, item.line, dash))
+}
+
+fn find_workspace<'a>(root: &'a Node, workspace: &str) -> Result<&'a [Entry], EditError> {
+    let Data::List(items) = &root.data else {
+        return Err(EditError::Malformed);
+    };
+    let found = items.iter().find(|item| name_of(item) == Some(workspace));
+    match found.map(|item| &item.data) {
+        Some(Data::Mapping(entries)) => Ok(entries),
+        _ => Err(EditError::UnknownWorkspace),
+    }
+}
+
+fn name_of(node: &Node) -> Option<&str> {
+    let Data::Mapping(entries) = &node.data else {
+        return None;
+    };
+    let name = entries.iter().find(|entry| entry.key == "name")?;
+    match &name.value.data {
+        Data::Plain(text) | Data::Quoted(text) => Some(text),
+        _ => None,
+    }
+}
+
+/// Gets the column of an item's dash; `None` if the item does not follow a dash on its line.
+fn dash_column(text: &str, item: Option<&Node>) -> Option<usize> {
+    let line = text.lines().nth(item?.line - 1)?;
+    let before = line.get(..item?.column)?;
+    let dash = before.find('-')?;
+    (before.trim() == "-").then_some(dash)
+}
+
+/// Inserts lines after the line with the number `after`.
+fn insert(text: &str, after: usize, added: &[String]) -> Result<String, EditError> {
+    let mut lines: Vec<&str> = text.lines().collect();
+    let start = lines.get(after - 1).ok_or(EditError::Malformed)?;
+    // Within braces a new line would not be a new item.
+    let lead = start.trim_start_matches([' ', '-']);
+    if lead.starts_with(['{', '[']) {
+        return Err(EditError::FlowStyle);
+    }
+    lines.splice(after..after, added.iter().map(String::as_str));
+    Ok(join(&lines))
+}
+
+/// Removes an item: its dash's line and the lines that are indented further.
+fn remove(text: &str, line: usize, dash: usize) -> String {
+    let lines: Vec<&str> = text.lines().collect();
+    let belongs = |line: &&&str| dash < indent(line) && !line.trim().is_empty();
+    let more = lines.iter().skip(line).take_while(belongs).count();
+    let kept: Vec<&str> = [&lines[..line - 1], &lines[line + more..]].concat();
+    join(&kept)
+}
+
+fn indent(line: &str) -> usize {
+    line.len() - line.trim_start().len()
+}
+
+fn join(lines: &[&str]) -> String {
+    let mut text = lines.join("\n");
+    text.push('\n');
+    text
+}
--- a/oleander-config/src/model.rs
+++ b/oleander-config/src/model.rs
@@ -181,6 +181,15 @@
     },
 }
 
+impl std::fmt::Display for Matcher {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Matcher::Class(class) => write!(f, "class {class}"),
+            Matcher::Path { method, path } => write!(f, "{method} {path}"),
+        }
+    }
+}
+
 /// `Audience` says who may use a route.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Audience {
--- /dev/null
+++ b/oleander-config/src/parse/routes.rs
@@ -0,0 +1,224 @@
+//! The section `routes`.
+
+use std::collections::HashSet;
+
+use oleander_core::statement::Access;
+use oleander_core::time::Span;
+
+use crate::fields::Bounds;
+use crate::fields::Fields;
+use crate::fields::Located;
+use crate::fields::read_items;
+use crate::fields::read_name;
+use crate::model::Audience;
+use crate::model::Matcher;
+use crate::model::Route;
+use crate::names::Names;
+use crate::names::Scope;
+use crate::nodes::Data;
+use crate::nodes::Node;
+use crate::parse::Drafts;
+use crate::parse::Reference;
+use crate::parse::Target;
+use crate::problems::Problem;
+use crate::problems::Site;
+
+/// The bounds of a cost.
+const COST: Bounds = Bounds { least: 1, most: 1_000 };
+
+/// The longest deadline.
+const MAX_DEADLINE: Span = Span::from_secs(60);
+
+/// The greatest age that a read may accept.
+const MAX_AGE: Span = Span::from_secs(300);
+
+/// The longest path of a route, in bytes.
+const MAX_PATH_BYTES: usize = 200;
+
+/// The methods of a route's own path.
+const METHODS: [&str; 5] = ["GET", "POST", "PUT", "PATCH", "DELETE"];
+
+/// The paths that the proxy itself serves; a path below one of them is taken, too.
+const RESERVED_PATHS: [&str; 5] =
+    ["/v1/statements", "/v1/transactions", "/healthz", "/readyz", "/status"];
+
+/// Reads one route.
+pub(crate) fn read(
+    node: &Node,
+    site: Site,
+    drafts: &mut Drafts,
+    names: &mut Names,
+    problems: &mut Vec<Problem>,
+) {
+    let allowed = [
+        "name", "class", "method", "path", "database", "access", "kind", "audience", "max_age",
+        "deadline", "cost",
+    ];
+    let Some(fields) = Fields::open(node, site, &allowed, problems) else {
+        return;
+    };
+    let name = fields.name("name", problems);
+    if let Some(name) = &name {
+        names.define(Scope::Routes, name, problems);
+    }
+    let matcher = read_matcher(&fields, problems);
+    if let Some(matcher) = &matcher {
+        let form = Located { value: matcher.to_string(), site: fields.site.clone() };
+        names.define(Scope::Matchers, &form, problems);
+    }
+    let database = fields.name("database", problems);
+    if let Some(name) = &database {
+        drafts.references.push(Reference { target: Target::Database, name: name.clone() });
+    }
+    let access = fields.word::<Access>("access", None, "read, idempotent-write, write", problems);
+    let audience = read_audience(&fields, &mut drafts.references, problems);
+    let kind = fields.name("kind", problems);
+    if let (Some(kind), Some(audience)) = (&kind, &audience) {
+        let target = Target::Kind(named_workspaces(audience));
+        drafts.references.push(Reference { target, name: kind.clone() });
+    }
+    let age = read_age(&fields, access, problems);
+    let deadline = fields.span("deadline", MAX_DEADLINE, problems);
+    let cost = fields.number_or("cost", 1, COST, problems);
+
+    let (Some(name), Some(matcher), Some(database), Some(access)) =
+        (name, matcher, database, access)
+    else {
+        return;
+    };
+    let (Some(kind), Some(audience), Some(deadline), Some(cost)) = (kind, audience, deadline, cost)
+    else {
+        return;
+    };
+    let value = Route {
+        name: name.value,
+        matcher,
+        database: database.value,
+        access,
+        kind: kind.value,
+        audience,
+        age,
+        deadline,
+        cost,
+    };
+    drafts.routes.push(Located { value, site: fields.site });
+}
+
+fn read_matcher(fields: &Fields<'_>, problems: &mut Vec<Problem>) -> Option<Matcher> {
+    let class = fields.optional("class").is_some();
+    let own = fields.optional("method").is_some() || fields.optional("path").is_some();
+    match (class, own) {
+        (true, false) => Some(Matcher::Class(fields.name("class", problems)?.value)),
+        (false, true) => {
+            let method = fields.text("method", problems);
+            let path = fields.text("path", problems);
+            let (method, path) = (method?, path?);
+            check_method(&method, problems)?;
+            check_path(&path, problems)?;
+            Some(Matcher::Path { method: method.value, path: path.value })
+        }
+        _ => {
+            problems.push(fields.site.problem("a route has either class, or method and path"));
+            None
+        }
+    }
+}
+
+fn check_method(method: &Located<String>, problems: &mut Vec<Problem>) -> Option<()> {
+    if METHODS.contains(&method.value.as_str()) {
+        return Some(());
+    }
+    problems.push(method.site.problem(format!("the method is one of {}", METHODS.join(", "))));
+    None
+}
+
+fn check_path(path: &Located<String>, problems: &mut Vec<Problem>) -> Option<()> {
+    let text = path.value.as_str();
+    let known = |byte: u8| byte.is_ascii_alphanumeric() || b"/-_.~".contains(&byte);
+    if !text.starts_with('/') || MAX_PATH_BYTES < text.len() || !text.bytes().all(known) {
+        let reason = "a path starts with / and has letters, digits and the signs / - _ . ~";
+        problems.push(path.site.problem(reason));
+        return None;
+    }
+    let below = |reserved: &&&str| {
+        text.strip_prefix(**reserved).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    };
+    if let Some(reserved) = RESERVED_PATHS.iter().find(below) {
+        problems.push(path.site.problem(format!("the proxy itself serves {reserved}")));
+        return None;
+    }
+    Some(())
+}
+
+/// Reads `keyed`, `{open: WORKSPACE}` or `{only: [WORKSPACE, …]}`.
+fn read_audience(
+    fields: &Fields<'_>,
+    references: &mut Vec<Reference>,
+    problems: &mut Vec<Problem>,
+) -> Option<Audience> {
+    let (node, site) = fields.required("audience", problems)?;
+    match &node.data {
+        Data::Plain(text) if text == "keyed" => Some(Audience::Keyed),
+        Data::Mapping(entries) if entries.len() == 1 => {
+            let inner = Fields::open(node, site, &["open", "only"], problems)?;
+            match inner.optional("only") {
+                Some((list, site)) => read_only(list, &site, references, problems),
+                None => {
+                    let name = inner.name("open", problems)?;
+                    let audience = Audience::Open(name.value.clone());
+                    references.push(Reference { target: Target::Workspace, name });
+                    Some(audience)
+                }
+            }
+        }
+        _ => {
+            let reason = "expected keyed, {open: WORKSPACE} or {only: [WORKSPACE]}";
+            problems.push(site.problem(reason));
+            None
+        }
+    }
+}
+
+fn read_only(
+    list: &Node,
+    site: &Site,
+    references: &mut Vec<Reference>,
+    problems: &mut Vec<Problem>,
+) -> Option<Audience> {
+    let mut members = Vec::new();
+    let mut seen = HashSet::new();
+    for (item, site) in read_items(list, site, problems) {
+        let name = read_name(item, site, problems)?;
+        if !seen.insert(name.value.clone()) {
+            problems.push(name.site.problem("the workspace is named twice"));
+        }
+        members.push(name.value.clone());
+        references.push(Reference { target: Target::Workspace, name });
+    }
+    if members.is_empty() {
+        problems.push(site.problem("the list names no workspace"));
+        return None;
+    }
+    Some(Audience::Only(members))
+}
+
+fn named_workspaces(audience: &Audience) -> Vec<String> {
+    match audience {
+        Audience::Open(workspace) => vec![workspace.clone()],
+        Audience::Keyed => Vec::new(),
+        Audience::Only(workspaces) => workspaces.clone(),
+    }
+}
+
+fn read_age(
+    fields: &Fields<'_>,
+    access: Option<Access>,
+    problems: &mut Vec<Problem>,
+) -> Option<Span> {
+    let (_, site) = fields.optional("max_age")?;
+    let age = fields.span("max_age", MAX_AGE, problems);
+    if access.is_some_and(Access::is_write) {
+        problems.push(site.problem("only a read can accept an age"));
+    }
+    age
+}
