--- /dev/null
+++ b/oleander-agent/src/agent.rs
@@ -0,0 +1,233 @@
+//! An agent from its start to its orderly stop.
+
+use std::sync::Arc;
+
+use oleander_core::events::Event;
+use oleander_core::time::Span;
+use oleander_platform::keys;
+use oleander_platform::registration::Registration;
+use oleander_platform::store::Store;
+use oleander_platform::store::StoreOptions;
+use oleander_platform::store::StoreRevision;
+use oleander_platform::vms::VmList;
+use oleander_runtime::clock::Clock;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::shutdown::Shutdown;
+use oleander_runtime::timer::TimerService;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+
+use crate::actions;
+use crate::errors::Result;
+use crate::errors::listen_error;
+use crate::observer::Observer;
+use crate::platform;
+use crate::server;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// The time between looks at what has become due.
+const TICK: Span = Span::from_millis(50);
+
+/// The time between two attempts to open a watch.
+const WATCH_PAUSE: Span = Span::from_millis(500);
+
+/// The time by which a watch may trail the reads before it counts as silent.
+const WATCH_LAG: Span = Span::from_secs(2);
+
+/// `Agent` is a running agent. Dropping it ends it at once, as a crash would.
+#[derive(Debug)]
+pub struct Agent {
+    shared: Arc<Shared>,
+    address: std::net::SocketAddr,
+    task: JoinHandle<()>,
+    stop: tokio::sync::watch::Sender<bool>,
+}
+
+impl Agent {
+    /// Starts an agent with the given settings.
+    ///
+    /// Fails if the peer address cannot be bound. Until the store answers, the agent waits.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await.map_err(listen_error)?;
+        Self::start_on(listener, settings).await
+    }
+
+    /// Starts an agent on a listener that is bound already.
+    pub async fn start_on(listener: TcpListener, settings: Settings) -> Result<Self> {
+        let address = listener.local_addr().map_err(listen_error)?;
+        let clock = Clock::new();
+        let journal = Journal::new(&format!("agent/{}", settings.name), clock);
+        journal.record(Event::ProcessStarted, &[Field::text("address", address)]);
+        let registration = Registration {
+            name: settings.name.clone(),
+            place: settings.place(),
+            agent: address,
+            proxy: settings.proxy,
+            life: rand::random(),
+        };
+        let options = StoreOptions {
+            endpoints: settings.store.clone(),
+            deadline: settings.times.call,
+            ..StoreOptions::default()
+        };
+        let list = VmList::new(settings.vms.clone(), settings.times.call);
+        let platform = (Store::new(options), list);
+        let timers = TimerService::start(clock);
+        let shared = Arc::new(Shared::new(settings, registration, timers, journal, platform));
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let task = tokio::spawn(run(Arc::clone(&shared), listener, stopped));
+        Ok(Self { shared, address, task, stop })
+    }
+
+    /// Gets the address at which the agent takes peer streams.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.address
+    }
+
+    /// Gets the signal that starts the orderly stop.
+    pub fn drain_signal(&self) -> Shutdown {
+        self.shared.drain.clone()
+    }
+
+    /// Gets the event log.
+    pub fn journal(&self) -> &Journal {
+        &self.shared.journal
+    }
+
+    /// Gets the state as JSON, as `oleanderctl status` shows it.
+    pub fn status(&self) -> String {
+        crate::status::describe(&self.shared)
+    }
+
+    /// Waits until the agent has stopped in an orderly way.
+    pub async fn wait(mut self) {
+        let _ = (&mut self.task).await;
+    }
+
+    /// Stops the agent in an orderly way: tells the fleet, hands shares over, and ends.
+    pub async fn stop(self) {
+        self.shared.drain.trigger();
+        self.wait().await;
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+        self.task.abort();
+    }
+}
+
+async fn run(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    stopped: tokio::sync::watch::Receiver<bool>,
+) {
+    let mut tasks = JoinSet::new();
+    let handler = {
+        let shared = Arc::clone(&shared);
+        move |incoming| server::handle(Arc::clone(&shared), incoming)
+    };
+    tasks.spawn(oleander_peer::server::serve(listener, stopped, handler));
+    let joined = tokio::select! {
+        joined = platform::join(&shared) => joined,
+        // Nothing is owned yet, so nothing has to be handed over.
+        () = shared.drain.wait() => return,
+    };
+    actions::run(&shared, joined);
+    tasks.spawn(keep_rounds(Arc::clone(&shared)));
+    tasks.spawn(watch_changes(Arc::clone(&shared)));
+    tasks.spawn(follow_store(Arc::clone(&shared)));
+    shared.drain.wait().await;
+    drain(&shared).await;
+}
+
+/// Sends heartbeats at a steady interval.
+async fn keep_rounds(shared: Arc<Shared>) {
+    let mut ticks = shared.timers.interval(shared.settings.times.heartbeat);
+    loop {
+        ticks.tick().await;
+        let entropy = rand::random();
+        let actions = shared.with_node(|node, now| node.round(now, entropy));
+        actions::run(&shared, actions.unwrap_or_default());
+    }
+}
+
+/// Logs what changes in the fleet, and wakes subscribers when a share becomes usable.
+async fn watch_changes(shared: Arc<Shared>) {
+    let mut observer = Observer::default();
+    let mut ticks = shared.timers.interval(TICK);
+    let mut shown = None;
+    loop {
+        ticks.tick().await;
+        let seen = shared.with_node(|node, now| {
+            let observations = observer.observe(node, now);
+            let tended = node.tend_hand_over(now);
+            (observations, tended, (node.usable_map(now), now < node.current_until(now)))
+        });
+        let Some((observations, tended, state)) = seen else { continue };
+        for observation in observations {
+            shared.record(observation.event, &observation.fields);
+        }
+        if shown.as_ref() != Some(&state) {
+            shown = Some(state);
+            shared.notify();
+        }
+        actions::run(&shared, tended);
+    }
+}
+
+/// Keeps a watch open while this VM is one of the watchers.
+async fn follow_store(shared: Arc<Shared>) {
+    loop {
+        let is_watcher = shared.with_node(|node, now| node.is_watcher(now)).unwrap_or(false);
+        if is_watcher {
+            // A watch that fails is opened again; meanwhile the reads go on.
+            let _ = follow_watch(&shared).await;
+        }
+        shared.timers.sleep(WATCH_PAUSE).await;
+    }
+}
+
+async fn follow_watch(shared: &Arc<Shared>) -> oleander_platform::errors::Result<()> {
+    let mut watch =
+        shared.store.watch(keys::HEAD, keys::WATCH_END, StoreRevision::default()).await?;
+    loop {
+        tokio::select! {
+            notice = watch.next() => {
+                let notice = notice?;
+                let is_roster = |key: &str| key.starts_with(keys::VMS);
+                if notice.changed.iter().any(|entry| is_roster(&entry.key)) {
+                    actions::run(shared, vec![oleander_membership::node::Action::ReadRoster]);
+                }
+                if notice.changed.iter().any(|entry| !is_roster(&entry.key)) {
+                    actions::run(shared, vec![oleander_membership::node::Action::ReadStore]);
+                }
+            }
+            () = shared.timers.sleep(WATCH_LAG) => {}
+        }
+        if !shared.with_node(|node, now| node.is_watcher(now)).unwrap_or(false) {
+            return Ok(());
+        }
+    }
+}
+
+/// Tells the fleet that this VM leaves, and waits until its shares are handed over.
+async fn drain(shared: &Arc<Shared>) {
+    shared.record(Event::DrainStarted, &[]);
+    let entropy = rand::random();
+    let actions = shared.with_node(|node, now| node.leave(now, entropy));
+    actions::run(shared, actions.unwrap_or_default());
+    shared.notify();
+    let due = shared.now() + shared.settings.times.drain;
+    while shared.now() < due && !shared.with_node(|node, _| node.is_empty_handed()).unwrap_or(true)
+    {
+        shared.timers.sleep(TICK).await;
+    }
+    // The VM list ends what could not be ended here.
+    let _ = platform::unregister(shared).await;
+    shared.record(Event::DrainFinished, &[]);
+}
--- /dev/null
+++ b/oleander-agent/src/observer.rs
@@ -0,0 +1,110 @@
+//! Turns changes of the fleet into log events.
+
+use std::collections::BTreeMap;
+
+use oleander_core::events::Event;
+use oleander_core::ids::VmId;
+use oleander_core::time::Time;
+use oleander_membership::node::Node;
+use oleander_membership::roster::Member;
+use oleander_membership::roster::MemberState;
+use oleander_membership::shares::ShareMap;
+use oleander_runtime::logs::Field;
+
+/// `Observation` is an event with its fields.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Observation {
+    /// The event.
+    pub event: Event,
+    /// The fields.
+    pub fields: Vec<Field>,
+}
+
+/// `Observer` remembers what it saw last.
+#[derive(Clone, Debug, Default)]
+pub struct Observer {
+    members: BTreeMap<VmId, Member>,
+    shares: ShareMap,
+    current: bool,
+    usable: bool,
+}
+
+impl Observer {
+    /// Compares the fleet with what was seen before, and gets the differences.
+    pub fn observe(&mut self, node: &Node, now: Time) -> Vec<Observation> {
+        let mut found = Vec::new();
+        self.observe_members(node, now, &mut found);
+        self.observe_shares(node, &mut found);
+        let current = now < node.current_until(now);
+        if current != self.current {
+            self.current = current;
+            let event = if current { Event::CurrencyRegained } else { Event::CurrencyLost };
+            let revision = Field::number("revision", node.spread().revision().0);
+            found.push(Observation { event, fields: vec![revision] });
+        }
+        let usable = now < node.shares_until(now);
+        if self.usable && !usable {
+            found.push(Observation { event: Event::SharesSuspended, fields: Vec::new() });
+        }
+        self.usable = usable;
+        found
+    }
+
+    fn observe_members(&mut self, node: &Node, now: Time, found: &mut Vec<Observation>) {
+        let present: BTreeMap<VmId, Member> =
+            node.members(now).into_iter().map(|member| (member.vm, member)).collect();
+        for (vm, member) in &present {
+            let former = self.members.get(vm);
+            if former.is_none_or(|former| former.incarnation != member.incarnation) {
+                found.push(observation(Event::VmJoined, member));
+            }
+            let was_suspect = former.is_some_and(|former| former.state == MemberState::Suspect);
+            if member.state == MemberState::Suspect && !was_suspect {
+                found.push(observation(Event::PeerSuspected, member));
+            }
+        }
+        let left = self.members.iter().filter(|(vm, _)| !present.contains_key(vm));
+        found.extend(left.map(|(_, member)| observation(Event::VmLeft, member)));
+        self.members = present;
+    }
+
+    fn observe_shares(&mut self, node: &Node, found: &mut Vec<Observation>) {
+        let map = node.shares();
+        if map.version == self.shares.version {
+            return;
+        }
+        for (share, owner) in map.owners.iter().enumerate() {
+            let former = self.shares.owners.get(share).copied().flatten();
+            if *owner == former {
+                continue;
+            }
+            let fields = vec![
+                Field::number("share", share as u64),
+                Field::text(
+                    "from",
+                    former.map_or_else(|| "nobody".to_owned(), |owner| name(node, owner.vm)),
+                ),
+                Field::text(
+                    "to",
+                    owner.map_or_else(|| "nobody".to_owned(), |owner| name(node, owner.vm)),
+                ),
+                Field::number("version", map.version),
+            ];
+            found.push(Observation { event: Event::ShareMoved, fields });
+        }
+        self.shares = map.clone();
+    }
+}
+
+fn observation(event: Event, member: &Member) -> Observation {
+    let fields = vec![
+        Field::text("vm", &member.name),
+        Field::number("incarnation", member.incarnation.0),
+        Field::text("zone", &member.place.zone),
+    ];
+    Observation { event, fields }
+}
+
+fn name(node: &Node, vm: VmId) -> String {
+    node.roster().member(vm).map_or_else(|| vm.to_string(), |member| member.name.clone())
+}
--- /dev/null
+++ b/oleander-agent/src/server.rs
@@ -0,0 +1,50 @@
+//! Answers peers, the proxy and the operator tool.
+
+use std::sync::Arc;
+
+use oleander_membership::messages::MemberRequest;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_peer::server::Incoming;
+
+use crate::actions;
+use crate::shared::Shared;
+use crate::status;
+use crate::views;
+
+/// Handles one stream.
+pub async fn handle(shared: Arc<Shared>, incoming: Incoming) {
+    let Incoming { request, responder, .. } = incoming;
+    let reply = match request {
+        Request::Member(request) => answer_member(&shared, request),
+        Request::Subscribe(request) => return views::serve(&shared, request, responder).await,
+        Request::Report(report) => {
+            views::take_report(&shared, report);
+            Reply::Accepted
+        }
+        Request::Status => Reply::Status(status::describe(&shared)),
+        Request::Events => Reply::Events(shared.journal.recent_json()),
+        Request::Drain => {
+            shared.drain.trigger();
+            shared.notify();
+            Reply::Accepted
+        }
+        Request::Work(_) | Request::Limit(_) | Request::Failover(_) => Reply::Unsupported,
+    };
+    // A caller that has gone needs no reply.
+    let _ = responder.send(reply).await;
+}
+
+fn answer_member(shared: &Arc<Shared>, request: MemberRequest) -> Reply {
+    let is_share_change = matches!(request, MemberRequest::AskShares { .. });
+    let entropy = rand::random();
+    let answered = shared.with_node(|node, now| node.request(now, request, entropy));
+    // A VM that has not registered yet is not in the fleet.
+    let Some((reply, next)) = answered else { return Reply::Unsupported };
+    actions::run(shared, next);
+    if is_share_change {
+        // The proxy must stop using what is to be handed over.
+        shared.notify();
+    }
+    Reply::Member(reply)
+}
--- /dev/null
+++ b/oleander-agent/src/status.rs
@@ -0,0 +1,122 @@
+//! The state of an agent for the operator tool.
+
+use oleander_core::ids::Incarnation;
+use oleander_core::ids::Revision;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_membership::roster::MemberState;
+use serde::Serialize;
+
+use crate::shared::Shared;
+use crate::shared::lock;
+
+/// `Status` is what `oleanderctl status` shows of an agent.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// The kind of process: `agent`.
+    pub program: &'static str,
+    /// The name of the VM.
+    pub vm: String,
+    /// The life of the agent; 0 before it has registered.
+    pub incarnation: Incarnation,
+    /// The revision in force at the agent.
+    pub revision: Revision,
+    /// The revision that the proxy has acknowledged as in force.
+    pub acknowledged: Revision,
+    /// `true` if the VM serves keyed requests.
+    pub current: bool,
+    /// The time for which the VM stays current without further news, in milliseconds.
+    pub current_ms: u64,
+    /// The time since the latest read of the store that the VM knows of, in milliseconds.
+    pub reading_ms: Option<u64>,
+    /// `true` if the VM watches the store for others.
+    pub watcher: bool,
+    /// The shares that the VM owns.
+    pub shares: Vec<u16>,
+    /// The version of the record of shares.
+    pub version: u64,
+    /// The VMs of the fleet.
+    pub members: Vec<MemberStatus>,
+    /// The requests and transactions that are open at the proxy.
+    pub open: u64,
+    /// `true` while the VM stops.
+    pub draining: bool,
+}
+
+/// `MemberStatus` is another VM as this one sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberStatus {
+    /// The name.
+    pub name: String,
+    /// What is known of its life.
+    pub state: MemberState,
+    /// The life of its agent.
+    pub incarnation: Incarnation,
+    /// The region.
+    pub region: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The peer address of its agent.
+    pub agent: std::net::SocketAddr,
+    /// The peer address of its proxy.
+    pub proxy: std::net::SocketAddr,
+    /// The number of shares that it owns.
+    pub shares: usize,
+}
+
+/// Describes the agent as JSON.
+pub fn describe(shared: &Shared) -> String {
+    serde_json::to_string(&status(shared)).unwrap_or_default()
+}
+
+fn status(shared: &Shared) -> Status {
+    let report = lock(&shared.proxy).report;
+    let mut status = Status {
+        program: "agent",
+        vm: shared.settings.name.clone(),
+        incarnation: Incarnation::default(),
+        revision: Revision::default(),
+        acknowledged: report.revision,
+        current: false,
+        current_ms: 0,
+        reading_ms: None,
+        watcher: false,
+        shares: Vec::new(),
+        version: 0,
+        members: Vec::new(),
+        open: report.open,
+        draining: shared.drain.is_triggered() || report.draining,
+    };
+    shared.with_node(|node, now| {
+        let map = node.shares();
+        let owned = |vm| map.owners.iter().flatten().filter(|owner| owner.vm == vm).count();
+        let own = node.own().vm;
+        let mine = map.owners.iter().enumerate();
+        let mine = mine.filter(|(_, owner)| owner.is_some_and(|owner| owner.vm == own));
+        let current: Time = node.current_until(now);
+        status.incarnation = node.own().incarnation;
+        status.revision = node.spread().revision();
+        status.current = now < current;
+        status.current_ms = current.since(now).as_millis();
+        status.reading_ms =
+            Some(node.reading_age(now)).filter(|age| *age < Span::MAX).map(Span::as_millis);
+        status.watcher = node.is_watcher(now);
+        status.shares = mine.map(|(at, _)| at as u16).collect();
+        status.version = map.version;
+        status.members = node
+            .members(now)
+            .into_iter()
+            .map(|member| MemberStatus {
+                shares: owned(member.vm),
+                name: member.name,
+                state: member.state,
+                incarnation: member.incarnation,
+                region: member.place.region,
+                zone: member.place.zone,
+                agent: member.agent,
+                proxy: member.proxy,
+            })
+            .collect();
+    });
+    status
+}
--- a/oleander-membership/src/claims.rs
+++ b/oleander-membership/src/claims.rs
@@ -119,7 +119,8 @@
     /// Notes that the proxy uses none of the shares released until `since` any more.
     pub fn confirm(&mut self, now: Time, since: Time, wait: Span) {
         for release in self.releases.values_mut() {
-            if release.free.0 <= since.0.saturating_add(wait.0) {
+            // A view of the same instant may have been made before the release.
+            if release.free < since + wait {
                 release.free = release.free.min(now);
             }
         }
--- a/oleander-membership/src/node/gossip.rs
+++ b/oleander-membership/src/node/gossip.rs
@@ -93,7 +93,7 @@
     }
 
     /// Tells a few peers at once of what is new here.
-    pub(super) fn push(&mut self, now: Time, entropy: u64) -> Vec<Action> {
+    pub fn push(&mut self, now: Time, entropy: u64) -> Vec<Action> {
         let peers = self.choose_peers(now, entropy, self.options.eager);
         let send = |to| Action::Send { to, request: MemberRequest::Pull(self.pull()) };
         peers.into_iter().map(send).collect()
--- a/oleander-membership/src/node/mod.rs
+++ b/oleander-membership/src/node/mod.rs
@@ -135,6 +135,7 @@
     list_read: Time,
     next_read: Time,
     next_ask: Time,
+    next_commit: Time,
     next_sync: Time,
     mismatched: Option<Time>,
     fetching: Option<(Revision, Time)>,
@@ -161,6 +162,7 @@
             list_read: Time(0),
             next_read: now,
             next_ask: now,
+            next_commit: now,
             next_sync: now,
             mismatched: None,
             fetching: None,
@@ -168,6 +170,16 @@
         }
     }
 
+    /// Starts a new life: what was owned in the former one is owned no more.
+    pub fn rejoin(&mut self, now: Time, own: Member) {
+        let life = ShareOwner { vm: own.vm, incarnation: own.incarnation };
+        self.roster.merge(MemberNews::Present(own.clone()));
+        self.own = own;
+        self.started = now;
+        self.claims = Claims::new(life);
+        self.left = false;
+    }
+
     /// Gets this VM.
     pub fn own(&self) -> &Member {
         &self.own
--- a/oleander-membership/src/node/ownership.rs
+++ b/oleander-membership/src/node/ownership.rs
@@ -13,6 +13,9 @@
 use crate::shares::ShareMap;
 use crate::shares::ShareOwner;
 
+/// The time between two attempts to commit hand-overs.
+const COMMIT_TIME: Span = Span::from_millis(250);
+
 /// The time between two requests for shares.
 const ASK_TIME: Span = Span::from_secs(1);
 
@@ -101,6 +104,15 @@
         granted as u16
     }
 
+    /// Looks for shares whose hand-over waits for the store only.
+    pub fn tend_hand_over(&mut self, now: Time) -> Vec<Action> {
+        if !self.claims.can_hand_over(now) || now < self.next_commit {
+            return Vec::new();
+        }
+        self.next_commit = now + COMMIT_TIME;
+        vec![Action::ReadStore]
+    }
+
     pub(super) fn tend_shares(&mut self, now: Time) -> Vec<Action> {
         let roster = &self.roster;
         self.claims.cancel_releases(|to| {
@@ -111,7 +123,7 @@
             self.release_all(now);
         }
         let mut actions = Vec::new();
-        if self.claims.can_hand_over(now) || self.plan(now, self.claims.map()).is_some() {
+        if self.plan(now, self.claims.map()).is_some() {
             actions.push(Action::ReadStore);
         }
         actions.extend(self.ask_for_shares(now));
--- a/oleander-platform/src/lib.rs
+++ b/oleander-platform/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod configuration;
 pub mod errors;
 pub mod keys;
+pub mod registration;
 pub mod store;
 pub mod vms;
 pub mod watch;
