--- a/oleander-upstream/src/contract.rs
+++ b/oleander-upstream/src/contract.rs
@@ -1,6 +1,15 @@
 //! What the proxy assumes of a database instance, kept in one place.
 //!
 //! Each instance answers these statements over the PostgreSQL wire protocol.
+//! Besides, the proxy relies on the following:
+//!
+//! - A promotion writes a record of its own term, so that the point of a
+//!   primary carries the primary's term, and a point names the term of the last
+//!   record applied, not the term promised.
+//! - A statement on a connection without a workspace fails or sees no rows.
+//! - An instance that drops history closes the connections open at that time,
+//!   so that a status answered on a connection holds for later reads on it.
+//! - A fenced instance commits nothing, also in transactions that were open.
 
 /// Asks for the status: columns `role` (text: `primary`, `replica` or
 /// `fenced`), `term`, `position`, `fence` and `start` (bigint each).
@@ -23,6 +32,9 @@
 /// Clears all state of the connection.
 pub const RESET_SQL: &str = "DISCARD ALL";
 
+/// Asks for nothing; shows that the connection answers.
+pub const PING_SQL: &str = "SELECT 1";
+
 /// Opens a transaction.
 pub const BEGIN_SQL: &str = "BEGIN";
 
