--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -5,6 +5,7 @@
 use oleander_core::ids::RequestId;
 use oleander_core::ids::Revision;
 use oleander_core::ids::TransactionId;
+use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::statement::Access;
 use oleander_core::statement::Rows;
@@ -29,7 +30,12 @@
     /// An entry proxy asks a home to run work on its database.
     Work(WorkRequest),
     /// A proxy asks another about rate limits.
-    Limit(LimitRequest),
+    Limit {
+        /// The asking VM.
+        from: VmId,
+        /// What it asks.
+        request: LimitRequest,
+    },
     /// An agent talks to another about membership, shares and configuration.
     Member(MemberRequest),
     /// An agent talks to another about instances.
--- a/oleander-peer/tests/calls.rs
+++ b/oleander-peer/tests/calls.rs
@@ -3,14 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::verdict::Verdict;
-use oleander_limits::messages::LimitReply;
-use oleander_limits::messages::LimitRequest;
 use oleander_peer::client::PeerClient;
 use oleander_peer::connection::ConnectionOptions;
 use oleander_peer::errors::Error;
+use oleander_peer::messages::ProxyReport;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_peer::server;
@@ -33,7 +31,7 @@
     release: Arc<Notify>,
 }
 
-/// Answers `Limit` at once, `Status` after `release`, and `Events` with two replies.
+/// Answers `Report` at once, `Status` after `release`, and `Events` with two replies.
 async fn start_server() -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
@@ -51,8 +49,8 @@
     (entered, left, release): (Arc<Notify>, Arc<Notify>, Arc<Notify>),
 ) {
     match incoming.request {
-        Request::Limit(LimitRequest::Tokens { count, .. }) => {
-            let _ = incoming.responder.send(Reply::Limit(LimitReply::Tokens { count })).await;
+        Request::Report(ProxyReport { open, .. }) => {
+            let _ = incoming.responder.send(number(open)).await;
         }
         Request::Status => {
             let _note = NotifyOnDrop(left);
@@ -75,8 +73,12 @@
     }
 }
 
-fn tokens(count: u32) -> Request {
-    Request::Limit(LimitRequest::Tokens { workspace: WorkspaceId(1), count })
+fn report(open: u64) -> Request {
+    Request::Report(ProxyReport { open, ..ProxyReport::default() })
+}
+
+fn number(open: u64) -> Reply {
+    Reply::Status(open.to_string())
 }
 
 #[tokio::test]
@@ -86,10 +88,10 @@
     let calls = (0..200).map(|count| {
         let client = client.clone();
         let address = server.address;
-        async move { (count, client.call(address, &tokens(count), LIMIT).await) }
+        async move { (count, client.call(address, &report(count), LIMIT).await) }
     });
     for (count, reply) in futures::future::join_all(calls).await {
-        assert_eq!(reply, Ok(Reply::Limit(LimitReply::Tokens { count })));
+        assert_eq!(reply, Ok(number(count)));
     }
 }
 
@@ -129,7 +131,7 @@
     assert_eq!(call.await.expect("the call ends"), Ok(Reply::Status("{}".to_owned())));
     server.task.await.expect("the server ends");
     let late =
-        client.call(server.address, &tokens(1), LIMIT).await.expect_err("the server has gone");
+        client.call(server.address, &report(1), LIMIT).await.expect_err("the server has gone");
     assert_eq!(late.verdict(), Verdict::NotRun);
 }
 
@@ -139,7 +141,7 @@
     let address = listener.local_addr().expect("a bound address");
     drop(listener);
     let error =
-        PeerClient::default().call(address, &tokens(1), LIMIT).await.expect_err("nothing listens");
+        PeerClient::default().call(address, &report(1), LIMIT).await.expect_err("nothing listens");
     assert!(matches!(error, Error::Connect(_)));
     assert_eq!(error.verdict(), Verdict::NotRun);
 }
@@ -149,8 +151,8 @@
     let server = start_server().await;
     let mut stranger = TcpStream::connect(server.address).await.expect("the server listens");
     stranger.write_all(&[0xff; 4_096]).await.expect("the socket takes the bytes");
-    let reply = PeerClient::default().call(server.address, &tokens(5), LIMIT).await;
-    assert_eq!(reply, Ok(Reply::Limit(LimitReply::Tokens { count: 5 })));
+    let reply = PeerClient::default().call(server.address, &report(5), LIMIT).await;
+    assert_eq!(reply, Ok(number(5)));
 }
 
 /// Forwards connections until told to fall silent; new ones work again after that.
@@ -187,7 +189,7 @@
         ..ConnectionOptions::default()
     };
     let client = PeerClient::new(options);
-    client.call(address, &tokens(1), LIMIT).await.expect("the forwarder forwards");
+    client.call(address, &report(1), LIMIT).await.expect("the forwarder forwards");
     let open = {
         let client = client.clone();
         tokio::spawn(async move { client.call(address, &Request::Status, LIMIT).await })
@@ -200,6 +202,6 @@
         "closed by the ping, long before the deadline: {error}"
     );
     assert_eq!(error.verdict(), Verdict::MayHaveRun);
-    let reply = client.call(address, &tokens(2), LIMIT).await;
-    assert_eq!(reply, Ok(Reply::Limit(LimitReply::Tokens { count: 2 })));
+    let reply = client.call(address, &report(2), LIMIT).await;
+    assert_eq!(reply, Ok(number(2)));
 }
--- a/oleander-peer/tests/codec.rs
+++ b/oleander-peer/tests/codec.rs
@@ -1,17 +1,16 @@
 //! Frames: round trips and malformed input.
 
-use oleander_core::ids::WorkspaceId;
-use oleander_limits::messages::LimitRequest;
 use oleander_peer::codec;
 use oleander_peer::codec::FrameBuffer;
 use oleander_peer::errors::Error;
+use oleander_peer::messages::ProxyReport;
 use oleander_peer::messages::Request;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
 fn request() -> Request {
-    Request::Limit(LimitRequest::Tokens { workspace: WorkspaceId(7), count: 3 })
+    Request::Report(ProxyReport { open: 3, ..ProxyReport::default() })
 }
 
 #[test]
