--- a/oleander-agent/src/server.rs
+++ b/oleander-agent/src/server.rs
@@ -29,7 +29,7 @@
             shared.notify();
             Reply::Accepted
         }
-        Request::Work(_) | Request::Limit(_) | Request::Failover(_) => Reply::Unsupported,
+        Request::Work(_) | Request::Limit { .. } | Request::Failover(_) => Reply::Unsupported,
     };
     // A caller that has gone needs no reply.
     let _ = responder.send(reply).await;
