Let a new owner wait until half of the fleet has the record of shares

A simulation of agents, proxies, store, network and VM list in virtual time found a share in use on two VMs: an owner cut off from the store goes on while it hears most of the fleet, and the VMs that it hears may have supported its successor a moment before. Now a VM's sign of life counts only where it is not ahead of the receiver in what it has, and a share that was not handed over is first used a window after half of the fleet is known to have the record.

What remains outside the rule: while a part of the fleet is cut off from the store, the platform drops more than one VM that still runs, or new VMs join.

--- a/oleander-agent/src/actions.rs
+++ b/oleander-agent/src/actions.rs
@@ -57,7 +57,7 @@
     let entropy = rand::random();
     let next = shared.with_node(|node, now| {
         let version = node.shares().version;
-        let next = node.reply(now, asked, to, reply, entropy);
+        let next = node.reply(now, asked, reply, entropy);
         (next, version != node.shares().version)
     });
     let (next, moved) = next.unwrap_or_default();
--- a/oleander-agent/src/platform.rs
+++ b/oleander-agent/src/platform.rs
@@ -137,23 +137,26 @@
 async fn try_join(shared: &Arc<Shared>) -> Result<Vec<Action>> {
     let incarnation = registration::register(&shared.store, &shared.registration).await?;
     let (stored, members) = registration::read_members(&shared.store).await?;
+    let state = read_state(shared, shared.now()).await?;
     let own = shared.registration.clone().member(StoreRevision(incarnation.0));
-    let known = shared.with_node(|node, now| {
-        node.rejoin(now, own.clone());
-    });
+    let known = shared.with_node(|node, now| node.rejoin(now, own.clone()));
+    let mut actions = Vec::new();
     if known.is_none() {
-        shared.set_node(Node::new(shared.now(), own.clone(), shared.settings.node_options()));
+        let now = shared.now();
+        let mut node = Node::new(now, own.clone(), shared.settings.node_options());
+        // The node is not seen by peers before it has this.
+        actions.extend(node.store_read(now, state));
+        shared.set_node(node);
     }
     let fields = [Field::text("vm", &own.name), Field::number("incarnation", incarnation.0)];
     shared.record(Event::VmJoined, &fields);
     let entropy = rand::random();
-    let actions = shared.with_node(|node, now| {
-        let mut actions = node.roster_read(now, stored.0, members);
+    shared.with_node(|node, now| {
+        actions.extend(node.roster_read(now, stored.0, members));
         actions.extend(node.push(now, entropy));
-        actions.extend([Action::ReadList, Action::ReadStore]);
-        actions
     });
-    Ok(actions.unwrap_or_default())
+    actions.extend([Action::ReadList, Action::ReadStore]);
+    Ok(actions)
 }
 
 async fn read_and_commit(shared: &Arc<Shared>, actions: &mut Vec<Action>) -> Result<Round> {
--- a/oleander-membership/src/claims.rs
+++ b/oleander-membership/src/claims.rs
@@ -16,7 +16,7 @@
     own: ShareOwner,
     map: ShareMap,
     releases: BTreeMap<ShareId, Release>,
-    waits: BTreeMap<ShareId, Time>,
+    waits: BTreeMap<ShareId, Wait>,
 }
 
 /// `Release` is a share whose use has ended here, on its way to another owner.
@@ -26,6 +26,21 @@
     free: Time,
 }
 
+/// `Wait` is the time before the first use of a share that was not handed over.
+#[derive(Clone, Copy, Debug)]
+enum Wait {
+    /// Until enough VMs have the record that names the new owner.
+    Quorum,
+    /// Until this time, when all support for the former owner has run out.
+    Until(Time),
+}
+
+impl Wait {
+    fn is_over(self, now: Time) -> bool {
+        matches!(self, Wait::Until(due) if due <= now)
+    }
+}
+
 impl Claims {
     /// Makes the claims of a VM that knows no record yet.
     pub fn new(own: ShareOwner) -> Self {
@@ -44,8 +59,9 @@
 
     /// Takes in a record. Returns `true` if it is newer than the one before.
     ///
-    /// A share that comes from an owner which did not hand it over is first used after `wait`.
-    pub fn learn(&mut self, now: Time, map: ShareMap, wait: Span) -> bool {
+    /// A share that comes from an owner which did not hand it over is first used some time after
+    /// `confirm_quorum`.
+    pub fn learn(&mut self, map: ShareMap) -> bool {
         if map.version <= self.map.version {
             return false;
         }
@@ -53,7 +69,7 @@
         for share in plan::shares_of(&self.map, self.own) {
             let is_new = former.owner(share) != Some(self.own);
             if is_new && self.map.reclaimed.contains(&share) {
-                self.waits.insert(share, now + wait);
+                self.waits.insert(share, Wait::Quorum);
             }
         }
         let owned = |share: &ShareId| self.map.owner(*share) == Some(self.own);
@@ -62,11 +78,26 @@
         true
     }
 
+    /// Notes that enough VMs have the present record. Former owners may use their shares for
+    /// `wait` from now, and no longer.
+    pub fn confirm_quorum(&mut self, now: Time, wait: Span) {
+        for state in self.waits.values_mut() {
+            if matches!(state, Wait::Quorum) {
+                *state = Wait::Until(now + wait);
+            }
+        }
+    }
+
+    /// Returns `true` if a share waits until enough VMs have the record.
+    pub fn needs_quorum(&self) -> bool {
+        self.waits.values().any(|state| matches!(state, Wait::Quorum))
+    }
+
     /// Returns `true` if this VM may use `share` at `now`, as far as the record is concerned.
     pub fn is_usable(&self, now: Time, share: ShareId) -> bool {
         self.map.owner(share) == Some(self.own)
             && !self.releases.contains_key(&share)
-            && self.waits.get(&share).is_none_or(|until| *until <= now)
+            && self.waits.get(&share).is_none_or(|state| state.is_over(now))
     }
 
     /// Gets the record as the proxy may use it: own shares that must not be used have no owner.
@@ -80,13 +111,6 @@
         map
     }
 
-    /// Gets the next time at which a share becomes usable or free.
-    pub fn next_due(&self, now: Time) -> Option<Time> {
-        let waits = self.waits.values().copied();
-        let frees = self.releases.values().map(|release| release.free);
-        waits.chain(frees).filter(|due| now < *due).min()
-    }
-
     /// Stops the use of up to `count` shares for the benefit of `to`. Returns how many.
     ///
     /// They are handed over once the proxy has stopped too, or at the latest when all it was ever
@@ -161,7 +185,7 @@
 
     /// A share that still waits out a former owner must not be passed on as clean.
     fn is_free(&self, now: Time, share: ShareId, release: Release) -> bool {
-        let is_past = self.waits.get(&share).is_none_or(|until| *until <= now);
+        let is_past = self.waits.get(&share).is_none_or(|state| state.is_over(now));
         release.free <= now && is_past
     }
 }
--- a/oleander-membership/src/lib.rs
+++ b/oleander-membership/src/lib.rs
@@ -1,5 +1,6 @@
 //! Membership of the fleet, ownership of shares, spread of the configuration and currency.
 
+pub mod acks;
 pub mod claims;
 pub mod currency;
 pub mod head;
--- a/oleander-membership/src/liveness.rs
+++ b/oleander-membership/src/liveness.rs
@@ -25,6 +25,11 @@
         self.met.entry(vm).or_insert(now);
     }
 
+    /// Gets the VMs that are known.
+    pub fn met(&self) -> impl Iterator<Item = VmId> + '_ {
+        self.met.keys().copied()
+    }
+
     /// Returns `true` if `vm` has been known for longer than `limit` without a sign of life.
     pub fn is_suspect(&self, now: Time, vm: VmId, limit: Span) -> bool {
         let last = self.heard(vm).max(self.met.get(&vm).copied());
--- a/oleander-membership/src/messages.rs
+++ b/oleander-membership/src/messages.rs
@@ -83,6 +83,9 @@
     /// The ages of the last sign of life of each VM of the roster, in the order of identifiers,
     /// two to a byte.
     pub ages: Vec<u8>,
+    /// The VMs of the roster that are known to have the sender's record of shares, in the order of
+    /// identifiers, eight to a byte.
+    pub acks: Vec<u8>,
 }
 
 /// `StoreReading` says that a VM read the store, and what it found.
--- a/oleander-membership/src/node/gossip.rs
+++ b/oleander-membership/src/node/gossip.rs
@@ -61,12 +61,11 @@
         }
     }
 
-    /// Takes in the reply of `from` to a request that was sent at `asked`.
+    /// Takes in the reply to a request that was sent at `asked`.
     pub fn reply(
         &mut self,
         now: Time,
         asked: Time,
-        from: VmId,
         reply: MemberReply,
         entropy: u64,
     ) -> Vec<Action> {
@@ -86,7 +85,6 @@
                 if count == 0 {
                     self.next_ask = now + self.options.settle;
                 }
-                self.liveness.note(from, asked);
                 Vec::new()
             }
         }
@@ -101,8 +99,12 @@
 
     /// Takes in changes of the roster that came by any way.
     pub(super) fn roster_changed(&mut self, now: Time) -> Vec<Action> {
+        let gone: Vec<VmId> =
+            self.liveness.met().filter(|vm| self.roster.member(*vm).is_none()).collect();
+        self.departed.extend(gone.into_iter().map(|vm| (vm, now)));
         for vm in self.roster.ids() {
             self.liveness.meet(vm, now);
+            self.departed.remove(&vm);
         }
         self.liveness.retain(|vm| self.roster.member(vm).is_some());
         let own = ShareOwner { vm: self.own.vm, incarnation: self.own.incarnation };
@@ -132,6 +134,7 @@
         Pulled {
             reading: self.currency.reading(now),
             ages: self.liveness.pack(now, self.roster.ids()),
+            acks: self.acks.pack(self.roster.ids()),
             state: self.pull(),
         }
     }
@@ -143,15 +146,25 @@
         pulled: Pulled,
         entropy: u64,
     ) -> Vec<Action> {
-        let Pulled { state, reading, ages } = pulled;
-        self.liveness.note(state.from, asked);
+        let Pulled { state, reading, ages, acks } = pulled;
+        let held = self.held();
         if let Some(reading) = reading {
-            self.currency.note(asked, reading, self.held());
+            self.currency.note(asked, reading, held);
         }
+        // A VM that knows more must not support this one, nor others through it, in what it has:
+        // its life counts once this VM has caught up.
+        let is_ahead = held.revision < state.revision || held.shares < state.shares;
         let is_same = state.roster == self.roster.digest();
-        if is_same {
+        if !is_ahead {
+            self.liveness.note(state.from, asked);
+        }
+        if !is_ahead && is_same {
             self.liveness.unpack(asked, &ages, self.roster.ids());
         }
+        if is_same {
+            self.acks.unpack(state.shares, &acks, self.roster.ids());
+        }
+        self.note_ack(now, state.from, state.shares);
         let from = state.from;
         let mut actions = self.learn_state(now, state, entropy);
         actions.extend(self.compare_rosters(now, from, is_same));
--- a/oleander-membership/src/node/mod.rs
+++ b/oleander-membership/src/node/mod.rs
@@ -15,6 +15,7 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
+use crate::acks::Acks;
 use crate::claims::Claims;
 use crate::currency::Currency;
 use crate::currency::Held;
@@ -129,8 +130,10 @@
     liveness: Liveness,
     currency: Currency,
     claims: Claims,
+    acks: Acks,
     spread: Spread,
     listed: BTreeMap<VmId, platform::Listed>,
+    departed: BTreeMap<VmId, Time>,
     live: usize,
     list_read: Time,
     next_read: Time,
@@ -144,6 +147,9 @@
 
 impl Node {
     /// Makes the state of the agent of `own`, whose registration is in the store.
+    ///
+    /// It must be given a read of the store that followed the registration before it answers any
+    /// peer: what an earlier life knew must not be forgotten.
     pub fn new(now: Time, own: Member, options: NodeOptions) -> Self {
         let life = ShareOwner { vm: own.vm, incarnation: own.incarnation };
         let mut roster = Roster::default();
@@ -156,8 +162,10 @@
             liveness: Liveness::default(),
             currency: Currency::default(),
             claims: Claims::new(life),
+            acks: Acks::default(),
             spread: Spread::default(),
             listed: BTreeMap::new(),
+            departed: BTreeMap::new(),
             live: 0,
             list_read: Time(0),
             next_read: now,
@@ -250,7 +258,13 @@
     }
 
     fn majority(&self, now: Time) -> Option<Time> {
-        self.liveness.majority(now, self.own.vm, self.roster.ids())
+        // VMs that left lately still count, for others may not have heard that they left.
+        self.liveness.majority(now, self.own.vm, self.roster.ids().chain(self.departed_lately(now)))
+    }
+
+    fn departed_lately(&self, now: Time) -> impl Iterator<Item = VmId> + '_ {
+        let is_late = move |at: Time| now.since(at) < self.options.unlisted;
+        self.departed.iter().filter(move |(_, at)| is_late(**at)).map(|(vm, _)| *vm)
     }
 
     fn held(&self) -> Held {
--- a/oleander-membership/src/node/ownership.rs
+++ b/oleander-membership/src/node/ownership.rs
@@ -61,14 +61,36 @@
 
     /// Takes in a record of shares. Returns `true` if it is newer.
     pub fn learn_shares(&mut self, now: Time, map: ShareMap) -> bool {
-        let wait = self.wait();
-        let learned = self.claims.learn(now, map, wait);
+        let learned = self.claims.learn(map);
         if learned {
             self.currency.update(self.held());
+            self.note_ack(now, self.own.vm, self.claims.map().version);
         }
         learned
     }
 
+    /// Notes that `vm` has the record of shares of `version`.
+    ///
+    /// Half of the fleet is enough: an owner that cannot reach the store needs more than half,
+    /// and whoever has the record supports no owner that lacks it. VMs that were removed lately
+    /// still count, for the owner may not have heard of their removal.
+    pub(super) fn note_ack(&mut self, now: Time, vm: VmId, version: u64) {
+        self.acks.advance(self.claims.map().version);
+        self.acks.note(version, vm);
+        if !self.claims.needs_quorum() {
+            return;
+        }
+        if self.voters(now) <= 2 * self.acks.count(self.roster.ids()) {
+            let wait = self.wait();
+            self.claims.confirm_quorum(now, wait);
+        }
+    }
+
+    /// Gets the number of VMs of the fleet, with those that left it lately.
+    fn voters(&self, now: Time) -> usize {
+        self.roster.len() + self.departed_lately(now).count()
+    }
+
     /// Notes that the proxy obeys what this VM said about shares at `since`.
     pub fn confirm_shares(&mut self, now: Time, since: Time) {
         let wait = self.wait();
@@ -188,13 +210,11 @@
         dropped.iter().filter_map(life).collect()
     }
 
-    /// A VM that cannot reach the store goes on with its shares as long as it hears most of the
-    /// fleet. So this VM must hear at least half of it before it takes anything: then the owner
-    /// cannot have most of it on its side.
+    /// A new owner waits until half of the fleet has the record, so a VM that does not hear half
+    /// of it takes nothing.
     fn may_reclaim(&self, now: Time) -> bool {
         let since = Time(now.0.saturating_sub(self.options.window.0));
         let is_heard = |vm: &VmId| *vm == self.own.vm || self.liveness.is_heard(*vm, since);
-        let heard = self.roster.ids().filter(is_heard).count();
-        self.roster.len() <= 2 * heard
+        self.voters(now) <= 2 * self.roster.ids().filter(is_heard).count()
     }
 }
--- /dev/null
+++ b/oleander-membership/tests/world/faults.rs
@@ -0,0 +1,78 @@
+//! Random faults, and their end.
+
+use oleander_core::time::Span;
+
+use oleander_membership::node::Node;
+
+use super::Event;
+use super::World;
+use super::network::Links;
+
+impl World {
+    /// Brings about one fault, or ends some, and plans the next.
+    pub fn fault(&mut self) {
+        if self.quiet {
+            return;
+        }
+        let count = self.vms.len() as u64;
+        let vm = self.draw(count) as usize;
+        match self.draw(12) {
+            0 => self.store.up = false,
+            1 | 2 => self.store.up = true,
+            3 => self.split(),
+            4 => self.links.sides = vec![0; self.vms.len()],
+            5 => self.links.store[vm] = false,
+            6 => self.links.store = vec![true; self.vms.len()],
+            7 | 8 => {
+                let pause = Span::from_millis(200 + self.draw(12_000));
+                self.vms[vm].resumes = self.now + pause;
+            }
+            9 => self.start(vm),
+            // The platform wrongly drops one live VM at a time.
+            10 if self.may_drop() => {
+                self.store.listed.fill(true);
+                self.store.listed[vm] = false;
+            }
+            _ => {
+                self.links.loss = [0, 3, 20][self.draw(3) as usize];
+                self.links.list[vm] = self.draw(2) == 0;
+            }
+        }
+        self.after(100, 4_000, Event::Fault);
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.quiet = true;
+        self.store.up = true;
+        self.store.listed.fill(true);
+        self.links = Links::new(self.vms.len());
+        for vm in &mut self.vms {
+            vm.resumes = vm.resumes.min(self.now);
+        }
+    }
+
+    /// The rule that the decisions rely on: while a part of the fleet is cut off from the store,
+    /// the platform drops at most one VM that still runs, and no VM joins for the first time.
+    fn may_drop(&self) -> bool {
+        let is_split = self.links.sides.iter().any(|side| *side != self.links.sides[0]);
+        !is_split || self.store.listed.iter().all(|listed| *listed)
+    }
+
+    fn has_full_roster(&self) -> bool {
+        let sees_all = |node: &Node| node.roster().len() == self.vms.len();
+        self.vms.iter().all(|vm| vm.node.as_ref().is_some_and(sees_all))
+    }
+
+    fn split(&mut self) {
+        if !self.has_full_roster() {
+            return;
+        }
+        for vm in 0..self.vms.len() {
+            self.links.sides[vm] = self.draw(2);
+        }
+        // One side, or none, keeps the store.
+        let side = self.draw(3);
+        self.links.store = self.links.sides.iter().map(|own| *own == side).collect();
+    }
+}
--- /dev/null
+++ b/oleander-membership/tests/world/network.rs
@@ -0,0 +1,95 @@
+//! Messages between agents: delayed, lost, held by partitions.
+
+use oleander_core::ids::VmId;
+use oleander_core::time::Time;
+use oleander_membership::messages::MemberReply;
+use oleander_membership::messages::MemberRequest;
+use rand_chacha::rand_core::Rng as _;
+
+use super::Event;
+use super::Life;
+use super::World;
+
+pub struct Envelope {
+    pub from: usize,
+    pub from_life: Life,
+    pub to: usize,
+    pub life: Life,
+    pub asked: Time,
+    pub content: Content,
+}
+
+pub enum Content {
+    Request(MemberRequest),
+    Reply(MemberReply),
+}
+
+/// Which VMs reach each other, the store and the VM list.
+pub struct Links {
+    pub sides: Vec<u64>,
+    pub store: Vec<bool>,
+    pub list: Vec<bool>,
+    /// One of so many messages is lost; 0 for none.
+    pub loss: u64,
+}
+
+impl Links {
+    pub fn new(count: usize) -> Self {
+        Self { sides: vec![0; count], store: vec![true; count], list: vec![true; count], loss: 0 }
+    }
+}
+
+impl World {
+    pub fn send(&mut self, from: usize, to: VmId, request: MemberRequest) {
+        let Some(to) = self.vms.iter().position(|vm| VmId::from_name(&vm.name) == to) else {
+            return;
+        };
+        let asked = self.vms[from].local(self.now);
+        self.post(Envelope {
+            from,
+            from_life: self.vms[from].life,
+            to,
+            life: self.vms[to].life,
+            asked,
+            content: Content::Request(request),
+        });
+    }
+
+    pub fn message(&mut self, envelope: Envelope) {
+        let entropy = self.rng.next_u64();
+        let Envelope { from, from_life, to, life, asked, content } = envelope;
+        let now = self.vms[to].local(self.now);
+        let Some(node) = self.vms[to].node.as_mut() else { return };
+        match content {
+            Content::Request(request) => {
+                let (reply, actions) = node.request(now, request, entropy);
+                let content = Content::Reply(reply);
+                self.post(Envelope {
+                    from: to,
+                    from_life: life,
+                    to: from,
+                    life: from_life,
+                    asked,
+                    content,
+                });
+                self.act(to, actions);
+            }
+            Content::Reply(reply) => {
+                let actions =
+                    self.vms[to].node.as_mut().map(|node| node.reply(now, asked, reply, entropy));
+                self.act(to, actions.unwrap_or_default());
+            }
+        }
+    }
+
+    fn post(&mut self, envelope: Envelope) {
+        let is_cut = self.links.sides[envelope.from] != self.links.sides[envelope.to];
+        let is_lost = self.links.loss != 0 && self.draw(self.links.loss) == 0;
+        if is_cut || is_lost {
+            return;
+        }
+        // Some messages wait for long in a buffer.
+        let most = if self.draw(20) == 0 { 4_000 } else { 40 };
+        self.after(1, most, Event::Message(envelope));
+    }
+}
--- /dev/null
+++ b/oleander-membership/tests/world/platform.rs
@@ -0,0 +1,208 @@
+//! The fake store and VM list.
+
+use std::collections::BTreeMap;
+
+use oleander_core::ids::VmId;
+use oleander_core::time::Time;
+use oleander_membership::node::ListedVm;
+use oleander_membership::node::Node;
+use oleander_membership::node::SharePlan;
+use oleander_membership::node::StoreState;
+use oleander_membership::roster::Member;
+use oleander_membership::roster::MemberState;
+use oleander_membership::shares::ShareMap;
+
+use super::Event;
+use super::Life;
+use super::World;
+use super::options;
+
+pub struct FakeStore {
+    pub up: bool,
+    /// Loses the marks of reclaimed shares: the fault that the test must catch.
+    pub forgets: bool,
+    pub listed: Vec<bool>,
+    revision: u64,
+    shares: ShareMap,
+    stored: u64,
+    registered: BTreeMap<usize, u64>,
+}
+
+#[derive(Clone)]
+pub enum StoreCall {
+    ReadState { asked: Time },
+    ReadRoster,
+    Register,
+    Commit { plan: SharePlan, stored: u64 },
+}
+
+pub enum StoreAnswer {
+    State(StoreState),
+    Roster { stored: u64, registered: Vec<(usize, u64)> },
+    Registered { incarnation: u64, state: StoreState },
+    Committed,
+    Failed,
+}
+
+impl FakeStore {
+    pub fn new(count: usize) -> Self {
+        Self {
+            up: true,
+            forgets: false,
+            listed: vec![true; count],
+            revision: 1,
+            shares: ShareMap::default(),
+            stored: 0,
+            registered: BTreeMap::new(),
+        }
+    }
+
+    fn run(&mut self, vm: usize, call: StoreCall) -> StoreAnswer {
+        match call {
+            StoreCall::ReadState { asked } => {
+                StoreAnswer::State(StoreState { asked, ..self.state() })
+            }
+            StoreCall::ReadRoster => {
+                let registered = self.registered.iter().map(|(vm, revision)| (*vm, *revision));
+                StoreAnswer::Roster { stored: self.revision, registered: registered.collect() }
+            }
+            StoreCall::Register => {
+                self.revision += 1;
+                self.registered.insert(vm, self.revision);
+                let incarnation = self.revision;
+                StoreAnswer::Registered { incarnation, state: self.state() }
+            }
+            StoreCall::Commit { plan, stored } => self.commit(plan, stored),
+        }
+    }
+
+    fn state(&self) -> StoreState {
+        let mut shares = self.shares.clone();
+        if self.forgets {
+            shares.reclaimed.clear();
+        }
+        StoreState { shares, stored: self.stored, ..StoreState::default() }
+    }
+
+    fn commit(&mut self, plan: SharePlan, stored: u64) -> StoreAnswer {
+        let find = |vm: VmId| {
+            self.registered.iter().find(|(at, _)| VmId::from_name(&format!("vm-{at}")) == vm)
+        };
+        let removed: Option<Vec<usize>> = plan
+            .removed
+            .iter()
+            .map(|life| {
+                let (at, revision) = find(life.vm)?;
+                (*revision == life.incarnation.0).then_some(*at)
+            })
+            .collect();
+        let Some(removed) = removed.filter(|_| stored == self.stored) else {
+            return StoreAnswer::Failed;
+        };
+        self.revision += 1;
+        self.stored = self.revision;
+        self.shares = plan.next;
+        self.registered.retain(|at, _| !removed.contains(at));
+        StoreAnswer::Committed
+    }
+}
+
+impl World {
+    pub fn call(&mut self, vm: usize, call: StoreCall) {
+        let life = self.vms[vm].life;
+        // A slow store takes its time, and a commit may take effect long after it was given up.
+        let most = if self.draw(20) == 0 { 3_000 } else { 20 };
+        self.after(1, most, Event::Call { vm, life, call });
+    }
+
+    pub fn store_call(&mut self, vm: usize, life: Life, call: StoreCall) {
+        let reaches = self.store.up && self.links.store[vm];
+        let answer = if reaches { self.store.run(vm, call) } else { StoreAnswer::Failed };
+        let is_lost = reaches && !self.quiet && self.draw(10) == 0;
+        let answer = if is_lost { StoreAnswer::Failed } else { answer };
+        self.after(1, 20, Event::Answer { vm, life, answer });
+    }
+
+    pub fn store_answer(&mut self, at: usize, answer: StoreAnswer) {
+        let now = self.vms[at].local(self.now);
+        match answer {
+            StoreAnswer::State(state) => self.state_read(at, now, state),
+            StoreAnswer::Roster { stored, registered } => {
+                let members = self.members(&registered);
+                let node = self.vms[at].node.as_mut();
+                let actions = node.map(|node| node.roster_read(now, stored, members));
+                self.act(at, actions.unwrap_or_default());
+            }
+            StoreAnswer::Registered { incarnation, state } => {
+                self.registered(at, now, incarnation, state);
+            }
+            StoreAnswer::Committed => {
+                self.call(at, StoreCall::ReadState { asked: now });
+                self.call(at, StoreCall::ReadRoster);
+            }
+            StoreAnswer::Failed => {
+                self.vms[at].reading = false;
+                if self.vms[at].joining {
+                    self.call(at, StoreCall::Register);
+                } else {
+                    self.call(at, StoreCall::ReadRoster);
+                }
+            }
+        }
+    }
+
+    pub fn join(&mut self, at: usize) {
+        if !self.vms[at].joining {
+            self.vms[at].joining = true;
+            self.call(at, StoreCall::Register);
+        }
+    }
+
+    pub fn read_list(&mut self, at: usize) {
+        if !self.links.list[at] {
+            return;
+        }
+        let listed = (0..self.vms.len()).filter(|vm| self.store.listed[*vm]);
+        let entry = |vm: usize| ListedVm {
+            vm: VmId::from_name(&self.vms[vm].name),
+            state: MemberState::Alive,
+        };
+        let list: Vec<ListedVm> = listed.map(entry).collect();
+        let now = self.vms[at].local(self.now);
+        let actions = self.vms[at].node.as_mut().map(|node| node.list_read(now, &list));
+        self.act(at, actions.unwrap_or_default());
+    }
+
+    fn state_read(&mut self, at: usize, now: Time, state: StoreState) {
+        self.vms[at].reading = false;
+        let Some(node) = self.vms[at].node.as_mut() else { return };
+        let (present, stored) = (state.shares.clone(), state.stored);
+        let actions = node.store_read(now, state);
+        let plan = node.plan(now, &present);
+        self.act(at, actions);
+        if let Some(plan) = plan {
+            self.call(at, StoreCall::Commit { plan, stored });
+        }
+    }
+
+    fn registered(&mut self, at: usize, now: Time, incarnation: u64, state: StoreState) {
+        self.vms[at].joining = false;
+        let own = self.vms[at].member(incarnation);
+        match self.vms[at].node.as_mut() {
+            Some(node) => node.rejoin(now, own),
+            None => {
+                let mut node = Node::new(now, own, options());
+                // The time at which the read was asked for is unknown, so it proves nothing.
+                let actions = node.store_read(now, state);
+                self.vms[at].node = Some(node);
+                self.act(at, actions);
+            }
+        }
+        self.read_list(at);
+        self.call(at, StoreCall::ReadRoster);
+    }
+
+    fn members(&self, registered: &[(usize, u64)]) -> Vec<Member> {
+        registered.iter().map(|(vm, revision)| self.vms[*vm].member(*revision)).collect()
+    }
+}
