Add the proxy: callers over HTTP, entry, homes, transactions and rates

A request enters at any proxy, is checked, charged and forwarded to a home, which queues it, places it on an instance and proves the answer by the positions that were asked for before and after the statement.

--- /dev/null
+++ b/oleander-load/src/drive/mod.rs
@@ -0,0 +1,5 @@
+//! Open-loop load over HTTP from a seeded plan.
+
+pub mod client;
+pub mod plan;
+pub mod run;
--- a/oleander-membership/src/shares.rs
+++ b/oleander-membership/src/shares.rs
@@ -1,7 +1,6 @@
 //! Ownership of shares.
 
 use oleander_core::hash;
-use oleander_core::ids::DatabaseId;
 use oleander_core::ids::Incarnation;
 use oleander_core::ids::ShareId;
 use oleander_core::ids::VmId;
@@ -44,15 +43,4 @@
         let count = self.owners.len().max(1) as u64;
         ShareId((hash::combine(key, salt) % count) as u16)
     }
-
-    /// Gets the two home shares of a database: a pair of neighbours, the even one first.
-    ///
-    /// The pair depends on the name alone, never on the owners, so that two VMs
-    /// with different versions of the record cannot both use one part. The
-    /// owners of a pair are placed in different availability zones where possible.
-    pub fn home_shares(&self, database: DatabaseId) -> [ShareId; 2] {
-        let pairs = (self.owners.len() / 2).max(1) as u64;
-        let even = (hash::mix(database.0) % pairs) as u16 * 2;
-        [ShareId(even), ShareId(even + 1)]
-    }
 }
--- /dev/null
+++ b/oleander-proxy/src/callers/status.rs
@@ -0,0 +1,30 @@
+//! The HTTP status of each refusal.
+
+use oleander_core::verdict::RefusalCode;
+use xitca_web::http::StatusCode;
+
+/// Gets the HTTP status that goes with a refusal code.
+pub fn http_status(code: RefusalCode) -> StatusCode {
+    match code {
+        RefusalCode::BadRequest | RefusalCode::BadToken => StatusCode::BAD_REQUEST,
+        RefusalCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalCode::KeyMissing | RefusalCode::KeyRejected => StatusCode::UNAUTHORIZED,
+        RefusalCode::RouteForbidden => StatusCode::FORBIDDEN,
+        RefusalCode::UnknownRoute => StatusCode::NOT_FOUND,
+        RefusalCode::TransactionGone => StatusCode::GONE,
+        RefusalCode::HistoryLost => StatusCode::CONFLICT,
+        RefusalCode::UpstreamError => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalCode::RateLimited | RefusalCode::TooManyTransactions => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        RefusalCode::UpstreamLost | RefusalCode::AnswerTooLarge => StatusCode::BAD_GATEWAY,
+        RefusalCode::QueueFull
+        | RefusalCode::DeadlineExceeded
+        | RefusalCode::HomeUnreachable
+        | RefusalCode::UpstreamUnavailable
+        | RefusalCode::NotCurrent
+        | RefusalCode::Draining => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalCode::Timeout | RefusalCode::NotReplicated => StatusCode::GATEWAY_TIMEOUT,
+        RefusalCode::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
--- /dev/null
+++ b/oleander-proxy/src/fleet/subscription.rs
@@ -0,0 +1,122 @@
+//! The subscription to the agent's views, and the reports that acknowledge them.
+
+use std::sync::Arc;
+
+use oleander_config::model::Section;
+use oleander_config::sections;
+use oleander_config::sections::SectionText;
+use oleander_config::snapshot::Snapshot;
+use oleander_core::events::Event;
+use oleander_core::ids::Revision;
+use oleander_core::time::Span;
+use oleander_membership::messages::SectionBody;
+use oleander_membership::messages::View;
+use oleander_peer::connection::ReplyStream;
+use oleander_peer::errors::Result;
+use oleander_peer::messages::ProxyReport;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_peer::messages::SubscribeRequest;
+use oleander_runtime::logs::Field;
+
+use crate::fleet::view::FleetView;
+use crate::proxy::Proxy;
+
+/// The time between two attempts to reach the agent.
+const RECONNECT_PAUSE: Span = Span::from_millis(100);
+
+/// The time between two reports to the agent while nothing changes.
+const REPORT_INTERVAL: Span = Span::from_millis(250);
+
+/// The time within which the agent must take a report.
+const REPORT_LIMIT: Span = Span::from_millis(1_000);
+
+/// The time without a view after which the stream is opened anew.
+const VIEW_SILENCE: Span = Span::from_secs(3);
+
+/// Follows the agent's views until the proxy stops.
+pub async fn follow_views(proxy: Arc<Proxy>) {
+    loop {
+        // The error needs no log line: currency runs out and is logged if the agent stays away.
+        let _ = follow_stream(&proxy).await;
+        proxy.timers.sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+/// Reports to the agent at a steady interval and after each view.
+pub async fn report_state(proxy: Arc<Proxy>) {
+    loop {
+        let report = Request::Report(ProxyReport {
+            revision: proxy.fleet().snapshot.revision,
+            open: proxy.open_requests(),
+            draining: proxy.is_draining(),
+            view: proxy.homes.obeyed_view(),
+            sent: proxy.timers.now(),
+        });
+        let _ = proxy.peers.call(proxy.settings.agent, &report, REPORT_LIMIT).await;
+        tokio::select! {
+            () = proxy.timers.sleep(REPORT_INTERVAL) => {}
+            () = proxy.homes.view_obeyed() => {}
+        }
+    }
+}
+
+async fn follow_stream(proxy: &Arc<Proxy>) -> Result<()> {
+    let request =
+        SubscribeRequest { revision: proxy.fleet().snapshot.revision, sent: proxy.timers.now() };
+    let mut views =
+        proxy.peers.subscribe(proxy.settings.agent, &Request::Subscribe(request)).await?;
+    while let Some(view) = next_view(proxy, &mut views).await? {
+        apply_view(proxy, view);
+    }
+    Ok(())
+}
+
+/// Waits for the next view; `None` if the stream has ended or fallen silent.
+async fn next_view(proxy: &Proxy, views: &mut ReplyStream) -> Result<Option<View>> {
+    tokio::select! {
+        reply = views.next() => match reply? {
+            Some(Reply::View(view)) => Ok(Some(*view)),
+            _ => Ok(None),
+        },
+        () = proxy.timers.sleep(VIEW_SILENCE) => Ok(None),
+    }
+}
+
+/// Puts a view in force.
+pub fn apply_view(proxy: &Arc<Proxy>, mut view: View) {
+    let known = proxy.fleet();
+    let snapshot = match view.sections.take() {
+        Some(sections) if known.snapshot.revision < view.revision => {
+            compile(proxy, view.revision, &sections)
+        }
+        _ => None,
+    };
+    let changed = snapshot.is_some();
+    let snapshot = snapshot.unwrap_or_else(|| known.snapshot.clone());
+    let next = FleetView::next(snapshot, view, proxy.timers.now());
+    if changed {
+        proxy
+            .journal
+            .record(Event::RevisionInForce, &[Field::number("revision", next.snapshot.revision.0)]);
+    }
+    proxy.put_view(next);
+}
+
+/// Compiles the sections of a revision; `None` if this program's check refuses them.
+fn compile(proxy: &Proxy, revision: Revision, bodies: &[SectionBody]) -> Option<Arc<Snapshot>> {
+    let known = bodies.iter().filter_map(|body| {
+        let section: Section = body.section.parse().ok()?;
+        Some(SectionText::new(section, body.text.clone()))
+    });
+    let texts: Vec<SectionText> = known.collect();
+    match sections::parse_sections(&texts) {
+        Ok(document) => Some(Arc::new(Snapshot::new(revision, document))),
+        Err(problems) => {
+            let first = problems.first().map(ToString::to_string).unwrap_or_default();
+            let fields = [Field::number("revision", revision.0), Field::text("problem", first)];
+            proxy.journal.record(Event::RevisionRejected, &fields);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/oleander-proxy/src/home/database.rs
@@ -0,0 +1,356 @@
+//! One database at one of its homes.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use oleander_config::model::Database;
+use oleander_config::model::KeyHash;
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::Incarnation;
+use oleander_core::ids::VmId;
+use oleander_core::places::Place;
+use oleander_core::statement::Access;
+use oleander_core::time::Time;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
+use oleander_limits::home::queue::HomeQueue;
+use oleander_limits::home::queue::QueueOptions;
+use oleander_limits::home::slots;
+use oleander_limits::home::slots::Part;
+use oleander_limits::home::slots::Slots;
+use oleander_peer::messages::Work;
+use oleander_peer::messages::WorkAnswer;
+use oleander_peer::messages::WorkRequest;
+use oleander_routing::admit;
+use oleander_routing::admit::Currency;
+use oleander_routing::budget::RetryBudget;
+use oleander_routing::budget::RetryOptions;
+use oleander_routing::homes::HOMES;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::timer::TimerService;
+use oleander_upstream::connection::Connection;
+use oleander_upstream::pool::Pool;
+use oleander_upstream::pool::PoolOptions;
+use tokio::task::JoinHandle;
+
+use crate::fleet::view::FleetView;
+use crate::home::acks::Acks;
+use crate::home::admission;
+use crate::home::admission::Admission;
+use crate::home::admission::Entrant;
+use crate::home::polls;
+use crate::home::transactions::Table;
+
+/// The connections of the home's part that are left to status questions and promotions.
+pub const CONTROL_CONNECTIONS: u32 = 2;
+
+/// The least number of connections for work on an instance.
+const MIN_WORK_CONNECTIONS: u32 = 1;
+
+/// `HomeContext` is what all homes of a VM share.
+#[derive(Clone)]
+pub struct HomeContext {
+    /// The VM.
+    pub vm: VmId,
+    /// The life of the proxy.
+    pub incarnation: Incarnation,
+    /// Where the VM stands.
+    pub place: Place,
+    /// The timers.
+    pub timers: TimerService,
+    /// The events of the process.
+    pub journal: Journal,
+    /// What is known of the fleet.
+    pub fleet: Arc<ArcSwap<FleetView>>,
+}
+
+/// `Home` runs the work on one database with this VM's part of it.
+pub struct Home {
+    /// The database.
+    pub id: DatabaseId,
+    /// The name of the database.
+    pub name: String,
+    /// The part of the database's slots and connections, 0 or 1.
+    pub part: u32,
+    pub(crate) context: HomeContext,
+    pub(crate) admission: Arc<Admission>,
+    pub(crate) acks: Acks,
+    pub(crate) transactions: Table,
+    pools: RwLock<Vec<Arc<InstancePool>>>,
+    budget: Mutex<RetryBudget>,
+    stopping: AtomicBool,
+    open: AtomicU64,
+    driver: JoinHandle<()>,
+}
+
+/// `InstancePool` is the pool of connections to one instance, with the options it was made for.
+pub struct InstancePool {
+    /// The connections.
+    pub pool: Pool,
+    address: String,
+    connections: u32,
+    poller: JoinHandle<()>,
+}
+
+impl Drop for InstancePool {
+    fn drop(&mut self) {
+        self.poller.abort();
+    }
+}
+
+/// `Job` is a piece of work with what was decided about it on arrival.
+pub struct Job {
+    /// The request.
+    pub request: WorkRequest,
+    /// The name of the workspace.
+    pub workspace: String,
+    /// The weight of the workspace.
+    pub weight: u32,
+    /// The time by which the answer is wanted.
+    pub deadline: Time,
+}
+
+impl Home {
+    /// Makes the home of one part of a database; `part` is 0 or 1.
+    pub fn start(context: HomeContext, database: &Database, part: u32) -> Arc<Self> {
+        let id = DatabaseId::from_name(&database.name);
+        let queue = HomeQueue::new(QueueOptions::default(), Slots::default());
+        let admission = Admission::new(context.timers.clone(), queue);
+        let driver = tokio::spawn(admission.clone().run());
+        let now = context.timers.now();
+        let home = Arc::new(Self {
+            id,
+            name: database.name.clone(),
+            part,
+            acks: Acks::new(context.timers.clone()),
+            transactions: Table::default(),
+            admission,
+            pools: RwLock::default(),
+            budget: Mutex::new(RetryBudget::new(RetryOptions::default(), now)),
+            stopping: AtomicBool::new(false),
+            open: AtomicU64::new(0),
+            driver,
+            context,
+        });
+        home.configure(database);
+        home
+    }
+
+    /// Takes in the configuration of the database.
+    pub fn configure(self: &Arc<Self>, database: &Database) {
+        self.admission.update(|instances| instances.configure(database, &self.context.place));
+        let ordinals = 0..database.instances.len() as u8;
+        let part = |ordinal| part_of(database, self.part, ordinal);
+        self.admission.set_parts(ordinals.map(part), self.context.timers.now());
+        self.set_pools(database, part);
+        self.transactions.set_room(part(0).connections);
+        self.acks.set_mode(database.acknowledge, database.instances.len());
+    }
+
+    /// Takes in the agent's reports on the instances.
+    pub fn observe(self: &Arc<Self>, view: &FleetView) {
+        self.admission.update(|instances| {
+            let ordinals: Vec<u8> = instances.all().iter().map(|known| known.id.ordinal).collect();
+            for ordinal in ordinals {
+                let id = oleander_core::ids::InstanceId { database: self.id, ordinal };
+                let Some(known) = view.instances.get(&id) else { continue };
+                instances.set_reachable(ordinal, known.report.reachable);
+                if let Some(status) = known.report.status {
+                    instances.observe(ordinal, status, known.asked);
+                }
+            }
+        });
+        self.note_statuses();
+    }
+
+    /// Runs a piece of work.
+    pub async fn run(self: &Arc<Self>, request: WorkRequest) -> Result<WorkAnswer, Refusal> {
+        let _guard = WorkGuard::new(self)?;
+        let job = self.accept(request)?;
+        match job.request.work.clone() {
+            Work::Single { statement, access: Access::Read, seen, age } => {
+                self.read(&job, &statement, seen, age).await
+            }
+            Work::Single { statement, access, seen, .. } => {
+                self.write(&job, &statement, access, seen).await
+            }
+            Work::Begin { seen } => self.begin(&job, &seen).await,
+            Work::InTransaction { transaction, statement } => {
+                self.in_transaction(&job, transaction, &statement).await
+            }
+            Work::Commit { transaction } => self.commit(&job, transaction).await,
+            Work::Rollback { transaction } => self.rollback(&job, transaction).await,
+        }
+    }
+
+    /// Stops to take new work; open transactions go on until they end.
+    pub fn start_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Returns `true` if nothing of this home's part is in use any more.
+    pub fn is_idle(&self) -> bool {
+        self.open.load(Ordering::Acquire) == 0
+            && self.transactions.is_empty()
+            && self.admission.is_idle()
+    }
+
+    /// Closes all connections and refuses what still waits.
+    pub fn close(&self) {
+        self.start_stop();
+        self.admission.close();
+        self.transactions.clear();
+        for pool in self.read_pools().iter() {
+            pool.pool.close();
+        }
+    }
+
+    /// Checks, right before something is sent to an upstream, that the request may still run here.
+    pub(crate) fn recheck(&self, job: &Job) -> Result<(), Refusal> {
+        let view = self.context.fleet.load();
+        let now = self.context.timers.now();
+        if !view.may_use_shares(now) {
+            return Err(admission::gone());
+        }
+        let currency = if view.is_current(now) { Currency::Current } else { Currency::NotCurrent };
+        let key = job.request.key.map(KeyHash);
+        admit::recheck(&view.snapshot, currency, job.request.workspace, key.as_ref())
+    }
+
+    /// Makes the queue entry of a job.
+    pub(crate) fn entrant(&self, job: &Job, place: admission::Place) -> Entrant {
+        Entrant {
+            workspace: job.request.workspace,
+            weight: job.weight,
+            cost: job.request.cost,
+            deadline: job.deadline,
+            place,
+        }
+    }
+
+    /// Gets the pool of an instance.
+    pub(crate) fn pool(&self, ordinal: u8) -> Option<Pool> {
+        self.read_pools().get(usize::from(ordinal)).map(|pool| pool.pool.clone())
+    }
+
+    /// Gets a connection to an instance for the workspace of the job.
+    pub(crate) async fn connect(
+        &self,
+        ordinal: u8,
+        job: &Job,
+    ) -> oleander_upstream::errors::Result<Connection> {
+        let unknown = || {
+            oleander_upstream::errors::Error::Connect("the instance is not configured".to_owned())
+        };
+        let pool = self.pool(ordinal).ok_or_else(unknown)?;
+        pool.acquire(&job.workspace, self.instant(job.deadline)).await
+    }
+
+    /// Gets the retry budget of the home.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Turns a time of the home into one of the connection library.
+    pub(crate) fn instant(&self, at: Time) -> tokio::time::Instant {
+        tokio::time::Instant::now() + at.since(self.context.timers.now()).duration()
+    }
+
+    /// Tells the pending acknowledgements what is known of the instances.
+    pub(crate) fn note_statuses(&self) {
+        let statuses =
+            self.admission.with_instances(|instances| instances.statuses().collect::<Vec<_>>());
+        self.acks.observe(&statuses);
+    }
+
+    fn accept(&self, request: WorkRequest) -> Result<Job, Refusal> {
+        let view = self.context.fleet.load();
+        let Some(workspace) = view.snapshot.workspace(request.workspace) else {
+            return Err(Refusal::not_run(
+                RefusalCode::KeyRejected,
+                "the workspace is not configured at the home",
+            ));
+        };
+        Ok(Job {
+            workspace: workspace.name.clone(),
+            weight: workspace.weight,
+            deadline: self.context.timers.now() + request.remaining,
+            request,
+        })
+    }
+
+    fn set_pools(self: &Arc<Self>, database: &Database, part: impl Fn(u8) -> Part) {
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        let mut old = std::mem::take(&mut *pools).into_iter();
+        for (ordinal, instance) in database.instances.iter().enumerate() {
+            let connections = part(ordinal as u8).connections;
+            let kept = old
+                .next()
+                .filter(|pool| pool.address == instance.address && pool.connections == connections);
+            pools.extend(
+                kept.or_else(|| self.new_pool(ordinal as u8, &instance.address, connections)),
+            );
+        }
+    }
+
+    fn new_pool(
+        self: &Arc<Self>,
+        ordinal: u8,
+        address: &str,
+        connections: u32,
+    ) -> Option<Arc<InstancePool>> {
+        let options = PoolOptions { connections: connections as usize, ..PoolOptions::default() };
+        let pool = Pool::new(address, options).ok()?;
+        let poller =
+            tokio::spawn(polls::poll_instance(Arc::downgrade(self), ordinal, address.to_owned()));
+        Some(Arc::new(InstancePool { pool, address: address.to_owned(), connections, poller }))
+    }
+
+    fn read_pools(&self) -> std::sync::RwLockReadGuard<'_, Vec<Arc<InstancePool>>> {
+        self.pools.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Home {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Gets what this VM may use of an instance for work.
+///
+/// A part leaves out the control connections, so that status questions and
+/// promotions find room when all work connections are busy.
+fn part_of(database: &Database, part: u32, ordinal: u8) -> Part {
+    let split = |total| slots::split(total, HOMES as u32, part, ordinal);
+    let connections = split(database.connections).saturating_sub(CONTROL_CONNECTIONS);
+    Part { slots: split(database.slots), connections: connections.max(MIN_WORK_CONNECTIONS) }
+}
+
+/// `WorkGuard` counts a piece of work as open at the home.
+struct WorkGuard<'a>(&'a Home);
+
+impl<'a> WorkGuard<'a> {
+    fn new(home: &'a Home) -> Result<Self, Refusal> {
+        home.open.fetch_add(1, Ordering::AcqRel);
+        let guard = Self(home);
+        // Work of open transactions is let in, since the stop waits for them.
+        if home.stopping.load(Ordering::Acquire) && home.transactions.is_empty() {
+            return Err(admission::gone());
+        }
+        Ok(guard)
+    }
+}
+
+impl Drop for WorkGuard<'_> {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/oleander-proxy/src/home/registry.rs
@@ -0,0 +1,208 @@
+//! The homes of this VM: they start and stop as shares change hands.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use oleander_core::ids::DatabaseId;
+use oleander_core::time::Span;
+use oleander_core::verdict::Refusal;
+use oleander_peer::messages::Work;
+use oleander_peer::messages::WorkAnswer;
+use oleander_peer::messages::WorkRequest;
+use oleander_routing::homes;
+use tokio::sync::Notify;
+
+use crate::fleet::view::FleetView;
+use crate::home::admission;
+use crate::home::database::Home;
+use crate::home::database::HomeContext;
+use crate::proxy::Proxy;
+
+/// The time between two looks at the homes for what time alone changes.
+const TICK: Span = Span::from_millis(50);
+
+/// `Homes` holds the homes of this VM, one for each part of a database that it has.
+pub struct Homes {
+    context: HomeContext,
+    state: Mutex<State>,
+    obeyed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    homes: HashMap<HomeKey, Arc<Home>>,
+    retiring: Vec<Arc<Home>>,
+    /// The number of the last view that was taken in.
+    applied: u64,
+    /// The number of the last view whose shares are obeyed.
+    obeyed: u64,
+}
+
+/// `HomeKey` is a part of a database.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct HomeKey {
+    database: DatabaseId,
+    part: u32,
+}
+
+impl Homes {
+    /// Makes an empty set.
+    pub fn new(context: HomeContext) -> Self {
+        Self { context, state: Mutex::default(), obeyed: Notify::new() }
+    }
+
+    /// Starts, configures and retires homes as the view asks.
+    pub fn apply(&self, view: &FleetView) {
+        let wanted = self.wanted(view);
+        let mut state = self.lock();
+        let gone: Vec<HomeKey> =
+            state.homes.keys().filter(|key| !wanted.contains(key)).copied().collect();
+        for key in gone {
+            state.retire(key);
+        }
+        for key in wanted {
+            let Some(database) = view.snapshot.database(key.database) else { continue };
+            match state.homes.get(&key) {
+                Some(home) => home.configure(database),
+                None => {
+                    let home = Home::start(self.context.clone(), database, key.part);
+                    state.homes.insert(key, home);
+                }
+            }
+        }
+        state.applied = view.serial;
+        let homes: Vec<Arc<Home>> = state.homes.values().cloned().collect();
+        drop(state);
+        for home in homes {
+            home.observe(view);
+            home.end_withdrawn();
+        }
+        self.tick();
+    }
+
+    /// Runs work at the right home of this VM.
+    pub async fn run(&self, request: WorkRequest) -> Result<WorkAnswer, Refusal> {
+        self.choose(&request).ok_or_else(admission::gone)?.run(request).await
+    }
+
+    /// Gets the names of the databases of which this VM is a home.
+    pub fn names(&self) -> Vec<String> {
+        let mut names: Vec<String> =
+            self.lock().homes.values().map(|home| home.name.clone()).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// Gets the number of open transactions.
+    pub fn open_transactions(&self) -> u64 {
+        let state = self.lock();
+        state.homes.values().chain(&state.retiring).map(|home| home.transactions.len()).sum()
+    }
+
+    /// Gets the number of the last view whose shares this proxy obeys.
+    pub fn obeyed_view(&self) -> u64 {
+        self.lock().obeyed
+    }
+
+    /// Waits until another view is obeyed.
+    pub async fn view_obeyed(&self) {
+        self.obeyed.notified().await;
+    }
+
+    /// Does what time alone asks for: ends overdue transactions and closes retired homes.
+    pub fn tick(&self) {
+        let view = self.context.fleet.load_full();
+        let mut state = self.lock();
+        if !view.may_use_shares(self.context.timers.now()) {
+            let all: Vec<HomeKey> = state.homes.keys().copied().collect();
+            for key in all {
+                state.retire(key);
+            }
+        }
+        for home in state.homes.values().chain(&state.retiring) {
+            home.end_overdue();
+        }
+        state.retiring.retain(|home| {
+            let idle = home.is_idle();
+            if idle {
+                home.close();
+            }
+            !idle
+        });
+        if state.retiring.is_empty() && state.obeyed < state.applied {
+            state.obeyed = state.applied;
+            self.obeyed.notify_one();
+        }
+    }
+
+    /// Gets the parts that the view gives to this VM.
+    fn wanted(&self, view: &FleetView) -> Vec<HomeKey> {
+        if !view.may_use_shares(self.context.timers.now()) {
+            return Vec::new();
+        }
+        let mut wanted = Vec::new();
+        for (_, database) in view.snapshot.databases.iter() {
+            let id = DatabaseId::from_name(&database.name);
+            let shares = homes::home_shares(id, view.shares.owners.len() as u16);
+            for (part, share) in (0..).zip(shares) {
+                let owner = view.shares.owner(share);
+                if owner.is_some_and(|owner| owner.vm == self.context.vm) {
+                    wanted.push(HomeKey { database: id, part });
+                }
+            }
+        }
+        wanted
+    }
+
+    /// Picks the home for a request: the one that holds its transaction, or the one with the shorter queue.
+    fn choose(&self, request: &WorkRequest) -> Option<Arc<Home>> {
+        let state = self.lock();
+        let transaction = match &request.work {
+            Work::InTransaction { transaction, .. }
+            | Work::Commit { transaction }
+            | Work::Rollback { transaction } => Some(transaction),
+            Work::Single { .. } | Work::Begin { .. } => None,
+        };
+        if let Some(transaction) = transaction {
+            let mut all = state.homes.values().chain(&state.retiring);
+            let holder = all.find(|home| home.transactions.holds(*transaction));
+            // Any home of the database can say that the transaction has gone.
+            return holder.or_else(|| state.of_database(request.database).next()).cloned();
+        }
+        state
+            .of_database(request.database)
+            .min_by_key(|home| home.admission.expected_wait())
+            .cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn retire(&mut self, key: HomeKey) {
+        if let Some(home) = self.homes.remove(&key) {
+            home.start_stop();
+            self.retiring.push(home);
+        }
+    }
+
+    fn of_database(&self, database: DatabaseId) -> impl Iterator<Item = &Arc<Home>> {
+        self.homes.values().filter(move |home| home.id == database)
+    }
+}
+
+/// Looks after the homes until dropped.
+pub async fn run(proxy: Arc<Proxy>) {
+    let mut ticks = proxy.timers.interval(TICK);
+    loop {
+        ticks.tick().await;
+        proxy.homes.tick();
+        proxy.note_currency();
+    }
+}
--- /dev/null
+++ b/oleander-proxy/src/home/single.rs
@@ -0,0 +1,314 @@
+//! Statements outside transactions.
+
+use oleander_core::ids::InstanceId;
+use oleander_core::statement::Access;
+use oleander_core::statement::Rows;
+use oleander_core::statement::Statement;
+use oleander_core::terms::InstanceStatus;
+use oleander_core::terms::Role;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::Verdict;
+use oleander_peer::messages::WorkAnswer;
+use oleander_routing::reads;
+use oleander_routing::reads::Check;
+use oleander_routing::retry;
+use oleander_routing::retry::Attempt;
+use oleander_routing::retry::Cut;
+use oleander_routing::retry::Effect;
+use oleander_routing::retry::Next;
+use oleander_session::proof;
+use oleander_session::token::SeenPoint;
+use oleander_upstream::connection::Connection;
+use oleander_upstream::connection::Outcome;
+use oleander_upstream::errors::Error;
+
+use crate::home::admission::Place;
+use crate::home::admission::ReadPlace;
+use crate::home::admission::Started;
+use crate::home::database::Home;
+use crate::home::database::Job;
+use crate::home::instances::Excluded;
+
+/// The time that one more try at this home is expected to take.
+const EXPECTED_RUN: Span = Span::from_millis(5);
+
+/// `Fault` is a try that got no result.
+pub(crate) struct Fault {
+    /// Where the try was cut.
+    pub cut: Cut,
+    /// The refusal if the try was the last.
+    pub refusal: Refusal,
+}
+
+/// `Tries` counts the tries of one piece of work at this home.
+pub(crate) struct Tries {
+    effect: Effect,
+    sends: u32,
+    worst: Verdict,
+}
+
+impl Home {
+    /// Runs a read on the instance that suits it best; too old an answer is dropped and retried elsewhere.
+    pub(crate) async fn read(
+        &self,
+        job: &Job,
+        statement: &Statement,
+        seen: Vec<SeenPoint>,
+        age: Option<Span>,
+    ) -> Result<WorkAnswer, Refusal> {
+        let mut tries = Tries::new(Effect::Read);
+        let mut place =
+            ReadPlace { seen, age, deadline: job.deadline, excluded: Excluded::default() };
+        loop {
+            let started =
+                self.admission.enter(self.entrant(job, Place::Read(place.clone()))).await?;
+            self.recheck(job)?;
+            match self.read_on(&started, job, statement, &place).await {
+                Ok(answer) => return Ok(answer),
+                Err(fault) => {
+                    place.excluded.insert(started.ordinal);
+                    // The slot is given back before the pause.
+                    drop(started);
+                    self.next_try(&mut tries, job, fault).await?;
+                }
+            }
+        }
+    }
+
+    /// Runs a write on the primary and waits until its acknowledgement mode is satisfied.
+    pub(crate) async fn write(
+        &self,
+        job: &Job,
+        statement: &Statement,
+        access: Access,
+        seen: Vec<SeenPoint>,
+    ) -> Result<WorkAnswer, Refusal> {
+        let mut tries = Tries::new(Effect::of_single(access));
+        loop {
+            let started = self.admission.enter(self.entrant(job, Place::Primary)).await?;
+            self.recheck(job)?;
+            let outcome = self.write_on(&started, job, statement).await;
+            let (ordinal, queued) = (started.ordinal, started.queued);
+            drop(started);
+            match outcome {
+                Ok(outcome) => {
+                    // A session that saw more than this primary holds saw a history that was dropped.
+                    let lost = proof::proves_all(&outcome.status, &seen) == proof::Proof::Lost;
+                    let durable = self.acks.confirm(outcome.status.point, job.deadline).await?;
+                    if lost {
+                        let detail = "the write ran, but a change of primary dropped a part of what this session has seen";
+                        return Err(Refusal::ran(
+                            oleander_core::verdict::RefusalCode::HistoryLost,
+                            detail,
+                        ));
+                    }
+                    let seen = SeenPoint { point: outcome.status.point, durable };
+                    return Ok(self.answer(
+                        job,
+                        ordinal,
+                        outcome.rows,
+                        seen,
+                        Role::Primary,
+                        queued,
+                    ));
+                }
+                Err(fault) => self.next_try(&mut tries, job, fault).await?,
+            }
+        }
+    }
+
+    /// Decides whether to try again: returns after the pause, or fails with the final answer.
+    pub(crate) async fn next_try(
+        &self,
+        tries: &mut Tries,
+        job: &Job,
+        fault: Fault,
+    ) -> Result<(), Refusal> {
+        tries.sends += 1;
+        let attempt = Attempt {
+            effect: tries.effect,
+            sends: tries.sends,
+            before: tries.worst,
+            deadline: job.deadline,
+            expected: EXPECTED_RUN,
+        };
+        let now = self.context.timers.now();
+        let next = retry::decide(now, fault.cut, &attempt, &mut self.budget(), rand::random());
+        match next {
+            Next::Retry { at } => {
+                tries.worst = tries.worst.max(fault.refusal.verdict);
+                self.context.timers.sleep_until(at).await;
+                Ok(())
+            }
+            Next::Refuse(decided) => Err(Refusal {
+                detail: fault.refusal.detail,
+                code: fault.refusal.code,
+                verdict: decided.verdict,
+                retry_after: decided.retry_after,
+            }),
+        }
+    }
+
+    /// Makes the answer to a piece of work.
+    pub(crate) fn answer(
+        &self,
+        job: &Job,
+        ordinal: u8,
+        rows: Rows,
+        seen: SeenPoint,
+        role: Role,
+        queued: Span,
+    ) -> WorkAnswer {
+        WorkAnswer {
+            id: job.request.id,
+            rows,
+            seen,
+            instance: InstanceId { database: self.id, ordinal },
+            replica: role == Role::Replica,
+            transaction: None,
+            queued,
+        }
+    }
+
+    /// Takes in a status that a connection brought along.
+    pub(crate) fn note_status(&self, ordinal: u8, status: InstanceStatus, asked: Time) {
+        self.admission.update(|instances| {
+            instances.observe(ordinal, status, asked);
+            instances.set_reachable(ordinal, true);
+        });
+        self.note_statuses();
+    }
+
+    /// Turns an error of the upstream into a fault, and closes or keeps the connection.
+    pub(crate) fn fault(
+        &self,
+        ordinal: u8,
+        error: &Error,
+        connection: Option<Connection>,
+        effect: Effect,
+    ) -> Fault {
+        if let (Some(connection), Some(pool)) = (connection, self.pool(ordinal)) {
+            match error {
+                Error::Timeout => pool.discard_silent(connection),
+                _ => pool.put_back(connection),
+            }
+        }
+        if matches!(error, Error::Connect(_) | Error::Lost(_)) {
+            self.admission.update(|instances| instances.set_reachable(ordinal, false));
+        }
+        let cut = cut_of(error);
+        let verdict = retry::outcome(cut, effect).verdict;
+        Fault { cut, refusal: Refusal { verdict, ..error.refusal() } }
+    }
+
+    async fn read_on(
+        &self,
+        started: &Started,
+        job: &Job,
+        statement: &Statement,
+        place: &ReadPlace,
+    ) -> Result<WorkAnswer, Fault> {
+        let ordinal = started.ordinal;
+        let asked = self.context.timers.now();
+        let mut connection = self
+            .connect(ordinal, job)
+            .await
+            .map_err(|error| self.fault(ordinal, &error, None, Effect::Read))?;
+        let outcome = connection.read(&job.workspace, statement, self.instant(job.deadline)).await;
+        let outcome = match outcome {
+            Ok(outcome) => outcome,
+            Err(error) => return Err(self.fault(ordinal, &error, Some(connection), Effect::Read)),
+        };
+        if let Some(pool) = self.pool(ordinal) {
+            pool.put_back(connection);
+        }
+        self.note_status(ordinal, outcome.status, asked);
+        let now = self.context.timers.now();
+        let need = place.need();
+        let (check, durable) = self.admission.with_instances(|instances| {
+            let check = reads::check_answer(now, &outcome.status, &need, instances.confirmed());
+            let status = outcome.after;
+            let id = InstanceId { database: self.id, ordinal };
+            let size = instances.all().len();
+            (check, proof::is_durable(status.point, id, status.role, instances.statuses(), size))
+        });
+        match check {
+            Check::Accept(_) => {
+                // What the statement saw lies at or before the status that was asked for after it.
+                let seen = SeenPoint { point: outcome.after.point, durable };
+                Ok(self.answer(
+                    job,
+                    ordinal,
+                    outcome.rows,
+                    seen,
+                    outcome.status.role,
+                    started.queued,
+                ))
+            }
+            Check::Retry => Err(Fault { cut: Cut::AnswerStale, refusal: stale() }),
+            Check::HistoryLost => {
+                Err(Fault { cut: Cut::StatementFailed, refusal: reads::history_lost() })
+            }
+        }
+    }
+
+    async fn write_on(
+        &self,
+        started: &Started,
+        job: &Job,
+        statement: &Statement,
+    ) -> Result<Outcome, Fault> {
+        let ordinal = started.ordinal;
+        let mut connection = self
+            .connect(ordinal, job)
+            .await
+            .map_err(|error| self.fault(ordinal, &error, None, Effect::Write))?;
+        // The wait for a connection may have been long enough for a withdrawal.
+        if let Err(refusal) = self.recheck(job) {
+            if let Some(pool) = self.pool(ordinal) {
+                pool.put_back(connection);
+            }
+            return Err(Fault { cut: Cut::StatementFailed, refusal });
+        }
+        let asked = self.context.timers.now();
+        match connection.write(&job.workspace, statement, self.instant(job.deadline)).await {
+            Ok(outcome) => {
+                if let Some(pool) = self.pool(ordinal) {
+                    pool.put_back(connection);
+                }
+                self.note_status(ordinal, outcome.status, asked);
+                Ok(outcome)
+            }
+            Err(error) => Err(self.fault(ordinal, &error, Some(connection), Effect::Write)),
+        }
+    }
+}
+
+impl Tries {
+    /// Starts to count.
+    pub(crate) fn new(effect: Effect) -> Self {
+        Self { effect, sends: 0, worst: Verdict::NotRun }
+    }
+}
+
+/// Gets the place at which an error of the upstream cut the request.
+pub(crate) fn cut_of(error: &Error) -> Cut {
+    match error {
+        Error::Connect(_) | Error::TooManyConnections | Error::NoConnection => Cut::BeforeSend,
+        Error::NotPrimary | Error::WrongTerm => Cut::RefusedBeforeRun,
+        Error::Forbidden(_) => Cut::StatementFailed,
+        Error::Answered { .. } if error.verdict() == Verdict::NotRun => Cut::StatementFailed,
+        Error::Answered { .. } | Error::Lost(_) | Error::Identity(_) => Cut::Sent,
+        Error::Timeout => Cut::TimedOut,
+        Error::Protocol(_) => Cut::PartAnswered,
+        Error::AnswerTooLarge => Cut::AnswerTooLarge,
+        Error::TermChanged | Error::PositionUnknown => Cut::NotReplicated,
+    }
+}
+
+fn stale() -> Refusal {
+    let detail = "no instance has caught up with what this session has seen";
+    Refusal::not_run(oleander_core::verdict::RefusalCode::UpstreamUnavailable, detail)
+}
--- /dev/null
+++ b/oleander-proxy/src/peers.rs
@@ -0,0 +1,42 @@
+//! The requests of peers, the agent and the operator tool.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use oleander_core::time::Span;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_peer::server::Incoming;
+
+use crate::proxy::Proxy;
+
+/// The time assumed for work whose caller named no deadline.
+const DEFAULT_REMAINING: Span = Span::from_secs(30);
+
+/// Answers one request of a peer.
+pub fn answer(proxy: Arc<Proxy>, incoming: Incoming) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(async move {
+        let remaining = incoming.remaining.unwrap_or(DEFAULT_REMAINING);
+        let reply = match incoming.request {
+            Request::Work(mut work) => {
+                // The time in the head is later than the time in the body, so the lesser one counts.
+                work.remaining = work.remaining.min(remaining);
+                Reply::Work(proxy.homes.run(work).await)
+            }
+            Request::Limit { from, request } => Reply::Limit(proxy.rates.answer(from, request)),
+            Request::Status => Reply::Status(proxy.status_text()),
+            Request::Events => Reply::Events(proxy.journal.recent_json()),
+            Request::Drain => {
+                proxy.start_drain();
+                Reply::Accepted
+            }
+            Request::Member(_)
+            | Request::Failover(_)
+            | Request::Subscribe(_)
+            | Request::Report(_) => Reply::Unsupported,
+        };
+        // The caller may have gone; its own side has noticed then.
+        let _ = incoming.responder.send(reply).await;
+    })
+}
--- /dev/null
+++ b/oleander-proxy/src/proxy.rs
@@ -0,0 +1,300 @@
+//! One proxy: its parts, its start and its graceful stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use oleander_core::events::Event;
+use oleander_core::ids::Incarnation;
+use oleander_core::ids::RequestId;
+use oleander_core::ids::VmId;
+use oleander_core::time::Span;
+use oleander_peer::client::PeerClient;
+use oleander_peer::server;
+use oleander_routing::budget::RetryBudget;
+use oleander_routing::budget::RetryOptions;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::metrics::Metrics;
+use oleander_runtime::timer::TimerService;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::callers::http::CallerServer;
+use crate::entry::rates::Rates;
+use crate::entry::waits::Waits;
+use crate::fleet::subscription;
+use crate::fleet::view::FleetView;
+use crate::home::database::HomeContext;
+use crate::home::registry::Homes;
+use crate::peers;
+use crate::settings::ProxySettings;
+
+/// The time between two looks at whether the open requests have ended.
+const DRAIN_POLL: Span = Span::from_millis(20);
+
+/// `Proxy` holds the parts of one proxy.
+pub struct Proxy {
+    /// The settings of the process.
+    pub settings: ProxySettings,
+    /// The identifier of the VM.
+    pub vm: VmId,
+    /// The timers and the clock.
+    pub timers: TimerService,
+    /// The events of the process.
+    pub journal: Journal,
+    /// The metrics of the process.
+    pub metrics: Metrics,
+    /// The calls to peers.
+    pub peers: PeerClient,
+    /// The rate limits.
+    pub rates: Rates,
+    /// The databases of which this VM is a home.
+    pub homes: Homes,
+    fleet: Arc<ArcSwap<FleetView>>,
+    waits: Waits,
+    budget: Mutex<RetryBudget>,
+    serial: AtomicU64,
+    open: AtomicU64,
+    draining: AtomicBool,
+    drain: watch::Sender<bool>,
+    current: AtomicBool,
+}
+
+/// `RunningProxy` is a started proxy.
+pub struct RunningProxy {
+    /// The proxy.
+    pub proxy: Arc<Proxy>,
+    /// The address at which callers are served.
+    pub callers: SocketAddr,
+    /// The address at which peers are served.
+    pub peers: SocketAddr,
+    server: CallerServer,
+    stop_peers: watch::Sender<bool>,
+    peer_task: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// `ProxyStatus` is the state of a proxy as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct ProxyStatus {
+    /// The name of the VM.
+    pub name: String,
+    /// The revision in force.
+    pub revision: u64,
+    /// `true` if the proxy takes keyed requests.
+    pub current: bool,
+    /// `true` once the proxy drains.
+    pub draining: bool,
+    /// The requests and transactions that are open.
+    pub open: u64,
+    /// The names of the databases of which this VM is a home.
+    pub homes: Vec<String>,
+    /// The latency of answers for each workspace and kind.
+    pub latency: Vec<oleander_runtime::metrics::LatencySummary>,
+}
+
+impl Proxy {
+    /// Gets what is known of the fleet.
+    pub fn fleet(&self) -> Arc<FleetView> {
+        self.fleet.load_full()
+    }
+
+    /// Puts a new view of the fleet in force.
+    pub fn put_view(self: &Arc<Self>, view: FleetView) {
+        if view.draining {
+            self.start_drain();
+        }
+        let view = Arc::new(view);
+        self.fleet.store(view.clone());
+        self.homes.apply(&view);
+        self.rates.apply(&view);
+        self.note_currency();
+    }
+
+    /// Gets the queue waits last heard from homes.
+    pub(crate) fn waits(&self) -> &Waits {
+        &self.waits
+    }
+
+    /// Gets the retry budget of the entry duty.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes the identifier of a new request.
+    pub fn next_request(&self) -> RequestId {
+        RequestId { entry: self.vm, serial: self.serial.fetch_add(1, Ordering::Relaxed) }
+    }
+
+    /// Counts a request as open for as long as the guard lives.
+    pub fn open_request(self: &Arc<Self>) -> OpenGuard {
+        self.open.fetch_add(1, Ordering::AcqRel);
+        OpenGuard(self.clone())
+    }
+
+    /// Gets the number of open requests and transactions.
+    pub fn open_requests(&self) -> u64 {
+        self.open.load(Ordering::Acquire) + self.homes.open_transactions()
+    }
+
+    /// Returns `true` if the balancer may send callers to this VM.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.fleet().is_current(self.timers.now())
+    }
+
+    /// Returns `true` once the proxy drains.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Begins the graceful stop: the VM is no longer ready, and its shares are handed over.
+    pub fn start_drain(&self) {
+        if !self.draining.swap(true, Ordering::AcqRel) {
+            self.journal
+                .record(Event::DrainStarted, &[Field::number("open", self.open_requests())]);
+            self.drain.send_replace(true);
+        }
+    }
+
+    /// Waits until a drain was asked for.
+    pub async fn drain_started(&self) {
+        let _ = self.drain.subscribe().wait_for(|drain| *drain).await;
+    }
+
+    /// Logs when the VM stops or starts to be current.
+    pub fn note_currency(&self) {
+        let current = self.fleet().is_current(self.timers.now());
+        if self.current.swap(current, Ordering::AcqRel) != current {
+            let event = if current { Event::CurrencyRegained } else { Event::CurrencyLost };
+            self.journal.record(event, &[]);
+        }
+    }
+
+    /// Gets the state for operators.
+    pub fn status(&self) -> ProxyStatus {
+        let fleet = self.fleet();
+        ProxyStatus {
+            name: self.settings.name.clone(),
+            revision: fleet.snapshot.revision.0,
+            current: fleet.is_current(self.timers.now()),
+            draining: self.is_draining(),
+            open: self.open_requests(),
+            homes: self.homes.names(),
+            latency: self.metrics.latencies(),
+        }
+    }
+
+    /// Gets the state for operators as JSON.
+    pub fn status_text(&self) -> String {
+        serde_json::to_string(&self.status()).unwrap_or_default()
+    }
+}
+
+impl RunningProxy {
+    /// Starts a proxy and returns once it listens.
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn start(
+        settings: ProxySettings,
+        metrics: Metrics,
+        timers: TimerService,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(settings.peers).await?;
+        let peers = listener.local_addr()?;
+        let callers = settings.callers;
+        let threads = settings.threads;
+        let proxy = Arc::new(new_proxy(settings, metrics, timers));
+        let server = CallerServer::start(proxy.clone(), callers, threads)?;
+        let (stop_peers, stopped) = watch::channel(false);
+        let handler = proxy.clone();
+        let answer = move |incoming| peers::answer(handler.clone(), incoming);
+        let peer_task = tokio::spawn(server::serve(listener, stopped, answer));
+        let tasks = vec![
+            tokio::spawn(subscription::follow_views(proxy.clone())),
+            tokio::spawn(subscription::report_state(proxy.clone())),
+            tokio::spawn(crate::entry::rates::run(proxy.clone())),
+            tokio::spawn(crate::home::registry::run(proxy.clone())),
+        ];
+        let fields = [Field::text("callers", server.address), Field::text("peers", peers)];
+        proxy.journal.record(Event::ProcessStarted, &fields);
+        Ok(Self { callers: server.address, peers, proxy, server, stop_peers, peer_task, tasks })
+    }
+
+    /// Stops gracefully: open requests and transactions finish within the drain limit.
+    pub async fn stop(self) {
+        let proxy = &self.proxy;
+        let limit = proxy.timers.now() + proxy.settings.drain;
+        proxy.start_drain();
+        proxy.timers.sleep(proxy.settings.settle).await;
+        while 0 < proxy.open_requests() && proxy.timers.now() < limit {
+            proxy.timers.sleep(DRAIN_POLL).await;
+        }
+        self.server.stop().await;
+        self.stop_peers.send_replace(true);
+        tokio::select! {
+            _ = self.peer_task => {}
+            () = proxy.timers.sleep_until(limit) => {}
+        }
+        proxy.journal.record(Event::DrainFinished, &[Field::number("cut", proxy.open_requests())]);
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// `OpenGuard` counts a request as open.
+pub struct OpenGuard(Arc<Proxy>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn new_proxy(settings: ProxySettings, metrics: Metrics, timers: TimerService) -> Proxy {
+    let vm = VmId::from_name(&settings.name);
+    let journal = Journal::new("oleander-proxy", timers.clock());
+    let peers = PeerClient::default();
+    let fleet = Arc::<ArcSwap<FleetView>>::default();
+    let incarnation = new_incarnation();
+    let context = HomeContext {
+        vm,
+        incarnation,
+        place: settings.place(),
+        timers: timers.clone(),
+        journal: journal.clone(),
+        fleet: fleet.clone(),
+    };
+    Proxy {
+        vm,
+        rates: Rates::new(vm, incarnation.0, timers.clone(), peers.clone(), fleet.clone()),
+        homes: Homes::new(context),
+        waits: Waits::default(),
+        budget: Mutex::new(RetryBudget::new(RetryOptions::default(), timers.now())),
+        peers,
+        journal,
+        metrics,
+        timers,
+        settings,
+        fleet,
+        serial: AtomicU64::new(0),
+        open: AtomicU64::new(0),
+        draining: AtomicBool::new(false),
+        drain: watch::Sender::new(false),
+        current: AtomicBool::new(false),
+    }
+}
+
+/// Makes the number of this life of the proxy; transactions of an earlier life must not match.
+fn new_incarnation() -> Incarnation {
+    Incarnation(rand::random())
+}
--- /dev/null
+++ b/oleander-proxy/src/settings.rs
@@ -0,0 +1,57 @@
+//! The settings of one proxy process.
+
+use std::net::SocketAddr;
+
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_runtime::settings::span;
+use serde::Deserialize;
+
+/// `ProxySettings` are read from the process's YAML file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProxySettings {
+    /// The name of the VM, the same as its agent's.
+    pub name: String,
+    /// The region of the VM.
+    pub region: String,
+    /// The availability zone of the VM.
+    pub zone: String,
+    /// The address at which callers are served.
+    pub callers: SocketAddr,
+    /// The address at which peers are served.
+    pub peers: SocketAddr,
+    /// The address of the VM's agent.
+    pub agent: SocketAddr,
+    /// The address of a StatsD server; without it no metrics are sent.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// The threads that serve callers.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+    /// The time between the loss of readiness and the end of accepting, for the balancer to notice.
+    #[serde(default = "default_settle", with = "span")]
+    pub settle: Span,
+    /// The time after which a stop cuts what is still open.
+    #[serde(default = "default_drain", with = "span")]
+    pub drain: Span,
+}
+
+impl ProxySettings {
+    /// Gets the place of the VM.
+    pub fn place(&self) -> Place {
+        Place { region: self.region.clone(), zone: self.zone.clone() }
+    }
+}
+
+fn default_threads() -> usize {
+    2
+}
+
+fn default_settle() -> Span {
+    Span::from_secs(3)
+}
+
+fn default_drain() -> Span {
+    Span::from_secs(30)
+}
--- a/oleander-runtime/src/metrics.rs
+++ b/oleander-runtime/src/metrics.rs
@@ -17,6 +17,7 @@
 use cadence::Timed as _;
 use hdrhistogram::Histogram;
 use oleander_core::time::Span;
+use oleander_core::verdict::RefusalCode;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -135,6 +136,17 @@
             .collect()
     }
 
+    /// Counts a refusal of a request of the workspace and kind.
+    pub fn count_refusal(&self, workspace: &str, kind: &str, code: RefusalCode) {
+        let code = code.to_string();
+        self.client
+            .count_with_tags("request.refused", 1_u64)
+            .with_tag("workspace", workspace)
+            .with_tag("kind", kind)
+            .with_tag("code", &code)
+            .send();
+    }
+
     fn record_histogram(&self, workspace: &str, kind: &str, span: Span) {
         let micros = span.0.min(MAX_LATENCY.0);
         let mut histograms = self.lock();
--- a/oleander-upstream/src/connection.rs
+++ b/oleander-upstream/src/connection.rs
@@ -36,6 +36,8 @@
 pub struct Outcome {
     /// The status: before a read's statement, after a write's.
     pub status: InstanceStatus,
+    /// The status after the statement: what the statement saw lies at or before its point.
+    pub after: InstanceStatus,
     /// The rows.
     pub rows: Rows,
 }
@@ -169,18 +171,25 @@
             let identity = self.identify(workspace);
             let status = self.ask_status();
             let rows = self.run(statement);
-            let (identity, status, rows) = future::join3(identity, status, rows).await;
+            let after = self.ask_status();
+            let (identity, status, rows, after) =
+                future::join4(identity, status, rows, after).await;
             identity?;
-            Ok((status?, rows))
+            Ok((status?, rows, after))
         });
         let answer = answer.await;
-        let (status, rows) = self.finish(answer)?;
+        let (status, rows, after) = self.finish(answer)?;
         self.workspace = Some(workspace.to_owned());
         let rows = self.finish(rows)?;
-        if status.fence != self.term {
+        let after = self.finish(after)?;
+        if after.fence != self.term {
             self.phase = Phase::Poisoned;
         }
-        Ok(Outcome { status, rows })
+        if after.point.term != status.point.term {
+            // The statement may have seen either term.
+            return Err(Error::TermChanged);
+        }
+        Ok(Outcome { status, after, rows })
     }
 
     /// Runs a write for a workspace; the status in the outcome was asked for after it.
@@ -211,7 +220,7 @@
         self.workspace = Some(workspace.to_owned());
         let rows = self.finish(rows)?;
         let status = self.confirm(status.ok())?;
-        Ok(Outcome { status, rows })
+        Ok(Outcome { status, after: status, rows })
     }
 
     /// Opens a transaction for a workspace on the primary.
