--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -171,6 +171,12 @@
         others.into_iter().flatten().fold(due, Time::min).max(now + Span(1))
     }
 
+    /// Gets the tokens that can be spent at once, without asking other VMs.
+    pub fn spendable(&mut self, ctx: &mut Context<'_>) -> Tokens {
+        self.sync(ctx);
+        self.available(ctx)
+    }
+
     /// Takes in a new limit.
     pub fn set_limit(&mut self, now: Time, limit: Limit) {
         self.owner.set_limit(now, self.limit, limit);
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -253,6 +253,13 @@
         }
     }
 
+    /// Gets the tokens that this VM could spend for a workspace at once, without asking others.
+    ///
+    /// Returns `None` for a workspace without a limit.
+    pub fn available(&mut self, now: Time, workspace: WorkspaceId) -> Option<Tokens> {
+        self.with_account(now, workspace, &mut Vec::new(), Account::spendable)
+    }
+
     /// Gets the number of workspaces of which this VM holds a state.
     pub fn accounts(&self) -> usize {
         self.accounts.len()
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -2,8 +2,14 @@
 
 mod support;
 
+use oleander_core::ids::VmId;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_limits::messages::LoanId;
+use oleander_limits::rates::owner::Need;
+use oleander_limits::rates::owner::RateOwner;
 use oleander_limits::rates::tokens::Limit;
+use oleander_limits::rates::tokens::Tokens;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
@@ -14,6 +20,7 @@
 use support::Fleet;
 use support::Network;
 
+const NOW: Time = Time(1_000_000);
 const VMS: usize = 4;
 const SEED: u64 = 4;
 const CASES: u32 = 300;
@@ -137,3 +144,16 @@
     fleet.ask(0, 21);
     assert_eq!(fleet.refused, 1);
 }
+
+#[test]
+fn lending_leaves_room_for_tokens_that_are_still_granted() {
+    let limit = Limit { rate: 100, burst: 16 };
+    let id = |serial| LoanId { life: 1, serial };
+    let mut owner = RateOwner::new(NOW, 2, limit.capacity(2));
+    owner.grant(NOW, limit, Tokens::whole(1), id(1)).unwrap();
+    let demand = Tokens::whole(50);
+    let need = Need { from: VmId(1), tokens: demand, demand, own: Tokens::ZERO };
+    let loan = owner.lend(NOW, limit, need, id(2)).unwrap();
+    // Two fractions hold two tokens, and one of them may still be used elsewhere.
+    assert_eq!((loan.fractions, owner.home()), (1, 1));
+}
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -15,7 +15,9 @@
 use oleander_limits::rates::limiter::RateLimiter;
 use oleander_limits::rates::limiter::Ticket;
 use oleander_limits::rates::owner::WAIT_OUT;
+use oleander_limits::rates::tokens::FRACTIONS;
 use oleander_limits::rates::tokens::Limit;
+use oleander_limits::rates::tokens::Tokens;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -79,7 +81,7 @@
     pub admitted: u64,
     /// The refused requests.
     pub refused: u64,
-    /// The first admission that was beyond burst + rate × window, with its time.
+    /// The first time at which more was admitted, or could have been, than burst + rate × window.
     pub breach: Option<Time>,
     /// The present time.
     pub now: Time,
@@ -155,8 +157,10 @@
             if let Some(event) = self.events.pop_due(self.now) {
                 self.handle(event);
             }
+            self.check_spendable();
         }
         self.now = end;
+        self.check_spendable();
     }
 
     /// Stops a VM for a while; what is sent to it waits.
@@ -320,12 +324,31 @@
             .collect()
     }
 
-    /// Counts an admission against one ideal bucket, which is what "in any window" comes to.
-    fn admit(&mut self, cost: u32) {
+    /// Checks what would be admitted if callers of all VMs came at this moment.
+    fn check_spendable(&mut self) {
+        let mut spendable = Tokens::ZERO;
+        for at in 0..self.vms.len() {
+            let (now, is_paused) = (self.clock(at), self.now < self.vms[at].paused);
+            if !is_paused {
+                spendable += self.vms[at].limiter.available(now, WORKSPACE).unwrap_or_default();
+            }
+        }
+        self.refill();
+        if self.level * u64::from(FRACTIONS) < spendable.0 {
+            self.breach = self.breach.or(Some(self.now));
+        }
+    }
+
+    fn refill(&mut self) {
         let full = u64::from(self.limit.burst) * 1_000_000;
         let gained = u64::from(self.limit.rate) * self.now.since(self.filled).0;
         self.level = self.level.saturating_add(gained).min(full);
         self.filled = self.now;
+    }
+
+    /// Counts an admission against one ideal bucket, which is what "in any window" comes to.
+    fn admit(&mut self, cost: u32) {
+        self.refill();
         let cost = u64::from(cost) * 1_000_000;
         if self.level < cost {
             self.breach = self.breach.or(Some(self.now));
