Add the experiment on rates over the whole fleet

Change: `oleander-load experiment rates` drives the real limiters of nine VMs with 20 ms one way between them, beside a static 1/N split, a single owner of each workspace and one ideal bucket, on the same seeded arrivals.

--- /dev/null
+++ b/oleander-load/src/experiments/rates/fleet.rs
@@ -0,0 +1,167 @@
+//! The real limiters of a small fleet over a network with a fixed delay.
+
+use oleander_core::hash;
+use oleander_core::ids::VmId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::timers::TimerQueue;
+use oleander_limits::messages::LimitReply;
+use oleander_limits::messages::LimitRequest;
+use oleander_limits::rates::limiter::Action;
+use oleander_limits::rates::limiter::CallId;
+use oleander_limits::rates::limiter::Decision;
+use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::limiter::Ticket;
+use oleander_limits::rates::tokens::FRACTIONS;
+
+use crate::experiments::rates::LATENCY;
+use crate::experiments::rates::Outcome;
+use crate::experiments::rates::VMS;
+use crate::experiments::rates::scenarios::Arrival;
+use crate::experiments::rates::scenarios::Scenario;
+use crate::experiments::rates::scenarios::WARM_UP;
+
+/// The shares of the fleet; share `i` belongs to VM `i % VMS`.
+const SHARES: usize = 64;
+/// The time within which a caller wants its answer.
+const DEADLINE: Span = Span::from_secs(2);
+/// The time that is left after the last arrival for waiting requests.
+const COOL_DOWN: Span = Span::from_secs(1);
+
+struct Fleet<'a> {
+    scenario: &'a Scenario,
+    limiters: Vec<RateLimiter>,
+    events: TimerQueue<Event>,
+    arrivals: &'a [Arrival],
+    outcome: Outcome,
+    now: Time,
+}
+
+enum Event {
+    Request { from: usize, to: usize, call: CallId, request: LimitRequest },
+    Reply { to: usize, call: CallId, reply: LimitReply },
+}
+
+/// Runs the arrivals of a scenario through the fleet.
+pub fn run(scenario: &Scenario, workspace: u64, arrivals: &[Arrival]) -> Outcome {
+    let owners: Vec<Option<VmId>> = (0..SHARES).map(|share| Some(id(share % VMS))).collect();
+    let workspace = workspace_id(workspace);
+    let limiters = (0..VMS).map(|vm| {
+        let mut limiter = RateLimiter::new(id(vm), vm as u64);
+        limiter.set_limits(Time(0), [(workspace, scenario.limit)], &mut Vec::new());
+        limiter.set_shares(Time(0), &owners, Time(u64::MAX));
+        limiter
+    });
+    let outcome = Outcome {
+        admitted: vec![false; arrivals.len()],
+        waits: vec![Span::ZERO; arrivals.len()],
+        ..Outcome::default()
+    };
+    let mut fleet = Fleet {
+        scenario,
+        limiters: limiters.collect(),
+        events: TimerQueue::new(),
+        arrivals,
+        outcome,
+        now: Time(0),
+    };
+    for (at, arrival) in arrivals.iter().enumerate() {
+        fleet.advance(arrival.at);
+        fleet.ask(workspace, at);
+    }
+    fleet.advance(fleet.now + COOL_DOWN);
+    fleet.outcome
+}
+
+/// Gets the number of the workspace's fractions whose owners live.
+pub fn reachable_fractions(scenario: &Scenario, workspace: u64) -> u32 {
+    let key = workspace_id(workspace).0;
+    let share = |fraction: u32| hash::combine(key, u64::from(fraction)) as usize % SHARES;
+    let living = (0..FRACTIONS).filter(|fraction| scenario.lives(share(*fraction) % VMS));
+    living.count() as u32
+}
+
+impl Fleet<'_> {
+    fn ask(&mut self, workspace: WorkspaceId, at: usize) {
+        let Arrival { at: now, vm } = self.arrivals[at];
+        let mut out = Vec::new();
+        let ticket = Ticket(at as u64);
+        let limiter = &mut self.limiters[vm];
+        let decision = limiter.ask(now, ticket, workspace, 1, now + DEADLINE, &mut out);
+        self.outcome.admitted[at] = decision == Decision::Admit;
+        self.perform(vm, out);
+    }
+
+    fn advance(&mut self, end: Time) {
+        while let Some(due) = self.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            for vm in 0..VMS {
+                let mut out = Vec::new();
+                if self.limiters[vm].next_due().is_some_and(|due| due <= self.now) {
+                    self.limiters[vm].tick(self.now, &mut out);
+                }
+                self.perform(vm, out);
+            }
+            if let Some(event) = self.events.pop_due(self.now) {
+                self.handle(event);
+            }
+        }
+        self.now = end;
+    }
+
+    fn next_due(&mut self) -> Option<Time> {
+        let ticks = self.limiters.iter().filter_map(RateLimiter::next_due);
+        ticks.chain(self.events.next_due()).min()
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut out = Vec::new();
+        match event {
+            Event::Request { from, to, call, request } => {
+                if !self.is_up(to) {
+                    return;
+                }
+                let reply = self.limiters[to].handle(self.now, id(from), request, &mut out);
+                self.outcome.messages += 1;
+                self.events.schedule(self.now + LATENCY, Event::Reply { to: from, call, reply });
+                self.perform(to, out);
+            }
+            Event::Reply { to, call, reply } => {
+                self.limiters[to].handle_reply(self.now, call, Some(reply), &mut out);
+                self.perform(to, out);
+            }
+        }
+    }
+
+    fn perform(&mut self, vm: usize, out: Vec<Action>) {
+        for action in out {
+            match action {
+                Action::Admit(Ticket(at)) => {
+                    let at = at as usize;
+                    self.outcome.admitted[at] = true;
+                    self.outcome.waits[at] = self.now.since(self.arrivals[at].at);
+                }
+                Action::Refuse { .. } => {}
+                Action::Send { to, call, request } => {
+                    let to = to.0 as usize;
+                    self.outcome.messages += 1;
+                    let event = Event::Request { from: vm, to, call, request };
+                    self.events.schedule(self.now + LATENCY, event);
+                }
+            }
+        }
+    }
+
+    fn is_up(&self, vm: usize) -> bool {
+        self.now < Time(0) + WARM_UP || self.scenario.lives(vm)
+    }
+}
+
+fn id(vm: usize) -> VmId {
+    VmId(vm as u64)
+}
+
+fn workspace_id(workspace: u64) -> WorkspaceId {
+    WorkspaceId::from_name(&format!("workspace-{workspace}"))
+}
--- /dev/null
+++ b/oleander-load/src/experiments/rates/mod.rs
@@ -0,0 +1,144 @@
+//! Rates over the whole fleet: wrongful refusals beside a static split and a single owner.
+//!
+//! A refusal is wrongful if one ideal central bucket, given the same arrivals
+//! without any delay, would have admitted the request.
+
+mod baselines;
+mod fleet;
+mod scenarios;
+
+use oleander_core::time::Span;
+
+use crate::experiments::rates::scenarios::SCENARIOS;
+use crate::experiments::rates::scenarios::Scenario;
+use crate::experiments::rates::scenarios::Target;
+use crate::report::Report;
+use crate::report::Table;
+
+/// The time of a message between two VMs, one way.
+const LATENCY: Span = Span::from_millis(20);
+/// The VMs of the fleet.
+const VMS: usize = 9;
+/// The workspaces of each scenario, which differ in the owners of their fractions.
+const WORKSPACES: u64 = 8;
+
+/// `Outcome` is what became of the requests under one policy.
+#[derive(Clone, Debug, Default)]
+struct Outcome {
+    offered: u64,
+    refused: u64,
+    wrongful: u64,
+    waits: Vec<Span>,
+    messages: u64,
+    admitted: Vec<bool>,
+}
+
+impl Outcome {
+    /// Counts refusals against what the ideal bucket admitted.
+    fn judge(&mut self, ideal: &[bool]) {
+        self.offered = ideal.len() as u64;
+        let pairs = || self.admitted.iter().zip(ideal);
+        self.refused = self.admitted.iter().filter(|admitted| !**admitted).count() as u64;
+        self.wrongful = pairs().filter(|(admitted, ideal)| !**admitted && **ideal).count() as u64;
+    }
+
+    fn add(&mut self, other: Outcome) {
+        self.offered += other.offered;
+        self.refused += other.refused;
+        self.wrongful += other.wrongful;
+        self.messages += other.messages;
+        self.waits.extend(other.waits);
+    }
+
+    fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.offered.max(1) as f64
+    }
+
+    fn wrongful_share(&self) -> f64 {
+        self.wrongful as f64 / self.offered.max(1) as f64
+    }
+
+    fn wait_quantile(&mut self, quantile: f64) -> Span {
+        self.waits.sort_unstable();
+        let at = (self.waits.len() as f64 * quantile) as usize;
+        self.waits.get(at.min(self.waits.len().saturating_sub(1))).copied().unwrap_or_default()
+    }
+}
+
+/// Runs the experiment.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("rates over the whole fleet", seed);
+    let columns = [
+        "scenario",
+        "policy",
+        "refused",
+        "ideal refuses",
+        "wrongful",
+        "target",
+        "wait p50 ms",
+        "wait p99 ms",
+        "messages/s",
+    ];
+    let title = format!("{VMS} VMs, {} ms one way between VMs", LATENCY.as_millis());
+    let mut table = Table::new(title, &columns);
+    for scenario in SCENARIOS {
+        run_scenario(scenario, seed, &mut table, &mut report);
+    }
+    report.tables.push(table);
+    report
+}
+
+fn run_scenario(scenario: &Scenario, seed: u64, table: &mut Table, report: &mut Report) {
+    let mut ideal_refused = 0;
+    let mut fractions = Outcome::default();
+    let mut split = Outcome::default();
+    let mut owner = Outcome::default();
+    for workspace in 0..WORKSPACES {
+        let arrivals = scenario.arrivals(seed, workspace);
+        let reachable = fleet::reachable_fractions(scenario, workspace);
+        let ideal = baselines::ideal(scenario, reachable, &arrivals);
+        ideal_refused += ideal.iter().filter(|admitted| !**admitted).count() as u64;
+        for (sum, mut outcome) in [
+            (&mut fractions, fleet::run(scenario, workspace, &arrivals)),
+            (&mut split, baselines::static_split(scenario, &arrivals)),
+            (&mut owner, baselines::single_owner(scenario, workspace, &arrivals)),
+        ] {
+            outcome.judge(&ideal);
+            sum.add(outcome);
+        }
+    }
+    let ideal_share = ideal_refused as f64 / fractions.offered.max(1) as f64;
+    check(scenario, &fractions, ideal_share, report);
+    for (policy, outcome) in
+        [("fractions", &mut fractions), ("static 1/N", &mut split), ("single owner", &mut owner)]
+    {
+        table.push([
+            scenario.name.to_owned(),
+            policy.to_owned(),
+            percent(outcome.refused_share()),
+            percent(ideal_share),
+            percent(outcome.wrongful_share()),
+            scenario.target.to_string(),
+            millis(outcome.wait_quantile(0.5)),
+            millis(outcome.wait_quantile(0.99)),
+            format!("{:.1}", outcome.messages as f64 / (scenario.seconds * WORKSPACES) as f64),
+        ]);
+    }
+}
+
+fn check(scenario: &Scenario, outcome: &Outcome, ideal: f64, report: &mut Report) {
+    let met = match scenario.target {
+        Target::Wrongful(most) => outcome.wrongful_share() < most,
+        Target::RefusedBeyondIdeal(most) => outcome.refused_share() - ideal < most,
+        Target::None => true,
+    };
+    report.require(met, format!("rates: {}: {}", scenario.name, scenario.target));
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.3}%", share * 100.0)
+}
+
+fn millis(span: Span) -> String {
+    format!("{:.1}", span.0 as f64 / 1e3)
+}
