Keep a home's view of a group and measure the reads that replicas serve

The view takes in every status and answers which instance to read from, whether an answer is good and which point goes into the token. The experiment replica-reads runs it against a fake group in virtual time; the answers are checked against what each session truly has seen.

--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -1,5 +1,7 @@
 //! Seeded experiments: a policy beside its baselines, in one run.
 
+pub mod replica_reads;
+
 use strum::Display;
 use strum::EnumIter;
 use strum::EnumString;
@@ -9,9 +11,14 @@
 /// `Experiment` names an experiment of the command line.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
-pub enum Experiment {}
+pub enum Experiment {
+    /// The share of reads that replicas serve.
+    ReplicaReads,
+}
 
 /// Runs an experiment from its seed.
-pub fn run(experiment: Experiment, _seed: u64) -> Report {
-    match experiment {}
+pub fn run(experiment: Experiment, seed: u64) -> Report {
+    match experiment {
+        Experiment::ReplicaReads => replica_reads::run(seed),
+    }
 }
--- a/oleander-routing/src/lib.rs
+++ b/oleander-routing/src/lib.rs
@@ -3,12 +3,14 @@
 //! - `admit` checks route, key and audience at the entry VM, and the key again at the home.
 //! - `homes` orders the homes of a database for an entry VM.
 //! - `reads` chooses the instance for a read and checks the answer's position.
-//! - `samples` and `lag` hold what a home knows of the primary's progress over time.
+//! - `knowledge` keeps what a home knows of a database group and feeds `reads`;
+//!   `samples` and `lag` are its parts: the primary's progress over time and the delay of replicas.
 //! - `retry` turns the place where a request was cut into a verdict and the next step; `budget` bounds the retries.
 
 pub mod admit;
 pub mod budget;
 pub mod homes;
+pub mod knowledge;
 pub mod lag;
 pub mod reads;
 pub mod retry;
