Add oleanderctl, the catalogue of events and the operators' page

Operators check, compare and publish sections, grant and withdraw keys, drain VMs and read events with one tool. A publication keeps its change identifier over all attempts, so a lost answer neither doubles nor loses the edit; an outcome that stays unknown has an exit code of its own and is settled by running again with the same change. Keys are printed once and only their hashes are published. Tests hold the catalogue against the events and the page against commands and exit codes.

--- /dev/null
+++ b/oleander-ctl/src/files.rs
@@ -0,0 +1,56 @@
+//! Files that operators edit: a whole document, or one section alone.
+
+use std::path::Path;
+
+use oleander_config::model::Document;
+use oleander_config::model::Section;
+use oleander_config::sections::SectionText;
+use oleander_config::sections::parse_sections;
+use oleander_config::sections::split_document;
+use oleander_membership::messages::SectionBody;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::errors::usage;
+
+/// The largest file that is read, in bytes.
+const MAX_FILE_BYTES: u64 = 8_000_000;
+
+/// Reads a whole document's sections.
+pub fn read_document(path: &Path) -> Result<Vec<SectionText>> {
+    split_document(&read(path)?).map_err(Error::Invalid)
+}
+
+/// Reads one section: the whole file, or the section's part of a whole document.
+pub fn read_section(path: &Path, section: Section) -> Result<SectionText> {
+    let text = read(path)?;
+    let Ok(parts) = split_document(&text) else {
+        // The check of the section tells what is wrong if it is no section either.
+        return Ok(SectionText::new(section, text));
+    };
+    let found = parts.into_iter().find(|part| part.section == section);
+    found.ok_or_else(|| usage(format!("{} holds no section {section}", path.display())))
+}
+
+/// Reads and checks stored sections, with one of them replaced.
+pub fn parse_bodies(bodies: &[SectionBody], replaced: Option<&SectionText>) -> Result<Document> {
+    let mut texts = Vec::new();
+    for body in bodies {
+        let section = body.section.parse::<Section>();
+        let section = section.map_err(|_| usage("the store holds a section of another version"))?;
+        if replaced.is_none_or(|text| text.section != section) {
+            texts.push(SectionText::new(section, body.text.clone()));
+        }
+    }
+    texts.extend(replaced.cloned());
+    parse_sections(&texts).map_err(Error::Invalid)
+}
+
+fn read(path: &Path) -> Result<String> {
+    let fail = |reason: String| Error::File(format!("cannot read {}: {reason}", path.display()));
+    let length = std::fs::metadata(path).map_err(|error| fail(error.to_string()))?.len();
+    if MAX_FILE_BYTES < length {
+        return Err(fail("the file is too large".to_owned()));
+    }
+    std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))
+}
--- /dev/null
+++ b/oleander-ctl/src/fleet.rs
@@ -0,0 +1,96 @@
+//! The VMs of the fleet: where they are registered, and questions to them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use futures::future::join_all;
+use oleander_core::time::Span;
+use oleander_peer::client::PeerClient;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_platform::keys;
+use oleander_platform::store::Store;
+use oleander_runtime::logs::EventRecord;
+use serde::Deserialize;
+
+use crate::errors::Result;
+use crate::errors::unreachable;
+
+/// The time within which a VM answers.
+const ANSWER_LIMIT: Span = Span::from_secs(2);
+
+/// `Registration` is what a VM wrote about itself into the store.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Registration {
+    /// The name of the VM.
+    pub name: String,
+    /// The address of its agent.
+    pub agent: SocketAddr,
+    /// The address of its proxy.
+    pub proxy: SocketAddr,
+}
+
+/// `Station` is one process that can be asked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Station {
+    /// The name of the VM and of the program, or the address if the name is not known.
+    pub name: String,
+    /// The address.
+    pub address: SocketAddr,
+}
+
+/// Gets the processes of all registered VMs.
+///
+/// # Errors
+/// Fails if the store cannot be read.
+pub async fn registered(store: &Store) -> Result<Vec<Registration>> {
+    let reading = store.list(keys::VMS).await.map_err(unreachable)?;
+    let parse = |value: &[u8]| serde_json::from_slice::<Registration>(value).ok();
+    Ok(reading.entries.iter().filter_map(|entry| parse(&entry.value)).collect())
+}
+
+/// Gets the agent and the proxy of each VM.
+pub fn stations(vms: &[Registration]) -> Vec<Station> {
+    let both = |vm: &Registration| {
+        [("agent", vm.agent), ("proxy", vm.proxy)]
+            .map(|(program, address)| Station { name: format!("{}/{program}", vm.name), address })
+    };
+    vms.iter().flat_map(both).collect()
+}
+
+/// Asks all processes at once; each answers or fails by itself.
+pub async fn ask_all(
+    stations: &[Station],
+    request: &Request,
+) -> Vec<(Station, std::result::Result<Reply, String>)> {
+    let client = PeerClient::default();
+    let ask = |station: &Station| {
+        let (client, station) = (client.clone(), station.clone());
+        async move {
+            let reply = client.call(station.address, request, ANSWER_LIMIT).await;
+            (station, reply.map_err(|error| error.to_string()))
+        }
+    };
+    join_all(stations.iter().map(ask)).await
+}
+
+/// Gets the recent events of the processes, by time; processes that did not answer come apart.
+pub async fn events(stations: &[Station]) -> (Vec<EventRecord>, BTreeMap<String, String>) {
+    let mut records = Vec::new();
+    let mut silent = BTreeMap::new();
+    for (station, reply) in ask_all(stations, &Request::Events).await {
+        match reply {
+            Ok(Reply::Events(texts)) => {
+                records.extend(texts.iter().filter_map(|text| serde_json::from_str(text).ok()));
+            }
+            Ok(_) => {
+                silent.insert(station.name, "the process keeps no events".to_owned());
+            }
+            Err(reason) => {
+                silent.insert(station.name, reason);
+            }
+        }
+    }
+    records.sort_by_key(|record: &EventRecord| (record.unix_ms, record.serial));
+    (records, silent)
+}
--- /dev/null
+++ b/oleander-ctl/tests/tool/main.rs
@@ -0,0 +1,7 @@
+//! The operator tool against stand-ins of the store and of VMs.
+
+mod documents;
+mod keys;
+mod pages;
+mod support;
+mod vms;
