--- a/oleander-ctl/tests/tool/pages.rs
+++ b/oleander-ctl/tests/tool/pages.rs
@@ -2,11 +2,15 @@
 
 use clap::CommandFactory as _;
 use oleander_core::events::Event;
+use oleander_core::verdict::RefusalCode;
+use oleander_core::verdict::Verdict;
 use oleander_ctl::arguments::Arguments;
 use oleander_ctl::catalogue;
 use oleander_ctl::errors::Exit;
 use strum::IntoEnumIterator as _;
 
+const API: &str = include_str!("../../../docs/API.md");
+const CONFIG: &str = include_str!("../../../docs/CONFIG.md");
 const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
 
 #[test]
@@ -28,6 +32,31 @@
     }
 }
 
+#[test]
+fn every_refusal_code_and_verdict_is_documented() {
+    for code in RefusalCode::iter() {
+        assert!(API.contains(&format!("| `{code}` | ")), "no row {code}");
+    }
+    for verdict in Verdict::iter() {
+        assert!(API.contains(&format!("| `{verdict}` | ")), "no row {verdict}");
+    }
+}
+
+#[test]
+fn every_field_of_the_examples_is_documented() {
+    let examples = [
+        include_str!("../../../examples/bakery.yaml"),
+        include_str!("../../../examples/repair.yaml"),
+    ];
+    let lines = examples.iter().flat_map(|text| text.lines());
+    let lines = lines.filter(|line| !line.starts_with('#'));
+    let words = lines.flat_map(|line| line.split([' ', '{']));
+    let fields = words.filter_map(|word| word.strip_suffix(':'));
+    for field in fields {
+        assert!(CONFIG.contains(&format!("`{field}`")), "no field {field}");
+    }
+}
+
 #[test]
 fn every_command_is_documented() {
     let command = Arguments::command();
