--- /dev/null
+++ b/oleander-load/src/cluster/fleet.rs
@@ -0,0 +1,230 @@
+//! A whole fleet with its platform and databases.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oleander_agent::settings::Times;
+use oleander_config::sections::SectionText;
+use oleander_config::sections::parse_sections;
+use oleander_core::ids::ChangeId;
+use oleander_core::time::Span;
+use oleander_limits::rates::owner::WAIT_OUT;
+use oleander_membership::messages::SectionBody;
+use oleander_platform::configuration;
+use oleander_platform::configuration::Publication;
+use oleander_platform::configuration::PublishError;
+use oleander_platform::store::StoreOptions;
+use oleander_standin::group::Group;
+use oleander_standin::group::GroupOptions;
+use oleander_standin::store::Store;
+use oleander_standin::vms::VmList;
+use oleander_standin::vms::VmState;
+
+use crate::cluster::errors::Error;
+use crate::cluster::errors::Result;
+use crate::cluster::errors::configuration_error;
+use crate::cluster::node::Node;
+use crate::cluster::node::NodeOptions;
+use crate::cluster::profile::INSTANCES;
+use crate::cluster::profile::Profile;
+use crate::drive::run::Endpoint;
+use crate::drive::run::Endpoints;
+
+/// The number of shares of a fleet on one machine.
+const SHARES: u16 = 64;
+
+/// The time within which a fleet comes up.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// The time between two looks at a fleet that comes up.
+const START_POLL: Duration = Duration::from_millis(20);
+
+/// `FleetOptions` say how the VMs of a fleet are started.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetOptions {
+    /// The times of the agents.
+    pub times: Times,
+    /// The time between the loss of readiness and the end of accepting.
+    pub settle: Span,
+    /// The time after which a stop cuts what is still open.
+    pub drain: Span,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self { times: Times::default(), settle: Span::from_millis(300), drain: Span::from_secs(20) }
+    }
+}
+
+/// `Fleet` is a running fleet.
+pub struct Fleet {
+    /// The size that the fleet has.
+    pub profile: Arc<Profile>,
+    /// The stand-in of the platform's store.
+    pub store: Store,
+    /// The stand-in of the platform's VM list.
+    pub vms: VmList,
+    /// The stand-ins of the database groups, in the order of the profile.
+    pub groups: Vec<Group>,
+    /// The running VMs by number; `None` for one that was stopped.
+    pub nodes: Vec<Option<Node>>,
+    /// The VMs that take callers.
+    pub endpoints: Endpoints,
+    options: FleetOptions,
+}
+
+impl Fleet {
+    /// Brings a fleet up and waits until each VM is ready.
+    ///
+    /// Fails if a part cannot listen or the fleet is not ready in time.
+    pub async fn start(profile: Profile, options: FleetOptions) -> Result<Self> {
+        let store = Store::start().await?;
+        let vms = VmList::start().await?;
+        let mut groups = Vec::new();
+        for _ in profile.databases {
+            groups.push(Group::start(group_options(&profile)).await?);
+        }
+        let count = profile.vms;
+        let mut fleet = Self {
+            profile: Arc::new(profile),
+            store,
+            vms,
+            groups,
+            nodes: Vec::new(),
+            endpoints: Endpoints::default(),
+            options,
+        };
+        fleet.publish_all().await?;
+        for number in 0..count {
+            fleet.vms.set(vm_name(number), VmState::Live);
+            let node = Node::start(fleet.node_options(number)).await?;
+            fleet.nodes.push(Some(node));
+        }
+        fleet.wait_ready().await?;
+        // New owners of rate shares wait out the loans that an earlier owner might have made.
+        tokio::time::sleep(WAIT_OUT.duration()).await;
+        Ok(fleet)
+    }
+
+    /// Publishes a section, as an operator does. Returns the revision.
+    ///
+    /// Fails if the configuration is refused or the store does not answer.
+    pub async fn publish(&self, section: &str, text: String) -> Result<u64> {
+        let store = self.store_client();
+        let document = configuration::read_document(&store).await.map_err(configuration_error)?;
+        let base = document.head.hash(section);
+        let publication = Publication {
+            section: section.to_owned(),
+            text,
+            base,
+            change: ChangeId(rand::random()),
+        };
+        let applied = configuration::publish(&store, &publication, check).await;
+        applied.map(|applied| applied.revision.0).map_err(|error| match error {
+            PublishError::Rejected(reason) => configuration_error(reason),
+            other => configuration_error(format!("{other:?}")),
+        })
+    }
+
+    /// Starts the VM with this number anew.
+    ///
+    /// Fails if it cannot listen or does not become ready.
+    pub async fn restart(&mut self, number: usize) -> Result<()> {
+        self.vms.set(vm_name(number), VmState::Live);
+        self.nodes[number] = Some(Node::start(self.node_options(number)).await?);
+        self.wait_ready().await
+    }
+
+    /// Takes the VM out of the balancer's list and returns it.
+    pub fn take(&mut self, number: usize) -> Option<Node> {
+        let node = self.nodes[number].take();
+        self.update_endpoints();
+        node
+    }
+
+    /// Waits until each running VM is ready, has the present revision and all shares have owners.
+    ///
+    /// Fails after a generous time.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let ready = async {
+            while !self.is_ready() {
+                tokio::time::sleep(START_POLL).await;
+            }
+        };
+        let outcome = tokio::time::timeout(START_LIMIT, ready).await;
+        self.update_endpoints();
+        outcome.map_err(|_| Error::NotReady("a VM is not current or a share has no owner"))
+    }
+
+    /// Gets a client of the store.
+    pub fn store_client(&self) -> oleander_platform::store::Store {
+        let endpoints = vec![format!("http://{}", self.store.address())];
+        oleander_platform::store::Store::new(StoreOptions { endpoints, ..StoreOptions::default() })
+    }
+
+    /// Puts the running VMs into the balancer's list.
+    pub fn update_endpoints(&self) {
+        let endpoint = |node: &Node| Endpoint { name: node.name.clone(), address: node.callers };
+        self.endpoints.set(self.nodes.iter().flatten().map(endpoint).collect());
+    }
+
+    fn is_ready(&self) -> bool {
+        self.nodes.iter().flatten().all(|node| {
+            let view = node.proxy().fleet();
+            let owned =
+                !view.shares.owners.is_empty() && view.shares.owners.iter().all(Option::is_some);
+            node.proxy().is_ready() && owned && 0 < view.snapshot.revision.0
+        })
+    }
+
+    async fn publish_all(&self) -> Result<()> {
+        let profile = &self.profile;
+        let addresses: Vec<_> = self.groups.iter().map(Group::addresses).collect();
+        self.publish("workspaces", profile.workspaces_section()).await?;
+        self.publish("rates", profile.rates_section()).await?;
+        self.publish("upstreams", profile.upstreams_section(&addresses)).await?;
+        self.publish("routes", profile.routes_section()).await?;
+        Ok(())
+    }
+
+    fn node_options(&self, number: usize) -> NodeOptions {
+        NodeOptions {
+            name: vm_name(number),
+            place: self.profile.place(number),
+            store: format!("http://{}", self.store.address()),
+            vms: format!("http://{}", self.vms.address()),
+            shares: SHARES,
+            times: self.options.times,
+            settle: self.options.settle,
+            drain: self.options.drain,
+        }
+    }
+}
+
+/// Gets the name of the VM with this number.
+pub fn vm_name(number: usize) -> String {
+    format!("vm-{number}")
+}
+
+fn group_options(profile: &Profile) -> GroupOptions {
+    GroupOptions {
+        instances: INSTANCES as u8,
+        slots: profile.slots,
+        connections: profile.connections,
+        lag: profile.lag.duration(),
+        service: profile.service.duration(),
+        connect: profile.connect.duration(),
+    }
+}
+
+fn check(bodies: &[SectionBody]) -> std::result::Result<(), String> {
+    let texts = bodies.iter().filter_map(|body| {
+        let section = body.section.parse().ok()?;
+        Some(SectionText::new(section, body.text.clone()))
+    });
+    let texts: Vec<SectionText> = texts.collect();
+    let lines = |problems: Vec<oleander_config::problems::Problem>| {
+        problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+    };
+    parse_sections(&texts).map(|_| ()).map_err(lines)
+}
--- a/oleander-load/src/cluster/mod.rs
+++ b/oleander-load/src/cluster/mod.rs
@@ -1,3 +1,6 @@
 //! A fleet in one process: stand-ins, agents and proxies on the loopback address.
 
+pub mod errors;
+pub mod fleet;
+pub mod node;
 pub mod profile;
--- a/oleander-load/src/cluster/profile.rs
+++ b/oleander-load/src/cluster/profile.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
+use oleander_config::keys;
 use oleander_core::places::Place;
 use oleander_core::time::Span;
 use strum::Display;
@@ -88,10 +89,13 @@
     pub fn workspaces_section(&self) -> String {
         let mut text = String::new();
         for workspace in &self.workspaces {
-            let hash = hex(&oleander_config::keys::hash_key(&self.key(workspace.name)).0);
+            let hash = keys::hex(&keys::hash_key(&self.key(workspace.name)).0);
             let _ = writeln!(text, "- name: {}\n  weight: 1\n  keys:", workspace.name);
             let _ = writeln!(text, "    - name: first\n      sha256: {hash}");
-            let _ = writeln!(text, "  kinds:\n    - {{ name: order, weight: 5 }}\n    - {{ name: look-up, weight: 1 }}");
+            let _ = writeln!(
+                text,
+                "  kinds:\n    - {{ name: order, weight: 5 }}\n    - {{ name: look-up, weight: 1 }}"
+            );
         }
         text
     }
@@ -111,10 +115,17 @@
         let mut text = String::new();
         for (number, (database, instances)) in self.databases.iter().zip(addresses).enumerate() {
             let _ = writeln!(text, "- name: {database}\n  acknowledge: replicated");
-            let _ = writeln!(text, "  slots: {}\n  connections: {}\n  instances:", self.slots, self.connections);
+            let _ = writeln!(
+                text,
+                "  slots: {}\n  connections: {}\n  instances:",
+                self.slots, self.connections
+            );
             for (ordinal, address) in instances.iter().enumerate() {
                 let Place { region, zone } = self.place(number + ordinal);
-                let _ = writeln!(text, "    - {{ name: i{ordinal}, address: \"{address}\", region: {region}, zone: {zone} }}");
+                let _ = writeln!(
+                    text,
+                    "    - {{ name: i{ordinal}, address: \"{address}\", region: {region}, zone: {zone} }}"
+                );
             }
         }
         text
@@ -183,7 +194,3 @@
     };
     names.into_iter().enumerate().map(make).collect()
 }
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/oleander-load/src/drive/client.rs
+++ b/oleander-load/src/drive/client.rs
@@ -73,7 +73,12 @@
     }
 
     /// Sends a body to a path of the API; the error is the outcome of the refused call.
-    pub async fn post(&self, address: Address<'_>, path: &str, body: &Value) -> Result<Answer, Outcome> {
+    pub async fn post(
+        &self,
+        address: Address<'_>,
+        path: &str,
+        body: &Value,
+    ) -> Result<Answer, Outcome> {
         let tokens = address.session.map(|session| self.tokens(session)).unwrap_or_default();
         let mut request = self.http.post(format!("http://{}{path}", address.proxy)).json(body);
         request = request.bearer_auth(address.key);
@@ -87,7 +92,10 @@
             Err(_) => return Err(Outcome::Lost),
         };
         if response.status() != StatusCode::OK {
-            return Err(response.json::<Refused>().await.map_or(Outcome::Lost, refused));
+            return Err(response
+                .json::<Refused>()
+                .await
+                .map_or(Outcome::Lost, |body| refused(&body)));
         }
         let answer: Answer = response.json().await.map_err(|_| Outcome::Lost)?;
         if let Some(session) = address.session {
@@ -97,7 +105,12 @@
     }
 
     /// Reads the values of a key.
-    pub async fn read(&self, address: Address<'_>, class: &str, key: &str) -> Result<Answer, Outcome> {
+    pub async fn read(
+        &self,
+        address: Address<'_>,
+        class: &str,
+        key: &str,
+    ) -> Result<Answer, Outcome> {
         let body = json!({ "class": class, "sql": READ_SQL, "parameters": [key] });
         self.post(address, "/v1/statements", &body).await
     }
@@ -143,11 +156,15 @@
     }
 }
 
-fn refused(body: Refused) -> Outcome {
+fn refused(body: &Refused) -> Outcome {
     let retry_after = body.retry_after_ms.map(|millis| Span::from_millis(millis).0);
     Outcome::Refused { code: body.code, verdict: body.verdict, retry_after }
 }
 
 fn not_connected() -> Outcome {
-    Outcome::Refused { code: RefusalCode::HomeUnreachable, verdict: Verdict::NotRun, retry_after: None }
+    Outcome::Refused {
+        code: RefusalCode::HomeUnreachable,
+        verdict: Verdict::NotRun,
+        retry_after: None,
+    }
 }
--- a/oleander-load/src/drive/plan.rs
+++ b/oleander-load/src/drive/plan.rs
@@ -102,7 +102,8 @@
     workspace: &WorkspaceProfile,
     options: &PlanOptions,
 ) -> Vec<Span> {
-    let times = options.flood.filter(|flood| flood.workspace == number).map_or(1, |flood| flood.times);
+    let times =
+        options.flood.filter(|flood| flood.workspace == number).map_or(1, |flood| flood.times);
     let rate = f64::from(workspace.rate) * f64::from(options.load) / 100.0 * f64::from(times);
     let mut arrivals = Vec::new();
     let mut at = 0.0;
--- a/oleander-load/src/drive/run.rs
+++ b/oleander-load/src/drive/run.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::RwLock;
 use std::sync::PoisonError;
+use std::sync::RwLock;
 
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_core::verdict::RefusalCode;
+use oleander_core::verdict::Verdict;
 use oleander_runtime::timer::TimerService;
 use serde_json::json;
 use tokio::task::JoinSet;
@@ -94,7 +96,8 @@
         let workspace = &self.profile.workspaces[planned.workspace];
         let invoked = self.timers.now().since(start).0;
         let outcome = self.perform(&planned).await.unwrap_or_else(|outcome| outcome);
-        let vm = self.endpoints.pick(planned.vms[0]).map(|endpoint| endpoint.name).unwrap_or_default();
+        let vm =
+            self.endpoints.pick(planned.vms[0]).map(|endpoint| endpoint.name).unwrap_or_default();
         let is_read = matches!(planned.operation, Operation::Read { .. });
         Call {
             id: planned.id,
@@ -118,7 +121,8 @@
             Operation::Read { key: entry, age } => {
                 let class = if age.is_some() { "quote" } else { "read" };
                 let address = self.address(planned, 0, &key)?;
-                let answer = self.client.read(address, &format!("{database}.{class}"), entry).await?;
+                let answer =
+                    self.client.read(address, &format!("{database}.{class}"), entry).await?;
                 Ok(answered(&answer))
             }
             Operation::Write(KeyValue { key: entry, value }) => {
@@ -141,21 +145,29 @@
         writes: &[KeyValue],
     ) -> Result<Outcome, Outcome> {
         let control = json!({ "class": class });
-        let begun = self.client.post(self.address(planned, 0, key)?, "/v1/transactions", &control).await?;
+        let begun =
+            self.client.post(self.address(planned, 0, key)?, "/v1/transactions", &control).await?;
         let transaction = begun.transaction.ok_or(Outcome::Lost)?;
         for (step, write) in writes.iter().enumerate() {
-            let body = json!({ "class": class, "sql": WRITE_SQL, "parameters": [write.key, write.value] });
+            let body =
+                json!({ "class": class, "sql": WRITE_SQL, "parameters": [write.key, write.value] });
             let path = format!("/v1/transactions/{transaction}/statements");
-            let outcome = self.client.post(self.address(planned, step + 1, key)?, &path, &body).await;
+            let outcome =
+                self.client.post(self.address(planned, step + 1, key)?, &path, &body).await;
             // Without a commit nothing of the transaction stays, whatever became of the statement.
-            outcome.map_err(not_committed)?;
+            outcome.map_err(|outcome| not_committed(&outcome))?;
         }
         let path = format!("/v1/transactions/{transaction}/commit");
         let address = self.address(planned, writes.len() + 1, key)?;
         Ok(answered(&self.client.post(address, &path, &control).await?))
     }
 
-    fn address<'a>(&self, planned: &Planned, step: usize, key: &'a str) -> Result<Address<'a>, Outcome> {
+    fn address<'a>(
+        &self,
+        planned: &Planned,
+        step: usize,
+        key: &'a str,
+    ) -> Result<Address<'a>, Outcome> {
         let endpoint = self.endpoints.pick(planned.vms[step]).ok_or(Outcome::Lost)?;
         Ok(Address { proxy: endpoint.address, key, session: Some(planned.session) })
     }
@@ -165,12 +177,10 @@
     Outcome::Answered { values: answer.values(), replica: answer.by_replica() }
 }
 
-fn not_committed(outcome: Outcome) -> Outcome {
-    use oleander_core::verdict::RefusalCode;
-    use oleander_core::verdict::Verdict;
+fn not_committed(outcome: &Outcome) -> Outcome {
     match outcome {
         Outcome::Refused { code, retry_after, .. } => {
-            Outcome::Refused { code, verdict: Verdict::NotRun, retry_after }
+            Outcome::Refused { code: *code, verdict: Verdict::NotRun, retry_after: *retry_after }
         }
         _ => Outcome::Refused {
             code: RefusalCode::TransactionGone,
--- a/oleander-load/src/lib.rs
+++ b/oleander-load/src/lib.rs
@@ -1,5 +1,7 @@
 //! Load, experiments, history checks and measures for oleanderrudder.
 
+pub mod cluster;
+pub mod drive;
 pub mod experiments;
 pub mod history;
 pub mod report;
--- /dev/null
+++ b/oleander-load/tests/whole_path.rs
@@ -0,0 +1,28 @@
+//! The whole path over real sockets: a caller, proxies, agents and the stand-ins.
+
+use oleander_core::time::Span;
+use oleander_load::cluster::fleet::Fleet;
+use oleander_load::cluster::fleet::FleetOptions;
+use oleander_load::cluster::profile::Profile;
+use oleander_load::cluster::profile::User;
+use oleander_load::drive::client::Address;
+use oleander_load::drive::client::Client;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_is_read_back_through_every_vm() {
+    let mut profile = Profile::of(User::Magnolia);
+    profile.vms = 3;
+    let fleet = Fleet::start(profile, FleetOptions::default()).await.expect("the fleet comes up");
+    let client = Client::new(Span::from_secs(10)).expect("a client");
+    let key = fleet.profile.key("rye");
+    let at = |number| {
+        let proxy = fleet.endpoints.pick(number).expect("a VM").address;
+        Address { proxy, key: &key, session: Some(1) }
+    };
+    client.write(at(0), "orders.write", "loaf", "dark").await.expect("the write is acknowledged");
+    for number in 0..3 {
+        let answer =
+            client.read(at(number), "orders.read", "loaf").await.expect("the read is answered");
+        assert_eq!(answer.values(), ["dark"]);
+    }
+}
--- a/oleander-proxy/src/callers/http.rs
+++ b/oleander-proxy/src/callers/http.rs
@@ -13,6 +13,7 @@
 use oleander_core::verdict::RefusalCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
 use xitca_web::App;
 use xitca_web::WebContext;
 use xitca_web::body::BodyExt as _;
@@ -53,8 +54,8 @@
 pub struct CallerServer {
     /// The bound address.
     pub address: SocketAddr,
-    stop: Box<dyn Fn() + Send + Sync>,
-    task: tokio::task::JoinHandle<std::io::Result<()>>,
+    stop: Box<dyn Fn(bool) + Send + Sync>,
+    ended: oneshot::Receiver<()>,
 }
 
 impl CallerServer {
@@ -75,13 +76,24 @@
             .listen(listener)?
             .run();
         let handle = server.handle()?;
-        Ok(Self { address, stop: Box::new(move || handle.stop(true)), task: tokio::spawn(server) })
+        let (end, ended) = oneshot::channel();
+        // The server owns runtimes, which may not be dropped by a task of another runtime.
+        std::thread::Builder::new().name("callers".to_owned()).spawn(move || {
+            let _ = server.wait();
+            let _ = end.send(());
+        })?;
+        Ok(Self { address, stop: Box::new(move |graceful| handle.stop(graceful)), ended })
     }
 
     /// Stops to accept, lets open requests finish and returns once the workers have ended.
     pub async fn stop(self) {
-        (self.stop)();
-        let _ = self.task.await;
+        (self.stop)(true);
+        let _ = self.ended.await;
+    }
+
+    /// Closes all connections at once.
+    pub fn kill(self) {
+        (self.stop)(false);
     }
 }
 
--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -38,6 +38,7 @@
     timers: TimerService,
     state: Mutex<State>,
     changed: Notify,
+    arrived: Notify,
 }
 
 /// `Place` says where a request may run.
@@ -111,7 +112,12 @@
             serial: 0,
             closed: false,
         };
-        Arc::new(Self { timers, state: Mutex::new(state), changed: Notify::new() })
+        Arc::new(Self {
+            timers,
+            state: Mutex::new(state),
+            changed: Notify::new(),
+            arrived: Notify::new(),
+        })
     }
 
     /// Waits until the request may run and takes its slot.
@@ -123,6 +129,7 @@
         let ticket = self.push(entrant, start)?;
         let _guard = QueueGuard { admission: self, ticket };
         self.pump();
+        self.arrived.notify_waiters();
         started.await.unwrap_or_else(|_| Err(gone()))
     }
 
@@ -173,6 +180,17 @@
         self.lock().queue.expected_wait(&probe)
     }
 
+    /// Waits until a request is in the queue.
+    pub async fn wait_busy(&self) {
+        loop {
+            let arrived = self.arrived.notified();
+            if !self.is_idle() {
+                return;
+            }
+            arrived.await;
+        }
+    }
+
     /// Returns `true` if nothing waits.
     pub fn is_idle(&self) -> bool {
         self.lock().pending.is_empty()
--- a/oleander-proxy/src/home/polls.rs
+++ b/oleander-proxy/src/home/polls.rs
@@ -1,4 +1,4 @@
-//! Status questions to the instances while writes wait for their replication.
+//! Status questions to the instances while writes wait for their replication or requests for a place.
 
 use std::sync::Arc;
 use std::sync::Weak;
@@ -12,17 +12,23 @@
 /// The time between two status questions to one instance while a write waits.
 const POLL_INTERVAL: Span = Span::from_millis(4);
 
+/// The time between two status questions to one instance while requests wait in the queue only.
+const QUEUE_INTERVAL: Span = Span::from_millis(20);
+
 /// The time within which an instance must answer a status question.
 const POLL_LIMIT: Span = Span::from_millis(300);
 
 /// The time after a failed status question before the next one.
 const FAILED_PAUSE: Span = Span::from_millis(100);
 
-/// Asks the instance for its status while writes wait, until the home is dropped.
+/// Asks the instance for its status while anything waits, until the home is dropped.
 pub(crate) async fn poll_instance(home: Weak<Home>, ordinal: u8, address: String) {
     let Ok(admin) = Admin::new(&address, &PoolOptions::default()) else { return };
     while let Some(strong) = home.upgrade() {
-        strong.acks.wait_pending().await;
+        tokio::select! {
+            () = strong.acks.wait_pending() => {}
+            () = strong.admission.wait_busy() => {}
+        }
         let pause = poll_once(&strong, &admin, ordinal).await;
         let timers = strong.context.timers.clone();
         drop(strong);
@@ -35,7 +41,7 @@
     match admin.status(POLL_LIMIT.duration()).await {
         Ok(status) => {
             home.note_status(ordinal, status, asked);
-            POLL_INTERVAL
+            if home.acks.is_waiting() { POLL_INTERVAL } else { QUEUE_INTERVAL }
         }
         Err(_) => FAILED_PAUSE,
     }
--- a/oleander-proxy/src/home/registry.rs
+++ b/oleander-proxy/src/home/registry.rs
@@ -139,6 +139,16 @@
         }
     }
 
+    /// Closes all homes at once, with what runs in them.
+    pub fn close_all(&self) {
+        let mut state = self.lock();
+        for home in state.homes.values().chain(&state.retiring) {
+            home.close();
+        }
+        state.homes.clear();
+        state.retiring.clear();
+    }
+
     /// Gets the parts that the view gives to this VM.
     fn wanted(&self, view: &FleetView) -> Vec<HomeKey> {
         if !view.may_use_shares(self.context.timers.now()) {
--- a/oleander-proxy/src/proxy.rs
+++ b/oleander-proxy/src/proxy.rs
@@ -229,6 +229,16 @@
         Ok(Self { callers: server.address, peers, proxy, server, stop_peers, peer_task, tasks })
     }
 
+    /// Ends the proxy at once, as a crash would: all its sockets close.
+    pub fn kill(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.peer_task.abort();
+        self.proxy.homes.close_all();
+        self.server.kill();
+    }
+
     /// Stops gracefully: open requests and transactions finish within the drain limit.
     pub async fn stop(self) {
         let proxy = &self.proxy;
