Ask several owners evenly, several calls at a time, and take loans back early

Cause: a traced run showed refusals at once while other VMs held most of the burst: owners with a call in flight did not count, the fractions at the VM that the callers had left were neither counted nor recalled, and drained fractions stood beside full ones whose refill was lost. Change: up to four calls to an owner at a time; a need is divided over the owners so that their levels become even; answers tell how many fractions are lent; a borrower gives loans back once its callers are silent, or earlier if another VM asks; demand is averaged over 1 s.

--- a/oleander-limits/src/messages.rs
+++ b/oleander-limits/src/messages.rs
@@ -55,6 +55,13 @@
         /// The loan.
         loan: LoanId,
     },
+    /// Asks a borrower to give a loan back unless its own callers ask for more than others.
+    Probe {
+        /// The loan.
+        loan: LoanId,
+        /// The tokens a second that callers of another VM ask for.
+        demand: Tokens,
+    },
 }
 
 /// `Settled` says that a grant of tokens is no longer used.
@@ -92,6 +99,8 @@
         loan: Option<Loan>,
         /// The tokens left at the owner.
         left: Tokens,
+        /// The fractions that the owner has lent to other VMs.
+        lent: u32,
         /// The time after which asking again may bring more, since a loan is being recalled.
         again: Option<Span>,
     },
@@ -101,7 +110,7 @@
     Ended,
     /// The answer to `Ask::Return`.
     Accepted,
-    /// The answer to `Ask::Recall`: the loan, or `None` if the receiver does not have it.
+    /// The answer to `Ask::Recall` and `Ask::Probe`: the loan, or `None` if it is not given back.
     Recalled(Option<Returned>),
     /// The receiver owns no usable fraction of the workspace.
     NotOwner,
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -9,6 +9,7 @@
 use crate::messages::Ask;
 use crate::messages::LimitReply;
 use crate::messages::LoanId;
+use crate::messages::Returned;
 use crate::messages::Settled;
 use crate::rates::borrower::RateBorrower;
 use crate::rates::demand::DemandMeter;
@@ -33,10 +34,14 @@
 const REPLAN_INTERVAL: Span = Span::from_millis(20);
 /// The time after which a borrower asks again while the owner recalls a loan.
 const RECALL_WAIT: Span = Span::from_millis(5);
-/// The silence after which a loan is returned rather than renewed.
-const IDLE: Span = Span::from_millis(500);
+/// The requests expected in a silence after which all loans are returned.
+const RETURN_SILENCE: f64 = 8.0;
+/// The requests expected in a silence after which a loan is returned if another VM asks.
+const PROBED_SILENCE: f64 = 2.5;
 /// The interval in which an account is looked at, to drop it once it is idle.
 const IDLE_CHECK: Span = Span::from_secs(5);
+/// The parts of a peer's capacity in which a need is divided over the peers.
+const CHUNKS: u64 = 4;
 /// The least tokens for which an owner is asked, unless less is needed.
 const MIN_ASK: Tokens = Tokens(Tokens::whole(1).0 / 8);
 /// The least time after which a refused caller is asked to come back.
@@ -59,6 +64,21 @@
     pub wake: Option<Time>,
 }
 
+/// `Offer` is what one peer is expected to have and will be asked for.
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    at: usize,
+    left: Tokens,
+    capacity: Tokens,
+    amount: Tokens,
+}
+
+impl Offer {
+    fn fill(&self) -> f64 {
+        self.left.0 as f64 / self.capacity.0.max(1) as f64
+    }
+}
+
 impl Account {
     /// Makes the account of a workspace whose limit may be used since `since`.
     pub fn new(
@@ -127,9 +147,11 @@
                 self.serve(ctx);
                 LimitReply::Accepted
             }
-            Ask::Recall { loan } => {
-                let demand = self.meter.per_second(ctx.now);
-                let returned = self.borrower.give_back(ctx.now, self.limit, loan, demand);
+            Ask::Recall { loan } => LimitReply::Recalled(self.give_back(ctx.now, loan)),
+            Ask::Probe { loan, demand } => {
+                let own = self.meter.per_second(ctx.now);
+                let needed = !self.meter.is_gone(ctx.now, PROBED_SILENCE) && demand < own;
+                let returned = if needed { None } else { self.give_back(ctx.now, loan) };
                 LimitReply::Recalled(returned)
             }
         }
@@ -152,9 +174,7 @@
     pub fn tick(&mut self, ctx: &mut Context<'_>) -> bool {
         self.sync(ctx);
         for at in 0..self.peers.len() {
-            if self.peers[at].timeout().is_some_and(|timeout| timeout <= ctx.now) {
-                self.peers[at].abandon(ctx.now);
-            }
+            self.peers[at].abandon(ctx.now);
         }
         self.keep_loans(ctx);
         self.serve(ctx);
@@ -167,7 +187,8 @@
         if !self.queue.is_empty() {
             due = due.min(now + REPLAN_INTERVAL);
         }
-        let others = [self.queue.next_end(), self.borrower.next_due(), self.resync];
+        let silent = (0 < self.borrower.fractions()).then(|| self.meter.gone_at(RETURN_SILENCE));
+        let others = [self.queue.next_end(), self.borrower.next_due(), self.resync, silent];
         others.into_iter().flatten().fold(due, Time::min).max(now + Span(1))
     }
 
@@ -244,12 +265,15 @@
         let rest = need.saturating_sub(lent);
         let grant = self.owner.grant(ctx.now, self.limit, rest, ctx.next_loan());
         let granted = grant.map_or(Tokens::ZERO, |grant| grant.amount);
-        let short = granted < rest && self.owner.is_lent_beside(from);
+        let lent = self.owner.lent_beside(from);
+        let short = granted < rest && 0 < lent;
         if short {
             self.recall(ctx, from);
+        } else {
+            self.probe(ctx, from, demand);
         }
         let left = self.owner.available(ctx.now, self.limit);
-        LimitReply::Lent { grant, loan, left, again: short.then_some(RECALL_WAIT) }
+        LimitReply::Lent { grant, loan, left, lent, again: short.then_some(RECALL_WAIT) }
     }
 
     fn renew(&mut self, ctx: &Context<'_>, from: VmId, loan: LoanId, demand: Tokens) -> LimitReply {
@@ -267,6 +291,12 @@
         }
     }
 
+    fn probe(&mut self, ctx: &mut Context<'_>, from: VmId, demand: Tokens) {
+        for probe in self.owner.probes(ctx.now, from) {
+            ctx.send(probe.to, self.workspace, Ask::Probe { loan: probe.loan, demand });
+        }
+    }
+
     fn note_answer(&mut self, now: Time, at: usize, reply: Option<&LimitReply>) {
         let limit = self.limit;
         let free = self.free(at);
@@ -276,7 +306,11 @@
                 peer.recalls(now, limit, free, *again);
             }
             Some(LimitReply::Lent { grant: None, loan: None, .. }) => peer.was_empty(now),
-            Some(LimitReply::Lent { left, .. }) => peer.gave(now, *left),
+            Some(LimitReply::Lent { left, lent, .. }) => {
+                // What a recall would bring is not known; half is a fair guess.
+                let recalled = Tokens(limit.capacity(*lent).0 / 2);
+                peer.gave(now, *left + recalled);
+            }
             _ => peer.failed(now),
         }
     }
@@ -306,23 +340,27 @@
 
     /// Renews the loans that are due, or returns them if the demand has gone.
     fn keep_loans(&mut self, ctx: &mut Context<'_>) {
+        if self.meter.is_gone(ctx.now, RETURN_SILENCE) {
+            self.return_loans(ctx);
+            return;
+        }
         let demand = self.meter.per_second(ctx.now);
         for due in self.borrower.due(ctx.now) {
-            if IDLE <= self.meter.silence(ctx.now) {
-                self.return_loan(ctx, due.owner, due.loan);
-            } else {
-                ctx.send(due.owner, self.workspace, Ask::Renew { loan: due.loan, demand });
-            }
+            ctx.send(due.owner, self.workspace, Ask::Renew { loan: due.loan, demand });
         }
     }
 
     fn return_loan(&mut self, ctx: &mut Context<'_>, owner: VmId, loan: LoanId) {
-        let demand = self.meter.per_second(ctx.now);
-        if let Some(returned) = self.borrower.give_back(ctx.now, self.limit, loan, demand) {
+        if let Some(returned) = self.give_back(ctx.now, loan) {
             ctx.send(owner, self.workspace, Ask::Return(returned));
         }
     }
 
+    fn give_back(&mut self, now: Time, loan: LoanId) -> Option<Returned> {
+        let demand = self.meter.per_second(now);
+        self.borrower.give_back(now, self.limit, loan, demand)
+    }
+
     /// Admits what can be admitted, refuses what has no prospect, and asks for the rest.
     fn serve(&mut self, ctx: &mut Context<'_>) {
         if self.queue.is_empty() {
@@ -351,42 +389,46 @@
     fn plan(&mut self, ctx: &mut Context<'_>) {
         let pending: Tokens = self.peers.iter().map(Peer::pending).sum();
         let covered = self.available(ctx) + pending;
-        let mut need = self.queue.cost().saturating_sub(covered);
+        let need = self.queue.cost().saturating_sub(covered);
         if need == Tokens::ZERO {
             return;
         }
         self.recall(ctx, ctx.ownership.vm());
         let demand = self.meter.per_second(ctx.now);
-        while need != Tokens::ZERO {
-            let Some((at, expected)) = self.richest(ctx) else { return };
-            let amount = need.min(expected);
-            if expected < MIN_ASK.min(need) {
-                return;
-            }
+        for (at, amount) in self.divide(ctx, need) {
             let to = self.peers[at].vm;
             let settled = self.borrower.take_settled(to);
             let ask = Ask::Borrow { need: amount, demand, settled };
             let call = ctx.send(to, self.workspace, ask);
             self.peers[at].asked(ctx.now, call, amount);
-            need = need.saturating_sub(amount);
         }
     }
 
-    /// Gets the peer that may be asked now and is expected to have the most tokens.
-    fn richest(&mut self, ctx: &Context<'_>) -> Option<(usize, Tokens)> {
-        let mut best = None;
+    /// Divides `need` over the peers that may be asked now, so that their levels become even.
+    fn divide(&mut self, ctx: &Context<'_>, need: Tokens) -> SmallVec<[(usize, Tokens); 8]> {
+        let mut offers: SmallVec<[Offer; 8]> = SmallVec::new();
         for at in 0..self.peers.len() {
             let free = self.free(at);
-            let peer = &mut self.peers[at];
-            if !peer.is_ready(ctx.now) {
-                continue;
-            }
-            let expected = peer.expected(ctx.now, self.limit, free);
-            if best.is_none_or(|(_, most)| most < expected) {
-                best = Some((at, expected));
+            if self.peers[at].is_ready(ctx.now) && 0 < free {
+                let left = self.peers[at].expected(ctx.now, self.limit, free);
+                let capacity = self.limit.capacity(free);
+                offers.push(Offer { at, left, capacity, amount: Tokens::ZERO });
             }
         }
-        best
+        let mut rest = need;
+        while rest != Tokens::ZERO {
+            let fullest =
+                offers.iter_mut().max_by(|left, right| left.fill().total_cmp(&right.fill()));
+            let Some(fullest) = fullest.filter(|offer| offer.left != Tokens::ZERO) else { break };
+            let chunk = Tokens(fullest.capacity.0 / CHUNKS).max(MIN_ASK);
+            let part = chunk.min(rest).min(fullest.left);
+            fullest.left = fullest.left.saturating_sub(part);
+            fullest.amount += part;
+            rest = rest.saturating_sub(part);
+        }
+        let least = MIN_ASK.min(need);
+        let asked = offers.into_iter().filter(|offer| least <= offer.amount);
+        asked.map(|offer| (offer.at, offer.amount)).collect()
     }
 
     /// Gets the tokens that a request may hope for until `until`.
--- a/oleander-limits/src/rates/demand.rs
+++ b/oleander-limits/src/rates/demand.rs
@@ -8,9 +8,9 @@
 use crate::rates::tokens::Tokens;
 
 /// The time over which demand is averaged.
-const AVERAGING: Span = Span::from_millis(300);
-/// The requests that would have been expected in a silence for it to count.
-const SILENCE_FACTOR: f64 = 2.0;
+const AVERAGING: Span = Span::from_secs(1);
+/// The requests expected in a silence after which the callers are taken to have moved away.
+const GONE_AFTER: f64 = 4.0;
 /// The time for which the demand told by another VM counts.
 const REMEMBERED: Span = Span::from_secs(1);
 /// The VMs whose demand is remembered for one workspace.
@@ -36,13 +36,28 @@
 
     /// Gets the tokens a second at `now`.
     ///
-    /// A silence much longer than the usual one counts at once, so that a VM
-    /// whose callers have moved away is not taken for one with demand.
+    /// A silence much longer than the usual one gives none at once, so that a
+    /// VM whose callers have moved away is not taken for one with demand.
     pub fn per_second(&self, now: Time) -> Tokens {
-        let silence = now.since(self.at);
-        let average = self.sum * decay(silence) / AVERAGING.as_secs_f64();
-        let recent = SILENCE_FACTOR * self.last / silence.as_secs_f64().max(f64::EPSILON);
-        Tokens::from_f64(average.min(recent))
+        if self.is_gone(now, GONE_AFTER) {
+            return Tokens::ZERO;
+        }
+        Tokens::from_f64(self.sum * decay(now.since(self.at)) / AVERAGING.as_secs_f64())
+    }
+
+    /// Returns `true` if at least `requests` requests were to be expected since the last one.
+    pub fn is_gone(&self, now: Time, requests: f64) -> bool {
+        requests <= self.requests_per_second() * now.since(self.at).as_secs_f64()
+    }
+
+    /// Gets the time from which `is_gone` holds if no other request comes.
+    pub fn gone_at(&self, requests: f64) -> Time {
+        self.at + Span((requests / self.requests_per_second().max(f64::EPSILON) * 1e6) as u64)
+    }
+
+    /// Gets the requests a second at the time of the last one.
+    fn requests_per_second(&self) -> f64 {
+        self.sum / self.last.max(f64::EPSILON) / AVERAGING.as_secs_f64()
     }
 
     /// Gets the time since the last request.
--- a/oleander-limits/src/rates/owner.rs
+++ b/oleander-limits/src/rates/owner.rs
@@ -27,8 +27,10 @@
 pub const WAIT_OUT: Span = Span::from_millis(2_040);
 /// The time after which a recall that was not answered may be sent again.
 const RECALL_INTERVAL: Span = Span::from_millis(100);
+/// The time after which a borrower is asked again whether it still needs a loan.
+const PROBE_INTERVAL: Span = Span::from_millis(40);
 /// The least tokens a second for which whole fractions are lent.
-const MIN_LEND_DEMAND: Tokens = Tokens::whole(4);
+const MIN_LEND_DEMAND: Tokens = Tokens::whole(8);
 
 /// `RateOwner` is the state of the fractions of one workspace that this VM owns.
 #[derive(Clone, Debug, Default)]
@@ -48,6 +50,7 @@
     from: Time,
     until: Time,
     recalled: Option<Time>,
+    probed: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -159,7 +162,9 @@
         }
         let level = self.pool.take(limit.capacity(fractions));
         let until = now + LENT_FOR;
-        self.lent.push(Lent { id, to: need.from, fractions, from: now, until, recalled: None });
+        let to = need.from;
+        let lent = Lent { id, to, fractions, from: now, until, recalled: None, probed: None };
+        self.lent.push(lent);
         self.clip(limit);
         Some(Loan { id, fractions, level })
     }
@@ -211,20 +216,17 @@
 
     /// Gets the loans of other VMs to be recalled for `from`, each at most once in an interval.
     pub fn recalls(&mut self, now: Time, from: VmId) -> SmallVec<[Recall; 2]> {
-        let due = self.lent.iter_mut().filter(|lent| {
-            let asked = lent.recalled.is_some_and(|at| now < at + RECALL_INTERVAL);
-            lent.to != from && !asked
-        });
-        due.map(|lent| {
-            lent.recalled = Some(now);
-            Recall { to: lent.to, loan: lent.id }
-        })
-        .collect()
+        due(&mut self.lent, now, from, RECALL_INTERVAL, |lent| &mut lent.recalled)
     }
 
-    /// Returns `true` if fractions are lent to a VM other than `from`.
-    pub fn is_lent_beside(&self, from: VmId) -> bool {
-        self.lent.iter().any(|lent| lent.to != from)
+    /// Gets the loans whose borrowers are asked whether they still need them as much as `from`.
+    pub fn probes(&mut self, now: Time, from: VmId) -> SmallVec<[Recall; 2]> {
+        due(&mut self.lent, now, from, PROBE_INTERVAL, |lent| &mut lent.probed)
+    }
+
+    /// Gets the number of fractions that are lent to VMs other than `from`.
+    pub fn lent_beside(&self, from: VmId) -> u32 {
+        self.lent.iter().filter(|lent| lent.to != from).map(|lent| lent.fractions).sum()
     }
 
     /// Returns `true` if the state is what a new owner state would be.
@@ -276,3 +278,23 @@
         self.granted.iter().map(|granted| granted.amount).sum()
     }
 }
+
+/// Gets the loans of VMs other than `from` that were not asked for within `interval`, and marks them.
+fn due(
+    lent: &mut [Lent],
+    now: Time,
+    from: VmId,
+    interval: Span,
+    mark: impl Fn(&mut Lent) -> &mut Option<Time>,
+) -> SmallVec<[Recall; 2]> {
+    let mut due = SmallVec::new();
+    for lent in lent.iter_mut().filter(|lent| lent.to != from) {
+        let asked = mark(lent);
+        if asked.is_some_and(|at| now < at + interval) {
+            continue;
+        }
+        *asked = Some(now);
+        due.push(Recall { to: lent.to, loan: lent.id });
+    }
+    due
+}
--- a/oleander-limits/src/rates/peers.rs
+++ b/oleander-limits/src/rates/peers.rs
@@ -20,6 +20,8 @@
 /// The time after which an unanswered call counts as failed.
 const CALL_TIMEOUT: Span = Span::from_millis(300);
 
+/// The calls to one owner that may be open at a time.
+const MAX_CALLS: usize = 4;
 /// The time within which an owner that is left alone still counts for a waiting request.
 const SOON: Span = Span::from_millis(30);
 
@@ -33,7 +35,7 @@
     expected: Bucket,
     retry: Time,
     backoff: Span,
-    call: Option<Pending>,
+    calls: SmallVec<[Pending; 1]>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -52,7 +54,7 @@
             expected: Bucket::new(limit.capacity(owner.fractions), now),
             retry: now,
             backoff: Span::ZERO,
-            call: None,
+            calls: SmallVec::new(),
         }
     }
 
@@ -64,37 +66,36 @@
 
     /// Returns `true` if the peer can be asked at `now`.
     pub fn is_ready(&self, now: Time) -> bool {
-        self.call.is_none() && self.retry <= now
+        self.calls.len() < MAX_CALLS && self.retry <= now
     }
 
     /// Returns `true` if the peer can be asked soon enough for a waiting request.
     pub fn is_soon_ready(&self, now: Time) -> bool {
-        self.call.is_none() && self.retry <= now + SOON
+        self.retry <= now + SOON
     }
 
     /// Gets the tokens that are on their way if all goes well.
     pub fn pending(&self) -> Tokens {
-        self.call.map_or(Tokens::ZERO, |call| call.asked)
+        self.calls.iter().map(|call| call.asked).sum()
     }
 
     /// Takes in that the peer was asked.
     pub fn asked(&mut self, now: Time, id: CallId, asked: Tokens) {
         self.expected.take(asked);
-        self.call = Some(Pending { id, asked, sent: now });
+        self.calls.push(Pending { id, asked, sent: now });
     }
 
-    /// Takes in that a call was answered. Returns `true` if it was the open one.
+    /// Takes in that a call was answered. Returns `true` if it was open.
     pub fn answered(&mut self, id: CallId) -> bool {
-        let open = self.call.is_some_and(|call| call.id == id);
-        if open {
-            self.call = None;
-        }
-        open
+        let Some(at) = self.calls.iter().position(|call| call.id == id) else { return false };
+        self.calls.remove(at);
+        true
     }
 
     /// Takes in that the peer gave something and has `left` tokens.
     pub fn gave(&mut self, now: Time, left: Tokens) {
-        self.expected = Bucket::new(left, now);
+        // Calls that are still open will take their part.
+        self.expected = Bucket::new(left.saturating_sub(self.pending()), now);
         self.backoff = Span::ZERO;
         self.retry = now;
     }
@@ -115,15 +116,13 @@
         self.retry = now + again;
     }
 
-    /// Takes in that the open call was not answered in time.
+    /// Drops calls that were not answered in time; the peer then counts as failed.
     pub fn abandon(&mut self, now: Time) {
-        self.call = None;
-        self.failed(now);
-    }
-
-    /// Gets the time at which an open call counts as failed.
-    pub fn timeout(&self) -> Option<Time> {
-        self.call.map(|call| call.sent + CALL_TIMEOUT)
+        let open = self.calls.len();
+        self.calls.retain(|call| now < call.sent + CALL_TIMEOUT);
+        if self.calls.len() < open {
+            self.failed(now);
+        }
     }
 
     fn leave_alone(&mut self, now: Time, first: Span) {
