--- a/oleander-load/src/main.rs
+++ b/oleander-load/src/main.rs
@@ -1,5 +1,9 @@
 //! `oleander-load` runs experiments, measurements and history checks.
 
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
 
@@ -7,6 +11,8 @@
 use clap::Subcommand;
 use oleander_load::experiments;
 use oleander_load::experiments::Experiment;
+use oleander_load::history::check;
+use oleander_load::history::lines::History;
 use oleander_load::report::Report;
 
 /// Load, experiments and checks for oleanderrudder.
@@ -31,11 +37,32 @@
         #[arg(long)]
         json: bool,
     },
+    /// Checks a recorded history (JSON lines) for broken guarantees.
+    Check {
+        /// The file.
+        file: PathBuf,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Experiment { name, seed, json } => print(&experiments::run(name, seed), json),
+        Command::Check { file, json } => check_file(&file, json),
+    }
+}
+
+/// Checks the history in a file; fails if it cannot be read or breaks a rule.
+fn check_file(path: &Path, json: bool) -> ExitCode {
+    let opened = File::open(path).map_err(|error| error.to_string());
+    match opened.and_then(|file| History::read(BufReader::new(file))) {
+        Ok(history) => print(&check::report(&path.display().to_string(), &history), json),
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            ExitCode::FAILURE
+        }
     }
 }
 
