--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! Seeded experiments: a policy beside its baselines, in one run.
 
+pub mod rates;
 pub mod replica_reads;
 
 use strum::Display;
@@ -14,11 +15,14 @@
 pub enum Experiment {
     /// The share of reads that replicas serve.
     ReplicaReads,
+    /// Rates over the whole fleet beside a static split and a single owner.
+    Rates,
 }
 
 /// Runs an experiment from its seed.
 pub fn run(experiment: Experiment, seed: u64) -> Report {
     match experiment {
         Experiment::ReplicaReads => replica_reads::run(seed),
+        Experiment::Rates => rates::run(seed),
     }
 }
