--- /dev/null
+++ b/oleander-load/tests/pages.rs
@@ -0,0 +1,45 @@
+//! The pages that operators and callers read, against the programs.
+
+use std::collections::BTreeSet;
+
+use oleander_core::verdict::RefusalCode;
+use oleander_proxy::callers::status::http_status;
+use oleander_proxy::settings::ProxySettings;
+use oleander_runtime::settings;
+use serde::de::DeserializeOwned;
+use strum::IntoEnumIterator as _;
+
+const API: &str = include_str!("../../docs/API.md");
+const OPERATIONS: &str = include_str!("../../docs/OPERATIONS.md");
+
+#[test]
+fn the_page_gives_the_status_of_every_refusal_code() {
+    for code in RefusalCode::iter() {
+        let row = format!("| `{code}` | {} | ", http_status(code).as_u16());
+        assert!(API.contains(&row), "no row {row}");
+    }
+}
+
+#[test]
+fn the_page_lists_exactly_the_settings_of_each_program() {
+    assert_eq!(documented("oleander-proxy"), accepted::<ProxySettings>());
+}
+
+/// Gets the settings in the table under a program's heading.
+fn documented(program: &str) -> BTreeSet<String> {
+    let heading = format!("### `{program}`\n");
+    let (_, rest) = OPERATIONS.split_once(&heading).expect("no heading");
+    let table = rest.split("\n#").next().unwrap_or_default();
+    let names = table.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    names.map(str::to_owned).collect()
+}
+
+/// Gets the settings that a program accepts, as its refusal of an unknown one names them.
+fn accepted<T: DeserializeOwned>() -> BTreeSet<String> {
+    let Err(error) = settings::parse::<T>("settings.yaml", "no_such_setting: 1\n") else {
+        panic!("an unknown setting was accepted");
+    };
+    let text = error.to_string();
+    let (_, names) = text.split_once("expected one of").unwrap_or_else(|| panic!("{text}"));
+    names.split(',').map(|name| name.trim().trim_matches('`').to_owned()).collect()
+}
--- a/oleander-runtime/src/settings.rs
+++ b/oleander-runtime/src/settings.rs
@@ -41,7 +41,9 @@
         let line = error.location().map_or(0, |location| location.line());
         // The library's message goes on with a picture of the source; its first line holds the reason.
         let message = error.without_snippet().to_string();
-        let reason = message.lines().next().unwrap_or("malformed YAML").to_owned();
+        let reason = message.lines().next().unwrap_or("malformed YAML");
+        // The line is told apart.
+        let reason = reason.rsplit_once(" at line ").map_or(reason, |(reason, _)| reason);
         settings_error(path, line, reason)
     })
 }
