--- a/oleander-standin/src/http.rs
+++ b/oleander-standin/src/http.rs
@@ -59,6 +59,7 @@
     let mut server =
         HttpServer::serve(service).worker_threads(1).disable_signal().listen(listener)?.run();
     let handle = server.handle()?;
-    tokio::spawn(server);
+    // The server owns runtimes, which may not be dropped by a task of another runtime.
+    std::thread::Builder::new().name("stand-in".to_owned()).spawn(move || server.wait())?;
     Ok(Running { address, stop: Box::new(move || handle.stop(false)) })
 }
