Keep the voters of a majority in the record of shares

The record of shares now names the voters. They change only once half of the present and of the former ones have the record, so no owner can rely on voters from before a change. A VM that has been out of the fleet for the longest grace time counts as ended.

--- a/oleander-membership/src/acks.rs
+++ b/oleander-membership/src/acks.rs
@@ -21,6 +21,11 @@
         }
     }
 
+    /// Gets the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Notes that `vm` has the record of `version`.
     pub fn note(&mut self, version: u64, vm: VmId) {
         if self.version == version {
@@ -28,9 +33,9 @@
         }
     }
 
-    /// Gets the number of VMs among `vms` that have the record.
-    pub fn count(&self, vms: impl Iterator<Item = VmId>) -> usize {
-        vms.filter(|vm| self.known.contains(vm)).count()
+    /// Returns `true` if `vm` has the record.
+    pub fn contains(&self, vm: VmId) -> bool {
+        self.known.contains(&vm)
     }
 
     /// Packs which of `vms` have the record, eight to a byte.
--- a/oleander-membership/src/node/gossip.rs
+++ b/oleander-membership/src/node/gossip.rs
@@ -111,8 +111,13 @@
         if self.roster.is_removed(own) {
             return vec![Action::Rejoin];
         }
-        let told = self.roster.member(own.vm).map(|member| member.state);
-        if told == Some(MemberState::Leaving) && !self.left {
+        let Some(told) = self.roster.member(own.vm) else { return Vec::new() };
+        if own.incarnation < told.incarnation {
+            // A write of this VM that had been given up took effect late, or another process has
+            // taken its name. Either way this life is over for the others.
+            return vec![Action::Rejoin];
+        }
+        if told.state == MemberState::Leaving && !self.left {
             return vec![Action::Leave];
         }
         Vec::new()
--- a/oleander-membership/src/node/mod.rs
+++ b/oleander-membership/src/node/mod.rs
@@ -134,6 +134,7 @@
     spread: Spread,
     listed: BTreeMap<VmId, platform::Listed>,
     departed: BTreeMap<VmId, Time>,
+    absent: BTreeMap<VmId, Time>,
     live: usize,
     list_read: Time,
     next_read: Time,
@@ -166,6 +167,7 @@
             spread: Spread::default(),
             listed: BTreeMap::new(),
             departed: BTreeMap::new(),
+            absent: BTreeMap::new(),
             live: 0,
             list_read: Time(0),
             next_read: now,
@@ -237,7 +239,9 @@
 
     /// Gets the time up to which this VM may use its shares.
     pub fn shares_until(&self, now: Time) -> Time {
-        self.currency.shares_until(self.options.window, self.majority(now), self.held())
+        let voters = self.claims.map().voters.iter().copied();
+        let majority = self.liveness.majority(now, self.own.vm, voters);
+        self.currency.shares_until(self.options.window, majority, self.held())
     }
 
     /// Returns `true` if this VM is to read the store for others.
--- a/oleander-membership/src/node/ownership.rs
+++ b/oleander-membership/src/node/ownership.rs
@@ -1,5 +1,7 @@
 //! Shares: claims, requests for more, hand-over, and taking over from VMs that are gone.
 
+use std::collections::BTreeSet;
+
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -52,6 +54,7 @@
         }
         let removed = self.reclaim(now, &mut next);
         changed |= !removed.is_empty();
+        changed |= self.change_voters(now, &mut next);
         if !changed {
             return None;
         }
@@ -71,24 +74,68 @@
 
     /// Notes that `vm` has the record of shares of `version`.
     ///
-    /// Half of the fleet is enough: an owner that cannot reach the store needs more than half,
-    /// and whoever has the record supports no owner that lacks it. VMs that were removed lately
-    /// still count, for the owner may not have heard of their removal.
+    /// Half of the voters are enough: an owner that cannot reach the store needs more than half,
+    /// and whoever has the record supports no owner that lacks it.
     pub(super) fn note_ack(&mut self, now: Time, vm: VmId, version: u64) {
         self.acks.advance(self.claims.map().version);
         self.acks.note(version, vm);
         if !self.claims.needs_quorum() {
             return;
         }
-        if self.voters(now) <= 2 * self.acks.count(self.roster.ids()) {
+        if self.has_quorum(now) {
             let wait = self.wait();
             self.claims.confirm_quorum(now, wait);
         }
     }
 
-    /// Gets the number of VMs of the fleet, with those that left it lately.
-    fn voters(&self, now: Time) -> usize {
-        self.roster.len() + self.departed_lately(now).count()
+    /// Returns `true` if half of the voters, and half of the former ones, have the record.
+    fn has_quorum(&self, now: Time) -> bool {
+        self.acks.version() == self.claims.map().version
+            && self.is_half_of_voters(now, |vm| self.acks.contains(vm))
+    }
+
+    /// Returns `true` if `accept` holds for half of the voters, and for half of the former ones. A
+    /// VM that has been out of the fleet for long enough is taken to have ended.
+    fn is_half_of_voters(&self, now: Time, accept: impl Fn(VmId) -> bool) -> bool {
+        let has_ended = |vm: &VmId| {
+            self.absent.get(vm).is_some_and(|since| self.options.unlisted <= now.since(*since))
+        };
+        let is_half = |voters: &[VmId]| {
+            let accepted = voters.iter().filter(|vm| accept(**vm) || has_ended(vm));
+            voters.len() <= 2 * accepted.count()
+        };
+        let map = self.claims.map();
+        is_half(&map.voters) && is_half(&map.former)
+    }
+
+    /// Brings the voters in line with the roster, once the voters have the present record: so no
+    /// owner can rely on voters from before the change.
+    fn change_voters(&self, now: Time, next: &mut ShareMap) -> bool {
+        if next.version == 0 {
+            next.voters = self.roster.ids().collect();
+            next.former.clone_from(&next.voters);
+            return true;
+        }
+        let is_known = next.version == self.claims.map().version;
+        if !is_known || self.roster.ids().eq(next.voters.iter().copied()) {
+            return false;
+        }
+        if !self.is_watcher(now) || !self.has_quorum(now) {
+            return false;
+        }
+        next.former = std::mem::replace(&mut next.voters, self.roster.ids().collect());
+        true
+    }
+
+    /// Notes the voters that are out of the fleet.
+    fn tend_absent(&mut self, now: Time) {
+        let map = self.claims.map();
+        let voters: BTreeSet<VmId> = map.voters.iter().chain(&map.former).copied().collect();
+        let is_absent = |vm: &VmId| self.roster.member(*vm).is_none();
+        self.absent.retain(|vm, _| voters.contains(vm) && is_absent(vm));
+        for vm in voters.into_iter().filter(is_absent) {
+            self.absent.entry(vm).or_insert(now);
+        }
     }
 
     /// Notes that the proxy obeys what this VM said about shares at `since`.
@@ -136,6 +183,7 @@
     }
 
     pub(super) fn tend_shares(&mut self, now: Time) -> Vec<Action> {
+        self.tend_absent(now);
         let roster = &self.roster;
         self.claims.cancel_releases(|to| {
             let member = roster.member(to.vm);
@@ -210,11 +258,11 @@
         dropped.iter().filter_map(life).collect()
     }
 
-    /// A new owner waits until half of the fleet has the record, so a VM that does not hear half
-    /// of it takes nothing.
+    /// A new owner waits until half of the voters have the record, so a VM that does not hear
+    /// half of them takes nothing.
     fn may_reclaim(&self, now: Time) -> bool {
         let since = Time(now.0.saturating_sub(self.options.window.0));
         let is_heard = |vm: &VmId| *vm == self.own.vm || self.liveness.is_heard(*vm, since);
-        self.voters(now) <= 2 * self.roster.ids().filter(is_heard).count()
+        self.is_half_of_voters(now, |vm| is_heard(&vm))
     }
 }
--- a/oleander-membership/src/shares.rs
+++ b/oleander-membership/src/shares.rs
@@ -30,6 +30,12 @@
     /// present owner waits out the former owner's time of use before its first use.
     #[serde(default)]
     pub reclaimed: Vec<ShareId>,
+    /// The VMs of which an owner that cannot reach the store must hear more than half.
+    #[serde(default)]
+    pub voters: Vec<VmId>,
+    /// The voters before the last change of them.
+    #[serde(default)]
+    pub former: Vec<VmId>,
 }
 
 impl ShareMap {
