Share the reading of bodies between watchers, and notice a silent watch

Only one watcher reads a new body from the store at first; the order changes with the revision, and the others usually get the difference from a peer before their turn. Unowned shares are divided by one VM for all, for a fleet of 420 that started at once contended for the record without end. Bulk knowledge of the roster is no longer passed on as news. Reads of head and shares return them only after a change. A watch starts at the present revision and is followed by a read; one that does not tell what a read has found is closed with its siblings. A VM that has left tells so itself.

--- a/oleander-agent/src/actions.rs
+++ b/oleander-agent/src/actions.rs
@@ -30,6 +30,12 @@
     }
 }
 
+/// Carries out actions and waits for them; what follows from them is left out.
+pub async fn finish(shared: &Arc<Shared>, actions: Vec<Action>) {
+    let work = actions.into_iter().map(|action| perform(shared, action));
+    futures::future::join_all(work).await;
+}
+
 async fn perform(shared: &Arc<Shared>, action: Action) -> Vec<Action> {
     match action {
         Action::Send { to, request } => send(shared, to, request).await,
--- a/oleander-agent/src/agent.rs
+++ b/oleander-agent/src/agent.rs
@@ -4,11 +4,11 @@
 
 use oleander_core::events::Event;
 use oleander_core::time::Span;
+use oleander_membership::node::Action;
 use oleander_platform::keys;
 use oleander_platform::registration::Registration;
 use oleander_platform::store::Store;
 use oleander_platform::store::StoreOptions;
-use oleander_platform::store::StoreRevision;
 use oleander_platform::vms::VmList;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs::Field;
@@ -165,7 +165,8 @@
         ticks.tick().await;
         let seen = shared.with_node(|node, now| {
             let observations = observer.observe(node, now);
-            let tended = node.tend_hand_over(now);
+            let mut tended = node.tend_hand_over(now);
+            tended.extend(node.tend_head(now));
             (observations, tended, (node.usable_map(now), now < node.current_until(now)))
         });
         let Some((observations, tended, state)) = seen else { continue };
@@ -193,21 +194,33 @@
 }
 
 async fn follow_watch(shared: &Arc<Shared>) -> oleander_platform::errors::Result<()> {
-    let mut watch =
-        shared.store.watch(keys::HEAD, keys::WATCH_END, StoreRevision::default()).await?;
+    let mut watch = shared.store.watch(keys::HEAD, keys::WATCH_END).await?;
+    // What changed while no watch was open is read now.
+    actions::run(shared, vec![Action::ReadStore, Action::ReadRoster]);
+    let mut told = 0;
+    let mut expected = 0;
     loop {
         tokio::select! {
             notice = watch.next() => {
                 let notice = notice?;
+                told = told.max(notice.revision.0);
                 let is_roster = |key: &str| key.starts_with(keys::VMS);
                 if notice.changed.iter().any(|entry| is_roster(&entry.key)) {
-                    actions::run(shared, vec![oleander_membership::node::Action::ReadRoster]);
+                    actions::run(shared, vec![Action::ReadRoster]);
                 }
                 if notice.changed.iter().any(|entry| !is_roster(&entry.key)) {
-                    actions::run(shared, vec![oleander_membership::node::Action::ReadStore]);
+                    actions::run(shared, vec![Action::ReadStore]);
                 }
             }
-            () = shared.timers.sleep(WATCH_LAG) => {}
+            () = shared.timers.sleep(WATCH_LAG) => {
+                if told < expected {
+                    // A read found this a while ago, and the watch has not told it.
+                    shared.record(Event::ConnectionSilent, &[Field::text("to", "store watch")]);
+                    shared.store.abandon_connections();
+                    return Ok(());
+                }
+                expected = platform::read_revision(shared);
+            }
         }
         if !shared.with_node(|node, now| node.is_watcher(now)).unwrap_or(false) {
             return Ok(());
@@ -228,6 +241,9 @@
         shared.timers.sleep(TICK).await;
     }
     // The VM list ends what could not be ended here.
-    let _ = platform::unregister(shared).await;
+    if platform::unregister(shared).await.is_ok() {
+        let news = shared.with_node(|node, now| node.retire(now, entropy)).unwrap_or_default();
+        actions::finish(shared, news).await;
+    }
     shared.record(Event::DrainFinished, &[]);
 }
--- a/oleander-agent/src/platform.rs
+++ b/oleander-agent/src/platform.rs
@@ -31,10 +31,14 @@
 
 use crate::shared::Busy;
 use crate::shared::Shared;
+use crate::shared::lock;
 
 /// The time between two attempts to register.
 const REGISTER_PAUSE: Span = Span::from_millis(250);
 
+/// A revision that no key has.
+const NO_REVISION: u64 = i64::MAX as u64;
+
 /// The commits that follow one read of the store at most.
 const COMMIT_ATTEMPTS: usize = 8;
 
@@ -119,6 +123,12 @@
     shared.with_node(|node, _| node.bodies_read(head, &bodies)).unwrap_or_default()
 }
 
+/// Gets the latest revision of head and shares that a read has found.
+pub fn read_revision(shared: &Shared) -> u64 {
+    let last = lock(&shared.last_read);
+    last.as_ref().map_or(0, |last| last.head.max(last.state.stored))
+}
+
 /// Deletes the registration of this life, once it owns nothing.
 pub async fn unregister(shared: &Arc<Shared>) -> Result<()> {
     let Some(own) = shared.with_node(|node, _| node.own().clone()) else { return Ok(()) };
@@ -129,6 +139,13 @@
     shared.store.commit(commit).await.map(|_| ())
 }
 
+/// `LastRead` is what the last read of head and shares found.
+#[derive(Clone, Debug, Default)]
+pub struct LastRead {
+    head: u64,
+    state: StoreState,
+}
+
 enum Round {
     Done,
     Again,
@@ -182,27 +199,41 @@
     Ok(Round::Again)
 }
 
+/// Reads head and shares; the store sends them only if they have changed since the last read.
 async fn read_state(shared: &Shared, asked: Time) -> Result<StoreState> {
-    let reading = shared.store.read_all(&[keys::HEAD, keys::SHARES]).await?;
-    let mut state = StoreState { asked, ..StoreState::default() };
+    let last = lock(&shared.last_read).clone();
+    let head = last.as_ref().map_or(NO_REVISION, |last| last.head);
+    let stored = last.as_ref().map_or(NO_REVISION, |last| last.state.stored);
+    let known = [expect(keys::HEAD, head), expect(keys::SHARES, stored)];
+    let Some(reading) = shared.store.read_changed(&known).await? else {
+        let state = last.map(|last| last.state).unwrap_or_default();
+        return Ok(StoreState { asked, ..state });
+    };
+    let mut read = LastRead::default();
     for entry in &reading.entries {
         if entry.key == keys::HEAD {
-            state.head = configuration::parse_head(entry)?;
+            read.state.head = configuration::parse_head(entry)?;
+            read.head = entry.revision.0;
         } else {
             let shares: ShareMap = serde_json::from_slice(&entry.value)
                 .map_err(|_| decode_error("malformed record of shares"))?;
-            state.shares = shares;
-            state.stored = entry.revision.0;
+            read.state.shares = shares;
+            read.state.stored = entry.revision.0;
         }
     }
+    let state = StoreState { asked, ..read.state.clone() };
+    *lock(&shared.last_read) = Some(read);
     Ok(state)
 }
 
+fn expect(key: &str, revision: u64) -> Expectation {
+    Expectation { key: key.to_owned(), revision: StoreRevision(revision) }
+}
+
 fn commit(node: &Node, plan: &SharePlan, stored: u64) -> Commit {
-    let shares = Expectation { key: keys::SHARES.to_owned(), revision: StoreRevision(stored) };
     let value = serde_json::to_vec(&plan.next).unwrap_or_default();
     let mut commit = Commit {
-        expected: vec![shares],
+        expected: vec![expect(keys::SHARES, stored)],
         writes: vec![Write::Put { key: keys::SHARES.to_owned(), value }],
     };
     for life in &plan.removed {
@@ -215,7 +246,7 @@
 }
 
 fn registered(name: &str, incarnation: u64) -> Expectation {
-    Expectation { key: keys::vm(name), revision: StoreRevision(incarnation) }
+    expect(&keys::vm(name), incarnation)
 }
 
 fn store_failed(shared: &Shared, error: &oleander_platform::errors::Error) {
--- a/oleander-agent/src/shared.rs
+++ b/oleander-agent/src/shared.rs
@@ -25,6 +25,7 @@
 use oleander_runtime::timer::TimerService;
 use tokio::sync::watch;
 
+use crate::platform::LastRead;
 use crate::settings::Settings;
 use crate::views::Echo;
 
@@ -56,6 +57,8 @@
     pub instances: Mutex<Vec<InstanceReport>>,
     /// Counts the changes that a view shows.
     pub changes: watch::Sender<u64>,
+    /// What the last read of head and shares found.
+    pub last_read: Mutex<Option<LastRead>>,
     /// Set while a read of the store is under way.
     pub reading: AtomicBool,
     /// Set while a read of the VM list is under way.
@@ -103,6 +106,7 @@
             proxy: Mutex::default(),
             instances: Mutex::default(),
             changes: watch::Sender::new(0),
+            last_read: Mutex::default(),
             reading: AtomicBool::new(false),
             listing: AtomicBool::new(false),
             joining: AtomicBool::new(false),
--- a/oleander-membership/src/acks.rs
+++ b/oleander-membership/src/acks.rs
@@ -21,6 +21,16 @@
         }
     }
 
+    /// Gets the number of VMs that have the record.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Returns `true` if no VM is known to have it.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Gets the version.
     pub fn version(&self) -> u64 {
         self.version
@@ -54,9 +64,12 @@
 
     /// Takes in what another VM knows of the record of `version`.
     pub fn unpack(&mut self, version: u64, packed: &[u8], vms: impl Iterator<Item = VmId>) {
+        if self.version != version {
+            return;
+        }
         for (at, vm) in vms.enumerate() {
             if packed.get(at / 8).is_some_and(|byte| byte >> (at % 8) & 1 == 1) {
-                self.note(version, vm);
+                self.known.insert(vm);
             }
         }
     }
--- a/oleander-membership/src/liveness.rs
+++ b/oleander-membership/src/liveness.rs
@@ -15,7 +15,8 @@
 /// `Liveness` holds the last sign of life of each VM that this VM knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Liveness {
-    heard: BTreeMap<VmId, Time>,
+    /// Ordered by VM, so that the ages of a message are merged in one pass.
+    heard: Vec<(VmId, Time)>,
     met: BTreeMap<VmId, Time>,
 }
 
@@ -38,13 +39,15 @@
 
     /// Notes that `vm` was alive at `at`.
     pub fn note(&mut self, vm: VmId, at: Time) {
-        let heard = self.heard.entry(vm).or_insert(at);
-        *heard = (*heard).max(at);
+        match self.find(vm) {
+            Ok(found) => self.heard[found].1 = self.heard[found].1.max(at),
+            Err(place) => self.heard.insert(place, (vm, at)),
+        }
     }
 
     /// Gets the time at which `vm` was last known to be alive.
     pub fn heard(&self, vm: VmId) -> Option<Time> {
-        self.heard.get(&vm).copied()
+        self.find(vm).ok().map(|found| self.heard[found].1)
     }
 
     /// Returns `true` if `vm` gave a sign of life after `since`.
@@ -54,15 +57,18 @@
 
     /// Forgets the VMs that `keep` refuses.
     pub fn retain(&mut self, keep: impl Fn(VmId) -> bool) {
-        self.heard.retain(|vm, _| keep(*vm));
+        self.heard.retain(|(vm, _)| keep(*vm));
         self.met.retain(|vm, _| keep(*vm));
     }
 
-    /// Packs the ages of `vms`, two to a byte. Ages are rounded up.
+    /// Packs the ages of `vms`, which are ordered, two to a byte. Ages are rounded up.
     pub fn pack(&self, now: Time, vms: impl Iterator<Item = VmId>) -> Vec<u8> {
         let mut packed = Vec::new();
+        let mut known = self.heard.iter().peekable();
         for (at, vm) in vms.enumerate() {
-            let age = self.heard(vm).map_or(MAX_AGE, |heard| units(now.since(heard))) as u8;
+            while known.next_if(|(heard, _)| *heard < vm).is_some() {}
+            let heard = known.peek().filter(|(heard, _)| *heard == vm);
+            let age = heard.map_or(MAX_AGE, |(_, heard)| units(now.since(*heard))) as u8;
             match packed.last_mut() {
                 Some(last) if at % 2 == 1 => *last |= age << 4,
                 _ => packed.push(age),
@@ -71,13 +77,22 @@
         packed
     }
 
-    /// Takes in packed ages of `vms`, counted from `asked`, the time at which they were asked for.
+    /// Takes in packed ages of `vms`, which are ordered, counted from `asked`, the time at which they were asked for.
     pub fn unpack(&mut self, asked: Time, packed: &[u8], vms: impl Iterator<Item = VmId>) {
+        let mut place = 0;
         for (at, vm) in vms.enumerate() {
             let Some(byte) = packed.get(at / 2) else { return };
             let age = u64::from(if at % 2 == 0 { byte & 0x0f } else { byte >> 4 });
-            if age < MAX_AGE {
-                self.note(vm, Time(asked.0.saturating_sub(AGE_UNIT.times(age).0)));
+            if MAX_AGE <= age {
+                continue;
+            }
+            let time = Time(asked.0.saturating_sub(AGE_UNIT.times(age).0));
+            while self.heard.get(place).is_some_and(|(heard, _)| *heard < vm) {
+                place += 1;
+            }
+            match self.heard.get_mut(place).filter(|(heard, _)| *heard == vm) {
+                Some((_, heard)) => *heard = time.max(*heard),
+                None => self.heard.insert(place, (vm, time)),
             }
         }
     }
@@ -97,6 +112,12 @@
     }
 }
 
+impl Liveness {
+    fn find(&self, vm: VmId) -> Result<usize, usize> {
+        self.heard.binary_search_by_key(&vm, |(heard, _)| *heard)
+    }
+}
+
 fn units(age: Span) -> u64 {
     age.0.div_ceil(AGE_UNIT.0).min(MAX_AGE)
 }
--- a/oleander-membership/src/node/configuration.rs
+++ b/oleander-membership/src/node/configuration.rs
@@ -14,6 +14,9 @@
 use crate::spread::Candidate;
 use crate::spread::Section;
 
+/// The time between the turns of VMs to read the bodies of a revision from the store.
+const READ_STAGGER: Span = Span::from_millis(300);
+
 /// The time after which a fetch from a peer counts as failed.
 const FETCH_TIME: Span = Span::from_secs(1);
 
@@ -59,6 +62,20 @@
     }
 
     pub(super) fn learn_head(&mut self, now: Time, head: Head) -> Option<Action> {
+        if head.revision <= self.spread.seen() || self.is_fetching(now, head.revision) {
+            return None;
+        }
+        let rank = self.reader_rank(now, head.revision);
+        if self.delayed.as_ref().is_none_or(|(delayed, _)| delayed.revision < head.revision) {
+            self.delayed = Some((head, now + READ_STAGGER.times(rank)));
+        }
+        self.tend_head(now)
+    }
+
+    /// Reads the bodies of a head from the store when it is this VM's turn. One VM reads them
+    /// first; the others usually have them from a peer, as differences, before their turn comes.
+    pub fn tend_head(&mut self, now: Time) -> Option<Action> {
+        let (head, _) = self.delayed.take_if(|(_, due)| *due <= now)?;
         if head.revision <= self.spread.seen() || self.is_fetching(now, head.revision) {
             return None;
         }
--- a/oleander-membership/src/node/gossip.rs
+++ b/oleander-membership/src/node/gossip.rs
@@ -22,6 +22,9 @@
 /// The time between fetches of a whole roster.
 const SYNC_TIME: Span = Span::from_secs(10);
 
+/// The draws for each heartbeat, until one falls on a VM that is not suspected.
+const DRAWS: usize = 8;
+
 /// One of so many heartbeats goes to any VM, suspected ones among them.
 const ANY_PEER: u64 = 8;
 
@@ -34,6 +37,7 @@
             actions.push(Action::Send { to: peer, request });
         }
         actions.extend(self.tend_store(now, entropy));
+        actions.extend(self.tend_head(now));
         actions.extend(self.tend_shares(now));
         actions
     }
@@ -166,7 +170,7 @@
         if !is_ahead && is_same {
             self.liveness.unpack(asked, &ages, self.roster.ids());
         }
-        if is_same {
+        if is_same && self.acks.len() < self.roster.len() {
             self.acks.unpack(state.shares, &acks, self.roster.ids());
         }
         self.note_ack(now, state.from, state.shares);
@@ -204,24 +208,29 @@
     }
 
     fn choose_peers(&self, now: Time, entropy: u64, count: usize) -> SmallVec<[VmId; 4]> {
-        let others = || self.roster.ids().filter(|vm| *vm != self.own.vm);
-        let any: Vec<VmId> = others().collect();
-        let able: Vec<VmId> = others().filter(|vm| !self.is_suspect(now, *vm)).collect();
+        let others: Vec<VmId> = self.roster.ids().filter(|vm| *vm != self.own.vm).collect();
         let mut chosen = SmallVec::new();
-        for turn in 0..count as u64 {
+        for turn in 0..(count * DRAWS) as u64 {
             let draw = hash::combine(entropy, turn);
-            let pool = if able.is_empty() || draw.is_multiple_of(ANY_PEER) { &any } else { &able };
-            if pool.is_empty() {
+            if others.is_empty() || chosen.len() == count {
                 break;
             }
-            let peer = pool[(hash::mix(draw) % pool.len() as u64) as usize];
-            if !chosen.contains(&peer) {
+            let peer = others[(hash::mix(draw) % others.len() as u64) as usize];
+            let is_able = draw.is_multiple_of(ANY_PEER) || !self.is_suspect(now, peer);
+            if is_able && !chosen.contains(&peer) {
                 chosen.push(peer);
             }
         }
         chosen
     }
 
+    /// Tells the fleet that this VM has left; its registration is deleted.
+    pub fn retire(&mut self, now: Time, entropy: u64) -> Vec<Action> {
+        let ShareOwner { vm, incarnation } = self.claims.own();
+        self.roster.merge(MemberNews::Removed(ShareOwner { vm, incarnation }));
+        self.push(now, entropy)
+    }
+
     /// Tells the fleet that this VM leaves.
     pub fn leave(&mut self, now: Time, entropy: u64) -> Vec<Action> {
         self.left = true;
--- a/oleander-membership/src/node/mod.rs
+++ b/oleander-membership/src/node/mod.rs
@@ -82,8 +82,8 @@
             skew: Span::from_millis(500),
             grace: Span::from_secs(10),
             unlisted: Span::from_secs(120),
-            round: Span::from_millis(500),
-            fanout: 2,
+            round: Span::from_millis(400),
+            fanout: 1,
             eager: 3,
             read: Span::from_secs(1),
             probe: Span::from_millis(2_500),
@@ -143,6 +143,7 @@
     next_sync: Time,
     mismatched: Option<Time>,
     fetching: Option<(Revision, Time)>,
+    delayed: Option<(Head, Time)>,
     left: bool,
 }
 
@@ -176,6 +177,7 @@
             next_sync: now,
             mismatched: None,
             fetching: None,
+            delayed: None,
             left: false,
         }
     }
@@ -246,10 +248,24 @@
 
     /// Returns `true` if this VM is to read the store for others.
     pub fn is_watcher(&self, now: Time) -> bool {
-        let able = self.roster.ids().filter(|vm| !self.is_suspect(now, *vm));
-        let ranked = hash::rendezvous(WATCHER_KEY, able, |vm| vm.0);
         let count = self.options.watchers + self.roster.len() / VMS_PER_WATCHER;
-        ranked.iter().take(count).any(|vm| *vm == self.own.vm)
+        // The rank by rendezvous hashing; there is no need to order all VMs for it.
+        let score = |vm: VmId| hash::combine(WATCHER_KEY, vm.0);
+        let own = score(self.own.vm);
+        let mut ahead =
+            self.roster.ids().filter(|vm| own < score(*vm) && !self.is_suspect(now, *vm));
+        ahead.nth(count - 1).is_none()
+    }
+
+    /// Gets the place of this VM in the order in which VMs read the bodies of `revision`. The
+    /// order differs from one revision to the next, so that all watchers share the work.
+    fn reader_rank(&self, now: Time, revision: Revision) -> u64 {
+        let able = self.roster.ids().filter(|vm| !self.is_suspect(now, *vm));
+        let mut ranked = hash::rendezvous(WATCHER_KEY, able, |vm| vm.0);
+        ranked.truncate(self.options.watchers + self.roster.len() / VMS_PER_WATCHER);
+        let order = hash::rendezvous(revision.0, ranked.iter().copied(), |vm| vm.0);
+        let place = order.iter().position(|vm| *vm == self.own.vm);
+        place.unwrap_or(order.len()) as u64
     }
 
     /// Gets the time since the latest read of the store that this VM knows of.
--- a/oleander-membership/src/node/ownership.rs
+++ b/oleander-membership/src/node/ownership.rs
@@ -40,17 +40,16 @@
     /// Gets the record that should follow `present`, the one that the store holds; `None` if
     /// this VM has nothing to change.
     pub fn plan(&self, now: Time, present: &ShareMap) -> Option<SharePlan> {
+        if !self.has_work(now, present) {
+            return None;
+        }
         let mut next = present.clone();
         next.owners.resize(usize::from(self.options.shares), None);
         let mut changed = self.claims.hand_over(now, &mut next);
         if !self.left {
             changed |= self.claims.inherit(&mut next);
-            changed |= plan::claim_free(
-                &mut next,
-                &self.takers(now),
-                self.claims.own(),
-                self.claim_limit(now),
-            );
+            changed |= self.is_watcher(now)
+                && plan::assign_free(&mut next, &self.takers(now), self.claim_limit(now));
         }
         let removed = self.reclaim(now, &mut next);
         changed |= !removed.is_empty();
@@ -62,6 +61,18 @@
         Some(SharePlan { next, removed })
     }
 
+    /// Returns `true` if this VM may have something to change in the record.
+    fn has_work(&self, now: Time, present: &ShareMap) -> bool {
+        let own = self.claims.own();
+        let is_former = |owner: &ShareOwner| owner.vm == own.vm && *owner != own;
+        self.claims.can_hand_over(now)
+            || present.owners.len() < usize::from(self.options.shares)
+            || present.owners.iter().flatten().any(is_former)
+            || present.owners.contains(&None)
+            || !self.dropped(now).is_empty()
+            || !self.roster.ids().eq(present.voters.iter().copied())
+    }
+
     /// Takes in a record of shares. Returns `true` if it is newer.
     pub fn learn_shares(&mut self, now: Time, map: ShareMap) -> bool {
         let learned = self.claims.learn(map);
@@ -204,12 +215,12 @@
         if self.left || now < self.next_ask || self.claims.map().owners.contains(&None) {
             return None;
         }
+        self.next_ask = now + ASK_TIME;
         let (richest, most) = Counts::new(self.claims.map(), &self.takers(now)).richest()?;
         let difference = most.saturating_sub(self.claims.kept());
         if difference < ASK_DIFFERENCE || richest.vm == self.own.vm {
             return None;
         }
-        self.next_ask = now + ASK_TIME;
         let count = (difference / 2) as u16;
         let request = MemberRequest::AskShares { asker: self.claims.own(), count };
         Some(Action::Send { to: richest.vm, request })
@@ -224,7 +235,7 @@
             .collect()
     }
 
-    /// While the fleet starts, no VM claims more than its part, so that late ones find theirs.
+    /// While the fleet starts, no VM gets more than its part, so that late ones find theirs.
     fn claim_limit(&self, now: Time) -> usize {
         let total = usize::from(self.options.shares);
         let expected = self.roster.len().max(self.listed_live()).max(1);
--- a/oleander-membership/src/node/platform.rs
+++ b/oleander-membership/src/node/platform.rs
@@ -60,18 +60,15 @@
         let is_listed = |vm: VmId| members.iter().any(|member| member.vm == vm);
         // Incarnations are revisions of the store, so a life that is older than the read and not
         // in it has been removed.
-        let gone: Vec<ShareOwner> = self
+        let gone: Vec<MemberNews> = self
             .roster
             .members()
             .filter(|member| member.incarnation.0 <= stored && !is_listed(member.vm))
             .map(|member| ShareOwner { vm: member.vm, incarnation: member.incarnation })
+            .map(MemberNews::Removed)
             .collect();
-        for owner in gone {
-            self.roster.merge(MemberNews::Removed(owner));
-        }
-        for member in members {
-            self.roster.merge(MemberNews::Present(member));
-        }
+        let present = members.into_iter().map(MemberNews::Present);
+        self.roster.merge_all(gone.into_iter().chain(present));
         self.roster_changed(now)
     }
 
--- a/oleander-membership/src/plan.rs
+++ b/oleander-membership/src/plan.rs
@@ -51,6 +51,11 @@
         Some(*owner)
     }
 
+    /// Gets the number of shares of the poorest member.
+    pub fn least(&self) -> Option<usize> {
+        self.0.values().min().copied()
+    }
+
     /// Gets the member with the most shares, and their number.
     pub fn richest(&self) -> Option<(ShareOwner, usize)> {
         let richest = self.0.iter().max_by_key(|(_, count)| **count);
@@ -63,25 +68,21 @@
     }
 }
 
-/// Gives the shares that nobody owns to `own`, as far as it is their poorest member and stays
-/// within `limit` shares. Returns `true` if there are any.
-pub fn claim_free(
-    next: &mut ShareMap,
-    members: &[ShareOwner],
-    own: ShareOwner,
-    limit: usize,
-) -> bool {
+/// Gives the shares that nobody owns to the poorest of `members`, up to `limit` shares each.
+/// Returns `true` if there are any.
+///
+/// One VM does so for all others: if each claimed its own, a fleet that starts at once would
+/// contend for the record.
+pub fn assign_free(next: &mut ShareMap, members: &[ShareOwner], limit: usize) -> bool {
     let mut counts = Counts::new(next, members);
-    let mut owned = counts.of(own);
     let mut changed = false;
     for share in all(next).filter(|share| next.owner(*share).is_none()).collect::<Vec<_>>() {
-        let is_own = counts.take_poorest(share) == Some(own);
-        if is_own && owned < limit {
-            owned += 1;
-            next.owners[usize::from(share.0)] = Some(own);
-            next.reclaimed.retain(|reclaimed| *reclaimed != share);
-            changed = true;
+        if counts.least().is_none_or(|least| limit <= least) {
+            break;
         }
+        next.owners[usize::from(share.0)] = counts.take_poorest(share);
+        next.reclaimed.retain(|reclaimed| *reclaimed != share);
+        changed = true;
     }
     changed
 }
--- a/oleander-membership/src/roster.rs
+++ b/oleander-membership/src/roster.rs
@@ -54,6 +54,9 @@
 /// The changes of the roster that one message carries at most.
 const MAX_NEWS: usize = 4;
 
+/// The changes from one source that are passed on at most.
+const MAX_PASSED: usize = 16;
+
 /// `Roster` holds the VMs of the fleet and spreads changes of it.
 ///
 /// Of two records of a VM the one with the higher incarnation wins; in one life, leaving wins
@@ -108,24 +111,35 @@
         self.removed.get(&owner.vm).is_some_and(|last| owner.incarnation <= *last)
     }
 
-    /// Takes in one piece of news. Returns `true` if it was new.
+    /// Takes in one piece of news and passes it on. Returns `true` if it was new.
     pub fn merge(&mut self, news: MemberNews) -> bool {
-        let changed = match &news {
-            MemberNews::Present(member) => self.merge_member(member),
-            MemberNews::Removed(owner) => self.merge_removal(*owner),
-        };
-        if changed {
-            self.update_digest();
-            self.spread(news);
-        }
-        changed
+        self.merge_all([news])
     }
 
     /// Takes in a whole roster. Returns `true` if anything in it was new.
     pub fn merge_copy(&mut self, copy: RosterCopy) -> bool {
         let removed = copy.removed.into_iter().map(MemberNews::Removed);
         let present = copy.members.into_iter().map(MemberNews::Present);
-        0 < removed.chain(present).filter(|news| self.merge(news.clone())).count()
+        self.merge_all(removed.chain(present))
+    }
+
+    /// Takes in many pieces of news. A few are passed on; many mean that this VM was behind, and
+    /// the others have them. Returns `true` if any was new.
+    pub fn merge_all(&mut self, news: impl IntoIterator<Item = MemberNews>) -> bool {
+        let mut changed = Vec::new();
+        for news in news {
+            if self.merge_quietly(&news) {
+                changed.push(news);
+            }
+        }
+        if changed.is_empty() {
+            return false;
+        }
+        self.update_digest();
+        if changed.len() <= MAX_PASSED {
+            changed.into_iter().for_each(|news| self.spread(news));
+        }
+        true
     }
 
     /// Gets the whole roster.
@@ -157,6 +171,13 @@
         taken
     }
 
+    fn merge_quietly(&mut self, news: &MemberNews) -> bool {
+        match news {
+            MemberNews::Present(member) => self.merge_member(member),
+            MemberNews::Removed(owner) => self.merge_removal(*owner),
+        }
+    }
+
     fn merge_member(&mut self, member: &Member) -> bool {
         let owner = ShareOwner { vm: member.vm, incarnation: member.incarnation };
         if self.is_removed(owner) {
--- a/oleander-platform/src/json.rs
+++ b/oleander-platform/src/json.rs
@@ -82,6 +82,7 @@
 pub(crate) struct TxnRequest {
     pub(crate) compare: Vec<Compare>,
     pub(crate) success: Vec<Operation>,
+    pub(crate) failure: Vec<Operation>,
 }
 
 #[derive(Debug, Serialize)]
--- a/oleander-platform/src/store.rs
+++ b/oleander-platform/src/store.rs
@@ -145,12 +145,26 @@
     pub async fn read_all(&self, keys: &[&str]) -> Result<Reading> {
         let range = |key: &&str| RangeRequest { key: bytes(key), range_end: None };
         let success = keys.iter().map(range).map(Operation::Range).collect();
-        let txn = TxnRequest { compare: Vec::new(), success };
+        let txn = TxnRequest { success, ..TxnRequest::default() };
         let response: TxnResponse = self.call("/v3/kv/txn", &txn).await?;
         let found = response.responses.into_iter().flat_map(|part| part.response_range.kvs);
         reading(response.header.revision, found.collect())
     }
 
+    /// Reads several keys, in one call, if any of them has changed since `known`; `None` if not.
+    pub async fn read_changed(&self, known: &[Expectation]) -> Result<Option<Reading>> {
+        let range = |known: &Expectation| RangeRequest { key: bytes(&known.key), range_end: None };
+        let failure = known.iter().map(range).map(Operation::Range).collect();
+        let compare = known.iter().map(compare).collect();
+        let txn = TxnRequest { compare, success: Vec::new(), failure };
+        let response: TxnResponse = self.call("/v3/kv/txn", &txn).await?;
+        if response.succeeded {
+            return Ok(None);
+        }
+        let found = response.responses.into_iter().flat_map(|part| part.response_range.kvs);
+        reading(response.header.revision, found.collect()).map(Some)
+    }
+
     /// Reads all keys that start with `prefix`, in the order of the keys.
     pub async fn list(&self, prefix: &str) -> Result<Reading> {
         let range = RangeRequest { key: bytes(prefix), range_end: Some(prefix_end(prefix)) };
@@ -162,8 +176,9 @@
     pub async fn commit(&self, commit: Commit) -> Result<CommitOutcome> {
         let compare = commit.expected.iter().map(compare).collect();
         let success = commit.writes.into_iter().map(operation).collect::<Result<_>>()?;
-        let response: TxnResponse =
-            self.call("/v3/kv/txn", &TxnRequest { compare, success }).await?;
+        let response: TxnResponse = self
+            .call("/v3/kv/txn", &TxnRequest { compare, success, ..TxnRequest::default() })
+            .await?;
         if !response.succeeded {
             return Ok(CommitOutcome::Conflict);
         }
--- a/oleander-platform/src/watch.rs
+++ b/oleander-platform/src/watch.rs
@@ -44,13 +44,14 @@
 }
 
 impl Store {
-    /// Opens a watch on the keys from `start` up to `end`, on changes after the revision `after`.
-    pub async fn watch(&self, start: &str, end: &str, after: StoreRevision) -> Result<Watch> {
-        let start_revision = Int64(i64::try_from(after.0 + 1).unwrap_or(i64::MAX));
+    /// Opens a watch on the keys from `start` up to `end`, on changes from now on. What changed
+    /// before must be read once the watch is open.
+    pub async fn watch(&self, start: &str, end: &str) -> Result<Watch> {
         let create_request = WatchCreate {
             key: bytes(start),
             range_end: bytes(end),
-            start_revision,
+            // Zero stands for the present revision.
+            start_revision: Int64(0),
             progress_notify: true,
         };
         let request = self.http.request(|client, url| client.post(url), "/v3/watch");
