--- a/oleander-agent/src/platform.rs
+++ b/oleander-agent/src/platform.rs
@@ -15,7 +15,6 @@
 use oleander_membership::node::StoreState;
 use oleander_membership::roster::Member;
 use oleander_membership::roster::MemberState;
-use oleander_membership::shares::ShareMap;
 use oleander_platform::configuration;
 use oleander_platform::errors::Result;
 use oleander_platform::errors::decode_error;
@@ -23,6 +22,7 @@
 use oleander_platform::registration;
 use oleander_platform::store::Commit;
 use oleander_platform::store::CommitOutcome;
+use oleander_platform::store::Entry;
 use oleander_platform::store::Expectation;
 use oleander_platform::store::StoreRevision;
 use oleander_platform::store::Write;
@@ -36,9 +36,6 @@
 /// The time between two attempts to register.
 const REGISTER_PAUSE: Span = Span::from_millis(250);
 
-/// A revision that no key has.
-const NO_REVISION: u64 = i64::MAX as u64;
-
 /// The commits that follow one read of the store at most.
 const COMMIT_ATTEMPTS: usize = 8;
 
@@ -126,7 +123,7 @@
 /// Gets the latest revision of head and shares that a read has found.
 pub fn read_revision(shared: &Shared) -> u64 {
     let last = lock(&shared.last_read);
-    last.as_ref().map_or(0, |last| last.head.max(last.state.stored))
+    last.head.max(last.state.stored)
 }
 
 /// Deletes the registration of this life, once it owns nothing.
@@ -199,33 +196,34 @@
     Ok(Round::Again)
 }
 
-/// Reads head and shares; the store sends them only if they have changed since the last read.
+/// Reads head and shares; the store sends each only if it has changed since the last read.
 async fn read_state(shared: &Shared, asked: Time) -> Result<StoreState> {
-    let last = lock(&shared.last_read).clone();
-    let head = last.as_ref().map_or(NO_REVISION, |last| last.head);
-    let stored = last.as_ref().map_or(NO_REVISION, |last| last.state.stored);
-    let known = [expect(keys::HEAD, head), expect(keys::SHARES, stored)];
-    let Some(reading) = shared.store.read_changed(&known).await? else {
-        let state = last.map(|last| last.state).unwrap_or_default();
-        return Ok(StoreState { asked, ..state });
-    };
-    let mut read = LastRead::default();
-    for entry in &reading.entries {
-        if entry.key == keys::HEAD {
-            read.state.head = configuration::parse_head(entry)?;
+    let mut read = lock(&shared.last_read).clone();
+    let known = [expect(keys::HEAD, read.head), expect(keys::SHARES, read.state.stored)];
+    let found = shared.store.look(&known).await?.unwrap_or_default();
+    for Entry { key, revision, .. } in found.entries {
+        if key == keys::HEAD && revision.0 != read.head {
+            let entry = read_entry(shared, &key).await?;
+            read.state.head = configuration::parse_head(&entry)?;
             read.head = entry.revision.0;
-        } else {
-            let shares: ShareMap = serde_json::from_slice(&entry.value)
+        } else if key == keys::SHARES && revision.0 != read.state.stored {
+            let entry = read_entry(shared, &key).await?;
+            read.state.shares = serde_json::from_slice(&entry.value)
                 .map_err(|_| decode_error("malformed record of shares"))?;
-            read.state.shares = shares;
             read.state.stored = entry.revision.0;
         }
     }
+    // What was read after the look is only newer.
     let state = StoreState { asked, ..read.state.clone() };
-    *lock(&shared.last_read) = Some(read);
+    *lock(&shared.last_read) = read;
     Ok(state)
 }
 
+async fn read_entry(shared: &Shared, key: &str) -> Result<Entry> {
+    let reading = shared.store.read(key).await?;
+    reading.entries.into_iter().next().ok_or(decode_error("a key has vanished"))
+}
+
 fn expect(key: &str, revision: u64) -> Expectation {
     Expectation { key: key.to_owned(), revision: StoreRevision(revision) }
 }
--- a/oleander-agent/src/shared.rs
+++ b/oleander-agent/src/shared.rs
@@ -58,7 +58,7 @@
     /// Counts the changes that a view shows.
     pub changes: watch::Sender<u64>,
     /// What the last read of head and shares found.
-    pub last_read: Mutex<Option<LastRead>>,
+    pub last_read: Mutex<LastRead>,
     /// Set while a read of the store is under way.
     pub reading: AtomicBool,
     /// Set while a read of the VM list is under way.
--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! Seeded experiments: a policy beside its baselines, in one run.
 
+pub mod config_spread;
 pub mod rates;
 pub mod replica_reads;
 
@@ -13,6 +14,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Experiment {
+    /// Spread of the configuration, cost of control, currency.
+    Config,
     /// Rates over the whole fleet beside a static split and a single owner.
     Rates,
     /// The share of reads that replicas serve.
@@ -22,6 +25,7 @@
 /// Runs an experiment from its seed.
 pub fn run(experiment: Experiment, seed: u64) -> Report {
     match experiment {
+        Experiment::Config => config_spread::run(seed),
         Experiment::Rates => rates::run(seed),
         Experiment::ReplicaReads => replica_reads::run(seed),
     }
--- a/oleander-membership/src/node/ownership.rs
+++ b/oleander-membership/src/node/ownership.rs
@@ -194,7 +194,10 @@
     }
 
     pub(super) fn tend_shares(&mut self, now: Time) -> Vec<Action> {
-        self.tend_absent(now);
+        if self.next_tend <= now {
+            self.next_tend = now + ASK_TIME;
+            self.tend_absent(now);
+        }
         let roster = &self.roster;
         self.claims.cancel_releases(|to| {
             let member = roster.member(to.vm);
--- a/oleander-platform/src/json.rs
+++ b/oleander-platform/src/json.rs
@@ -52,6 +52,8 @@
     pub(crate) key: Bytes64,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) range_end: Option<Bytes64>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) keys_only: bool,
 }
 
 #[derive(Debug, Serialize)]
--- a/oleander-platform/src/store.rs
+++ b/oleander-platform/src/store.rs
@@ -136,24 +136,20 @@
 
     /// Reads one key.
     pub async fn read(&self, key: &str) -> Result<Reading> {
-        let range = RangeRequest { key: bytes(key), range_end: None };
+        let range = RangeRequest { key: bytes(key), ..RangeRequest::default() };
         let response: RangeResponse = self.call("/v3/kv/range", &range).await?;
         reading(response.header.revision, response.kvs)
     }
 
-    /// Reads several keys at one revision of the store, in one call.
-    pub async fn read_all(&self, keys: &[&str]) -> Result<Reading> {
-        let range = |key: &&str| RangeRequest { key: bytes(key), range_end: None };
-        let success = keys.iter().map(range).map(Operation::Range).collect();
-        let txn = TxnRequest { success, ..TxnRequest::default() };
-        let response: TxnResponse = self.call("/v3/kv/txn", &txn).await?;
-        let found = response.responses.into_iter().flat_map(|part| part.response_range.kvs);
-        reading(response.header.revision, found.collect())
-    }
-
-    /// Reads several keys, in one call, if any of them has changed since `known`; `None` if not.
-    pub async fn read_changed(&self, known: &[Expectation]) -> Result<Option<Reading>> {
-        let range = |known: &Expectation| RangeRequest { key: bytes(&known.key), range_end: None };
+    /// Looks, in one call, whether any of the keys has changed since `known`; `None` if not.
+    ///
+    /// The entries have revisions and no values; a key that is gone has no entry.
+    pub async fn look(&self, known: &[Expectation]) -> Result<Option<Reading>> {
+        let range = |known: &Expectation| RangeRequest {
+            key: bytes(&known.key),
+            keys_only: true,
+            ..RangeRequest::default()
+        };
         let failure = known.iter().map(range).map(Operation::Range).collect();
         let compare = known.iter().map(compare).collect();
         let txn = TxnRequest { compare, success: Vec::new(), failure };
@@ -167,7 +163,11 @@
 
     /// Reads all keys that start with `prefix`, in the order of the keys.
     pub async fn list(&self, prefix: &str) -> Result<Reading> {
-        let range = RangeRequest { key: bytes(prefix), range_end: Some(prefix_end(prefix)) };
+        let range = RangeRequest {
+            key: bytes(prefix),
+            range_end: Some(prefix_end(prefix)),
+            ..RangeRequest::default()
+        };
         let response: RangeResponse = self.call("/v3/kv/range", &range).await?;
         reading(response.header.revision, response.kvs)
     }
@@ -256,7 +256,7 @@
             Ok(Operation::Put(PutRequest { key: bytes(&key), value: Bytes64(value) }))
         }
         Write::Delete { key } => {
-            Ok(Operation::Delete(RangeRequest { key: bytes(&key), range_end: None }))
+            Ok(Operation::Delete(RangeRequest { key: bytes(&key), ..RangeRequest::default() }))
         }
     }
 }
