Weigh the wait for a replica apart from the wait in its queue

Cause: one price for both. With 50 ms of patience, reads soon after a write went to the primary: of busy sessions (200 ms between requests, the primary alone acknowledges) replicas served 94% at 50 ms of lag and 35% at 500 ms. With more patience reads stood in the queue of the last healthy replica beside an idle primary: a stalled replica gave a 99th percentile of 459 ms. Change: waiting for a replica takes no slot, so it is free up to 45% of the time left; the detour through a queue stays at 50 ms; among replicas the real cost decides.

--- a/oleander-load/src/experiments/replica_reads/group.rs
+++ b/oleander-load/src/experiments/replica_reads/group.rs
@@ -1,5 +1,7 @@
 //! A fake database group in virtual time: one primary's log, and replicas that apply it late.
 
+use std::ops::Range;
+
 use oleander_core::terms::InstanceStatus;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Position;
@@ -21,18 +23,25 @@
 pub(crate) struct FakeGroup {
     commits: Vec<Time>,
     lags: [Vec<Span>; INSTANCES],
+    /// The time for which instance 1 applies nothing.
+    stall: Range<Time>,
 }
 
 impl FakeGroup {
     /// Makes a group whose replicas lag around `lag` for `length`.
-    pub(crate) fn new(lag: Span, length: Span, random: &mut ChaCha8Rng) -> Self {
+    pub(crate) fn new(
+        lag: Span,
+        length: Span,
+        stall: Range<Time>,
+        random: &mut ChaCha8Rng,
+    ) -> Self {
         let periods = length.0 / LAG_PERIOD.0 + 1;
         let mut draw = || Span((lag.0 as f64 * random.random_range(0.7..1.3)) as u64);
         let mut lags: [Vec<Span>; INSTANCES] = Default::default();
         for lags in &mut lags[1..] {
             lags.extend((0..periods).map(|_| draw()));
         }
-        Self { commits: Vec::new(), lags }
+        Self { commits: Vec::new(), lags, stall }
     }
 
     /// Commits a write on the primary at `now`, which must not go back. Gets its position.
@@ -46,6 +55,9 @@
         if instance == 0 {
             return self.committed(now);
         }
+        if instance == 1 && self.stall.contains(&now) {
+            return self.position(instance, Time(self.stall.start.0 - 1));
+        }
         let lags = &self.lags[instance];
         let period = ((now.0 / LAG_PERIOD.0) as usize).min(lags.len() - 1);
         // A replica whose lag grows stands still; it never goes back.
--- a/oleander-load/src/experiments/replica_reads/run.rs
+++ b/oleander-load/src/experiments/replica_reads/run.rs
@@ -1,5 +1,7 @@
 //! One run: sessions, two homes and the fake group.
 
+use std::ops::Range;
+
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceId;
 use oleander_core::places::Distance;
@@ -25,12 +27,13 @@
 use crate::experiments::replica_reads::group::INSTANCES;
 use crate::experiments::replica_reads::setting::Acknowledge;
 use crate::experiments::replica_reads::setting::Policy;
+use crate::experiments::replica_reads::setting::Scene;
 use crate::experiments::replica_reads::setting::Setting;
 
 /// The time for which requests come.
 const LENGTH: Span = Span::from_secs(120);
-/// The mean pause of a session between an answer and its next request.
-const THINK: Span = Span::from_secs(1);
+/// The time for which a stalled replica applies nothing.
+const STALL: Range<Time> = Time(30_000_000)..Time(60_000_000);
 /// The time between pings of an instance by a home.
 const PING: Span = Span::from_millis(200);
 /// The time between looks at the replicas while a write waits for its majority.
@@ -78,7 +81,8 @@
 /// Runs one setting from its seed.
 pub(crate) fn run(seed: u64, setting: Setting) -> Outcome {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let group = FakeGroup::new(Span::from_millis(setting.lag), LENGTH, &mut random);
+    let stall = if setting.scene == Scene::Stalled { STALL } else { Time(0)..Time(0) };
+    let group = FakeGroup::new(Span::from_millis(setting.lag), LENGTH, stall, &mut random);
     let mut run = Run {
         setting,
         group,
@@ -150,13 +154,14 @@
 
 impl Run {
     fn start(&mut self) {
-        let count = self.setting.user.load() * THINK.0 / Span::from_secs(1).0;
+        let count = self.setting.user.load() * self.setting.scene.pause().0 / Span::from_secs(1).0;
         self.sessions = vec![Session::default(); count as usize];
         for home in 0..self.homes.len() {
             self.queue.schedule(Time(home as u64 * 1_000), Event::Ping { home });
         }
         for session in 0..self.sessions.len() {
-            let at = Time(0) + PING + Span(self.random.random_range(0..THINK.0));
+            let at =
+                Time(0) + PING + Span(self.random.random_range(0..self.setting.scene.pause().0));
             self.queue.schedule(at, Event::Arrive { session });
         }
     }
@@ -356,7 +361,7 @@
     }
 
     fn think(&mut self, now: Time, session: usize) {
-        let at = now + exponential(THINK, &mut self.random);
+        let at = now + exponential(self.setting.scene.pause(), &mut self.random);
         if at < Time(0) + LENGTH {
             self.queue.schedule(at, Event::Arrive { session });
         }
--- a/oleander-load/src/experiments/replica_reads/setting.rs
+++ b/oleander-load/src/experiments/replica_reads/setting.rs
@@ -13,6 +13,31 @@
     /// The lag of the replicas in milliseconds.
     pub(crate) lag: u64,
     pub(crate) policy: Policy,
+    pub(crate) scene: Scene,
+}
+
+/// `Scene` is what makes a run harder than the plain one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter)]
+pub(crate) enum Scene {
+    /// Sessions pause for a second between requests.
+    #[strum(serialize = "calm sessions")]
+    Calm,
+    /// Fewer sessions, which pause for 200 ms, so most reads follow a write closely.
+    #[strum(serialize = "busy sessions")]
+    Busy,
+    /// The nearest replica stops applying the log for a quarter of the run.
+    #[strum(serialize = "a stalled replica")]
+    Stalled,
+}
+
+impl Scene {
+    /// Gets the mean pause of a session between an answer and its next request.
+    pub(crate) fn pause(self) -> Span {
+        match self {
+            Scene::Calm | Scene::Stalled => Span::from_secs(1),
+            Scene::Busy => Span::from_millis(200),
+        }
+    }
 }
 
 /// `User` is whose sizes a run takes.
--- a/oleander-routing/src/reads.rs
+++ b/oleander-routing/src/reads.rs
@@ -88,15 +88,16 @@
 pub struct Options {
     /// The round trips by distance.
     pub delays: Delays,
-    /// The extra time that a read may take to spare the primary.
-    pub patience: Span,
-    /// The part of the time left to the deadline that a read waits for a replica at most, as a divisor.
-    pub reserve: u64,
+    /// The time that a read waits for a replica to catch up rather than take the primary,
+    /// in percent of the time left to its deadline. Such a wait takes no slot.
+    pub patience: u64,
+    /// The extra time that a read spends in a replica's queue rather than take the primary.
+    pub detour: Span,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { delays: Delays::default(), patience: Span::from_millis(50), reserve: 4 }
+        Self { delays: Delays::default(), patience: 45, detour: Span::from_millis(50) }
     }
 }
 
@@ -141,9 +142,23 @@
     };
     let term = highest_term(group.candidates);
     let ready = group.candidates.iter().filter(|one| one.state == CandidateState::Ready);
-    let offers = ready.filter_map(|one| Offer::new(now, one, &target, group, term, options));
-    let Some(best) = offers.min_by_key(|offer| (offer.cost, offer.instance)) else {
-        return no_offer(&target, group);
+    let (mut primary, mut replica) = (None, None);
+    for offer in ready.filter_map(|one| Offer::new(now, one, &target, group, term, options)) {
+        let best = if offer.role == Role::Primary { &mut primary } else { &mut replica };
+        if best.as_ref().is_none_or(|best: &Offer| offer.cost < best.cost) {
+            *best = Some(offer);
+        }
+    }
+    let patience = Span(need.deadline.since(now).0.saturating_mul(options.patience) / 100);
+    let best = match (primary, replica) {
+        (Some(primary), Some(replica)) => {
+            // Waiting for a replica takes no slot, so it is free up to the patience; the
+            // primary's slots are needed for writes, so it is dearer by the detour.
+            let price = replica.cost.saturating_sub(replica.held.min(patience));
+            if primary.cost + options.detour < price { primary } else { replica }
+        }
+        (Some(only), None) | (None, Some(only)) => only,
+        (None, None) => return no_offer(&target, group),
     };
     if best.ready_at <= now {
         return Choice::Run(best.instance);
@@ -231,7 +246,12 @@
 /// `Offer` is the expected cost of one candidate.
 struct Offer {
     instance: InstanceId,
+    role: Role,
+    /// The time at which the read joins the queue.
     ready_at: Time,
+    /// The part of the cost that is spent on waiting for the replica to catch up.
+    held: Span,
+    /// The expected time until the answer.
     cost: Span,
 }
 
@@ -245,30 +265,28 @@
         term: Term,
         options: &Options,
     ) -> Option<Self> {
-        let known = one.known?;
-        let is_of_term = known.status.point.term == term;
-        let mut run = options.delays.over(one.distance) + one.service;
-        if known.status.role == Role::Primary && is_of_term {
-            if proof::proves_all(&known.status, target.seen()) == Proof::Lost {
-                return None;
-            }
-            let cost = one.wait + run + options.patience;
-            return Some(Self { instance: one.instance, ready_at: now, cost });
+        let StatusAt { status, .. } = one.known?;
+        let is_of_term = status.point.term == term;
+        let penalty = if is_of_term { Span::ZERO } else { OLD_TERM_COST };
+        let run = options.delays.over(one.distance) + one.service + penalty;
+        let offer = |role, fresh_at: Time| {
+            let held = fresh_at.since(now).saturating_sub(one.wait);
+            // The queue is joined in time to leave it when the replica has caught up.
+            let cost = held + one.wait + run;
+            Self { instance: one.instance, role, ready_at: now + held, held, cost }
+        };
+        if status.role == Role::Primary && is_of_term {
+            let is_lost = proof::proves_all(&status, target.seen()) == Proof::Lost;
+            return (!is_lost).then(|| offer(Role::Primary, now));
         }
-        if !is_of_term {
-            run = run + OLD_TERM_COST;
+        let follows = is_of_term && status.role == Role::Replica;
+        match proof::proves_all(&status, &target.points) {
+            Proof::Fresh => Some(offer(Role::Replica, now)),
+            Proof::Behind if follows => {
+                Some(offer(Role::Replica, caught_up_at(now, one.lag.likely()?, target, group)))
+            }
+            Proof::Behind | Proof::Lost => None,
         }
-        let follows = is_of_term && known.status.role == Role::Replica;
-        let ready_at = match proof::proves_all(&known.status, &target.points) {
-            Proof::Fresh => now,
-            Proof::Behind if follows => caught_up_at(now, one.lag.likely()?, target, group),
-            Proof::Behind | Proof::Lost => return None,
-        };
-        let catch_up = ready_at.since(now);
-        let cost = catch_up.max(one.wait) + run;
-        // The queue is joined in time to leave it when the replica has caught up.
-        let ready_at = Time(ready_at.0.saturating_sub(one.wait.0).max(now.0));
-        Some(Self { instance: one.instance, ready_at, cost })
     }
 }
 
