--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -13,16 +13,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Experiment {
-    /// The share of reads that replicas serve.
-    ReplicaReads,
     /// Rates over the whole fleet beside a static split and a single owner.
     Rates,
+    /// The share of reads that replicas serve.
+    ReplicaReads,
 }
 
 /// Runs an experiment from its seed.
 pub fn run(experiment: Experiment, seed: u64) -> Report {
     match experiment {
-        Experiment::ReplicaReads => replica_reads::run(seed),
         Experiment::Rates => rates::run(seed),
+        Experiment::ReplicaReads => replica_reads::run(seed),
     }
 }
