--- a/oleander-load/src/drive/run.rs
+++ b/oleander-load/src/drive/run.rs
@@ -58,6 +58,15 @@
     }
 }
 
+/// `ReadClass` says under which class reads are sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadClass {
+    /// As reads, which replicas may serve.
+    Routed,
+    /// As idempotent writes, which only the primary serves: the baseline.
+    Primary,
+}
+
 /// `Driver` sends planned calls.
 #[derive(Clone, Debug)]
 pub struct Driver {
@@ -69,6 +78,8 @@
     pub client: Client,
     /// The timers.
     pub timers: TimerService,
+    /// The class of reads.
+    pub reads: ReadClass,
 }
 
 impl Driver {
@@ -119,7 +130,11 @@
         let key = self.profile.key(workspace.name);
         match &planned.operation {
             Operation::Read { key: entry, age } => {
-                let class = if age.is_some() { "quote" } else { "read" };
+                let class = match self.reads {
+                    ReadClass::Primary => "upsert",
+                    ReadClass::Routed if age.is_some() => "quote",
+                    ReadClass::Routed => "read",
+                };
                 let address = self.address(planned, 0, &key)?;
                 let answer =
                     self.client.read(address, &format!("{database}.{class}"), entry).await?;
--- a/oleander-load/src/lib.rs
+++ b/oleander-load/src/lib.rs
@@ -4,4 +4,6 @@
 pub mod drive;
 pub mod experiments;
 pub mod history;
+pub mod measures;
 pub mod report;
+pub mod runs;
--- a/oleander-load/src/main.rs
+++ b/oleander-load/src/main.rs
@@ -14,6 +14,8 @@
 use oleander_load::history::check;
 use oleander_load::history::lines::History;
 use oleander_load::report::Report;
+use oleander_load::runs::demo;
+use oleander_load::runs::measure;
 
 /// Load, experiments and checks for oleanderrudder.
 #[derive(Debug, Parser)]
@@ -37,6 +39,30 @@
         #[arg(long)]
         json: bool,
     },
+    /// Brings a fleet of each user's size up on this machine and loads it.
+    Demo {
+        /// The seconds of load for each user.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// The seed of the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Measures a fleet of each user's size under several loads, beside a baseline.
+    Measure {
+        /// The seconds of load for each measurement.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// The seed of the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+    },
     /// Checks a recorded history (JSON lines) for broken guarantees.
     Check {
         /// The file.
@@ -50,10 +76,29 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Experiment { name, seed, json } => print(&experiments::run(name, seed), json),
+        Command::Demo { seconds, seed, json } => print_live(demo::run(seconds, seed), json),
+        Command::Measure { seconds, seed, json } => print_live(measure::run(seconds, seed), json),
         Command::Check { file, json } => check_file(&file, json),
     }
 }
 
+/// Runs a whole fleet and prints the report; fails if the fleet does not come up.
+fn print_live(run: impl Future<Output = Result<Report, String>>, json: bool) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error.to_string()),
+    };
+    match runtime.block_on(run) {
+        Ok(report) => print(&report, json),
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &str) -> ExitCode {
+    eprintln!("oleander-load: {error}");
+    ExitCode::FAILURE
+}
+
 /// Checks the history in a file; fails if it cannot be read or breaks a rule.
 fn check_file(path: &Path, json: bool) -> ExitCode {
     let opened = File::open(path).map_err(|error| error.to_string());
--- /dev/null
+++ b/oleander-load/src/runs/demo.rs
@@ -0,0 +1,107 @@
+//! The demonstration: both users' sizes on one machine, with a failing primary.
+
+use std::io::Write as _;
+use std::time::Duration;
+
+use oleander_core::time::Span;
+use strum::IntoEnumIterator as _;
+
+use crate::cluster::fleet::Fleet;
+use crate::cluster::fleet::FleetOptions;
+use crate::cluster::profile::Profile;
+use crate::cluster::profile::User;
+use crate::drive::plan::PlanOptions;
+use crate::drive::run::ReadClass;
+use crate::history::check;
+use crate::measures::gap;
+use crate::measures::summary::Summary;
+use crate::measures::summary::percent;
+use crate::report::Report;
+use crate::report::Table;
+use crate::runs::live;
+use crate::runs::live::LiveOptions;
+use crate::runs::live::LiveRun;
+
+/// The time between two updates of the progress line.
+const PROGRESS: Duration = Duration::from_millis(500);
+
+/// The longest failover gap that the demonstration accepts.
+const MAX_GAP: Span = Span::from_secs(10);
+
+/// Runs the demonstration for both users, `seconds` of load each.
+///
+/// Fails if a fleet does not come up.
+pub async fn run(seconds: u64, seed: u64) -> Result<Report, String> {
+    let mut report = Report::new("Demonstration", seed);
+    for user in User::iter() {
+        run_user(&mut report, user, seconds, seed).await?;
+    }
+    Ok(report)
+}
+
+async fn run_user(report: &mut Report, user: User, seconds: u64, seed: u64) -> Result<(), String> {
+    let profile = Profile::of(user);
+    let database = profile.databases[0];
+    eprintln!("{user}: starting {} VMs, {} databases", profile.vms, profile.databases.len());
+    let fleet =
+        Fleet::start(profile, FleetOptions::default()).await.map_err(|error| error.to_string())?;
+    let length = Span::from_secs(seconds);
+    let options = LiveOptions {
+        plan: PlanOptions { seed, length, ..PlanOptions::default() },
+        reads: ReadClass::Routed,
+        fail_primary: Some(Span(length.0 / 2)),
+    };
+    let run = with_progress(user, seconds, live::run(&fleet, &options)).await?;
+    add_measures(report, &user.to_string(), database, &run);
+    Ok(())
+}
+
+/// Adds the measures of a run, and what its history breaks, to the report.
+pub fn add_measures(report: &mut Report, name: &str, database: &str, run: &LiveRun) {
+    let summary = Summary::new(&run.history.calls, &run.limits());
+    report.tables.push(summary.table(&format!("{name}: by workspace")));
+    let gap = run.failed.map(|failed| gap::failover_gap(&run.history.calls, database, failed));
+    let mut table = Table::new(format!("{name}: the four measures"), &["measure", "figure"]);
+    let gap_text = match gap {
+        None => "no failure".to_owned(),
+        Some(None) => "no write after the failure".to_owned(),
+        Some(Some(gap)) => format!("{:.2} s", gap.as_secs_f64()),
+    };
+    let figures = [
+        ("reads served by replicas", percent(summary.total.replica_share())),
+        ("failover gap", gap_text),
+        ("worst-served workspace, timely weight", percent(summary.worst)),
+        ("refused inside the rate", percent(summary.total.wrongful_share())),
+    ];
+    for (measure, figure) in figures {
+        table.push([measure.to_owned(), figure]);
+    }
+    report.tables.push(table);
+    if let Some(gap) = gap {
+        report.require(
+            gap.is_some_and(|gap| gap <= MAX_GAP),
+            format!("{name}: a failover within 10 s"),
+        );
+    }
+    for violation in check::check(&run.history) {
+        report.missed.push(format!("{name}: {violation}"));
+    }
+}
+
+/// Shows a progress line on standard error while `work` runs.
+async fn with_progress<T>(user: User, seconds: u64, work: impl Future<Output = T>) -> T {
+    let mut work = std::pin::pin!(work);
+    let started = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            done = &mut work => {
+                eprintln!();
+                return done;
+            }
+            () = tokio::time::sleep(PROGRESS) => {
+                eprint!("\r{user}: {:.1} s of {seconds} s of load", started.elapsed().as_secs_f64());
+                let _ = std::io::stderr().flush();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/oleander-load/src/runs/live.rs
@@ -0,0 +1,127 @@
+//! A load on a running fleet, with a failing primary, recorded for the checks.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_runtime::clock::Clock;
+use oleander_runtime::timer::TimerService;
+
+use crate::cluster::fleet::Fleet;
+use crate::cluster::profile::INSTANCES;
+use crate::drive::client::Client;
+use crate::drive::plan;
+use crate::drive::plan::PlanOptions;
+use crate::drive::run::Driver;
+use crate::drive::run::ReadClass;
+use crate::history::lines::History;
+use crate::history::lines::Overrun;
+use crate::history::lines::RateLimit;
+use crate::history::record::Applied;
+use crate::history::record::KeyValue;
+use crate::measures::ideal::Limit;
+
+/// The longest deadline of the profiles' routes.
+const DEADLINE: Span = Span::from_secs(2);
+
+/// `LiveOptions` describe a load on a running fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct LiveOptions {
+    /// The load.
+    pub plan: PlanOptions,
+    /// The class that reads are sent under.
+    pub reads: ReadClass,
+    /// The time at which the primary of the first database is cut off; `None` for never.
+    pub fail_primary: Option<Span>,
+}
+
+/// `LiveRun` is the record of a load.
+pub struct LiveRun {
+    /// The calls, the upstreams' logs and the limits.
+    pub history: History,
+    /// The time at which the primary was cut off, in microseconds since the start of the load.
+    pub failed: Option<u64>,
+}
+
+impl LiveRun {
+    /// Gets the limits by workspace.
+    pub fn limits(&self) -> HashMap<String, Limit> {
+        let limit = |rate: &RateLimit| Limit { rate: rate.rate, burst: rate.burst };
+        self.history.rates.iter().map(|rate| (rate.workspace.clone(), limit(rate))).collect()
+    }
+}
+
+/// Runs a load to its end.
+///
+/// Fails if the HTTP client cannot be set up.
+pub async fn run(fleet: &Fleet, options: &LiveOptions) -> Result<LiveRun, String> {
+    let client = Client::new(DEADLINE).map_err(|error| error.to_string())?;
+    let timers = TimerService::start(Clock::new());
+    let driver = Driver {
+        profile: fleet.profile.clone(),
+        endpoints: fleet.endpoints.clone(),
+        client,
+        timers: timers.clone(),
+        reads: options.reads,
+    };
+    let plan = plan::plan(&fleet.profile, fleet.nodes.len(), &options.plan);
+    let start = timers.now();
+    let load = driver.run(plan);
+    let fault = cut_primary(fleet, &timers, start, options.fail_primary);
+    let (calls, failed) = tokio::join!(load, fault);
+    Ok(LiveRun { history: History { calls, ..observed(fleet) }, failed })
+}
+
+/// Cuts the primary of the first database off; returns when, since the start.
+async fn cut_primary(
+    fleet: &Fleet,
+    timers: &TimerService,
+    start: Time,
+    at: Option<Span>,
+) -> Option<u64> {
+    let at = at?;
+    timers.sleep_until(start + at).await;
+    let group = fleet.groups.first()?;
+    group.partition(group.primary()?);
+    Some(timers.now().since(start).0)
+}
+
+/// Reads what the upstreams hold and counted, and the limits in force.
+fn observed(fleet: &Fleet) -> History {
+    let profile = Arc::clone(&fleet.profile);
+    let rates = profile.workspaces.iter().map(|workspace| RateLimit {
+        workspace: workspace.name.to_owned(),
+        rate: workspace.rate,
+        burst: workspace.burst,
+    });
+    let mut history = History { rates: rates.collect(), ..History::default() };
+    for (database, group) in profile.databases.iter().zip(&fleet.groups) {
+        let primary = group.primary().unwrap_or_default();
+        history.applied.extend(group.changes(primary).into_iter().map(|change| Applied {
+            database: (*database).to_owned(),
+            workspace: change.workspace,
+            write: KeyValue { key: change.key, value: change.value },
+            transaction: change.transaction,
+        }));
+        for ordinal in 0..INSTANCES {
+            let counters = group.counters(ordinal);
+            let limits = [
+                ("slots", profile.slots, counters.peak_running),
+                ("connections", profile.connections, counters.peak_connections),
+            ];
+            for (resource, limit, seen) in
+                limits.into_iter().filter(|(_, limit, seen)| limit < seen)
+            {
+                let instance = format!("{database}/{ordinal}");
+                history.overruns.push(Overrun {
+                    instance,
+                    resource: resource.to_owned(),
+                    limit,
+                    seen,
+                });
+            }
+        }
+    }
+    history
+}
--- /dev/null
+++ b/oleander-load/src/runs/measure.rs
@@ -0,0 +1,82 @@
+//! The four measures of both users, beside reads that all go to the primary.
+
+use oleander_core::time::Span;
+use strum::IntoEnumIterator as _;
+
+use crate::cluster::fleet::Fleet;
+use crate::cluster::fleet::FleetOptions;
+use crate::cluster::profile::Profile;
+use crate::cluster::profile::User;
+use crate::drive::plan::Flood;
+use crate::drive::plan::PlanOptions;
+use crate::drive::run::ReadClass;
+use crate::report::Report;
+use crate::runs::demo;
+use crate::runs::live;
+use crate::runs::live::LiveOptions;
+
+/// The workspace that floods, by number in the profile, and the multiple of its rate.
+const FLOOD: Flood = Flood { workspace: 2, times: 5 };
+
+/// `Variant` is one way to run the same load.
+#[derive(Clone, Copy, Debug)]
+struct Variant {
+    name: &'static str,
+    reads: ReadClass,
+    flood: Option<Flood>,
+    fails: bool,
+}
+
+const VARIANTS: [Variant; 4] = [
+    Variant { name: "steady", reads: ReadClass::Routed, flood: None, fails: false },
+    Variant {
+        name: "steady, primary-only reads",
+        reads: ReadClass::Primary,
+        flood: None,
+        fails: false,
+    },
+    Variant {
+        name: "one workspace at five times its rate",
+        reads: ReadClass::Routed,
+        flood: Some(FLOOD),
+        fails: false,
+    },
+    Variant { name: "primary cut off", reads: ReadClass::Routed, flood: None, fails: true },
+];
+
+/// Measures both users with each variant, `seconds` of load each.
+///
+/// Fails if a fleet does not come up.
+pub async fn run(seconds: u64, seed: u64) -> Result<Report, String> {
+    let mut report = Report::new("Measures", seed);
+    for user in User::iter() {
+        for variant in VARIANTS {
+            eprintln!("{user}: {}", variant.name);
+            measure(&mut report, user, variant, seconds, seed).await?;
+        }
+    }
+    Ok(report)
+}
+
+async fn measure(
+    report: &mut Report,
+    user: User,
+    variant: Variant,
+    seconds: u64,
+    seed: u64,
+) -> Result<(), String> {
+    // Each variant gets a fresh fleet, so that none inherits the other's state.
+    let profile = Profile::of(user);
+    let database = profile.databases[0];
+    let fleet =
+        Fleet::start(profile, FleetOptions::default()).await.map_err(|error| error.to_string())?;
+    let length = Span::from_secs(seconds);
+    let options = LiveOptions {
+        plan: PlanOptions { seed, length, flood: variant.flood, ..PlanOptions::default() },
+        reads: variant.reads,
+        fail_primary: variant.fails.then_some(Span(length.0 / 2)),
+    };
+    let run = live::run(&fleet, &options).await?;
+    demo::add_measures(report, &format!("{user}, {}", variant.name), database, &run);
+    Ok(())
+}
--- /dev/null
+++ b/oleander-load/src/runs/mod.rs
@@ -0,0 +1,5 @@
+//! Runs of a whole fleet under load on this machine.
+
+pub mod demo;
+pub mod live;
+pub mod measure;
