--- a/oleander-core/src/terms.rs
+++ b/oleander-core/src/terms.rs
@@ -6,6 +6,11 @@
 use strum::EnumString;
 
 /// `Term` is the number of one primary's reign over a database group; each promotion has a higher one.
+///
+/// A promotion at term `t + 1` continues a log that ends in term `t`, or no
+/// primary ever held term `t`. A promoter whose best log ends in an older term
+/// leaves out the term at which it fenced: it fences again at the next one.
+/// The proofs of session history rest on this.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
 )]
@@ -48,7 +53,7 @@
 pub struct InstanceStatus {
     /// The role at the time of the answer.
     pub role: Role,
-    /// The last log point that the instance has applied.
+    /// The last log point that the instance has applied; its term is that of the last entry.
     pub point: LogPoint,
     /// The highest term that the instance has promised to; at least `point.term`.
     pub fence: Term,
