Wait for balanced shares before a load starts

Cause: while VMs join one after the other, shares go on moving for about 8 s, and each moved share waits out earlier loans. What a share's move costs a running fleet is left to the limiter.

--- a/oleander-load/src/cluster/fleet.rs
+++ b/oleander-load/src/cluster/fleet.rs
@@ -1,5 +1,6 @@
 //! A whole fleet with its platform and databases.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use oleander_config::sections::SectionText;
 use oleander_config::sections::parse_sections;
 use oleander_core::ids::ChangeId;
+use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_membership::messages::SectionBody;
@@ -14,6 +16,7 @@
 use oleander_platform::configuration::Publication;
 use oleander_platform::configuration::PublishError;
 use oleander_platform::store::StoreOptions;
+use oleander_proxy::fleet::view::FleetView;
 use oleander_standin::group::Group;
 use oleander_standin::group::GroupOptions;
 use oleander_standin::store::Store;
@@ -33,6 +36,9 @@
 /// The number of shares of a fleet on one machine.
 const SHARES: u16 = 64;
 
+/// The greatest difference in owned shares between two VMs of a fleet that is up.
+const MAX_IMBALANCE: usize = 2;
+
 /// The time within which a fleet comes up.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -169,11 +175,10 @@
     }
 
     fn is_ready(&self) -> bool {
+        let running = self.nodes.iter().flatten().count();
         self.nodes.iter().flatten().all(|node| {
             let view = node.proxy().fleet();
-            let owned =
-                !view.shares.owners.is_empty() && view.shares.owners.iter().all(Option::is_some);
-            node.proxy().is_ready() && owned && 0 < view.snapshot.revision.0
+            node.proxy().is_ready() && 0 < view.snapshot.revision.0 && is_balanced(&view, running)
         })
     }
 
@@ -206,6 +211,18 @@
     format!("vm-{number}")
 }
 
+/// Returns `true` if each of the running VMs owns about as many shares as any other.
+fn is_balanced(view: &FleetView, running: usize) -> bool {
+    let mut counts: HashMap<VmId, usize> = HashMap::new();
+    for owner in &view.shares.owners {
+        let Some(owner) = owner else { return false };
+        *counts.entry(owner.vm).or_default() += 1;
+    }
+    let least = counts.values().min().copied().unwrap_or_default();
+    let most = counts.values().max().copied().unwrap_or_default();
+    counts.len() == running && most <= least + MAX_IMBALANCE
+}
+
 fn group_options(profile: &Profile) -> GroupOptions {
     GroupOptions {
         instances: INSTANCES as u8,
