Add failure detection, promotion and acknowledgement by replicated position

A primary that stops must be replaced without an outside order, and no acknowledged write may be lost by that. A supervisor on each home pings, asks peers in other zones for an opinion from the miss before the last on, fences a majority at a higher term and promotes the furthest instance; the second home waits a stagger; returning instances are led back. A tracker acknowledges a write once a majority has reported it at its term.

Two errors were found and mended on the way: a promoted instance still counted as unreachable until its next ping, which caused further promotions; and a home counted an instance that had just missed a ping towards its majority.

--- /dev/null
+++ b/oleander-failover/tests/supervisor.rs
@@ -0,0 +1,145 @@
+//! Tests of detection, promotion and rejoin.
+
+use oleander_core::terms::InstanceStatus;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Position;
+use oleander_core::terms::Role;
+use oleander_core::terms::Term;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_failover::messages::Action;
+use oleander_failover::messages::FailoverReply;
+use oleander_failover::messages::Input;
+use oleander_failover::messages::Rank;
+use oleander_failover::messages::Step;
+use oleander_failover::messages::StepResult;
+use oleander_failover::options::Options;
+use oleander_failover::promoter::Progress;
+use oleander_failover::promoter::Promoter;
+use oleander_failover::supervisor::Supervisor;
+use rstest::rstest;
+
+const NOW: Time = Time(1_000_000);
+
+fn status(role: Role, term: u64, position: u64, fence: u64) -> InstanceStatus {
+    let point = LogPoint { term: Term(term), position: Position(position) };
+    InstanceStatus { role, point, fence: Term(fence), start: Position(0) }
+}
+
+fn replica() -> InstanceStatus {
+    status(Role::Replica, 1, 5, 1)
+}
+
+/// Makes a supervisor that knows instance 0 as primary and the others as replicas.
+fn supervisor(rank: Rank) -> Supervisor {
+    let mut supervisor = Supervisor::new(3, rank, Options::default(), NOW, 0);
+    supervisor.handle(NOW, Input::Answered(0, status(Role::Primary, 1, 5, 1)));
+    supervisor.handle(NOW, Input::Answered(1, replica()));
+    supervisor.handle(NOW, Input::Answered(2, replica()));
+    supervisor
+}
+
+fn promotes(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Run { step: Step::Fence, .. }))
+}
+
+/// `Case` is what a home hears of its primary, and whether it promotes.
+struct Case {
+    rank: Rank,
+    misses: u32,
+    opinion: Option<FailoverReply>,
+    wait: Span,
+    promotes: bool,
+}
+
+#[rstest]
+#[case::confirmed(Case { rank: Rank::First, misses: 3, opinion: Some(FailoverReply::Unreachable), wait: Span::ZERO, promotes: true })]
+#[case::too_few_misses(Case { rank: Rank::First, misses: 2, opinion: Some(FailoverReply::Unreachable), wait: Span::ZERO, promotes: false })]
+#[case::no_opinion(Case { rank: Rank::First, misses: 9, opinion: None, wait: Span::from_secs(9), promotes: false })]
+#[case::contradicted(Case { rank: Rank::First, misses: 9, opinion: Some(FailoverReply::Reachable(status(Role::Primary, 1, 5, 1))), wait: Span::ZERO, promotes: false })]
+#[case::witness_unsure(Case { rank: Rank::First, misses: 9, opinion: Some(FailoverReply::Unknown), wait: Span::ZERO, promotes: false })]
+#[case::second_home_at_once(Case { rank: Rank::Second, misses: 3, opinion: Some(FailoverReply::Unreachable), wait: Span::ZERO, promotes: false })]
+#[case::second_home_later(Case { rank: Rank::Second, misses: 3, opinion: Some(FailoverReply::Unreachable), wait: Span::from_millis(1_300), promotes: true })]
+#[case::old_opinion(Case { rank: Rank::First, misses: 2, opinion: Some(FailoverReply::Unreachable), wait: Span::from_secs(5), promotes: false })]
+fn promotion_needs_misses_and_a_witness(#[case] case: Case) {
+    let mut supervisor = supervisor(case.rank);
+    let mut promoted = false;
+    for _ in 0..case.misses {
+        promoted |= promotes(&supervisor.handle(NOW, Input::Missed(0)));
+    }
+    if let Some(reply) = case.opinion {
+        promoted |= promotes(&supervisor.handle(NOW, Input::Opinion(0, reply)));
+    }
+    promoted |= promotes(&supervisor.handle(NOW + case.wait, Input::Tick));
+    assert_eq!(promoted, case.promotes);
+}
+
+#[test]
+fn home_that_reaches_no_majority_promotes_nobody() {
+    let mut supervisor = supervisor(Rank::First);
+    let mut promoted = false;
+    for ordinal in [0, 1].repeat(4) {
+        promoted |= promotes(&supervisor.handle(NOW, Input::Missed(ordinal)));
+        let opinion = Input::Opinion(ordinal, FailoverReply::Unreachable);
+        promoted |= promotes(&supervisor.handle(NOW, opinion));
+    }
+    assert!(!promoted);
+}
+
+#[test]
+fn returned_primary_is_led_back_as_replica() {
+    let mut supervisor = supervisor(Rank::First);
+    supervisor.handle(NOW, Input::Answered(1, status(Role::Primary, 2, 6, 2)));
+    supervisor.handle(NOW, Input::Answered(2, status(Role::Replica, 2, 6, 2)));
+    let later = NOW + Options::default().rejoin_interval;
+    let actions = supervisor.handle(later, Input::Answered(0, status(Role::Primary, 1, 5, 1)));
+    let follow = Action::Run { ordinal: 0, step: Step::Follow, term: Term(2) };
+    assert!(actions.contains(&follow));
+}
+
+#[rstest]
+#[case::furthest_position(&[(0, 2, 5), (1, 2, 7)], Progress::Promote(1))]
+#[case::later_term_before_position(&[(0, 1, 9), (2, 2, 7)], Progress::Promote(2))]
+#[case::lowest_ordinal_among_equals(&[(1, 2, 7), (2, 2, 7)], Progress::Promote(1))]
+fn furthest_fenced_instance_is_promoted(
+    #[case] fenced: &[(u8, u64, u64)],
+    #[case] expected: Progress,
+) {
+    let options = Options::default();
+    let mut promoter = Promoter::new(Term(3), 3, NOW);
+    for (ordinal, term, position) in fenced {
+        let done = StepResult::Done(status(Role::Fenced, *term, *position, 3));
+        promoter.stepped(NOW, *ordinal, Step::Fence, done, &options);
+    }
+    let late = NOW + options.gather_limit;
+    assert_eq!(promoter.tick(late, &options), expected);
+}
+
+#[rstest]
+#[case::refused(StepResult::Refused)]
+#[case::failed(StepResult::Failed)]
+fn promotion_without_a_majority_is_given_up(#[case] result: StepResult) {
+    let options = Options::default();
+    let mut promoter = Promoter::new(Term(3), 3, NOW);
+    promoter.stepped(NOW, 0, Step::Fence, result, &options);
+    let progress = promoter.stepped(NOW, 1, Step::Fence, result, &options);
+    assert!(matches!(progress, Progress::Abandoned(_)));
+}
+
+#[test]
+fn retry_uses_a_higher_term() {
+    let mut supervisor = supervisor(Rank::First);
+    for _ in 0..3 {
+        supervisor.handle(NOW, Input::Missed(0));
+    }
+    let opinion = Input::Opinion(0, FailoverReply::Unreachable);
+    let first = supervisor.handle(NOW, opinion);
+    assert!(first.contains(&Action::Run { ordinal: 1, step: Step::Fence, term: Term(2) }));
+    for ordinal in [1, 2] {
+        let result = StepResult::Refused;
+        let step = Step::Fence;
+        supervisor.handle(NOW, Input::Stepped { ordinal, step, term: Term(2), result });
+    }
+    let second = supervisor.handle(NOW + Options::default().retry_interval, Input::Tick);
+    assert!(second.contains(&Action::Run { ordinal: 1, step: Step::Fence, term: Term(3) }));
+}
--- /dev/null
+++ b/oleander-load/src/experiments/failover/world.rs
@@ -0,0 +1,543 @@
+//! The small fleet: homes with their supervisors, instances, writers and a queue of events.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Instant;
+
+use oleander_config::model::Acknowledge;
+use oleander_core::terms::InstanceStatus;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Role;
+use oleander_core::terms::Term;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::timers::TimerQueue;
+use oleander_failover::acks::AckTracker;
+use oleander_failover::acks::Settled;
+use oleander_failover::acks::WriteId;
+use oleander_failover::messages::Action;
+use oleander_failover::messages::FailoverReply;
+use oleander_failover::messages::Input;
+use oleander_failover::messages::Rank;
+use oleander_failover::messages::Record;
+use oleander_failover::messages::Step;
+use oleander_failover::messages::StepResult;
+use oleander_failover::options::Options;
+use oleander_failover::supervisor::Supervisor;
+use oleander_standin::group::instance::LinkState;
+use oleander_standin::group::log::Change;
+use oleander_standin::group::log::ChangeKind;
+use oleander_standin::group::replication::GroupState;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::experiments::failover::network::INSTANCES;
+use crate::experiments::failover::network::Line;
+use crate::experiments::failover::network::Network;
+use crate::experiments::failover::network::VMS;
+
+/// The time between two writes.
+const WRITE_INTERVAL: Span = Span::from_millis(20);
+
+/// The time after which a caller gives a write up.
+pub const WRITE_DEADLINE: Span = Span::from_secs(2);
+
+/// The time after which a refused write is sent again.
+const RETRY_INTERVAL: Span = Span::from_millis(50);
+
+/// The time that a step of a promotion is given.
+const STEP_LIMIT: Span = Span::from_millis(300);
+
+/// `WorldOptions` says how a run is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct WorldOptions {
+    /// The settings of the supervisors.
+    pub options: Options,
+    /// When a write is acknowledged.
+    pub acknowledge: Acknowledge,
+    /// The lag of the replicas.
+    pub lag: Span,
+    /// The share of messages that are lost.
+    pub loss: f64,
+    /// Whether the acknowledgement counts correctly; a planted fault for the check of the check.
+    pub fault: Planted,
+}
+
+/// `Planted` is a fault that is built in on purpose.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Planted {
+    /// No fault.
+    #[default]
+    None,
+    /// A write is acknowledged without the replicas.
+    EarlyAck,
+    /// A write whose answer was lost is sent again.
+    BlindRetry,
+}
+
+/// `Fault` is a change of the surroundings.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// The primary of the highest term stops or is cut off from everyone.
+    LosePrimary,
+    /// An instance stops or is cut off from everyone.
+    LoseInstance(usize),
+    /// An instance returns with the state that it had.
+    ReturnInstance(usize),
+    /// A VM stops.
+    LoseVm(usize),
+    /// A VM runs again.
+    ReturnVm(usize),
+    /// The link between a VM and an instance breaks.
+    LoseLine(usize, usize),
+    /// The link between a VM and an instance works again.
+    ReturnLine(usize, usize),
+    /// The replica's lag changes.
+    Lag(usize, Span),
+    /// All links and parts work again.
+    HealAll,
+}
+
+/// `Write` is what is known of a write at the end.
+#[derive(Clone, Copy, Debug)]
+pub struct Write {
+    /// The time at which the caller sent it.
+    pub sent: Time,
+    /// The time at which it was acknowledged.
+    pub acknowledged: Option<Time>,
+    /// The times that it was sent to an instance.
+    pub attempts: u32,
+}
+
+/// `Logged` is a record with its time and VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Logged {
+    /// The time.
+    pub at: Time,
+    /// The VM.
+    pub vm: usize,
+    /// The record.
+    pub record: Record,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Tick(usize),
+    Hand(usize, Input),
+    PingArrives { vm: usize, ordinal: usize, sent: Time },
+    OpinionArrives { vm: usize, witness: usize, ordinal: usize },
+    StepArrives { vm: usize, ordinal: usize, step: Step, term: Term },
+    NextWrite,
+    Attempt(WriteId),
+    WriteArrives { vm: usize, ordinal: usize, id: WriteId },
+    WriteAnswered { vm: usize, ordinal: usize, id: WriteId, point: LogPoint },
+    WriteRefused(WriteId),
+    Poll(usize),
+    PollArrives { vm: usize, ordinal: usize },
+    Polled { vm: usize, ordinal: usize, status: InstanceStatus },
+    Strike(Fault),
+}
+
+/// `World` is one run.
+pub struct World {
+    /// The records of all supervisors in order.
+    pub log: Vec<Logged>,
+    /// The writes by number.
+    pub writes: Vec<Write>,
+    setup: WorldOptions,
+    now: Time,
+    start: Instant,
+    queue: TimerQueue<Event>,
+    random: ChaCha8Rng,
+    group: GroupState,
+    network: Network,
+    supervisors: Vec<Supervisor>,
+    trackers: Vec<AckTracker>,
+    pending: HashMap<WriteId, usize>,
+    settled: HashSet<WriteId>,
+}
+
+impl World {
+    /// Makes a fleet at time zero; writes begin at once.
+    pub fn new(setup: WorldOptions, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let start = Instant::now();
+        let lag = setup.lag.duration();
+        let group = GroupState::new(INSTANCES as u8, lag, std::time::Duration::ZERO, start);
+        let rank = |vm| if vm == 0 { Rank::First } else { Rank::Second };
+        let make = |vm| {
+            let phase = random.random_range(0..1_000_000);
+            Supervisor::new(INSTANCES as u8, rank(vm), setup.options, Time::default(), phase)
+        };
+        let supervisors = (0..2).map(make).collect();
+        let trackers = (0..2).map(|_| AckTracker::new(INSTANCES as u8)).collect();
+        let mut world = Self {
+            log: Vec::new(),
+            writes: Vec::new(),
+            setup,
+            now: Time::default(),
+            start,
+            queue: TimerQueue::new(),
+            random,
+            group,
+            network: Network::new(setup.loss),
+            supervisors,
+            trackers,
+            pending: HashMap::new(),
+            settled: HashSet::new(),
+        };
+        world.queue.schedule(Time::default(), Event::Tick(0));
+        world.queue.schedule(Time::default(), Event::Tick(1));
+        world.queue.schedule(Time::default(), Event::NextWrite);
+        world
+    }
+
+    /// Plans a fault.
+    pub fn strike(&mut self, at: Time, fault: Fault) {
+        self.queue.schedule(at, Event::Strike(fault));
+    }
+
+    /// Gets the ordinal of the primary with the highest term.
+    pub fn primary(&self) -> Option<usize> {
+        let primaries = self.group.instances.iter().enumerate();
+        let primaries = primaries.filter(|(_, instance)| instance.role == Role::Primary);
+        primaries.max_by_key(|(_, instance)| instance.term).map(|(ordinal, _)| ordinal)
+    }
+
+    /// Runs until `end`.
+    pub fn run_until(&mut self, end: Time) {
+        while let Some(due) = self.queue.next_due().filter(|due| *due <= end) {
+            self.now = due;
+            while let Some(event) = self.queue.pop_due(due) {
+                self.step(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Gets how often each write is in the history of the primary.
+    pub fn history(&mut self) -> HashMap<u64, u32> {
+        let mut counts = HashMap::new();
+        let Some(primary) = self.primary() else { return counts };
+        let entries = self.group.instances[primary].log.entries();
+        for change in entries.iter().filter_map(|entry| entry.change.as_ref()) {
+            *counts.entry(change.transaction).or_default() += 1;
+        }
+        counts
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Tick(vm) => self.tick(vm),
+            Event::Hand(vm, input) => self.hand(vm, input),
+            Event::PingArrives { vm, ordinal, sent } => self.ping_arrives(vm, ordinal, sent),
+            Event::OpinionArrives { vm, witness, ordinal } => {
+                self.opinion_arrives(vm, witness, ordinal);
+            }
+            Event::StepArrives { vm, ordinal, step, term } => {
+                self.step_arrives(vm, ordinal, step, term);
+            }
+            Event::NextWrite => self.next_write(),
+            Event::Attempt(id) => self.attempt(id),
+            Event::WriteArrives { vm, ordinal, id } => self.write_arrives(vm, ordinal, id),
+            Event::WriteAnswered { vm, ordinal, id, point } => {
+                self.write_answered(vm, ordinal, id, point);
+            }
+            Event::WriteRefused(id) => self.later(RETRY_INTERVAL, Event::Attempt(id)),
+            Event::Poll(vm) => self.poll(vm),
+            Event::PollArrives { vm, ordinal } => self.poll_arrives(vm, ordinal),
+            Event::Polled { vm, ordinal, status } => {
+                let settled = self.trackers[vm].observe(self.now, ordinal as u8, status);
+                self.settle(&settled);
+            }
+            Event::Strike(fault) => self.suffer(fault),
+        }
+    }
+
+    fn tick(&mut self, vm: usize) {
+        self.hand(vm, Input::Tick);
+        let due = self.supervisors[vm].next_due().max(self.now + Span::from_millis(1));
+        // Even without a timer of its own a supervisor looks around now and then.
+        let due = due.min(self.now + Span::from_millis(50));
+        self.queue.schedule(due, Event::Tick(vm));
+    }
+
+    fn hand(&mut self, vm: usize, input: Input) {
+        if !self.network.runs(vm) {
+            return;
+        }
+        if let Input::Answered(ordinal, status) = input {
+            let settled = self.trackers[vm].observe(self.now, ordinal, status);
+            self.settle(&settled);
+        }
+        for action in self.supervisors[vm].handle(self.now, input) {
+            self.act(vm, action);
+        }
+    }
+
+    fn act(&mut self, vm: usize, action: Action) {
+        match action {
+            Action::Ping(ordinal) => {
+                let limit = self.setup.options.ping_limit;
+                let sent = self.now;
+                let ordinal = usize::from(ordinal);
+                match self.network.reach(vm, ordinal, &mut self.random) {
+                    Some(delay) => self.later(delay, Event::PingArrives { vm, ordinal, sent }),
+                    None => self.later(limit, Event::Hand(vm, Input::Missed(ordinal as u8))),
+                }
+            }
+            Action::AskOpinion(ordinal) => {
+                for witness in (0..VMS).filter(|witness| *witness != vm) {
+                    let ordinal = usize::from(ordinal);
+                    let reach = self.network.reach_vm(vm, witness, &mut self.random);
+                    if let Some(delay) = reach {
+                        self.later(delay, Event::OpinionArrives { vm, witness, ordinal });
+                    }
+                }
+            }
+            Action::Run { ordinal, step, term } => {
+                let ordinal = usize::from(ordinal);
+                match self.network.reach(vm, ordinal, &mut self.random) {
+                    Some(delay) => {
+                        self.later(delay, Event::StepArrives { vm, ordinal, step, term });
+                    }
+                    None => self.step_answer(vm, ordinal, (step, term), STEP_LIMIT, None),
+                }
+            }
+            Action::Record(record) => self.log.push(Logged { at: self.now, vm, record }),
+        }
+    }
+
+    fn ping_arrives(&mut self, vm: usize, ordinal: usize, sent: Time) {
+        let status = self.group.status(ordinal, self.clock());
+        match self.network.reach(vm, ordinal, &mut self.random) {
+            Some(delay) => {
+                self.later(delay, Event::Hand(vm, Input::Answered(ordinal as u8, status)));
+            }
+            None => {
+                let rest = self.setup.options.ping_limit.saturating_sub(self.now.since(sent));
+                self.later(rest, Event::Hand(vm, Input::Missed(ordinal as u8)));
+            }
+        }
+    }
+
+    fn opinion_arrives(&mut self, vm: usize, witness: usize, ordinal: usize) {
+        let there = self.network.reach(witness, ordinal, &mut self.random);
+        let back = self.network.reach_vm(witness, vm, &mut self.random);
+        let Some(back) = back else { return };
+        let (delay, reply) = match there {
+            Some(delay) => {
+                let status = self.group.status(ordinal, self.clock());
+                (delay + delay, FailoverReply::Reachable(status))
+            }
+            None => (self.setup.options.ping_limit, FailoverReply::Unreachable),
+        };
+        self.later(delay + back, Event::Hand(vm, Input::Opinion(ordinal as u8, reply)));
+    }
+
+    fn step_arrives(&mut self, vm: usize, ordinal: usize, step: Step, term: Term) {
+        let now = self.clock();
+        let done = match step {
+            Step::Fence => self.group.fence(ordinal, term, now),
+            Step::Promote => self.group.promote(ordinal, term, now),
+            Step::Follow => self.group.follow(ordinal, term, now).map(|_| ()),
+        };
+        let result = match done {
+            Ok(()) => StepResult::Done(self.group.status(ordinal, now)),
+            Err(_) => StepResult::Refused,
+        };
+        match self.network.reach(vm, ordinal, &mut self.random) {
+            Some(delay) => self.step_answer(vm, ordinal, (step, term), delay, Some(result)),
+            None => self.step_answer(vm, ordinal, (step, term), STEP_LIMIT, None),
+        }
+    }
+
+    fn step_answer(
+        &mut self,
+        vm: usize,
+        ordinal: usize,
+        (step, term): (Step, Term),
+        delay: Span,
+        result: Option<StepResult>,
+    ) {
+        let result = result.unwrap_or(StepResult::Failed);
+        let input = Input::Stepped { ordinal: ordinal as u8, step, term, result };
+        self.later(delay, Event::Hand(vm, input));
+    }
+
+    fn next_write(&mut self) {
+        let id = WriteId(self.writes.len() as u64);
+        self.writes.push(Write { sent: self.now, acknowledged: None, attempts: 0 });
+        self.attempt(id);
+        self.later(WRITE_INTERVAL, Event::NextWrite);
+    }
+
+    /// Sends a write through the first home that runs and knows a primary.
+    fn attempt(&mut self, id: WriteId) {
+        let write = &mut self.writes[id.0 as usize];
+        if WRITE_DEADLINE <= self.now.since(write.sent) {
+            return;
+        }
+        let mut homes = (0..2).filter(|vm| self.network.runs(*vm));
+        let target = homes.find_map(|vm| {
+            self.supervisors[vm].primary().map(|(ordinal, _)| (vm, usize::from(ordinal)))
+        });
+        let Some((vm, ordinal)) = target else {
+            // Nothing was sent, so the write may be sent again.
+            return self.later(RETRY_INTERVAL, Event::Attempt(id));
+        };
+        write.attempts += 1;
+        match self.network.reach(vm, ordinal, &mut self.random) {
+            Some(delay) => self.later(delay, Event::WriteArrives { vm, ordinal, id }),
+            None => self.answer_lost(id),
+        }
+    }
+
+    fn write_arrives(&mut self, vm: usize, ordinal: usize, id: WriteId) {
+        let change = Change {
+            workspace: String::new(),
+            key: String::new(),
+            value: String::new(),
+            kind: ChangeKind::Append,
+            transaction: id.0,
+        };
+        let now = self.clock();
+        let term = self.group.instances[ordinal].term;
+        let written = self.group.write(ordinal, term, &[change], now);
+        let point = self.group.instances[ordinal].status().point;
+        let event = match written {
+            Ok(()) => Event::WriteAnswered { vm, ordinal, id, point },
+            Err(_) => Event::WriteRefused(id),
+        };
+        match self.network.reach(vm, ordinal, &mut self.random) {
+            Some(delay) => self.later(delay, event),
+            None => self.answer_lost(id),
+        }
+    }
+
+    /// The write may have run: it is given up, unless the planted fault sends it again.
+    fn answer_lost(&mut self, id: WriteId) {
+        if self.setup.fault == Planted::BlindRetry {
+            self.later(RETRY_INTERVAL, Event::Attempt(id));
+        }
+    }
+
+    fn write_answered(&mut self, vm: usize, ordinal: usize, id: WriteId, point: LogPoint) {
+        let early = self.setup.fault == Planted::EarlyAck;
+        if self.setup.acknowledge == Acknowledge::Primary || early {
+            self.acknowledge(id);
+            return;
+        }
+        let idle = self.trackers[vm].is_idle();
+        let settled = self.trackers[vm].add(self.now, id, ordinal as u8, point);
+        self.pending.insert(id, vm);
+        self.settle(&settled);
+        if idle && let Some(due) = self.trackers[vm].next_poll() {
+            self.queue.schedule(due, Event::Poll(vm));
+        }
+    }
+
+    fn poll(&mut self, vm: usize) {
+        self.give_up_late(vm);
+        let Some(due) = self.trackers[vm].next_poll() else { return };
+        if self.now < due {
+            self.queue.schedule(due, Event::Poll(vm));
+            return;
+        }
+        self.trackers[vm].polled(self.now);
+        let primary = self.supervisors[vm].primary().map(|(ordinal, _)| usize::from(ordinal));
+        for ordinal in (0..INSTANCES).filter(|ordinal| Some(*ordinal) != primary) {
+            if let Some(delay) = self.network.reach(vm, ordinal, &mut self.random) {
+                self.later(delay, Event::PollArrives { vm, ordinal });
+            }
+        }
+        if let Some(due) = self.trackers[vm].next_poll() {
+            self.queue.schedule(due, Event::Poll(vm));
+        }
+    }
+
+    fn poll_arrives(&mut self, vm: usize, ordinal: usize) {
+        let status = self.group.status(ordinal, self.clock());
+        if let Some(delay) = self.network.reach(vm, ordinal, &mut self.random) {
+            self.later(delay, Event::Polled { vm, ordinal, status });
+        }
+    }
+
+    fn give_up_late(&mut self, vm: usize) {
+        let late: Vec<WriteId> = self
+            .pending
+            .iter()
+            .filter(|(id, home)| {
+                **home == vm && WRITE_DEADLINE <= self.now.since(self.writes[id.0 as usize].sent)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.pending.remove(&id);
+            self.trackers[vm].forget(id);
+        }
+    }
+
+    fn settle(&mut self, settled: &[Settled]) {
+        for settled in settled {
+            match settled {
+                Settled::Acknowledged(id) => self.acknowledge(*id),
+                Settled::Unconfirmed(id) => {
+                    self.pending.remove(id);
+                }
+            }
+        }
+    }
+
+    fn acknowledge(&mut self, id: WriteId) {
+        self.pending.remove(&id);
+        if self.settled.insert(id) {
+            self.writes[id.0 as usize].acknowledged = Some(self.now);
+        }
+    }
+
+    fn suffer(&mut self, fault: Fault) {
+        let now = self.clock();
+        match fault {
+            Fault::LosePrimary => {
+                if let Some(primary) = self.primary() {
+                    self.suffer(Fault::LoseInstance(primary));
+                }
+            }
+            Fault::LoseInstance(ordinal) => {
+                self.network.set_instance(ordinal, Line::Down);
+                self.group.set_link(ordinal, LinkState::Down, now);
+            }
+            Fault::ReturnInstance(ordinal) => {
+                self.network.set_instance(ordinal, Line::Up);
+                self.group.set_link(ordinal, LinkState::Up, now);
+            }
+            Fault::LoseVm(vm) => self.network.set_vm(vm, Line::Down),
+            Fault::ReturnVm(vm) => self.network.set_vm(vm, Line::Up),
+            Fault::LoseLine(vm, ordinal) => self.network.set_line(vm, ordinal, Line::Down),
+            Fault::ReturnLine(vm, ordinal) => self.network.set_line(vm, ordinal, Line::Up),
+            Fault::Lag(ordinal, lag) => self.group.set_lag(ordinal, lag.duration(), now),
+            Fault::HealAll => self.heal_all(),
+        }
+    }
+
+    fn heal_all(&mut self) {
+        for ordinal in 0..INSTANCES {
+            self.suffer(Fault::ReturnInstance(ordinal));
+            self.suffer(Fault::Lag(ordinal, self.setup.lag));
+            for vm in 0..VMS {
+                self.network.set_line(vm, ordinal, Line::Up);
+                self.network.set_vm(vm, Line::Up);
+            }
+        }
+    }
+
+    fn later(&mut self, delay: Span, event: Event) {
+        self.queue.schedule(self.now + delay, event);
+    }
+
+    fn clock(&self) -> Instant {
+        self.start + Span(self.now.0).duration()
+    }
+}
--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! Seeded experiments: a policy beside its baselines, in one run.
 
+pub mod failover;
 pub mod rates;
 
 use strum::Display;
@@ -12,6 +13,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Experiment {
+    /// Detection, promotion and acknowledgement beside their variants.
+    Failover,
     /// Rates over the whole fleet beside a static split and a single owner.
     Rates,
 }
@@ -19,6 +22,7 @@
 /// Runs an experiment from its seed.
 pub fn run(experiment: Experiment, seed: u64) -> Report {
     match experiment {
+        Experiment::Failover => failover::run(seed),
         Experiment::Rates => rates::run(seed),
     }
 }
--- a/oleander-standin/src/group/log.rs
+++ b/oleander-standin/src/group/log.rs
@@ -48,6 +48,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Log {
     entries: Vec<Entry>,
+    start: u64,
     data: HashMap<(String, String), Vec<String>>,
     counts: HashMap<String, u64>,
 }
@@ -58,6 +59,9 @@
         if let Some(change) = &entry.change {
             self.apply(change);
         }
+        if self.point().term != entry.term {
+            self.start = self.entries.len() as u64;
+        }
         self.entries.push(entry);
     }
 
@@ -79,9 +83,7 @@
 
     /// Gets the position before the first entry of the last entry's term.
     pub fn start(&self) -> Position {
-        let term = self.point().term;
-        let earlier = self.entries.iter().rposition(|entry| entry.term != term);
-        Position(earlier.map_or(0, |index| index as u64 + 1))
+        Position(self.start)
     }
 
     /// Gets the number of entries that both logs have in common from the start.
@@ -93,6 +95,7 @@
     /// Drops the entries after the first `length`.
     pub fn truncate(&mut self, length: usize) {
         let entries = std::mem::take(&mut self.entries);
+        self.start = 0;
         self.data.clear();
         self.counts.clear();
         for entry in entries.into_iter().take(length) {
