--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod failover;
 pub mod rates;
+pub mod replica_reads;
 
 use strum::Display;
 use strum::EnumIter;
@@ -17,6 +18,8 @@
     Failover,
     /// Rates over the whole fleet beside a static split and a single owner.
     Rates,
+    /// The share of reads that replicas serve.
+    ReplicaReads,
 }
 
 /// Runs an experiment from its seed.
@@ -24,5 +27,6 @@
     match experiment {
         Experiment::Failover => failover::run(seed),
         Experiment::Rates => rates::run(seed),
+        Experiment::ReplicaReads => replica_reads::run(seed),
     }
 }
