Watch the instances from the agents and order promotions

Nobody else orders a promotion, so the agents of a database's two homes do. A guard a database runs the supervisor's pings, opinions and steps, tells the other home of a new primary, and reports each instance's status with the time at which it was asked for, so that the proxy's ages are never too young. The pace is set by the agent's times.

--- a/oleander-agent/src/agent.rs
+++ b/oleander-agent/src/agent.rs
@@ -22,6 +22,7 @@
 use crate::actions;
 use crate::errors::Result;
 use crate::errors::listen_error;
+use crate::failover;
 use crate::observer::Observer;
 use crate::platform;
 use crate::server;
@@ -141,6 +142,7 @@
     tasks.spawn(keep_rounds(Arc::clone(&shared)));
     tasks.spawn(watch_changes(Arc::clone(&shared)));
     tasks.spawn(follow_store(Arc::clone(&shared)));
+    tasks.spawn(failover::run(Arc::clone(&shared)));
     shared.drain.wait().await;
     drain(&shared).await;
 }
--- a/oleander-agent/src/lib.rs
+++ b/oleander-agent/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod settings;
 mod actions;
 mod check;
+mod failover;
 mod observer;
 mod platform;
 mod server;
--- a/oleander-agent/src/server.rs
+++ b/oleander-agent/src/server.rs
@@ -8,6 +8,7 @@
 use oleander_peer::server::Incoming;
 
 use crate::actions;
+use crate::failover;
 use crate::shared::Shared;
 use crate::status;
 use crate::views;
@@ -29,7 +30,8 @@
             shared.notify();
             Reply::Accepted
         }
-        Request::Work(_) | Request::Limit { .. } | Request::Failover(_) => Reply::Unsupported,
+        Request::Failover(request) => Reply::Failover(failover::answer(&shared, request).await),
+        Request::Work(_) | Request::Limit { .. } => Reply::Unsupported,
     };
     // A caller that has gone needs no reply.
     let _ = responder.send(reply).await;
--- a/oleander-agent/src/settings.rs
+++ b/oleander-agent/src/settings.rs
@@ -4,6 +4,7 @@
 
 use oleander_core::places::Place;
 use oleander_core::time::Span;
+use oleander_failover::options::Options;
 use oleander_membership::node::NodeOptions;
 use oleander_runtime::settings::span;
 use serde::Deserialize;
@@ -72,11 +73,23 @@
     /// The longest time that a planned stop waits for shares to be handed over.
     #[serde(with = "span")]
     pub drain: Span,
+    /// The time between two pings of a primary by the first home of its database.
+    #[serde(with = "span")]
+    pub ping: Span,
+    /// The time within which an instance must answer a ping.
+    #[serde(with = "span")]
+    pub ping_limit: Span,
+    /// The pings in a row that an instance must miss before it counts as unreachable.
+    pub pings_missed: u32,
+    /// The time that the second home of a database leaves to the first for a promotion.
+    #[serde(with = "span")]
+    pub stagger: Span,
 }
 
 impl Default for Times {
     fn default() -> Self {
         let node = NodeOptions::default();
+        let failover = Options::default();
         Self {
             window: node.window,
             skew: node.skew,
@@ -89,6 +102,10 @@
             view: Span::from_millis(250),
             call: Span::from_secs(1),
             drain: Span::from_secs(20),
+            ping: failover.ping_interval,
+            ping_limit: failover.ping_limit,
+            pings_missed: failover.misses,
+            stagger: failover.stagger,
         }
     }
 }
@@ -99,6 +116,17 @@
         Place { region: self.region.clone(), zone: self.zone.clone() }
     }
 
+    /// Gets the options of failure detection and promotion.
+    pub fn failover_options(&self) -> Options {
+        Options {
+            ping_interval: self.times.ping,
+            ping_limit: self.times.ping_limit,
+            misses: self.times.pings_missed.max(1),
+            stagger: self.times.stagger,
+            ..Options::default()
+        }
+    }
+
     /// Gets the options of the decisions.
     pub fn node_options(&self) -> NodeOptions {
         NodeOptions {
--- a/oleander-agent/src/shared.rs
+++ b/oleander-agent/src/shared.rs
@@ -12,7 +12,6 @@
 use oleander_config::snapshot::Snapshot;
 use oleander_core::events::Event;
 use oleander_core::time::Time;
-use oleander_membership::messages::InstanceReport;
 use oleander_membership::node::Node;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::ProxyReport;
@@ -25,6 +24,7 @@
 use oleander_runtime::timer::TimerService;
 use tokio::sync::watch;
 
+use crate::failover::Guards;
 use crate::settings::Settings;
 use crate::views::Echo;
 
@@ -52,8 +52,8 @@
     node: Mutex<Option<Node>>,
     /// What the proxy reported last, and what views count from.
     pub proxy: Mutex<ProxyState>,
-    /// The last reports on instances.
-    pub instances: Mutex<Vec<InstanceReport>>,
+    /// The databases that this VM is a home of.
+    pub guards: Guards,
     /// Counts the changes that a view shows.
     pub changes: watch::Sender<u64>,
     /// Set while a read of the store is under way.
@@ -101,7 +101,7 @@
             snapshot: ArcSwapOption::empty(),
             node: Mutex::new(None),
             proxy: Mutex::default(),
-            instances: Mutex::default(),
+            guards: Guards::default(),
             changes: watch::Sender::new(0),
             reading: AtomicBool::new(false),
             listing: AtomicBool::new(false),
--- a/oleander-agent/src/views.rs
+++ b/oleander-agent/src/views.rs
@@ -99,7 +99,7 @@
     let mut proxy = lock(&shared.proxy);
     let echo = proxy.echo;
     let serial = proxy.serial + 1;
-    let instances = lock(&shared.instances).clone();
+    let instances = shared.guards.reports(shared.now());
     let draining = shared.drain.is_triggered();
     let (view, made) = shared.with_node(|node, now| {
         let revision = node.spread().revision();
--- a/oleander-failover/src/detector.rs
+++ b/oleander-failover/src/detector.rs
@@ -67,6 +67,12 @@
         true
     }
 
+    /// Makes the next ping due now.
+    pub fn hurry(&mut self, now: Time) {
+        self.first = now;
+        self.sent = None;
+    }
+
     /// Gets the time of the next ping.
     pub fn next_ping(&self, interval: Span) -> Time {
         self.sent.map_or(self.first, |sent| sent + interval)
--- a/oleander-failover/src/messages.rs
+++ b/oleander-failover/src/messages.rs
@@ -81,6 +81,8 @@
     Missed(u8),
     /// A peer in another zone gave its opinion on an instance.
     Opinion(u8, FailoverReply),
+    /// A peer said that the instance is primary at a term.
+    Told(u8, Term),
     /// A step at a term has ended.
     Stepped {
         /// The instance.
--- a/oleander-failover/src/supervisor.rs
+++ b/oleander-failover/src/supervisor.rs
@@ -83,6 +83,7 @@
                     detector.advised(now, reply);
                 }
             }
+            Input::Told(ordinal, term) => self.told(now, ordinal, term),
             Input::Stepped { ordinal, step, term, result } => {
                 self.stepped(now, (ordinal, step, term), result, &mut actions);
             }
@@ -132,6 +133,15 @@
         }
     }
 
+    /// Looks at an instance at once that is said to be primary at a new term.
+    fn told(&mut self, now: Time, ordinal: u8, term: Term) {
+        if self.top <= term
+            && let Some(detector) = self.instances.get_mut(usize::from(ordinal))
+        {
+            detector.hurry(now);
+        }
+    }
+
     fn stepped(
         &mut self,
         now: Time,
