Try the other home without a retry budget, and remember the failure

Cause: between the death of a home and its suspicion every second send took a retry from the budget, which a tenth of the requests fill. Change: a request that no home took in goes to the other home for free, and an entry VM can record the failure as a long wait, which the order of homes heeds. The docs now say that a token takes the point of a status asked for after the statement: the one before says only what the answer has at least.

--- /dev/null
+++ b/oleander-load/src/experiments/home_loss.rs
@@ -0,0 +1,214 @@
+//! Requests refused while one home of a database is down and not yet suspected.
+//!
+//! Each entry VM runs the real order of homes, retry decision and budget against
+//! two homes in virtual time. The other home can serve all, so no refusal is right.
+
+use oleander_core::ids::VmId;
+use oleander_core::places::Distance;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::verdict::Verdict;
+use oleander_routing::budget::RetryBudget;
+use oleander_routing::budget::RetryOptions;
+use oleander_routing::homes;
+use oleander_routing::homes::Delays;
+use oleander_routing::homes::Home;
+use oleander_routing::homes::HomeState;
+use oleander_routing::retry;
+use oleander_routing::retry::Attempt;
+use oleander_routing::retry::Cut;
+use oleander_routing::retry::Effect;
+use oleander_routing::retry::Next;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use strum::Display;
+use strum::EnumIter;
+use strum::IntoEnumIterator as _;
+
+use crate::report::Report;
+use crate::report::Table;
+
+/// The entry VMs.
+const ENTRIES: u64 = 9;
+/// The requests that come to one entry VM in a second.
+const RATE: f64 = 200.0;
+/// The time for which requests come.
+const LENGTH: Span = Span::from_secs(20);
+/// The time at which the first home dies.
+const DEATH: Time = Time(5_000_000);
+/// The time from its death until heartbeats make it suspect.
+const SUSPICION: Span = Span::from_secs(2);
+/// The time until a send to the dead home fails.
+const FAILURE: Span = Span::from_millis(2);
+/// The mean wait in the queue of a home.
+const QUEUE: Span = Span::from_millis(4);
+/// The time that a send to the living home takes, without its queue.
+const SERVICE: Span = Span::from_millis(6);
+/// The time within which a caller wants its answer.
+const DEADLINE: Span = Span::from_secs(1);
+
+/// `Policy` is what an entry VM does when a home cannot be reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+enum Policy {
+    /// The decision of this project: the other home without a budget, and the failure remembered as a wait.
+    Remembered,
+    /// The other home without a budget; the next request starts anew.
+    Free,
+    /// Baseline: every further send is taken from the budget.
+    Budget,
+    /// Baseline: no further send.
+    NoRetry,
+}
+
+/// Runs the experiment from its seed.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("Loss of one home", seed);
+    let columns =
+        ["policy", "requests", "refused", "refused %", "sends a request", "mean ms", "p99 ms"];
+    let mut table = Table::new("While the dead home is not yet suspected", &columns);
+    for policy in Policy::iter() {
+        let outcome = run_policy(seed, policy);
+        let refused = outcome.refused;
+        table.push(outcome.row(policy));
+        if policy == Policy::Remembered {
+            report.require(refused == 0, "remembered: no request refused");
+        }
+    }
+    report.tables.push(table);
+    report
+}
+
+/// `Outcome` counts the requests that came between the death and the suspicion.
+#[derive(Debug, Default)]
+struct Outcome {
+    refused: u64,
+    sends: u64,
+    latencies: Vec<Span>,
+}
+
+impl Outcome {
+    fn row(mut self, policy: Policy) -> [String; 7] {
+        self.latencies.sort_unstable();
+        let count = self.latencies.len();
+        let sum: u64 = self.latencies.iter().map(|span| span.0).sum();
+        let p99 = self.latencies.get(count * 99 / 100).copied().unwrap_or_default();
+        [
+            policy.to_string(),
+            count.to_string(),
+            self.refused.to_string(),
+            format!("{:.2}", 100.0 * self.refused as f64 / count as f64),
+            format!("{:.3}", self.sends as f64 / count as f64),
+            format!("{:.1}", sum as f64 / count as f64 / 1e3),
+            format!("{:.1}", p99.as_secs_f64() * 1e3),
+        ]
+    }
+}
+
+/// `Entry` is one entry VM.
+struct Entry {
+    policy: Policy,
+    homes: [Home; homes::HOMES],
+    budget: RetryBudget,
+    random: ChaCha8Rng,
+}
+
+fn run_policy(seed: u64, policy: Policy) -> Outcome {
+    let mut outcome = Outcome::default();
+    for at in 0..ENTRIES {
+        let mut entry = Entry::new(policy, ChaCha8Rng::seed_from_u64(seed ^ (at << 32)));
+        let mut now = Time(0);
+        while now < Time(0) + LENGTH {
+            now = now + entry.exponential(Span((1e6 / RATE) as u64));
+            let (sends, answered, end) = entry.request(now);
+            if DEATH <= now && now < DEATH + SUSPICION {
+                outcome.refused += u64::from(!answered);
+                outcome.sends += sends;
+                outcome.latencies.push(end.since(now));
+            }
+        }
+    }
+    outcome
+}
+
+impl Entry {
+    /// Makes an entry VM that is nearer to the home that will die.
+    fn new(policy: Policy, random: ChaCha8Rng) -> Self {
+        let home = |vm, distance| Home {
+            vm: VmId(vm),
+            state: HomeState::Reachable,
+            distance,
+            wait: Span::ZERO,
+            heard: Time(0),
+        };
+        let homes = [home(0, Distance::Zone), home(1, Distance::Region)];
+        let budget = RetryBudget::new(RetryOptions::default(), Time(0));
+        Self { policy, homes, budget, random }
+    }
+
+    /// Runs a request that came at `came`. Gets the sends, whether it was answered, and when it ended.
+    fn request(&mut self, came: Time) -> (u64, bool, Time) {
+        self.budget.earn();
+        let mut attempt = Attempt {
+            effect: Effect::Write,
+            sends: 0,
+            before: Verdict::NotRun,
+            deadline: came + DEADLINE,
+            expected: SERVICE,
+        };
+        let (mut now, mut last) = (came, None);
+        loop {
+            if DEATH + SUSPICION <= now {
+                self.homes[0].state = HomeState::Suspect;
+            }
+            let order = homes::order(now, &self.homes, &Delays::default(), self.random.random());
+            let target = order.iter().copied().find(|vm| Some(*vm) != last).or(last);
+            last = target;
+            attempt.sends += 1;
+            let is_dead = target == Some(VmId(0)) && DEATH <= now;
+            if !is_dead {
+                let wait = self.exponential(QUEUE);
+                let end = now + wait + SERVICE;
+                self.remember(target, wait, end);
+                return (u64::from(attempt.sends), true, end);
+            }
+            now = now + FAILURE;
+            if self.policy == Policy::Remembered {
+                self.remember(target, homes::UNREACHABLE_WAIT, now);
+            }
+            match self.next(now, &attempt) {
+                Next::Retry { at } => now = at,
+                Next::Refuse(_) => return (u64::from(attempt.sends), false, now),
+            }
+        }
+    }
+
+    fn next(&mut self, now: Time, attempt: &Attempt) -> Next {
+        let draw = self.random.random();
+        match self.policy {
+            Policy::Remembered | Policy::Free => {
+                retry::decide(now, Cut::HomeUnreachable, attempt, &mut self.budget, draw)
+            }
+            // A full queue gives the same verdict and takes each further send from the budget.
+            Policy::Budget => retry::decide(now, Cut::QueueFull, attempt, &mut self.budget, draw),
+            Policy::NoRetry => {
+                let spent = Attempt { sends: retry::MAX_SENDS, ..*attempt };
+                retry::decide(now, Cut::HomeUnreachable, &spent, &mut self.budget, draw)
+            }
+        }
+    }
+
+    fn remember(&mut self, vm: Option<VmId>, wait: Span, heard: Time) {
+        let home = self.homes.iter_mut().find(|home| Some(home.vm) == vm);
+        if let Some(home) = home {
+            home.wait = wait;
+            home.heard = heard;
+        }
+    }
+
+    fn exponential(&mut self, mean: Span) -> Span {
+        let uniform: f64 = self.random.random_range(f64::EPSILON..1.0);
+        Span((-uniform.ln() * mean.0 as f64) as u64)
+    }
+}
--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! Seeded experiments: a policy beside its baselines, in one run.
 
 pub mod failover;
+pub mod home_loss;
 pub mod rates;
 pub mod replica_reads;
 
@@ -20,6 +21,8 @@
     Rates,
     /// The share of reads that replicas serve.
     ReplicaReads,
+    /// Requests refused while one home of a database is down.
+    HomeLoss,
 }
 
 /// Runs an experiment from its seed.
@@ -28,5 +31,6 @@
         Experiment::Failover => failover::run(seed),
         Experiment::Rates => rates::run(seed),
         Experiment::ReplicaReads => replica_reads::run(seed),
+        Experiment::HomeLoss => home_loss::run(seed),
     }
 }
--- a/oleander-routing/src/homes.rs
+++ b/oleander-routing/src/homes.rs
@@ -18,6 +18,12 @@
 /// The age at which a reported queue wait counts for half.
 const WAIT_HALF_LIFE: Span = Span::from_millis(500);
 
+/// The wait to record for a home that could not be reached or is draining.
+///
+/// It keeps the next requests away from the home until a heartbeat tells more,
+/// and fades like any other wait, so that a home that came back is tried again.
+pub const UNREACHABLE_WAIT: Span = Span::from_secs(5);
+
 /// `HomeState` is what an entry VM knows of a home's VM; a smaller value is tried first.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum HomeState {
--- a/oleander-routing/src/knowledge.rs
+++ b/oleander-routing/src/knowledge.rs
@@ -138,7 +138,7 @@
         reads::check_answer(now, status, need, &self.confirmed)
     }
 
-    /// Gets the point for the session's token from the status that came before a statement.
+    /// Gets the point for the session's token from the status that was asked for after a statement.
     pub fn seen_point(&self, instance: InstanceId, status: &InstanceStatus) -> SeenPoint {
         let known = self.members.iter().filter_map(|one| Some((one.instance, one.known?.status)));
         let size = self.members.len();
--- a/oleander-routing/src/reads.rs
+++ b/oleander-routing/src/reads.rs
@@ -7,6 +7,8 @@
 //! 1. `choose` with the candidates. `WaitFor` holds no slot; choose again at its time.
 //! 2. Run the status question and the statement on the instance.
 //! 3. `check_answer` with that status. On `Retry`, mark the candidate excluded and choose again.
+//! 4. On `Accept`, record in the token the point of a status that was asked for after the
+//!    statement: the statement may have seen more than the status before it says.
 
 use oleander_core::ids::InstanceId;
 use oleander_core::places::Distance;
@@ -120,7 +122,7 @@
 /// `Check` is what becomes of a read's answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Check {
-    /// The answer is good; the point goes into the session's token.
+    /// The answer is good and has at least this point.
     Accept(LogPoint),
     /// The answer is too old; send the read to another instance.
     Retry,
--- a/oleander-routing/src/retry.rs
+++ b/oleander-routing/src/retry.rs
@@ -14,6 +14,7 @@
 use strum::EnumIter;
 
 use crate::budget::RetryBudget;
+use crate::homes::HOMES;
 
 /// `Cut` is the place at which a request can be cut.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Display, EnumIter)]
@@ -165,7 +166,7 @@
     let at = now + pause(attempt.sends, draw);
     let is_in_time = at + attempt.expected < attempt.deadline;
     let may_resend = outcome.resend == Resend::Elsewhere && attempt.sends < MAX_SENDS && is_in_time;
-    if may_resend && budget.take(now) {
+    if may_resend && (is_free(cut, attempt) || budget.take(now)) {
         return Next::Retry { at };
     }
     // An idempotent request may have run in an earlier send.
@@ -222,6 +223,14 @@
     }
 }
 
+/// Returns `true` if another send adds no load: nobody took the request in, and the other home is untried.
+///
+/// Otherwise the budget would be spent on a dead home before the others notice
+/// it, and requests refused that the living home can serve.
+fn is_free(cut: Cut, attempt: &Attempt) -> bool {
+    matches!(cut, Cut::HomeUnreachable | Cut::HomeDraining) && attempt.sends < HOMES as u32
+}
+
 /// Returns `true` if another send would fare no better.
 fn is_final(cut: Cut) -> bool {
     matches!(
--- a/oleander-routing/tests/retry.rs
+++ b/oleander-routing/tests/retry.rs
@@ -140,6 +140,23 @@
     assert!(refusal.retry_after.is_some());
 }
 
+#[rstest]
+#[case::dead_home(Cut::HomeUnreachable, 1, true)]
+#[case::draining_home(Cut::HomeDraining, 1, true)]
+#[case::both_homes_dead(Cut::HomeUnreachable, 2, false)]
+#[case::taken_in(Cut::QueueFull, 1, false)]
+fn the_other_home_is_tried_without_a_budget(
+    #[case] cut: Cut,
+    #[case] sends: u32,
+    #[case] retried: bool,
+) {
+    let mut budget = budget();
+    assert!(budget.take(Time(0)));
+    let attempt = Attempt { effect: Effect::Write, sends, ..attempt() };
+    let next = retry::decide(Time(0), cut, &attempt, &mut budget, 0);
+    assert_eq!(matches!(next, Next::Retry { .. }), retried);
+}
+
 #[test]
 fn the_worst_verdict_of_all_sends_counts() {
     let attempt = Attempt { before: MayHaveRun, sends: retry::MAX_SENDS, ..attempt() };
