--- /dev/null
+++ b/oleander-load/tests/answers.rs
@@ -0,0 +1,245 @@
+//! The documented answers to requests that get no result, over real sockets.
+
+use oleander_load::cluster::fleet::Fleet;
+use oleander_load::cluster::fleet::FleetOptions;
+use oleander_load::cluster::profile::Profile;
+use oleander_load::cluster::profile::User;
+use oleander_load::drive::client::READ_SQL;
+use oleander_load::drive::client::WRITE_SQL;
+use serde_json::Value;
+use serde_json::json;
+
+/// The looks at a condition that must come true, and the pause between them.
+const LOOKS: usize = 200;
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+struct Sender {
+    http: reqwest::Client,
+    base: String,
+}
+
+struct Answer {
+    status: u16,
+    body: Value,
+}
+
+impl Sender {
+    async fn post(
+        &self,
+        path: &str,
+        key: Option<&str>,
+        token: Option<&str>,
+        body: String,
+    ) -> Answer {
+        let mut request = self.http.post(format!("{}{path}", self.base)).body(body);
+        if let Some(key) = key {
+            request = request.bearer_auth(key);
+        }
+        if let Some(token) = token {
+            request = request.header("oleander-session", token);
+        }
+        let response = request.send().await.expect("an answer");
+        let status = response.status().as_u16();
+        Answer { status, body: response.json().await.unwrap_or_default() }
+    }
+}
+
+struct Case {
+    name: &'static str,
+    path: &'static str,
+    key: Option<&'static str>,
+    token: Option<&'static str>,
+    body: String,
+    status: u16,
+    code: &'static str,
+}
+
+async fn small_fleet() -> Fleet {
+    let mut profile = Profile::of(User::Magnolia);
+    profile.vms = 2;
+    Fleet::start(profile, FleetOptions::default()).await.expect("the fleet comes up")
+}
+
+fn sender(fleet: &Fleet, number: usize) -> Sender {
+    let address = fleet.endpoints.pick(number).expect("a VM").address;
+    Sender { http: reqwest::Client::new(), base: format!("http://{address}") }
+}
+
+fn read_body(class: &str) -> String {
+    json!({ "class": class, "sql": READ_SQL, "parameters": ["loaf"] }).to_string()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_malformed_or_unentitled_request_gets_its_documented_answer() {
+    const KEY: Option<&str> = Some("magnolia-rye-key");
+    const STATEMENTS: &str = "/v1/statements";
+    let fleet = small_fleet().await;
+    let read = || read_body("orders.read");
+    let base = Case {
+        name: "",
+        path: STATEMENTS,
+        key: KEY,
+        token: None,
+        body: read(),
+        status: 400,
+        code: "bad-request",
+    };
+    let cases = [
+        Case {
+            name: "wrong key",
+            key: Some("guess"),
+            status: 401,
+            code: "key-rejected",
+            body: read(),
+            ..base
+        },
+        Case { name: "no key", key: None, status: 401, code: "key-missing", body: read(), ..base },
+        Case {
+            name: "unknown class",
+            body: read_body("orders.none"),
+            status: 404,
+            code: "unknown-route",
+            ..base
+        },
+        Case {
+            name: "unknown path",
+            path: "/elsewhere",
+            body: json!({ "sql": READ_SQL }).to_string(),
+            status: 404,
+            code: "unknown-route",
+            ..base
+        },
+        Case {
+            name: "malformed token",
+            token: Some("%%%"),
+            status: 400,
+            code: "bad-token",
+            body: read(),
+            ..base
+        },
+        Case { name: "truncated body", body: "{\"class\":".to_owned(), ..base },
+        Case {
+            name: "unknown field",
+            body: json!({ "class": "orders.read", "sql": READ_SQL, "spare": 1 }).to_string(),
+            ..base
+        },
+        Case {
+            name: "array parameter",
+            body: json!({ "class": "orders.read", "sql": READ_SQL, "parameters": [[1]] })
+                .to_string(),
+            ..base
+        },
+        Case {
+            name: "oversize body",
+            body: "x".repeat(2 * 1024 * 1024),
+            status: 413,
+            code: "body-too-large",
+            ..base
+        },
+        Case {
+            name: "transaction control",
+            body: json!({ "class": "orders.write", "sql": "COMMIT" }).to_string(),
+            ..base
+        },
+        Case {
+            name: "malformed transaction",
+            path: "/v1/transactions/zz/commit",
+            body: json!({ "class": "orders.write" }).to_string(),
+            ..base
+        },
+        Case {
+            name: "unknown transaction",
+            path: "/v1/transactions/1-2-3/commit",
+            body: json!({ "class": "orders.write" }).to_string(),
+            status: 503,
+            code: "home-unreachable",
+            ..base
+        },
+    ];
+    for case in cases {
+        let sender = sender(&fleet, 0);
+        let answer = sender.post(case.path, case.key, case.token, case.body).await;
+        assert_eq!(answer.status, case.status, "{}: {}", case.name, answer.body);
+        assert_eq!(answer.body["code"], case.code, "{}", case.name);
+        assert_eq!(answer.body["verdict"], "not-run", "{}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_working_on_an_open_connection_and_in_its_transaction() {
+    let fleet = small_fleet().await;
+    let key = fleet.profile.key("rye");
+    let sender = sender(&fleet, 0);
+    let control = json!({ "class": "orders.write" }).to_string();
+    let begun = sender.post("/v1/transactions", Some(&key), None, control.clone()).await;
+    assert_eq!(begun.status, 200, "{}", begun.body);
+    let transaction = begun.body["transaction"].as_str().expect("an identifier").to_owned();
+
+    let old = fleet.profile.workspaces_section();
+    let hash = oleander_config::keys::hex(&oleander_config::keys::hash_key(&key).0);
+    let other = oleander_config::keys::hex(&oleander_config::keys::hash_key("another").0);
+    fleet
+        .publish("workspaces", old.replace(&hash, &other))
+        .await
+        .expect("the withdrawal is accepted");
+
+    let mut last = Value::Null;
+    for _ in 0..LOOKS {
+        let answer =
+            sender.post("/v1/statements", Some(&key), None, read_body("orders.read")).await;
+        last = answer.body;
+        if last["code"] == "key-rejected" {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert_eq!(last["code"], "key-rejected", "{last}");
+    let path = format!("/v1/transactions/{transaction}/statements");
+    let body = json!({ "class": "orders.write", "sql": WRITE_SQL, "parameters": ["loaf", "dark"] });
+    let refused = sender.post(&path, Some(&key), None, body.to_string()).await;
+    assert_eq!(refused.body["code"], "key-rejected");
+    for group in &fleet.groups {
+        assert!(group.changes(0).is_empty(), "nothing of the transaction was applied");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_database_is_refused_as_not_run_with_a_time_to_come_back() {
+    let fleet = small_fleet().await;
+    let key = fleet.profile.key("rye");
+    let sender = sender(&fleet, 0);
+    for ordinal in 0..3 {
+        fleet.groups[0].kill(ordinal);
+    }
+    let body = json!({ "class": "orders.write", "sql": WRITE_SQL, "parameters": ["loaf", "dark"], "deadline_ms": 500 });
+    let mut last = Value::Null;
+    for _ in 0..LOOKS {
+        let answer = sender.post("/v1/statements", Some(&key), None, body.to_string()).await;
+        assert_ne!(answer.status, 200, "no instance lives: {}", answer.body);
+        last = answer.body;
+        if last["verdict"] == "not-run" {
+            break;
+        }
+    }
+    assert_eq!(last["verdict"], "not-run", "{last}");
+    assert!(last["retry_after_ms"].is_u64(), "{last}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_key_reaches_an_upstream() {
+    let fleet = small_fleet().await;
+    let key = fleet.profile.key("rye");
+    for group in &fleet.groups {
+        (0..3).for_each(|ordinal| group.gate(ordinal).watch_for(key.clone()));
+    }
+    let sender = sender(&fleet, 0);
+    let body = json!({ "class": "orders.write", "sql": WRITE_SQL, "parameters": ["loaf", "dark"] });
+    assert_eq!(sender.post("/v1/statements", Some(&key), None, body.to_string()).await.status, 200);
+    assert_eq!(
+        sender.post("/v1/statements", Some(&key), None, read_body("orders.read")).await.status,
+        200
+    );
+    let sightings: u64 =
+        fleet.groups.iter().flat_map(|group| (0..3).map(|at| group.gate(at).sightings())).sum();
+    assert_eq!(sightings, 0);
+}
--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -21,6 +21,7 @@
 use oleander_routing::reads;
 use oleander_routing::reads::Choice;
 use oleander_routing::reads::ReadNeed;
+use oleander_routing::retry;
 use oleander_runtime::timer::TimerService;
 use oleander_session::token::SeenPoint;
 use tokio::sync::Notify;
@@ -245,7 +246,7 @@
         for ticket in state.queue.expire(now) {
             state.refuse(
                 ticket,
-                Refusal::not_run(RefusalCode::DeadlineExceeded, "no slot came free in time"),
+                refusal(RefusalCode::DeadlineExceeded, "no slot came free in time"),
             );
         }
         let mut look = Look { wake: Time(u64::MAX), refused: Vec::new() };
@@ -389,5 +390,9 @@
 
 /// Makes the refusal of a home that has stopped.
 pub fn gone() -> Refusal {
-    Refusal::not_run(RefusalCode::HomeUnreachable, "this VM is not a home of the database")
+    refusal(RefusalCode::HomeUnreachable, "this VM is not a home of the database")
+}
+
+fn refusal(code: RefusalCode, detail: &str) -> Refusal {
+    Refusal { retry_after: retry::retry_after(code), ..Refusal::not_run(code, detail) }
 }
