--- a/oleander-load/src/experiments/failover/mod.rs
+++ b/oleander-load/src/experiments/failover/mod.rs
@@ -4,6 +4,7 @@
 //! instances. Writes arrive at a steady rate; a fault strikes; at the end each
 //! acknowledged write must be in the primary's history exactly once.
 
+pub mod cost;
 pub mod network;
 pub mod scenarios;
 pub mod tables;
--- a/oleander-load/src/experiments/failover/tables.rs
+++ b/oleander-load/src/experiments/failover/tables.rs
@@ -7,6 +7,7 @@
 use oleander_failover::options::Witness;
 use strum::IntoEnumIterator as _;
 
+use crate::experiments::failover::cost;
 use crate::experiments::failover::scenarios;
 use crate::experiments::failover::scenarios::Outcome;
 use crate::experiments::failover::scenarios::Scenario;
@@ -44,6 +45,8 @@
     report.tables.push(acks);
     let storms = storm_table(seed, &mut report);
     report.tables.push(storms);
+    let pings = cost::table(&mut report);
+    report.tables.push(pings);
     report
 }
 
--- a/oleander-standin/src/gate.rs
+++ b/oleander-standin/src/gate.rs
@@ -98,6 +98,11 @@
         self.shared.sightings.load(Ordering::SeqCst)
     }
 
+    /// Gets the number of bytes that were forwarded so far, both directions together.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::SeqCst)
+    }
+
     /// Gets the number of connections that were ever accepted.
     pub fn accepted(&self) -> u64 {
         self.shared.opened.load(Ordering::SeqCst)
@@ -134,6 +139,7 @@
 struct Shared {
     rules: watch::Sender<Rules>,
     opened: AtomicU64,
+    bytes: AtomicU64,
     lose: Mutex<Option<Loss>>,
     forbidden: Mutex<Vec<u8>>,
     sightings: AtomicU64,
@@ -144,6 +150,7 @@
         Self {
             rules: watch::Sender::new(Rules::default()),
             opened: AtomicU64::new(0),
+            bytes: AtomicU64::new(0),
             lose: Mutex::new(None),
             forbidden: Mutex::new(Vec::new()),
             sightings: AtomicU64::new(0),
@@ -199,7 +206,7 @@
         Arc::clone(&shared),
         Arc::clone(&doomed),
     );
-    let answers = forward_answers(server_in, caller_out, link.clone(), doomed);
+    let answers = forward_answers(server_in, caller_out, link.clone(), Arc::clone(&shared), doomed);
     // The end of either direction, or a cut, ends the connection.
     tokio::select! {
         () = requests => {}
@@ -221,6 +228,7 @@
             return;
         }
         shared.count_sighting(&chunk[..length]);
+        shared.bytes.fetch_add(length as u64, Ordering::SeqCst);
         if shared.takes_loss(&chunk[..length]) {
             doomed.store(true, Ordering::SeqCst);
         }
@@ -234,6 +242,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut link: Link,
+    shared: Arc<Shared>,
     doomed: Arc<AtomicBool>,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
@@ -242,6 +251,7 @@
         if length == 0 || lost || link.may_pass().await.is_err() {
             return;
         }
+        shared.bytes.fetch_add(length as u64, Ordering::SeqCst);
         if to.write_all(&chunk[..length]).await.is_err() {
             return;
         }
--- a/oleander-upstream/src/group.rs
+++ b/oleander-upstream/src/group.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 use tokio_postgres::Client;
 use tokio_postgres::NoTls;
+use tokio_postgres::Statement;
 use tokio_postgres::types::Type;
 
 use crate::contract;
@@ -44,13 +45,13 @@
         let deadline = Instant::now() + limit;
         let mut link = self.link.lock().await;
         if let Some(open) = link.as_ref() {
-            let answer = ask(open, contract::STATUS_SQL, None, Instant::now() + limit / 2).await;
+            let answer = ask(open, Question::Status, Instant::now() + limit / 2).await;
             if answer.is_ok() {
                 return answer;
             }
             *link = None;
         }
-        self.ask_anew(&mut link, contract::STATUS_SQL, None, deadline).await
+        self.ask_anew(&mut link, Question::Status, deadline).await
     }
 
     /// Fences the instance at `term`.
@@ -78,25 +79,29 @@
     }
 
     /// Steers over a connection that has just shown that it answers.
-    async fn steer(&self, sql: &str, term: Term, limit: Duration) -> Result<InstanceStatus> {
+    async fn steer(
+        &self,
+        sql: &'static str,
+        term: Term,
+        limit: Duration,
+    ) -> Result<InstanceStatus> {
         let deadline = Instant::now() + limit;
         self.status(limit / 2).await.map_err(|error| Error::Connect(error.to_string()))?;
         let mut link = self.link.lock().await;
-        self.ask_anew(&mut link, sql, Some(term), deadline).await
+        self.ask_anew(&mut link, Question::Step(sql, term), deadline).await
     }
 
     async fn ask_anew(
         &self,
         link: &mut Option<Link>,
-        sql: &str,
-        term: Option<Term>,
+        question: Question,
         deadline: Instant,
     ) -> Result<InstanceStatus> {
         let open = match link.take() {
             Some(open) => open,
             None => Link::open(&self.config, deadline).await?,
         };
-        let answer = ask(&open, sql, term, deadline).await;
+        let answer = ask(&open, question, deadline).await;
         let clean = answer.as_ref().err().is_none_or(Error::leaves_connection_clean);
         if clean {
             *link = Some(open);
@@ -105,43 +110,71 @@
     }
 }
 
+/// `Question` is what an instance is asked.
+#[derive(Clone, Copy, Debug)]
+enum Question {
+    /// The status.
+    Status,
+    /// A step at a term, by its statement.
+    Step(&'static str, Term),
+}
+
 /// `Link` is an open connection; dropping it closes it at once.
-#[derive(Debug)]
 struct Link {
     client: Client,
-    driver: JoinHandle<()>,
+    _driver: Abort,
+    status: Statement,
+}
+
+impl std::fmt::Debug for Link {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Link").finish_non_exhaustive()
+    }
 }
 
 impl Link {
     async fn open(config: &tokio_postgres::Config, deadline: Instant) -> Result<Self> {
-        let opened = tokio::time::timeout_at(deadline, config.connect(NoTls)).await;
+        let opened = tokio::time::timeout_at(deadline, Self::connect(config)).await;
         let opened = opened.map_err(|_| Error::Connect("no answer in time".to_owned()))?;
-        let (client, connection) = opened.map_err(|error| Error::Connect(error.to_string()))?;
+        opened.map_err(|error| Error::Connect(error.to_string()))
+    }
+
+    /// Connects and prepares the status question, so that each ping is short.
+    async fn connect(
+        config: &tokio_postgres::Config,
+    ) -> std::result::Result<Self, tokio_postgres::Error> {
+        let (client, connection) = config.connect(NoTls).await?;
         let driver = tokio::spawn(async move {
             // The client sees the error too.
             let _ = connection.await;
         });
-        Ok(Self { client, driver })
+        let guard = Abort(driver);
+        let status = client.prepare(contract::STATUS_SQL).await?;
+        Ok(Self { client, _driver: guard, status })
     }
 }
 
-impl Drop for Link {
+/// `Abort` ends a task when it is dropped.
+struct Abort(JoinHandle<()>);
+
+impl Drop for Abort {
     fn drop(&mut self) {
-        self.driver.abort();
+        self.0.abort();
     }
 }
 
-async fn ask(
-    link: &Link,
-    sql: &str,
-    term: Option<Term>,
-    deadline: Instant,
-) -> Result<InstanceStatus> {
-    let term = term.map(|term| i64::try_from(term.0)).transpose();
-    let term = term.map_err(|_| Error::WrongTerm)?;
-    let parameters: Vec<(i64, Type)> = term.iter().map(|term| (*term, Type::INT8)).collect();
+async fn ask(link: &Link, question: Question, deadline: Instant) -> Result<InstanceStatus> {
     let run = async {
-        let stream = link.client.query_typed_raw(sql, parameters).await?;
+        let stream = match question {
+            Question::Status => {
+                let parameters: [i64; 0] = [];
+                link.client.query_raw(&link.status, parameters).await?
+            }
+            Question::Step(sql, term) => {
+                let term = i64::try_from(term.0).map_err(|_| Error::WrongTerm)?;
+                link.client.query_typed_raw(sql, [(term, Type::INT8)]).await?
+            }
+        };
         values::status(&values::collect(stream, AnswerLimit::default()).await?)
     };
     tokio::time::timeout_at(deadline, run).await.unwrap_or(Err(Error::Timeout))
