--- /dev/null
+++ b/oleander-standin/src/admin.rs
@@ -0,0 +1,59 @@
+//! The HTTP port by which faults are switched and the state is read.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use xitca_web::App;
+use xitca_web::body::ResponseBody;
+use xitca_web::handler::handler_service;
+use xitca_web::handler::json::Json;
+use xitca_web::handler::state::StateRef;
+use xitca_web::http::StatusCode;
+use xitca_web::http::WebResponse;
+use xitca_web::route::get;
+use xitca_web::route::post;
+
+use crate::http;
+use crate::http::Running;
+use crate::platform::Platform;
+use crate::platform::State;
+use crate::platform::Switch;
+
+/// `Admin` serves `GET /v1/state` and `POST /v1/switch`.
+#[derive(Debug)]
+pub struct Admin {
+    server: Running,
+}
+
+impl Admin {
+    /// Starts the port for a platform on a free port of 127.0.0.1.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound.
+    pub fn start(platform: Arc<Platform>) -> io::Result<Self> {
+        let app = App::new()
+            .with_state(platform)
+            .at("/v1/state", get(handler_service(state)))
+            .at("/v1/switch", post(handler_service(switch)))
+            .finish();
+        Ok(Self { server: http::start(app)? })
+    }
+
+    /// Gets the address of the port.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+async fn state(platform: StateRef<'_, Arc<Platform>>) -> Json<State> {
+    Json(platform.state())
+}
+
+async fn switch(platform: StateRef<'_, Arc<Platform>>, Json(switch): Json<Switch>) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::empty());
+    if platform.switch(switch).is_err() {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    response
+}
--- a/oleander-standin/src/lib.rs
+++ b/oleander-standin/src/lib.rs
@@ -4,8 +4,10 @@
 //! that the real services have. They are fakes at the interfaces for tests,
 //! experiments and the demo; they hold everything in memory.
 
+pub mod admin;
 pub mod gate;
 pub mod group;
 pub mod http;
+pub mod platform;
 pub mod store;
 pub mod vms;
