Return granted tokens that nobody waits for

Cause: a request that gathered parts of a token and was refused left them to end unused, and owners with less than an eighth of a token were not asked. Change: grants go back to their owners 60 ms before their end if nothing waits; owners are asked for as little as 1/32 token.

--- a/oleander-limits/src/messages.rs
+++ b/oleander-limits/src/messages.rs
@@ -41,6 +41,11 @@
         /// Earlier grants that the sender has finished with.
         settled: SmallVec<[Settled; INLINE_SETTLED]>,
     },
+    /// Tells an owner which grants the sender has finished with.
+    Settle {
+        /// The grants.
+        settled: SmallVec<[Settled; INLINE_SETTLED]>,
+    },
     /// Asks an owner to extend a loan.
     Renew {
         /// The loan.
@@ -108,7 +113,7 @@
     Renewed,
     /// The owner does not know the loan; it must not be used any more.
     Ended,
-    /// The answer to `Ask::Return`.
+    /// The answer to `Ask::Return` and `Ask::Settle`.
     Accepted,
     /// The answer to `Ask::Recall` and `Ask::Probe`: the loan, or `None` if it is not given back.
     Recalled(Option<Returned>),
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -43,7 +43,7 @@
 /// The parts of a peer's capacity in which a need is divided over the peers.
 const CHUNKS: u64 = 4;
 /// The least tokens for which an owner is asked, unless less is needed.
-const MIN_ASK: Tokens = Tokens(Tokens::whole(1).0 / 8);
+const MIN_ASK: Tokens = Tokens(Tokens::whole(1).0 / 32);
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Span = Span::from_millis(1);
 
@@ -141,6 +141,11 @@
         self.sync(ctx);
         match ask {
             Ask::Borrow { need, demand, settled } => self.lend(ctx, from, need, demand, &settled),
+            Ask::Settle { settled } => {
+                self.owner.end_grants(ctx.now, self.limit, &settled);
+                self.serve(ctx);
+                LimitReply::Accepted
+            }
             Ask::Renew { loan, demand } => self.renew(ctx, from, loan, demand),
             Ask::Return(returned) => {
                 self.owner.take_back(ctx.now, self.limit, returned);
@@ -178,15 +183,19 @@
         }
         self.keep_loans(ctx);
         self.serve(ctx);
+        self.return_surplus(ctx);
         self.is_idle(ctx.now)
     }
 
     /// Gets the time at which `tick` is needed next.
     pub fn next_due(&self, now: Time) -> Time {
         let mut due = now + IDLE_CHECK;
-        if !self.queue.is_empty() {
-            due = due.min(now + REPLAN_INTERVAL);
-        }
+        // Granted tokens are kept as long as a request waits.
+        due = if self.queue.is_empty() {
+            self.borrower.next_surplus().map_or(due, |surplus| due.min(surplus))
+        } else {
+            due.min(now + REPLAN_INTERVAL)
+        };
         let silent = (0 < self.borrower.fractions()).then(|| self.meter.gone_at(RETURN_SILENCE));
         let others = [self.queue.next_end(), self.borrower.next_due(), self.resync, silent];
         others.into_iter().flatten().fold(due, Time::min).max(now + Span(1))
@@ -350,6 +359,17 @@
         }
     }
 
+    /// Returns granted tokens that nobody waits for, before they end unused.
+    fn return_surplus(&mut self, ctx: &mut Context<'_>) {
+        if !self.queue.is_empty() {
+            return;
+        }
+        for owner in self.borrower.end_grants(ctx.now) {
+            let settled = self.borrower.take_settled(owner);
+            ctx.send(owner, self.workspace, Ask::Settle { settled });
+        }
+    }
+
     fn return_loan(&mut self, ctx: &mut Context<'_>, owner: VmId, loan: LoanId) {
         if let Some(returned) = self.give_back(ctx.now, loan) {
             ctx.send(owner, self.workspace, Ask::Return(returned));
--- a/oleander-limits/src/rates/borrower.rs
+++ b/oleander-limits/src/rates/borrower.rs
@@ -20,6 +20,8 @@
 const RENEW_AHEAD: Span = Span::from_millis(1_000);
 /// The time after which a renewal that was not answered is sent again.
 const RENEW_INTERVAL: Span = Span::from_millis(300);
+/// The time before the end of a grant at which it is returned if nobody waits for it.
+const SURPLUS_AHEAD: Span = Span::from_millis(60);
 /// The ended grants that are remembered for their owners.
 const MAX_SETTLED: usize = 16;
 
@@ -60,6 +62,13 @@
     pub loan: LoanId,
 }
 
+impl HeldGrant {
+    /// Gets the time at which a grant that nobody waits for goes back to its owner.
+    fn surplus_end(&self) -> Time {
+        Time(self.until.0.saturating_sub(SURPLUS_AHEAD.0))
+    }
+}
+
 impl HeldLoan {
     fn refill(&mut self, now: Time, limit: Limit) {
         let capacity = limit.capacity(self.fractions);
@@ -144,6 +153,25 @@
         Some(fullest.bucket.take(amount))
     }
 
+    /// Stops using the grants that end soon. Returns the owners to be told of them.
+    pub fn end_grants(&mut self, now: Time) -> SmallVec<[VmId; 4]> {
+        let mut owners: SmallVec<[VmId; 4]> = SmallVec::new();
+        for grant in self.grants.iter().filter(|grant| grant.surplus_end() <= now) {
+            let settled = Settled { grant: grant.id, unused: grant.amount };
+            self.settled.push((grant.owner, settled));
+            if !owners.contains(&grant.owner) {
+                owners.push(grant.owner);
+            }
+        }
+        self.grants.retain(|grant| now < grant.surplus_end());
+        owners
+    }
+
+    /// Gets the time at which `end_grants` has something to do if nothing is used before.
+    pub fn next_surplus(&self) -> Option<Time> {
+        self.grants.iter().map(HeldGrant::surplus_end).min()
+    }
+
     /// Takes the grants of `owner` that are no longer used, to tell it so.
     pub fn take_settled(&mut self, owner: VmId) -> SmallVec<[Settled; 4]> {
         let settled = self.settled.iter().filter(|(vm, _)| *vm == owner);
