--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -42,8 +42,8 @@
 const IDLE_CHECK: Span = Span::from_secs(5);
 /// The parts of a peer's capacity in which a need is divided over the peers.
 const CHUNKS: u64 = 4;
-/// The least tokens for which an owner is asked, unless less is needed.
-const MIN_ASK: Tokens = Tokens(Tokens::whole(1).0 / 32);
+/// The parts of a peer's capacity of which it is asked for at least one, unless less is needed.
+const LEAST_PARTS: u64 = 16;
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Span = Span::from_millis(1);
 
@@ -74,6 +74,11 @@
 }
 
 impl Offer {
+    /// Gets the least amount that is worth a message.
+    fn least(&self) -> Tokens {
+        Tokens(self.capacity.0 / LEAST_PARTS)
+    }
+
     fn fill(&self) -> f64 {
         self.left.0 as f64 / self.capacity.0.max(1) as f64
     }
@@ -439,15 +444,14 @@
         while rest != Tokens::ZERO {
             let fullest =
                 offers.iter_mut().max_by(|left, right| left.fill().total_cmp(&right.fill()));
-            let Some(fullest) = fullest.filter(|offer| offer.left != Tokens::ZERO) else { break };
-            let chunk = Tokens(fullest.capacity.0 / CHUNKS).max(MIN_ASK);
+            let Some(fullest) = fullest.filter(|offer| offer.least() < offer.left) else { break };
+            let chunk = Tokens(fullest.capacity.0 / CHUNKS);
             let part = chunk.min(rest).min(fullest.left);
             fullest.left = fullest.left.saturating_sub(part);
             fullest.amount += part;
             rest = rest.saturating_sub(part);
         }
-        let least = MIN_ASK.min(need);
-        let asked = offers.into_iter().filter(|offer| least <= offer.amount);
+        let asked = offers.into_iter().filter(|offer| offer.least().min(need) <= offer.amount);
         asked.map(|offer| (offer.at, offer.amount)).collect()
     }
 
