Credit refill that was lost to grants used long ago

Cause: granted tokens take room in the owner's bucket until the owner hears that they were used, and refill was lost meanwhile. Change: the borrower says how long ago a grant was used up; the owner credits what overflowed since then, each token once. Loans are returned after six expected requests in a silence, and after 1.5 if another VM asks.

--- a/oleander-limits/src/messages.rs
+++ b/oleander-limits/src/messages.rs
@@ -76,6 +76,8 @@
     pub grant: LoanId,
     /// The tokens of the grant that were not used.
     pub unused: Tokens,
+    /// The time since the last of the others was used.
+    pub age: Span,
 }
 
 /// `Returned` is a loan on its way back.
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -35,9 +35,9 @@
 /// The time after which a borrower asks again while the owner recalls a loan.
 const RECALL_WAIT: Span = Span::from_millis(5);
 /// The requests expected in a silence after which all loans are returned.
-const RETURN_SILENCE: f64 = 8.0;
+const RETURN_SILENCE: f64 = 6.0;
 /// The requests expected in a silence after which a loan is returned if another VM asks.
-const PROBED_SILENCE: f64 = 2.5;
+const PROBED_SILENCE: f64 = 1.5;
 /// The interval in which an account is looked at, to drop it once it is idle.
 const IDLE_CHECK: Span = Span::from_secs(5);
 /// The parts of a peer's capacity in which a need is divided over the peers.
@@ -370,7 +370,7 @@
             return;
         }
         for owner in self.borrower.end_grants(ctx.now) {
-            let settled = self.borrower.take_settled(owner);
+            let settled = self.borrower.take_settled(ctx.now, owner);
             ctx.send(owner, self.workspace, Ask::Settle { settled });
         }
     }
@@ -422,7 +422,7 @@
         let demand = self.meter.per_second(ctx.now);
         for (at, amount) in self.divide(ctx, need) {
             let to = self.peers[at].vm;
-            let settled = self.borrower.take_settled(to);
+            let settled = self.borrower.take_settled(ctx.now, to);
             let ask = Ask::Borrow { need: amount, demand, settled };
             let call = ctx.send(to, self.workspace, ask);
             self.peers[at].asked(ctx.now, call, amount);
@@ -490,7 +490,7 @@
 
     /// Takes tokens that `available` has counted: grants first, then from the fullest bucket.
     fn take(&mut self, ctx: &Context<'_>, cost: Tokens) {
-        let mut rest = cost.saturating_sub(self.borrower.take_granted(cost));
+        let mut rest = cost.saturating_sub(self.borrower.take_granted(ctx.now, cost));
         let valid = ctx.ownership.is_valid(ctx.now);
         while rest != Tokens::ZERO {
             let fill = if valid { self.owner.fill(self.limit) } else { 0.0 };
--- a/oleander-limits/src/rates/borrower.rs
+++ b/oleander-limits/src/rates/borrower.rs
@@ -30,7 +30,7 @@
 pub struct RateBorrower {
     loans: SmallVec<[HeldLoan; 1]>,
     grants: SmallVec<[HeldGrant; 1]>,
-    settled: SmallVec<[(VmId, Settled); 2]>,
+    settled: SmallVec<[EndedGrant; 2]>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +53,14 @@
     until: Time,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct EndedGrant {
+    owner: VmId,
+    id: LoanId,
+    unused: Tokens,
+    at: Time,
+}
+
 /// `DueLoan` is a loan to be renewed, or returned if the demand has gone.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DueLoan {
@@ -130,14 +138,14 @@
     }
 
     /// Takes up to `amount` of granted tokens, which end soonest. Returns what was taken.
-    pub fn take_granted(&mut self, amount: Tokens) -> Tokens {
+    pub fn take_granted(&mut self, now: Time, amount: Tokens) -> Tokens {
         let mut taken = Tokens::ZERO;
         for grant in &mut self.grants {
             let part = grant.amount.min(amount.saturating_sub(taken));
             grant.amount = grant.amount.saturating_sub(part);
             taken += part;
         }
-        self.settle_empty();
+        self.end_empty(now);
         taken
     }
 
@@ -157,8 +165,8 @@
     pub fn end_grants(&mut self, now: Time) -> SmallVec<[VmId; 4]> {
         let mut owners: SmallVec<[VmId; 4]> = SmallVec::new();
         for grant in self.grants.iter().filter(|grant| grant.surplus_end() <= now) {
-            let settled = Settled { grant: grant.id, unused: grant.amount };
-            self.settled.push((grant.owner, settled));
+            let HeldGrant { id, owner, amount, .. } = *grant;
+            self.settled.push(EndedGrant { owner, id, unused: amount, at: now });
             if !owners.contains(&grant.owner) {
                 owners.push(grant.owner);
             }
@@ -173,10 +181,16 @@
     }
 
     /// Takes the grants of `owner` that are no longer used, to tell it so.
-    pub fn take_settled(&mut self, owner: VmId) -> SmallVec<[Settled; 4]> {
-        let settled = self.settled.iter().filter(|(vm, _)| *vm == owner);
-        let settled = settled.map(|(_, settled)| *settled).collect();
-        self.settled.retain(|(vm, _)| *vm != owner);
+    pub fn take_settled(&mut self, now: Time, owner: VmId) -> SmallVec<[Settled; 4]> {
+        let ended = self.settled.iter().filter(|ended| ended.owner == owner);
+        let settled = ended
+            .map(|ended| Settled {
+                grant: ended.id,
+                unused: ended.unused,
+                age: now.since(ended.at),
+            })
+            .collect();
+        self.settled.retain(|ended| ended.owner != owner);
         settled
     }
 
@@ -251,9 +265,10 @@
         self.grants.retain(|grant| now < grant.until);
     }
 
-    fn settle_empty(&mut self) {
+    fn end_empty(&mut self, now: Time) {
         for grant in self.grants.iter().filter(|grant| grant.amount == Tokens::ZERO) {
-            self.settled.push((grant.owner, Settled { grant: grant.id, unused: Tokens::ZERO }));
+            let HeldGrant { id, owner, amount, .. } = *grant;
+            self.settled.push(EndedGrant { owner, id, unused: amount, at: now });
         }
         self.grants.retain(|grant| grant.amount != Tokens::ZERO);
         let excess = self.settled.len().saturating_sub(MAX_SETTLED);
--- a/oleander-limits/src/rates/mod.rs
+++ b/oleander-limits/src/rates/mod.rs
@@ -12,6 +12,7 @@
 pub mod demand;
 pub mod limiter;
 pub mod owner;
+pub mod overflow;
 pub mod ownership;
 pub mod peers;
 pub mod tokens;
--- a/oleander-limits/src/rates/owner.rs
+++ b/oleander-limits/src/rates/owner.rs
@@ -11,6 +11,7 @@
 use crate::messages::Returned;
 use crate::messages::Settled;
 use crate::rates::demand::DemandTable;
+use crate::rates::overflow::Overflow;
 use crate::rates::tokens::Bucket;
 use crate::rates::tokens::Limit;
 use crate::rates::tokens::Tokens;
@@ -39,6 +40,7 @@
     pool: Bucket,
     lent: SmallVec<[Lent; 1]>,
     granted: SmallVec<[Granted; 2]>,
+    overflow: Overflow,
     demands: DemandTable,
 }
 
@@ -57,6 +59,7 @@
 struct Granted {
     id: LoanId,
     amount: Tokens,
+    from: Time,
     until: Time,
 }
 
@@ -135,12 +138,16 @@
     /// Takes in that grants are no longer used.
     pub fn end_grants(&mut self, now: Time, limit: Limit, settled: &[Settled]) {
         self.settle(now, limit);
-        for Settled { grant, unused } in settled {
+        for Settled { grant, unused, age } in settled {
             let Some(at) = self.granted.iter().position(|granted| granted.id == *grant) else {
                 continue;
             };
             let granted = self.granted.remove(at);
-            self.pool.level += (*unused).min(granted.amount);
+            let unused = (*unused).min(granted.amount);
+            let used = granted.amount.saturating_sub(unused);
+            // The used part took room in the bucket until now, but needed none since its use.
+            let since = Time(now.0.saturating_sub(age.0)).max(granted.from);
+            self.pool.level += unused + self.overflow.credit(since, used);
         }
         self.clip(limit);
     }
@@ -176,7 +183,7 @@
         if amount == Tokens::ZERO {
             return None;
         }
-        self.granted.push(Granted { id, amount, until: now + GRANTED_FOR });
+        self.granted.push(Granted { id, amount, from: now, until: now + GRANTED_FOR });
         Some(Grant { id, amount })
     }
 
@@ -264,8 +271,17 @@
 
     fn refill(&mut self, now: Time, limit: Limit) {
         let home = self.home();
-        let capacity = limit.capacity(home).saturating_sub(self.outstanding());
+        let outstanding = self.outstanding();
+        let capacity = limit.capacity(home).saturating_sub(outstanding);
+        let full = self.pool.level + limit.refill(home, now.since(self.pool.at));
+        let lost = full.saturating_sub(capacity.max(self.pool.level));
+        let from = Time(now.0.saturating_sub(limit.time_for(home, lost).0)).max(self.pool.at);
         self.pool.refill(now, limit, home, capacity);
+        if outstanding == Tokens::ZERO {
+            self.overflow.clear();
+        } else if lost != Tokens::ZERO {
+            self.overflow.record(from, now, lost);
+        }
     }
 
     /// Keeps what is at home and what is granted from it within the capacity.
