Ask an owner that can hold a whole token for a whole one

Cause: the remains of a traced run showed late refusals while three to eight tokens lay about: several VMs each held parts of a token and waited for the rest.

--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -74,6 +74,15 @@
 }
 
 impl Offer {
+    /// Gets the amount that is asked for in one step.
+    ///
+    /// Parts of a token wait for one another, so a peer that can hold a whole
+    /// token is asked for a whole one.
+    fn chunk(&self) -> Tokens {
+        let whole = Tokens::whole(1);
+        if whole <= self.capacity { whole } else { Tokens(self.capacity.0 / CHUNKS) }
+    }
+
     /// Gets the least amount that is worth a message.
     fn least(&self) -> Tokens {
         Tokens(self.capacity.0 / LEAST_PARTS)
@@ -445,7 +454,7 @@
             let fullest =
                 offers.iter_mut().max_by(|left, right| left.fill().total_cmp(&right.fill()));
             let Some(fullest) = fullest.filter(|offer| offer.least() < offer.left) else { break };
-            let chunk = Tokens(fullest.capacity.0 / CHUNKS);
+            let chunk = fullest.chunk();
             let part = chunk.min(rest).min(fullest.left);
             fullest.left = fullest.left.saturating_sub(part);
             fullest.amount += part;
