Let callers wait for the new homes of a database and for room for a transaction

Cause: while shares change hands no home takes a request for some tens of milliseconds, and four sends in 30 ms were all that an entry VM tried; a second transaction of a workspace was refused at once. The entry VM now waits for the next view for up to half of the deadline, and an opening waits for room.

--- a/oleander-load/src/drive/run.rs
+++ b/oleander-load/src/drive/run.rs
@@ -11,6 +11,7 @@
 use oleander_core::verdict::Verdict;
 use oleander_runtime::timer::TimerService;
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::cluster::profile::Profile;
@@ -80,6 +81,8 @@
     pub timers: TimerService,
     /// The class of reads.
     pub reads: ReadClass,
+    /// Turns `true` when no further calls are to start.
+    pub stop: watch::Receiver<bool>,
 }
 
 impl Driver {
@@ -90,6 +93,9 @@
         let mut calls = Vec::with_capacity(plan.len());
         for planned in plan {
             self.timers.sleep_until(start + planned.at).await;
+            if *self.stop.borrow() {
+                break;
+            }
             let driver = self.clone();
             open.spawn(async move { driver.call(planned, start).await });
             while let Some(done) = open.try_join_next() {
--- a/oleander-load/src/main.rs
+++ b/oleander-load/src/main.rs
@@ -15,6 +15,7 @@
 use oleander_load::history::lines::History;
 use oleander_load::report::Report;
 use oleander_load::runs::demo;
+use oleander_load::runs::drain;
 use oleander_load::runs::measure;
 
 /// Load, experiments and checks for oleanderrudder.
@@ -51,6 +52,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// Restarts the VMs of a fleet one after the other under load.
+    Drain {
+        /// The number of restarts.
+        #[arg(long, default_value_t = 100)]
+        restarts: usize,
+        /// The seed of the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+    },
     /// Measures a fleet of each user's size under several loads, beside a baseline.
     Measure {
         /// The seconds of load for each measurement.
@@ -77,6 +90,7 @@
     match Arguments::parse().command {
         Command::Experiment { name, seed, json } => print(&experiments::run(name, seed), json),
         Command::Demo { seconds, seed, json } => print_live(demo::run(seconds, seed), json),
+        Command::Drain { restarts, seed, json } => print_live(drain::run(restarts, seed), json),
         Command::Measure { seconds, seed, json } => print_live(measure::run(seconds, seed), json),
         Command::Check { file, json } => check_file(&file, json),
     }
--- a/oleander-load/src/runs/live.rs
+++ b/oleander-load/src/runs/live.rs
@@ -7,6 +7,8 @@
 use oleander_core::time::Time;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::timer::TimerService;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::cluster::fleet::Fleet;
 use crate::cluster::profile::INSTANCES;
@@ -19,6 +21,7 @@
 use crate::history::lines::Overrun;
 use crate::history::lines::RateLimit;
 use crate::history::record::Applied;
+use crate::history::record::Call;
 use crate::history::record::KeyValue;
 use crate::measures::ideal::Limit;
 
@@ -47,8 +50,65 @@
 impl LiveRun {
     /// Gets the limits by workspace.
     pub fn limits(&self) -> HashMap<String, Limit> {
-        let limit = |rate: &RateLimit| Limit { rate: rate.rate, burst: rate.burst };
-        self.history.rates.iter().map(|rate| (rate.workspace.clone(), limit(rate))).collect()
+        limits(&self.history)
+    }
+}
+
+/// Gets the limits of a history by workspace.
+pub fn limits(history: &History) -> HashMap<String, Limit> {
+    let limit = |rate: &RateLimit| Limit { rate: rate.rate, burst: rate.burst };
+    history.rates.iter().map(|rate| (rate.workspace.clone(), limit(rate))).collect()
+}
+
+/// `Load` is a load under way.
+pub struct Load {
+    task: JoinHandle<Vec<Call>>,
+    timers: TimerService,
+    start: Time,
+    stop: watch::Sender<bool>,
+}
+
+impl Load {
+    /// Starts a load on a fleet.
+    ///
+    /// Fails if the HTTP client cannot be set up.
+    pub fn start(fleet: &Fleet, plan: &PlanOptions, reads: ReadClass) -> Result<Self, String> {
+        let client = Client::new(DEADLINE).map_err(|error| error.to_string())?;
+        let timers = TimerService::start(Clock::new());
+        let (stop, stopped) = watch::channel(false);
+        let driver = Driver {
+            profile: fleet.profile.clone(),
+            endpoints: fleet.endpoints.clone(),
+            client,
+            timers: timers.clone(),
+            reads,
+            stop: stopped,
+        };
+        let plan = plan::plan(&fleet.profile, fleet.nodes.len(), plan);
+        let start = timers.now();
+        Ok(Self { task: tokio::spawn(async move { driver.run(plan).await }), timers, start, stop })
+    }
+
+    /// Waits until `at` after the start and returns the time since the start, in microseconds.
+    pub async fn wait_until(&self, at: Span) -> u64 {
+        self.timers.sleep_until(self.start + at).await;
+        self.timers.now().since(self.start).0
+    }
+
+    /// Waits for the end of the load and reads what the upstreams hold.
+    ///
+    /// Fails if the load's task failed.
+    pub async fn finish(self, fleet: &Fleet) -> Result<History, String> {
+        let calls = self.task.await.map_err(|error| error.to_string())?;
+        Ok(History { calls, ..observed(fleet) })
+    }
+
+    /// Starts no further calls, waits for those under way and reads what the upstreams hold.
+    ///
+    /// Fails if the load's task failed.
+    pub async fn stop(self, fleet: &Fleet) -> Result<History, String> {
+        self.stop.send_replace(true);
+        self.finish(fleet).await
     }
 }
 
@@ -56,35 +116,20 @@
 ///
 /// Fails if the HTTP client cannot be set up.
 pub async fn run(fleet: &Fleet, options: &LiveOptions) -> Result<LiveRun, String> {
-    let client = Client::new(DEADLINE).map_err(|error| error.to_string())?;
-    let timers = TimerService::start(Clock::new());
-    let driver = Driver {
-        profile: fleet.profile.clone(),
-        endpoints: fleet.endpoints.clone(),
-        client,
-        timers: timers.clone(),
-        reads: options.reads,
-    };
-    let plan = plan::plan(&fleet.profile, fleet.nodes.len(), &options.plan);
-    let start = timers.now();
-    let load = driver.run(plan);
-    let fault = cut_primary(fleet, &timers, start, options.fail_primary);
-    let (calls, failed) = tokio::join!(load, fault);
-    Ok(LiveRun { history: History { calls, ..observed(fleet) }, failed })
+    let load = Load::start(fleet, &options.plan, options.reads)?;
+    let mut failed = None;
+    if let Some(at) = options.fail_primary {
+        let time = load.wait_until(at).await;
+        failed = cut_primary(fleet).map(|()| time);
+    }
+    Ok(LiveRun { history: load.finish(fleet).await?, failed })
 }
 
-/// Cuts the primary of the first database off; returns when, since the start.
-async fn cut_primary(
-    fleet: &Fleet,
-    timers: &TimerService,
-    start: Time,
-    at: Option<Span>,
-) -> Option<u64> {
-    let at = at?;
-    timers.sleep_until(start + at).await;
+/// Cuts the primary of the first database off; `None` if it has none.
+fn cut_primary(fleet: &Fleet) -> Option<()> {
     let group = fleet.groups.first()?;
     group.partition(group.primary()?);
-    Some(timers.now().since(start).0)
+    Some(())
 }
 
 /// Reads what the upstreams hold and counted, and the limits in force.
--- a/oleander-proxy/src/entry/forward.rs
+++ b/oleander-proxy/src/entry/forward.rs
@@ -33,6 +33,9 @@
 /// The time that one more send is expected to take.
 const EXPECTED_SEND: Span = Span::from_millis(10);
 
+/// The longest wait for another view before the homes are tried again.
+const VIEW_PATIENCE: Span = Span::from_millis(50);
+
 /// The time beyond a deadline for which the entry VM waits for the home's own answer.
 const ANSWER_GRACE: Span = Span::from_millis(100);
 
@@ -53,6 +56,8 @@
             expected: EXPECTED_SEND,
         };
         let mut last = None;
+        let started = self.timers.now();
+        let patience = started + Span(deadline.since(started).0 / 2);
         loop {
             // Shares may have moved since the last send, so the homes are looked up each time.
             let order = self.homes_of(&request);
@@ -66,6 +71,12 @@
             };
             let Some(cut) = fault.cut else { return Err(fault.refusal) };
             let now = self.timers.now();
+            if is_homeless(cut) && order.len() <= attempt.sends as usize && now < patience {
+                // Shares are changing hands; the next view names the new homes.
+                self.wait_for_view(now + VIEW_PATIENCE).await;
+                attempt.sends = 0;
+                continue;
+            }
             let next = retry::decide(now, cut, &attempt, &mut self.budget(), rand::random());
             match next {
                 Next::Retry { at } => {
@@ -191,6 +202,11 @@
     }
 }
 
+/// Returns `true` if no home took the request in.
+fn is_homeless(cut: Cut) -> bool {
+    matches!(cut, Cut::HomeUnreachable | Cut::HomeDraining)
+}
+
 /// Gets the cut for a refusal of a home after which the other home may serve the request.
 fn cut_of(code: RefusalCode) -> Option<Cut> {
     match code {
--- a/oleander-proxy/src/home/transactions.rs
+++ b/oleander-proxy/src/home/transactions.rs
@@ -15,6 +15,7 @@
 use oleander_core::terms::InstanceStatus;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Role;
+use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_limits::home::queue::Ticket;
@@ -29,6 +30,7 @@
 use oleander_session::token::SeenPoint;
 use oleander_upstream::connection::Connection;
 use oleander_upstream::errors::Error;
+use tokio::sync::Notify;
 
 use crate::home::admission;
 use crate::home::admission::Place;
@@ -41,6 +43,7 @@
 #[derive(Default)]
 pub struct Table {
     state: Mutex<TableState>,
+    ended: Notify,
 }
 
 #[derive(Default)]
@@ -72,10 +75,10 @@
         self.lock().open.len() as u64
     }
 
-    /// Bounds the transactions so that some of the instance's work connections stay free.
+    /// Bounds the transactions so that one of the instance's work connections stays free.
     pub fn set_room(&self, connections: u32) {
-        let total = (connections / 2).max(1);
-        let workspace = (total / 2).max(1);
+        let total = connections.saturating_sub(1).max(1);
+        let workspace = total.div_ceil(2);
         self.lock().bounds.set_limits(TransactionLimits {
             total,
             workspace,
@@ -121,8 +124,7 @@
 impl Home {
     /// Opens a transaction on the primary.
     pub(crate) async fn begin(&self, job: &Job, seen: &[SeenPoint]) -> Result<WorkAnswer, Refusal> {
-        let now = self.context.timers.now();
-        self.transactions.lock().bounds.check(now, job.request.workspace)?;
+        self.wait_for_room(job).await?;
         let mut tries = Tries::new(Effect::Begin);
         loop {
             let mut started = self.admission.enter(self.entrant(job, Place::Primary)).await?;
@@ -251,6 +253,26 @@
         }
     }
 
+    /// Waits until the bounds let the workspace open a transaction.
+    ///
+    /// Fails "not run" if that takes more than half of the time left.
+    async fn wait_for_room(&self, job: &Job) -> Result<(), Refusal> {
+        let started = self.context.timers.now();
+        let limit = started + Span(job.deadline.since(started).0 / 2);
+        loop {
+            let ended = self.transactions.ended.notified();
+            let now = self.context.timers.now();
+            let room = self.transactions.lock().bounds.check(now, job.request.workspace);
+            if room.is_ok() || limit <= now {
+                return room;
+            }
+            tokio::select! {
+                () = ended => {}
+                () = self.context.timers.sleep_until(limit) => {}
+            }
+        }
+    }
+
     async fn begin_on(
         &self,
         ordinal: u8,
@@ -348,6 +370,7 @@
         drop(table);
         if known {
             self.admission.disconnect(open.ordinal);
+            self.transactions.ended.notify_waiters();
         }
         known
     }
--- a/oleander-proxy/src/proxy.rs
+++ b/oleander-proxy/src/proxy.rs
@@ -15,6 +15,7 @@
 use oleander_core::ids::RequestId;
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_peer::client::PeerClient;
 use oleander_peer::server;
 use oleander_routing::budget::RetryBudget;
@@ -25,6 +26,7 @@
 use oleander_runtime::timer::TimerService;
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -60,6 +62,7 @@
     /// The databases of which this VM is a home.
     pub homes: Homes,
     fleet: Arc<ArcSwap<FleetView>>,
+    viewed: Notify,
     waits: Waits,
     budget: Mutex<RetryBudget>,
     serial: AtomicU64,
@@ -118,6 +121,15 @@
         self.homes.apply(&view);
         self.rates.apply(&view);
         self.note_currency();
+        self.viewed.notify_waiters();
+    }
+
+    /// Waits for another view, at most until `limit`.
+    pub(crate) async fn wait_for_view(&self, limit: Time) {
+        tokio::select! {
+            () = self.viewed.notified() => {}
+            () = self.timers.sleep_until(limit) => {}
+        }
     }
 
     /// Gets the queue waits last heard from homes.
@@ -288,6 +300,7 @@
         vm,
         rates: Rates::new(vm, incarnation.0, timers.clone(), peers.clone(), fleet.clone()),
         homes: Homes::new(context),
+        viewed: Notify::new(),
         waits: Waits::default(),
         budget: Mutex::new(RetryBudget::new(RetryOptions::default(), timers.now())),
         peers,
