Count an instance for durability only if it has promised no later term

An entry of term 1 that a cut-off primary had brought into term 4 spread to a replica there and counted as held by a majority in term 1, while the primary of term 2 never had it.

--- a/oleander-proxy/src/home/acks.rs
+++ b/oleander-proxy/src/home/acks.rs
@@ -15,6 +15,7 @@
 use oleander_core::verdict::Verdict;
 use oleander_routing::retry;
 use oleander_runtime::timer::TimerService;
+use oleander_session::proof;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -127,16 +128,12 @@
 impl State {
     /// Judges a write by the last known statuses.
     ///
-    /// An instance of the same term at or past the position holds the write. A
-    /// majority that holds it includes an instance of every later majority, so
-    /// no promotion can drop it.
+    /// An instance of the same term at or past the position, which has promised
+    /// no later one, holds the write. A majority of such instances includes one
+    /// of every later majority, so no promotion can drop it.
     fn standing(&self, point: LogPoint) -> Standing {
-        let of_term = |status: &&InstanceStatus| status.point.term == point.term;
         let statuses = self.known.iter().map(|(_, status)| status);
-        let holders = statuses
-            .clone()
-            .filter(of_term)
-            .filter(|status| point.position <= status.point.position);
+        let holders = statuses.clone().filter(|status| proof::holds_in_term(status, point));
         if self.size / 2 < holders.count() {
             return Standing::Confirmed;
         }
--- a/oleander-proxy/src/home/single.rs
+++ b/oleander-proxy/src/home/single.rs
@@ -232,7 +232,7 @@
             let status = outcome.after;
             let id = InstanceId { database: self.id, ordinal };
             let size = instances.all().len();
-            (check, proof::is_durable(status.point, id, status.role, instances.statuses(), size))
+            (check, proof::is_durable(&status, id, instances.statuses(), size))
         });
         match check {
             Check::Accept(_) => {
--- a/oleander-routing/src/knowledge.rs
+++ b/oleander-routing/src/knowledge.rs
@@ -142,7 +142,7 @@
     pub fn seen_point(&self, instance: InstanceId, status: &InstanceStatus) -> SeenPoint {
         let known = self.members.iter().filter_map(|one| Some((one.instance, one.known?.status)));
         let size = self.members.len();
-        let durable = proof::is_durable(status.point, instance, status.role, known, size);
+        let durable = proof::is_durable(status, instance, known, size);
         SeenPoint { point: status.point, durable }
     }
 
--- /dev/null
+++ b/oleander-routing/tests/promotions.rs
@@ -0,0 +1,179 @@
+//! Random promotions: an accepted answer has all that the session saw, and all
+//! that was written longer ago than the age that the read accepts.
+
+mod model;
+
+use oleander_core::ids::WorkspaceId;
+use oleander_core::places::Distance;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_routing::knowledge::Knowledge;
+use oleander_routing::reads::Check;
+use oleander_routing::reads::ReadNeed;
+use oleander_routing::samples::StatusAt;
+use oleander_session::proof;
+use oleander_session::proof::Proof;
+use oleander_session::token::SeenPoint;
+use oleander_session::token::Token;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+use crate::model::DATABASE;
+use crate::model::Entry;
+use crate::model::Group;
+
+const SEED: u64 = 23;
+
+/// `Session` is a token and the longest log that the session has really seen.
+#[derive(Debug)]
+struct Session {
+    token: Token,
+    log: Vec<Entry>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An instance that believes itself primary writes, cut off or not.
+    Write(usize),
+    /// A replica copies some entries of the primary of its term.
+    Copy { to: usize, count: usize },
+    /// An instance follows the newest primary.
+    Follow(usize),
+    /// A promoter fences these instances and promotes the best of them.
+    Promote { mask: u8 },
+    /// A promoter fences these instances and dies.
+    FenceOnly { mask: u8 },
+    /// The session reads.
+    Read(usize),
+    /// A home that reaches these instances pings them.
+    Ping { mask: u8 },
+    /// The home reads data of a stated age.
+    ReadAged(usize),
+}
+
+/// The time that a step takes.
+const STEP: Span = Span(10);
+/// The age of data that a read of a stated age accepts.
+const AGE: Span = Span(100);
+
+impl Session {
+    /// Reads on an instance. Gets `false` if a fresh answer lacks what the session saw.
+    fn read(&mut self, group: &Group, at: usize) -> bool {
+        let status = group.status(at);
+        let seen = self.token.seen(DATABASE);
+        match proof::proves_now(&status, &seen) {
+            Proof::Behind => return true,
+            // The caller is told, and starts a new session.
+            Proof::Lost => *self = Self::new(),
+            Proof::Fresh if !group.instances[at].log.starts_with(&self.log) => return false,
+            Proof::Fresh => {}
+        }
+        let size = group.instances.len();
+        let known = (0..size).map(|at| (Group::id(at), group.status(at)));
+        let durable = proof::is_durable(&status, Group::id(at), known, size);
+        self.token.observe(DATABASE, SeenPoint { point: status.point, durable }).unwrap();
+        self.log.clone_from(&group.instances[at].log);
+        true
+    }
+
+    fn new() -> Self {
+        Self { token: Token::new(WorkspaceId(1)), log: Vec::new() }
+    }
+}
+
+fn any_step(size: usize) -> impl Strategy<Value = Step> {
+    let masks = 1..(1u8 << size);
+    prop_oneof![
+        4 => (0..size).prop_map(Step::Write),
+        4 => (0..size, 1..4usize).prop_map(|(to, count)| Step::Copy { to, count }),
+        2 => (0..size).prop_map(Step::Follow),
+        1 => masks.clone().prop_map(|mask| Step::Promote { mask }),
+        1 => masks.prop_map(|mask| Step::FenceOnly { mask }),
+        4 => (0..size).prop_map(Step::Read),
+        4 => (1..(1u8 << size)).prop_map(|mask| Step::Ping { mask }),
+        3 => (0..size).prop_map(Step::ReadAged),
+    ]
+}
+
+fn run(size: usize, steps: &[Step]) -> bool {
+    let (mut group, mut session) = (Group::new(size), Session::new());
+    let instances = (0..size).map(|at| (Group::id(at), Distance::Zone));
+    let mut home = Knowledge::new(instances);
+    let mut past = Vec::new();
+    for step in steps {
+        group.now = group.now + STEP;
+        past.push(group.history().to_vec());
+        match *step {
+            Step::Write(at) => group.write(at),
+            Step::Copy { to, count } => group.copy(to, count),
+            Step::Follow(at) => group.follow(at),
+            Step::Promote { mask } => group.promote(&group.chosen(mask)),
+            Step::FenceOnly { mask } => drop(group.fence(&group.chosen(mask))),
+            Step::Ping { mask } => ping(&mut home, &group, &group.chosen(mask)),
+            Step::ReadAged(at) if !is_young(&home, &group, &past, at) => return false,
+            Step::Read(at) if !session.read(&group, at) => return false,
+            Step::Read(_) | Step::ReadAged(_) => {}
+        }
+    }
+    true
+}
+
+fn ping(home: &mut Knowledge, group: &Group, reached: &[usize]) {
+    for at in reached {
+        let known = StatusAt { status: group.status(*at), asked: group.now };
+        home.learn(Group::id(*at), known);
+    }
+}
+
+/// Returns `false` if an answer is accepted that lacks what the group's history held at every
+/// time within the age. What a promotion dropped and a later one brought back does not count.
+fn is_young(home: &Knowledge, group: &Group, past: &[Vec<Entry>], at: usize) -> bool {
+    let need = ReadNeed { seen: &[], age: Some(AGE), deadline: Time(u64::MAX) };
+    if home.check_answer(group.now, &group.status(at), &need) == Check::Retry {
+        return true;
+    }
+    let log = &group.instances[at].log;
+    let steps = (AGE.0 / STEP.0) as usize;
+    past.iter().rev().take(steps + 1).any(|history| log.starts_with(history))
+}
+
+fn config() -> Config {
+    let rng_seed = RngSeed::Fixed(SEED);
+    Config { rng_seed, failure_persistence: None, cases: 4_000, ..Config::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn an_accepted_answer_of_three_instances_lacks_nothing(
+        steps in proptest::collection::vec(any_step(3), 1..80),
+    ) {
+        prop_assert!(run(3, &steps));
+    }
+
+    #[test]
+    fn an_accepted_answer_of_five_instances_lacks_nothing(
+        steps in proptest::collection::vec(any_step(5), 1..80),
+    ) {
+        prop_assert!(run(5, &steps));
+    }
+}
+
+#[test]
+fn a_point_that_spreads_under_a_later_term_is_not_durable() {
+    // Instance 0 is cut off in term 1 and leads again in term 4, when instance 1
+    // gets its old entry; instance 2 has led term 2 without it all the while.
+    let steps = [
+        Step::Write(0),
+        Step::Promote { mask: 0b110 },
+        Step::Write(0),
+        Step::Promote { mask: 0b011 },
+        Step::Follow(1),
+        Step::Copy { to: 1, count: 1 },
+        Step::Read(1),
+        Step::Read(2),
+    ];
+    assert!(run(3, &steps));
+}
--- a/oleander-session/src/proof.rs
+++ b/oleander-session/src/proof.rs
@@ -66,23 +66,33 @@
     if proof == Proof::Behind && of_own_term { Proof::Lost } else { proof }
 }
 
-/// Returns `true` if a majority of a group of `size` instances is known to hold `point`.
+/// Returns `true` if a majority of a group of `size` instances holds the point of `status`.
 ///
-/// `answered` is the instance whose own answer proved the point; `known` are the
-/// last known statuses. The primary of the term always holds what any other
-/// instance has of that term, so a replica's point counts for both.
+/// `answered` is the instance that gave the status; `known` are the last known
+/// statuses. An instance counts only if it has promised no later term: one that
+/// has may have got the entries of the older term as the history of a later
+/// one, and a term between the two may lack them. The primary of the term holds
+/// what its replicas got from it, so a replica's point counts for both.
 pub fn is_durable(
-    point: LogPoint,
+    status: &InstanceStatus,
     answered: InstanceId,
-    role: Role,
     known: impl IntoIterator<Item = (InstanceId, InstanceStatus)>,
     size: usize,
 ) -> bool {
-    let primaries = usize::from(role == Role::Replica);
-    let others = known.into_iter().filter(|(instance, status)| {
-        let holds = status.point.term == point.term && point.position <= status.point.position;
-        holds && *instance != answered
-    });
+    let point = status.point;
+    if !holds_in_term(status, point) {
+        return false;
+    }
+    let primaries = usize::from(status.role == Role::Replica);
+    let others = known
+        .into_iter()
+        .filter(|(instance, other)| *instance != answered && holds_in_term(other, point));
     // The primary may or may not be among the others.
     size / 2 < 1 + others.count().max(primaries)
 }
+
+/// Returns `true` if the instance got `point` in the point's own term, and holds it still.
+pub fn holds_in_term(status: &InstanceStatus, point: LogPoint) -> bool {
+    let is_of_term = status.point.term == point.term && status.fence <= point.term;
+    is_of_term && point.position <= status.point.position
+}
--- a/oleander-session/tests/proof.rs
+++ b/oleander-session/tests/proof.rs
@@ -72,26 +72,30 @@
 
 struct Holders {
     role: Role,
-    /// The other instances: role, term and position.
-    known: &'static [(Role, u64, u64)],
+    fence: u64,
+    /// The other instances: role, term, position and fence.
+    known: &'static [(Role, u64, u64, u64)],
     size: usize,
     durable: bool,
 }
 
 #[rstest]
-#[case::replica_of_three(Holders { role: Role::Replica, known: &[], size: 3, durable: true })]
-#[case::replica_of_five(Holders { role: Role::Replica, known: &[], size: 5, durable: false })]
-#[case::primary_alone(Holders { role: Role::Primary, known: &[], size: 3, durable: false })]
-#[case::primary_of_one(Holders { role: Role::Primary, known: &[], size: 1, durable: true })]
-#[case::replica_is_behind(Holders { role: Role::Primary, known: &[(Role::Replica, 2, 9)], size: 3, durable: false })]
-#[case::replica_has_it(Holders { role: Role::Primary, known: &[(Role::Replica, 2, 10)], size: 3, durable: true })]
-#[case::other_term(Holders { role: Role::Primary, known: &[(Role::Replica, 3, 10)], size: 3, durable: false })]
-#[case::fenced_primary_counts_once(Holders { role: Role::Replica, known: &[(Role::Fenced, 2, 10)], size: 5, durable: false })]
-#[case::fenced_alone(Holders { role: Role::Fenced, known: &[], size: 3, durable: false })]
+#[case::replica_of_three(Holders { role: Role::Replica, fence: 2, known: &[], size: 3, durable: true })]
+#[case::replica_of_five(Holders { role: Role::Replica, fence: 2, known: &[], size: 5, durable: false })]
+#[case::primary_alone(Holders { role: Role::Primary, fence: 2, known: &[], size: 3, durable: false })]
+#[case::primary_of_one(Holders { role: Role::Primary, fence: 2, known: &[], size: 1, durable: true })]
+#[case::replica_is_behind(Holders { role: Role::Primary, fence: 2, known: &[(Role::Replica, 2, 9, 2)], size: 3, durable: false })]
+#[case::replica_has_it(Holders { role: Role::Primary, fence: 2, known: &[(Role::Replica, 2, 10, 2)], size: 3, durable: true })]
+#[case::replica_follows_a_later_term(Holders { role: Role::Primary, fence: 2, known: &[(Role::Replica, 2, 10, 4)], size: 3, durable: false })]
+#[case::answered_by_one_that_follows_a_later_term(Holders { role: Role::Replica, fence: 4, known: &[], size: 3, durable: false })]
+#[case::other_term(Holders { role: Role::Primary, fence: 2, known: &[(Role::Replica, 3, 10, 3)], size: 3, durable: false })]
+#[case::primary_counts_once(Holders { role: Role::Replica, fence: 2, known: &[(Role::Primary, 2, 10, 2)], size: 5, durable: false })]
 fn a_point_is_durable_with_a_majority(#[case] case: Holders) {
     let id = |ordinal| InstanceId { database: DatabaseId(1), ordinal };
-    let known = case.known.iter().enumerate().map(|(at, (role, term, position))| {
-        (id(at as u8 + 1), status(*role, (*term, *position, 0)))
+    let known = case.known.iter().enumerate().map(|(at, (role, term, position, fence))| {
+        let fence = Term(*fence);
+        (id(at as u8 + 1), InstanceStatus { fence, ..status(*role, (*term, *position, 0)) })
     });
-    assert_eq!(proof::is_durable(point(2, 10), id(0), case.role, known, case.size), case.durable);
+    let answer = InstanceStatus { fence: Term(case.fence), ..status(case.role, (2, 10, 0)) };
+    assert_eq!(proof::is_durable(&answer, id(0), known, case.size), case.durable);
 }
