--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -35,15 +35,15 @@
 /// The time after which a borrower asks again while the owner recalls a loan.
 const RECALL_WAIT: Span = Span::from_millis(5);
 /// The requests expected in a silence after which all loans are returned.
-const RETURN_SILENCE: f64 = 8.0;
+const RETURN_SILENCE: f64 = 6.0;
 /// The requests expected in a silence after which a loan is returned if another VM asks.
-const PROBED_SILENCE: f64 = 2.5;
+const PROBED_SILENCE: f64 = 1.5;
 /// The interval in which an account is looked at, to drop it once it is idle.
 const IDLE_CHECK: Span = Span::from_secs(5);
 /// The parts of a peer's capacity in which a need is divided over the peers.
 const CHUNKS: u64 = 4;
-/// The least tokens for which an owner is asked, unless less is needed.
-const MIN_ASK: Tokens = Tokens(Tokens::whole(1).0 / 8);
+/// The parts of a peer's capacity of which it is asked for at least one, unless less is needed.
+const LEAST_PARTS: u64 = 16;
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Span = Span::from_millis(1);
 
@@ -74,6 +74,20 @@
 }
 
 impl Offer {
+    /// Gets the amount that is asked for in one step.
+    ///
+    /// Parts of a token wait for one another, so a peer that can hold a whole
+    /// token is asked for a whole one.
+    fn chunk(&self) -> Tokens {
+        let whole = Tokens::whole(1);
+        if whole <= self.capacity { whole } else { Tokens(self.capacity.0 / CHUNKS) }
+    }
+
+    /// Gets the least amount that is worth a message.
+    fn least(&self) -> Tokens {
+        Tokens(self.capacity.0 / LEAST_PARTS)
+    }
+
     fn fill(&self) -> f64 {
         self.left.0 as f64 / self.capacity.0.max(1) as f64
     }
@@ -141,6 +155,11 @@
         self.sync(ctx);
         match ask {
             Ask::Borrow { need, demand, settled } => self.lend(ctx, from, need, demand, &settled),
+            Ask::Settle { settled } => {
+                self.owner.end_grants(ctx.now, self.limit, &settled);
+                self.serve(ctx);
+                LimitReply::Accepted
+            }
             Ask::Renew { loan, demand } => self.renew(ctx, from, loan, demand),
             Ask::Return(returned) => {
                 self.owner.take_back(ctx.now, self.limit, returned);
@@ -178,15 +197,19 @@
         }
         self.keep_loans(ctx);
         self.serve(ctx);
+        self.return_surplus(ctx);
         self.is_idle(ctx.now)
     }
 
     /// Gets the time at which `tick` is needed next.
     pub fn next_due(&self, now: Time) -> Time {
         let mut due = now + IDLE_CHECK;
-        if !self.queue.is_empty() {
-            due = due.min(now + REPLAN_INTERVAL);
-        }
+        // Granted tokens are kept as long as a request waits.
+        due = if self.queue.is_empty() {
+            self.borrower.next_surplus().map_or(due, |surplus| due.min(surplus))
+        } else {
+            due.min(now + REPLAN_INTERVAL)
+        };
         let silent = (0 < self.borrower.fractions()).then(|| self.meter.gone_at(RETURN_SILENCE));
         let others = [self.queue.next_end(), self.borrower.next_due(), self.resync, silent];
         others.into_iter().flatten().fold(due, Time::min).max(now + Span(1))
@@ -350,6 +373,17 @@
         }
     }
 
+    /// Returns granted tokens that nobody waits for, before they end unused.
+    fn return_surplus(&mut self, ctx: &mut Context<'_>) {
+        if !self.queue.is_empty() {
+            return;
+        }
+        for owner in self.borrower.end_grants(ctx.now) {
+            let settled = self.borrower.take_settled(ctx.now, owner);
+            ctx.send(owner, self.workspace, Ask::Settle { settled });
+        }
+    }
+
     fn return_loan(&mut self, ctx: &mut Context<'_>, owner: VmId, loan: LoanId) {
         if let Some(returned) = self.give_back(ctx.now, loan) {
             ctx.send(owner, self.workspace, Ask::Return(returned));
@@ -397,7 +431,7 @@
         let demand = self.meter.per_second(ctx.now);
         for (at, amount) in self.divide(ctx, need) {
             let to = self.peers[at].vm;
-            let settled = self.borrower.take_settled(to);
+            let settled = self.borrower.take_settled(ctx.now, to);
             let ask = Ask::Borrow { need: amount, demand, settled };
             let call = ctx.send(to, self.workspace, ask);
             self.peers[at].asked(ctx.now, call, amount);
@@ -419,15 +453,14 @@
         while rest != Tokens::ZERO {
             let fullest =
                 offers.iter_mut().max_by(|left, right| left.fill().total_cmp(&right.fill()));
-            let Some(fullest) = fullest.filter(|offer| offer.left != Tokens::ZERO) else { break };
-            let chunk = Tokens(fullest.capacity.0 / CHUNKS).max(MIN_ASK);
+            let Some(fullest) = fullest.filter(|offer| offer.least() < offer.left) else { break };
+            let chunk = fullest.chunk();
             let part = chunk.min(rest).min(fullest.left);
             fullest.left = fullest.left.saturating_sub(part);
             fullest.amount += part;
             rest = rest.saturating_sub(part);
         }
-        let least = MIN_ASK.min(need);
-        let asked = offers.into_iter().filter(|offer| least <= offer.amount);
+        let asked = offers.into_iter().filter(|offer| offer.least().min(need) <= offer.amount);
         asked.map(|offer| (offer.at, offer.amount)).collect()
     }
 
@@ -466,7 +499,7 @@
 
     /// Takes tokens that `available` has counted: grants first, then from the fullest bucket.
     fn take(&mut self, ctx: &Context<'_>, cost: Tokens) {
-        let mut rest = cost.saturating_sub(self.borrower.take_granted(cost));
+        let mut rest = cost.saturating_sub(self.borrower.take_granted(ctx.now, cost));
         let valid = ctx.ownership.is_valid(ctx.now);
         while rest != Tokens::ZERO {
             let fill = if valid { self.owner.fill(self.limit) } else { 0.0 };
--- a/oleander-limits/src/rates/borrower.rs
+++ b/oleander-limits/src/rates/borrower.rs
@@ -20,6 +20,8 @@
 const RENEW_AHEAD: Span = Span::from_millis(1_000);
 /// The time after which a renewal that was not answered is sent again.
 const RENEW_INTERVAL: Span = Span::from_millis(300);
+/// The time before the end of a grant at which it is returned if nobody waits for it.
+const SURPLUS_AHEAD: Span = Span::from_millis(60);
 /// The ended grants that are remembered for their owners.
 const MAX_SETTLED: usize = 16;
 
@@ -28,7 +30,7 @@
 pub struct RateBorrower {
     loans: SmallVec<[HeldLoan; 1]>,
     grants: SmallVec<[HeldGrant; 1]>,
-    settled: SmallVec<[(VmId, Settled); 2]>,
+    settled: SmallVec<[EndedGrant; 2]>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +53,14 @@
     until: Time,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct EndedGrant {
+    owner: VmId,
+    id: LoanId,
+    unused: Tokens,
+    at: Time,
+}
+
 /// `DueLoan` is a loan to be renewed, or returned if the demand has gone.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DueLoan {
@@ -60,6 +70,13 @@
     pub loan: LoanId,
 }
 
+impl HeldGrant {
+    /// Gets the time at which a grant that nobody waits for goes back to its owner.
+    fn surplus_end(&self) -> Time {
+        Time(self.until.0.saturating_sub(SURPLUS_AHEAD.0))
+    }
+}
+
 impl HeldLoan {
     fn refill(&mut self, now: Time, limit: Limit) {
         let capacity = limit.capacity(self.fractions);
@@ -121,14 +138,14 @@
     }
 
     /// Takes up to `amount` of granted tokens, which end soonest. Returns what was taken.
-    pub fn take_granted(&mut self, amount: Tokens) -> Tokens {
+    pub fn take_granted(&mut self, now: Time, amount: Tokens) -> Tokens {
         let mut taken = Tokens::ZERO;
         for grant in &mut self.grants {
             let part = grant.amount.min(amount.saturating_sub(taken));
             grant.amount = grant.amount.saturating_sub(part);
             taken += part;
         }
-        self.settle_empty();
+        self.end_empty(now);
         taken
     }
 
@@ -144,11 +161,36 @@
         Some(fullest.bucket.take(amount))
     }
 
+    /// Stops using the grants that end soon. Returns the owners to be told of them.
+    pub fn end_grants(&mut self, now: Time) -> SmallVec<[VmId; 4]> {
+        let mut owners: SmallVec<[VmId; 4]> = SmallVec::new();
+        for grant in self.grants.iter().filter(|grant| grant.surplus_end() <= now) {
+            let HeldGrant { id, owner, amount, .. } = *grant;
+            self.settled.push(EndedGrant { owner, id, unused: amount, at: now });
+            if !owners.contains(&grant.owner) {
+                owners.push(grant.owner);
+            }
+        }
+        self.grants.retain(|grant| now < grant.surplus_end());
+        owners
+    }
+
+    /// Gets the time at which `end_grants` has something to do if nothing is used before.
+    pub fn next_surplus(&self) -> Option<Time> {
+        self.grants.iter().map(HeldGrant::surplus_end).min()
+    }
+
     /// Takes the grants of `owner` that are no longer used, to tell it so.
-    pub fn take_settled(&mut self, owner: VmId) -> SmallVec<[Settled; 4]> {
-        let settled = self.settled.iter().filter(|(vm, _)| *vm == owner);
-        let settled = settled.map(|(_, settled)| *settled).collect();
-        self.settled.retain(|(vm, _)| *vm != owner);
+    pub fn take_settled(&mut self, now: Time, owner: VmId) -> SmallVec<[Settled; 4]> {
+        let ended = self.settled.iter().filter(|ended| ended.owner == owner);
+        let settled = ended
+            .map(|ended| Settled {
+                grant: ended.id,
+                unused: ended.unused,
+                age: now.since(ended.at),
+            })
+            .collect();
+        self.settled.retain(|ended| ended.owner != owner);
         settled
     }
 
@@ -223,9 +265,10 @@
         self.grants.retain(|grant| now < grant.until);
     }
 
-    fn settle_empty(&mut self) {
+    fn end_empty(&mut self, now: Time) {
         for grant in self.grants.iter().filter(|grant| grant.amount == Tokens::ZERO) {
-            self.settled.push((grant.owner, Settled { grant: grant.id, unused: Tokens::ZERO }));
+            let HeldGrant { id, owner, amount, .. } = *grant;
+            self.settled.push(EndedGrant { owner, id, unused: amount, at: now });
         }
         self.grants.retain(|grant| grant.amount != Tokens::ZERO);
         let excess = self.settled.len().saturating_sub(MAX_SETTLED);
