--- a/oleander-load/src/experiments/failover/world.rs
+++ b/oleander-load/src/experiments/failover/world/mod.rs
@@ -1,5 +1,7 @@
 //! The small fleet: homes with their supervisors, instances, writers and a queue of events.
 
+mod writes;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Instant;
@@ -13,7 +15,6 @@
 use oleander_core::time::Time;
 use oleander_core::timers::TimerQueue;
 use oleander_failover::acks::AckTracker;
-use oleander_failover::acks::Settled;
 use oleander_failover::acks::WriteId;
 use oleander_failover::messages::Action;
 use oleander_failover::messages::FailoverReply;
@@ -25,8 +26,6 @@
 use oleander_failover::options::Options;
 use oleander_failover::supervisor::Supervisor;
 use oleander_standin::group::instance::LinkState;
-use oleander_standin::group::log::Change;
-use oleander_standin::group::log::ChangeKind;
 use oleander_standin::group::replication::GroupState;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -37,15 +36,6 @@
 use crate::experiments::failover::network::Network;
 use crate::experiments::failover::network::VMS;
 
-/// The time between two writes.
-const WRITE_INTERVAL: Span = Span::from_millis(20);
-
-/// The time after which a caller gives a write up.
-pub const WRITE_DEADLINE: Span = Span::from_secs(2);
-
-/// The time after which a refused write is sent again.
-const RETRY_INTERVAL: Span = Span::from_millis(50);
-
 /// The time that a step of a promotion is given.
 const STEP_LIMIT: Span = Span::from_millis(300);
 
@@ -244,7 +234,7 @@
             Event::WriteAnswered { vm, ordinal, id, point } => {
                 self.write_answered(vm, ordinal, id, point);
             }
-            Event::WriteRefused(id) => self.later(RETRY_INTERVAL, Event::Attempt(id)),
+            Event::WriteRefused(id) => self.write_refused(id),
             Event::Poll(vm) => self.poll(vm),
             Event::PollArrives { vm, ordinal } => self.poll_arrives(vm, ordinal),
             Event::Polled { vm, ordinal, status } => {
@@ -366,137 +356,6 @@
         self.later(delay, Event::Hand(vm, input));
     }
 
-    fn next_write(&mut self) {
-        let id = WriteId(self.writes.len() as u64);
-        self.writes.push(Write { sent: self.now, acknowledged: None, attempts: 0 });
-        self.attempt(id);
-        self.later(WRITE_INTERVAL, Event::NextWrite);
-    }
-
-    /// Sends a write through the first home that runs and knows a primary.
-    fn attempt(&mut self, id: WriteId) {
-        let write = &mut self.writes[id.0 as usize];
-        if WRITE_DEADLINE <= self.now.since(write.sent) {
-            return;
-        }
-        let mut homes = (0..2).filter(|vm| self.network.runs(*vm));
-        let target = homes.find_map(|vm| {
-            self.supervisors[vm].primary().map(|(ordinal, _)| (vm, usize::from(ordinal)))
-        });
-        let Some((vm, ordinal)) = target else {
-            // Nothing was sent, so the write may be sent again.
-            return self.later(RETRY_INTERVAL, Event::Attempt(id));
-        };
-        write.attempts += 1;
-        match self.network.reach(vm, ordinal, &mut self.random) {
-            Some(delay) => self.later(delay, Event::WriteArrives { vm, ordinal, id }),
-            None => self.answer_lost(id),
-        }
-    }
-
-    fn write_arrives(&mut self, vm: usize, ordinal: usize, id: WriteId) {
-        let change = Change {
-            workspace: String::new(),
-            key: String::new(),
-            value: String::new(),
-            kind: ChangeKind::Append,
-            transaction: id.0,
-        };
-        let now = self.clock();
-        let term = self.group.instances[ordinal].term;
-        let written = self.group.write(ordinal, term, &[change], now);
-        let point = self.group.instances[ordinal].status().point;
-        let event = match written {
-            Ok(()) => Event::WriteAnswered { vm, ordinal, id, point },
-            Err(_) => Event::WriteRefused(id),
-        };
-        match self.network.reach(vm, ordinal, &mut self.random) {
-            Some(delay) => self.later(delay, event),
-            None => self.answer_lost(id),
-        }
-    }
-
-    /// The write may have run: it is given up, unless the planted fault sends it again.
-    fn answer_lost(&mut self, id: WriteId) {
-        if self.setup.fault == Planted::BlindRetry {
-            self.later(RETRY_INTERVAL, Event::Attempt(id));
-        }
-    }
-
-    fn write_answered(&mut self, vm: usize, ordinal: usize, id: WriteId, point: LogPoint) {
-        let early = self.setup.fault == Planted::EarlyAck;
-        if self.setup.acknowledge == Acknowledge::Primary || early {
-            self.acknowledge(id);
-            return;
-        }
-        let idle = self.trackers[vm].is_idle();
-        let settled = self.trackers[vm].add(self.now, id, ordinal as u8, point);
-        self.pending.insert(id, vm);
-        self.settle(&settled);
-        if idle && let Some(due) = self.trackers[vm].next_poll() {
-            self.queue.schedule(due, Event::Poll(vm));
-        }
-    }
-
-    fn poll(&mut self, vm: usize) {
-        self.give_up_late(vm);
-        let Some(due) = self.trackers[vm].next_poll() else { return };
-        if self.now < due {
-            self.queue.schedule(due, Event::Poll(vm));
-            return;
-        }
-        self.trackers[vm].polled(self.now);
-        let primary = self.supervisors[vm].primary().map(|(ordinal, _)| usize::from(ordinal));
-        for ordinal in (0..INSTANCES).filter(|ordinal| Some(*ordinal) != primary) {
-            if let Some(delay) = self.network.reach(vm, ordinal, &mut self.random) {
-                self.later(delay, Event::PollArrives { vm, ordinal });
-            }
-        }
-        if let Some(due) = self.trackers[vm].next_poll() {
-            self.queue.schedule(due, Event::Poll(vm));
-        }
-    }
-
-    fn poll_arrives(&mut self, vm: usize, ordinal: usize) {
-        let status = self.group.status(ordinal, self.clock());
-        if let Some(delay) = self.network.reach(vm, ordinal, &mut self.random) {
-            self.later(delay, Event::Polled { vm, ordinal, status });
-        }
-    }
-
-    fn give_up_late(&mut self, vm: usize) {
-        let late: Vec<WriteId> = self
-            .pending
-            .iter()
-            .filter(|(id, home)| {
-                **home == vm && WRITE_DEADLINE <= self.now.since(self.writes[id.0 as usize].sent)
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in late {
-            self.pending.remove(&id);
-            self.trackers[vm].forget(id);
-        }
-    }
-
-    fn settle(&mut self, settled: &[Settled]) {
-        for settled in settled {
-            match settled {
-                Settled::Acknowledged(id) => self.acknowledge(*id),
-                Settled::Unconfirmed(id) => {
-                    self.pending.remove(id);
-                }
-            }
-        }
-    }
-
-    fn acknowledge(&mut self, id: WriteId) {
-        self.pending.remove(&id);
-        if self.settled.insert(id) {
-            self.writes[id.0 as usize].acknowledged = Some(self.now);
-        }
-    }
-
     fn suffer(&mut self, fault: Fault) {
         let now = self.clock();
         match fault {
--- a/oleander-standin/src/group/mod.rs
+++ b/oleander-standin/src/group/mod.rs
@@ -6,6 +6,7 @@
 pub mod server;
 pub mod session;
 pub mod sql;
+pub mod values;
 
 pub use server::Group;
 pub use server::GroupOptions;
--- a/oleander-standin/src/group/session.rs
+++ b/oleander-standin/src/group/session.rs
@@ -7,20 +7,15 @@
 
 use async_trait::async_trait;
 use futures::Sink;
-use futures::stream;
 use oleander_core::terms::Role;
 use oleander_core::terms::Term;
 use pgwire::api::ClientInfo;
 use pgwire::api::ClientPortalStore;
 use pgwire::api::PgWireServerHandlers;
-use pgwire::api::Type;
 use pgwire::api::auth::StartupHandler;
 use pgwire::api::auth::noop::NoopStartupHandler;
-use pgwire::api::portal::Format;
 use pgwire::api::portal::Portal;
 use pgwire::api::query::ExtendedQueryHandler;
-use pgwire::api::results::DataRowEncoder;
-use pgwire::api::results::QueryResponse;
 use pgwire::api::results::Response;
 use pgwire::api::results::Tag;
 use pgwire::api::store::PortalStore;
@@ -39,12 +34,15 @@
 use crate::group::sql::Parser;
 use crate::group::sql::fatal_error;
 use crate::group::sql::user_error;
+use crate::group::values::Cell;
+use crate::group::values::int;
+use crate::group::values::rows;
+use crate::group::values::text;
 
 const READ_ONLY_STATE: &str = "25006";
 const TOO_MANY_CONNECTIONS_STATE: &str = "53300";
 const WRONG_TERM_STATE: &str = "55000";
 const NO_WORKSPACE_STATE: &str = "42501";
-const BAD_PARAMETER_STATE: &str = "22023";
 const DIVISION_STATE: &str = "22012";
 const FAILED_TRANSACTION_STATE: &str = "25P02";
 const TRANSACTION_STATE: &str = "25001";
@@ -74,13 +72,6 @@
     failed: bool,
 }
 
-/// `Cell` is a value of an answer.
-#[derive(Clone, Debug)]
-enum Cell {
-    Int(i64),
-    Text(String),
-}
-
 impl Session {
     /// Makes the state of a new connection.
     pub fn new(shared: Arc<Shared>, ordinal: usize) -> Self {
@@ -407,33 +398,3 @@
         tokio::time::sleep(span).await;
     }
 }
-
-fn rows(command: Command, format: &Format, cells: Vec<Vec<Cell>>) -> PgWireResult<Response> {
-    let fields = Arc::new(command.fields(format));
-    let mut encoder = DataRowEncoder::new(Arc::clone(&fields));
-    let mut data = Vec::with_capacity(cells.len());
-    for row in cells {
-        for cell in row {
-            match cell {
-                Cell::Int(number) => encoder.encode_field(&number)?,
-                Cell::Text(text) => encoder.encode_field(&text)?,
-            }
-        }
-        data.push(Ok(encoder.take_row()));
-    }
-    Ok(Response::Query(QueryResponse::new(fields, stream::iter(data))))
-}
-
-fn text(portal: &Portal<Command>, at: usize) -> PgWireResult<String> {
-    let kind = portal.statement.parameter_types.get(at).cloned().flatten().unwrap_or(Type::TEXT);
-    if kind == Type::INT8 {
-        return int(portal, at).map(|number| number.to_string());
-    }
-    let missing = || user_error(BAD_PARAMETER_STATE, "a text is missing");
-    portal.parameter::<String>(at, &kind)?.ok_or_else(missing)
-}
-
-fn int(portal: &Portal<Command>, at: usize) -> PgWireResult<i64> {
-    let missing = || user_error(BAD_PARAMETER_STATE, "a number is missing");
-    portal.parameter::<i64>(at, &Type::INT8)?.ok_or_else(missing)
-}
--- a/oleander-standin/src/group/sql.rs
+++ b/oleander-standin/src/group/sql.rs
@@ -4,7 +4,6 @@
 use pgwire::api::ClientInfo;
 use pgwire::api::Type;
 use pgwire::api::portal::Format;
-use pgwire::api::results::FieldFormat;
 use pgwire::api::results::FieldInfo;
 use pgwire::api::stmt::QueryParser;
 use pgwire::error::ErrorInfo;
@@ -182,6 +181,3 @@
     let info = ErrorInfo::new("FATAL".to_owned(), state.to_owned(), detail.to_owned());
     PgWireError::UserError(Box::new(info))
 }
-
-/// The format of answers to prepared statements.
-pub const BINARY: FieldFormat = FieldFormat::Binary;
