Add the capacity command: measured slopes and what each role carries at the target size

Probes drive the real decision structs and the real peer protocol at three sizes; a line of least squares is read off at the target size on the careful side, and membership, rates and configuration are measured at that size as a check. Roles add up what they carry and are compared with the limits; what does not fit is listed as missed and makes the command fail. The operators' page now lists the agent's settings, and a test holds names and defaults against the program.

--- /dev/null
+++ b/oleander-load/src/capacity/rates.rs
@@ -0,0 +1,312 @@
+//! Slopes of rate limits: calls between VMs when callers spread over all VMs or land on few.
+
+use std::time::Instant;
+
+use oleander_core::hash;
+use oleander_core::ids::VmId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::timers::TimerQueue;
+use oleander_limits::messages::LimitReply;
+use oleander_limits::messages::LimitRequest;
+use oleander_limits::rates::limiter::Action;
+use oleander_limits::rates::limiter::CallId;
+use oleander_limits::rates::limiter::Decision;
+use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::limiter::Ticket;
+use oleander_limits::rates::tokens::Limit;
+use oleander_peer::codec;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use rand::Rng as _;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::capacity::fleet::shares_for;
+use crate::capacity::line::Axis;
+use crate::capacity::line::Point;
+use crate::capacity::line::Series;
+use crate::capacity::measure::bytes_per_value;
+
+/// The sizes of the fleets.
+const SIZES: [u16; 3] = [60, 120, 240];
+
+/// The target size, measured as a check.
+const CHECK: u16 = 420;
+
+/// The requests a second of a workspace whose callers land on few VMs.
+const FEW_RATES: [u16; 3] = [140, 280, 560];
+
+/// The VMs of a fleet in which a workspace's callers land on few VMs.
+const FEW_FLEET: u16 = 60;
+
+/// The workspaces of a fleet.
+const WORKSPACES: u64 = 4;
+
+/// The requests a second of one workspace at one VM when callers spread over all VMs.
+const PAIR_RATE: f64 = 1.33;
+
+/// The VMs on which a workspace's callers land when they do not spread.
+const FEW: u64 = 4;
+
+/// The part of its rate that a workspace uses.
+const USE: f64 = 0.8;
+
+/// The one-way delay between two VMs.
+const DELAY: Span = Span::from_millis(1);
+
+/// The time before the counting starts; a new fleet waits out earlier loans.
+const WARM_UP: Time = Time(5_000_000);
+
+/// The end of the load.
+const END: Time = Time(25_000_000);
+
+/// The time within which a caller wants its answer.
+const DEADLINE: Span = Span::from_secs(1);
+
+/// The accounts whose memory is measured.
+const ACCOUNTS: u64 = 2_000;
+
+/// The name of the series of calls when callers spread.
+pub const SPREAD_CALLS: &str = "rates: calls a request, callers on all VMs";
+/// The name of the series of calls when callers land on few VMs.
+pub const FEW_CALLS: &str = "rates: calls a second of a workspace, callers on 4 VMs";
+/// The name of the series of calls when callers land on one VM.
+pub const ONE_CALLS: &str = "rates: calls a second of a workspace, callers on 1 VM";
+/// The name of the series of frame bytes a call.
+pub const CALL_BYTES: &str = "rates: frame bytes a call";
+/// The name of the series of decision time.
+pub const TIME: &str = "rates: decision time a request, us";
+/// The name of the series of wrongful refusals.
+pub const REFUSED: &str = "rates: refused within the rate, %, callers on all VMs";
+/// The name of the series of an account's memory.
+pub const STATE: &str = "rates: state of a workspace at a VM, bytes";
+
+/// Measures fleets of several sizes.
+pub fn measure(seed: u64) -> Vec<Series> {
+    let names = [SPREAD_CALLS, CALL_BYTES, TIME, REFUSED, STATE];
+    let mut series = names.map(|name| Series::new(name, Axis::Vms)).to_vec();
+    for size in SIZES {
+        for (series, value) in series.iter_mut().zip(measure_fleet(size, seed)) {
+            series.push(size, value);
+        }
+    }
+    for (series, value) in series.iter_mut().zip(measure_fleet(CHECK, seed)) {
+        series.check = Some(Point { size: f64::from(CHECK), value });
+    }
+    series.push(measure_few(FEW_CALLS, FEW, seed));
+    series.push(measure_few(ONE_CALLS, 1, seed));
+    series
+}
+
+fn measure_fleet(size: u16, seed: u64) -> [f64; 5] {
+    let vms = f64::from(size);
+    let spread = run(Load::new(size, u64::from(size), vms * PAIR_RATE, seed));
+    let requests = spread.requests as f64;
+    [
+        spread.calls as f64 / requests,
+        spread.bytes as f64 / spread.calls.max(1) as f64,
+        spread.nanos as f64 / requests / 1_000.0,
+        100.0 * spread.refused as f64 / requests,
+        account_bytes(size),
+    ]
+}
+
+/// Measures a workspace whose callers land on few VMs, at several rates.
+fn measure_few(name: &'static str, landing: u64, seed: u64) -> Series {
+    let mut series = Series::new(name, Axis::Rate);
+    for rate in FEW_RATES {
+        let few = run(Load::new(FEW_FLEET, landing, f64::from(rate), seed));
+        let seconds = END.since(WARM_UP).as_secs_f64();
+        series.push(rate, few.calls as f64 / seconds / WORKSPACES as f64);
+    }
+    series
+}
+
+/// Gets the memory that a limiter takes for each workspace that it has seen.
+fn account_bytes(size: u16) -> f64 {
+    let make = || {
+        let mut limiter = limiter(0, u64::from(size), ACCOUNTS, limit(f64::from(size) * PAIR_RATE));
+        for workspace in 0..ACCOUNTS {
+            let ticket = Ticket(workspace);
+            let id = WorkspaceId(hash::mix(workspace + 1));
+            limiter.ask(Time(1), ticket, id, 1, Time(1) + DEADLINE, &mut Vec::new());
+        }
+        limiter
+    };
+    bytes_per_value(8, make) / ACCOUNTS as f64
+}
+
+/// Gets the limit of a workspace with so many requests a second.
+fn limit(rate: f64) -> Limit {
+    let rate = (rate / USE).ceil() as u32;
+    Limit { rate, burst: 2 * rate }
+}
+
+fn limiter(vm: u64, vms: u64, workspaces: u64, limit: Limit) -> RateLimiter {
+    let mut limiter = RateLimiter::new(VmId(vm), vm);
+    let limits = (0..workspaces).map(|at| (WorkspaceId(hash::mix(at + 1)), limit));
+    limiter.set_limits(Time(0), limits, &mut Vec::new());
+    let shares = u64::from(shares_for(vms as usize));
+    let owners: Vec<Option<VmId>> = (0..shares).map(|share| Some(VmId(share % vms))).collect();
+    limiter.set_shares(Time(0), &owners, Time(u64::MAX));
+    limiter
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    requests: u64,
+    refused: u64,
+    calls: u64,
+    bytes: u64,
+    nanos: u64,
+}
+
+enum Event {
+    Arrival { workspace: u64 },
+    Request { from: usize, to: usize, call: CallId, request: LimitRequest },
+    Reply { to: usize, call: CallId, reply: LimitReply },
+    Tick { vm: usize },
+}
+
+struct Load {
+    limiters: Vec<RateLimiter>,
+    events: TimerQueue<Event>,
+    random: ChaCha8Rng,
+    outcome: Outcome,
+    serial: u64,
+    now: Time,
+    landing: u64,
+    rate: f64,
+    ticks: Vec<Option<Time>>,
+}
+
+/// Runs Poisson arrivals of each workspace.
+fn run(mut load: Load) -> Outcome {
+    for workspace in 0..WORKSPACES {
+        load.schedule_arrival(workspace);
+    }
+    while let Some(due) = load.events.next_due().filter(|due| *due < END) {
+        load.now = due;
+        if let Some(event) = load.events.pop_due(due) {
+            load.handle(event);
+        }
+    }
+    load.outcome
+}
+
+impl Load {
+    /// Makes a load of `rate` requests a second for each workspace, on `landing` VMs.
+    fn new(size: u16, landing: u64, rate: f64, seed: u64) -> Self {
+        let vms = u64::from(size);
+        Self {
+            limiters: (0..vms).map(|vm| limiter(vm, vms, WORKSPACES, limit(rate))).collect(),
+            events: TimerQueue::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            outcome: Outcome::default(),
+            serial: 0,
+            now: Time(0),
+            landing,
+            rate,
+            ticks: vec![None; usize::from(size)],
+        }
+    }
+
+    fn schedule_arrival(&mut self, workspace: u64) {
+        let draw: f64 = self.random.random();
+        let gap = -(1.0 - draw).ln() / self.rate;
+        self.events.schedule(self.now + Span((gap * 1e6) as u64), Event::Arrival { workspace });
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival { workspace } => self.arrive(workspace),
+            Event::Request { from, to, call, request } => {
+                let reply = self.at(to, |limiter, now, out| {
+                    limiter.handle(now, VmId(from as u64), request, out)
+                });
+                if self.is_counted() {
+                    self.outcome.bytes += frame(&Reply::Limit(reply.clone()));
+                }
+                self.events.schedule(self.now + DELAY, Event::Reply { to: from, call, reply });
+            }
+            Event::Reply { to, call, reply } => {
+                self.at(to, |limiter, now, out| limiter.handle_reply(now, call, Some(reply), out));
+            }
+            Event::Tick { vm } if self.ticks[vm] == Some(self.now) => {
+                self.ticks[vm] = None;
+                self.at(vm, |limiter, now, out| limiter.tick(now, out));
+            }
+            // An earlier tick has taken its place.
+            Event::Tick { .. } => {}
+        }
+    }
+
+    fn arrive(&mut self, workspace: u64) {
+        self.schedule_arrival(workspace);
+        // The VMs on which a workspace lands lie at another place for each.
+        let place = self.random.next_u64() % self.landing;
+        let vm = ((workspace * 7 + place) % self.limiters.len() as u64) as usize;
+        self.serial += 1;
+        let ticket = Ticket(self.serial);
+        let id = WorkspaceId(hash::mix(workspace + 1));
+        let decision =
+            self.at(vm, |limiter, now, out| limiter.ask(now, ticket, id, 1, now + DEADLINE, out));
+        if self.is_counted() {
+            self.outcome.requests += 1;
+            self.outcome.refused += u64::from(matches!(decision, Decision::Refuse { .. }));
+        }
+    }
+
+    /// Runs an event on one limiter and carries out what it asks for.
+    fn at<T>(
+        &mut self,
+        vm: usize,
+        event: impl FnOnce(&mut RateLimiter, Time, &mut Vec<Action>) -> T,
+    ) -> T {
+        let mut out = Vec::new();
+        let start = Instant::now();
+        let result = event(&mut self.limiters[vm], self.now, &mut out);
+        if self.is_counted() {
+            self.outcome.nanos += start.elapsed().as_nanos() as u64;
+        }
+        for action in out {
+            self.perform(vm, action);
+        }
+        if let Some(due) = self.limiters[vm].next_due() {
+            let due = due.max(self.now + Span(1));
+            if self.ticks[vm].is_none_or(|tick| due < tick) {
+                self.ticks[vm] = Some(due);
+                self.events.schedule(due, Event::Tick { vm });
+            }
+        }
+        result
+    }
+
+    fn perform(&mut self, from: usize, action: Action) {
+        match action {
+            Action::Send { to, call, request } => {
+                if self.is_counted() {
+                    self.outcome.calls += 1;
+                    let vm = VmId(from as u64);
+                    self.outcome.bytes +=
+                        frame(&Request::Limit { from: vm, request: request.clone() });
+                }
+                let event = Event::Request { from, to: to.0 as usize, call, request };
+                self.events.schedule(self.now + DELAY, event);
+            }
+            Action::Refuse { .. } if self.is_counted() => self.outcome.refused += 1,
+            Action::Refuse { .. } | Action::Admit(_) => {}
+        }
+    }
+
+    fn is_counted(&self) -> bool {
+        WARM_UP <= self.now
+    }
+}
+
+fn frame(message: &impl serde::Serialize) -> u64 {
+    codec::encode(message).map_or(0, |frame| frame.len() as u64)
+}
--- /dev/null
+++ b/oleander-load/src/capacity/roles/mod.rs
@@ -0,0 +1,95 @@
+//! What each role carries at the target size, beside its limits.
+
+mod control;
+mod platform;
+mod serving;
+mod slopes;
+
+use crate::capacity::line::Series;
+use crate::capacity::roles::slopes::Slopes;
+use crate::capacity::tables::number;
+use crate::capacity::target::Target;
+use crate::report::Report;
+use crate::report::Table;
+
+/// `Figure` is one quantity that a role carries.
+#[derive(Clone, Debug)]
+pub struct Figure {
+    /// The role.
+    pub role: &'static str,
+    /// The quantity with its unit.
+    pub quantity: &'static str,
+    /// The value at the target size.
+    pub value: f64,
+    /// The limit; `None` if none is given.
+    pub limit: Option<f64>,
+    /// What in the design carries it.
+    pub mechanism: &'static str,
+}
+
+impl Figure {
+    /// Returns `true` unless the value is over its limit.
+    pub fn fits(&self) -> bool {
+        self.limit.is_none_or(|limit| self.value <= limit)
+    }
+}
+
+/// Adds the table of roles, and a missed target for each figure that does not fit.
+pub fn add(report: &mut Report, series: &[Series], target: &Target) {
+    let columns = ["role", "quantity", "at target", "limit", "fits", "carried by"];
+    let mut table = Table::new("roles at the target size", &columns);
+    for figure in figures(series, target) {
+        let fits = if figure.limit.is_none() {
+            "-"
+        } else if figure.fits() {
+            "yes"
+        } else {
+            "NO"
+        };
+        let limit = figure.limit.map_or_else(String::new, number);
+        let value = number(figure.value);
+        report.require(
+            figure.fits(),
+            format!("{}: {} is {value}, over {limit}", figure.role, figure.quantity),
+        );
+        let Figure { role, quantity, mechanism, .. } = figure;
+        table.push([
+            role.to_owned(),
+            quantity.to_owned(),
+            value,
+            limit,
+            fits.to_owned(),
+            mechanism.to_owned(),
+        ]);
+    }
+    report.tables.push(table);
+}
+
+/// Works out all figures from the series.
+pub fn figures(series: &[Series], target: &Target) -> Vec<Figure> {
+    let slopes = Slopes { series, target };
+    let mut figures = serving::entry(&slopes);
+    figures.extend(serving::rate_limits(&slopes));
+    figures.extend(serving::home(&slopes));
+    figures.extend(control::agent(&slopes));
+    figures.extend(control::agent_sums(&slopes));
+    figures.extend(platform::watcher(&slopes));
+    figures.extend(platform::promoter(&slopes));
+    figures.extend(platform::operator(&slopes));
+    figures.extend(platform::store(&slopes));
+    figures
+}
+
+fn free(role: &'static str, quantity: &'static str, value: f64, mechanism: &'static str) -> Figure {
+    Figure { role, quantity, value, limit: None, mechanism }
+}
+
+fn bounded(
+    role: &'static str,
+    quantity: &'static str,
+    value: f64,
+    limit: f64,
+    mechanism: &'static str,
+) -> Figure {
+    Figure { role, quantity, value, limit: Some(limit), mechanism }
+}
--- /dev/null
+++ b/oleander-load/src/capacity/wire.rs
@@ -0,0 +1,196 @@
+//! Slopes of the peer protocol: bytes and processor time of a call, and what an open connection costs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use oleander_core::time::Span;
+use oleander_peer::client::PeerClient;
+use oleander_peer::connection::ConnectionOptions;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_peer::server;
+use oleander_peer::server::Incoming;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::capacity::line::Axis;
+use crate::capacity::line::Series;
+use crate::capacity::measure::processor_seconds;
+use crate::capacity::measure::resident_bytes;
+
+/// The bytes of the replies.
+const BODIES: [u16; 3] = [64, 512, 4_096];
+
+/// The calls whose bytes are counted.
+const COUNTED_CALLS: u32 = 200;
+
+/// The calls whose processor time is measured.
+const TIMED_CALLS: u32 = 20_000;
+
+/// The numbers of peers to which connections are open.
+const PEERS: [u16; 3] = [50, 100, 200];
+
+/// The time within which a call is answered.
+const LIMIT: Span = Span::from_secs(10);
+
+/// The time between pings while the pings of an idle connection are counted.
+const SHORT_IDLE: Span = Span::from_millis(50);
+
+/// The time over which the pings of an idle connection are counted.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+
+/// The name of the series of a call's bytes.
+pub const CALL_BYTES: &str = "peer: bytes on a connection of a call";
+/// The name of the series of a call's processor time.
+pub const CALL_TIME: &str = "peer: processor time of a call, both ends, us";
+/// The name of the series of a connection's memory.
+pub const MEMORY: &str = "peer: memory of connections to all peers, both ends, bytes";
+/// The name of the series of an idle connection's bytes.
+pub const IDLE_BYTES: &str = "peer: bytes of an idle connection's ping";
+
+/// Measures calls and connections over the loopback interface.
+pub fn measure() -> Vec<Series> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    // Without a runtime there is nothing to measure with.
+    let Ok(runtime) = runtime else { return Vec::new() };
+    runtime.block_on(measure_all()).unwrap_or_default()
+}
+
+async fn measure_all() -> std::io::Result<Vec<Series>> {
+    let memory = connection_memory().await?;
+    let mut bytes = Series::new(CALL_BYTES, Axis::Bytes);
+    let mut time = Series::new(CALL_TIME, Axis::Bytes);
+    for size in BODIES {
+        bytes.push(size, call_bytes(size).await?);
+        time.push(size, call_micros(size).await?);
+    }
+    let mut idle = Series::new(IDLE_BYTES, Axis::Peers);
+    idle.push(1_u16, ping_bytes().await?);
+    Ok(vec![bytes, time, memory, idle])
+}
+
+/// `Peer` is a serving peer.
+struct Peer {
+    address: SocketAddr,
+    _stop: watch::Sender<bool>,
+}
+
+async fn start_peer(size: u16) -> std::io::Result<Peer> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    let answer = move |incoming: Incoming| async move {
+        let reply = Reply::Status("x".repeat(usize::from(size)));
+        let _ = incoming.responder.send(reply).await;
+    };
+    tokio::spawn(server::serve(listener, stopped, answer));
+    Ok(Peer { address, _stop: stop })
+}
+
+async fn call_bytes(size: u16) -> std::io::Result<f64> {
+    let peer = start_peer(size).await?;
+    let relay = start_relay(peer.address).await?;
+    let client = PeerClient::default();
+    call(&client, relay.address, 20).await?;
+    let before = relay.bytes.load(Ordering::SeqCst);
+    call(&client, relay.address, COUNTED_CALLS).await?;
+    let after = relay.bytes.load(Ordering::SeqCst);
+    Ok((after - before) as f64 / f64::from(COUNTED_CALLS))
+}
+
+async fn call_micros(size: u16) -> std::io::Result<f64> {
+    let peer = start_peer(size).await?;
+    let client = PeerClient::default();
+    call(&client, peer.address, 1_000).await?;
+    let before = processor_seconds();
+    call(&client, peer.address, TIMED_CALLS).await?;
+    Ok((processor_seconds() - before) * 1e6 / f64::from(TIMED_CALLS))
+}
+
+/// Opens connections to ever more peers and measures the memory of both ends.
+async fn connection_memory() -> std::io::Result<Series> {
+    let mut series = Series::new(MEMORY, Axis::Peers);
+    let mut peers = Vec::new();
+    let client = PeerClient::default();
+    let before = resident_bytes();
+    for size in PEERS {
+        while peers.len() < usize::from(size) {
+            let peer = start_peer(64).await?;
+            call(&client, peer.address, 2).await?;
+            peers.push(peer);
+        }
+        series.push(size, resident_bytes() - before);
+    }
+    Ok(series)
+}
+
+/// Gets the bytes of one ping with its answer on an idle connection.
+async fn ping_bytes() -> std::io::Result<f64> {
+    let peer = start_peer(64).await?;
+    let relay = start_relay(peer.address).await?;
+    let options = ConnectionOptions { idle: SHORT_IDLE, ..ConnectionOptions::default() };
+    let client = PeerClient::new(options);
+    call(&client, relay.address, 1).await?;
+    tokio::time::sleep(IDLE_TIME / 4).await;
+    let (before, chunks) =
+        (relay.bytes.load(Ordering::SeqCst), relay.chunks.load(Ordering::SeqCst));
+    tokio::time::sleep(IDLE_TIME).await;
+    let bytes = relay.bytes.load(Ordering::SeqCst) - before;
+    // A ping and its answer are a chunk each way.
+    let pings = (relay.chunks.load(Ordering::SeqCst) - chunks) / 2;
+    Ok(bytes as f64 / pings.max(1) as f64)
+}
+
+async fn call(client: &PeerClient, address: SocketAddr, count: u32) -> std::io::Result<()> {
+    for _ in 0..count {
+        let reply = client.call(address, &Request::Status, LIMIT).await;
+        reply.map_err(std::io::Error::other)?;
+    }
+    Ok(())
+}
+
+/// `Relay` forwards connections and counts their bytes.
+struct Relay {
+    address: SocketAddr,
+    bytes: Arc<AtomicU64>,
+    chunks: Arc<AtomicU64>,
+}
+
+async fn start_relay(target: SocketAddr) -> std::io::Result<Relay> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let (bytes, chunks) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
+    let relay = Relay { address, bytes: bytes.clone(), chunks: chunks.clone() };
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let Ok(far) = TcpStream::connect(target).await else { continue };
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            tokio::spawn(forward(near_read, far_write, bytes.clone(), chunks.clone()));
+            tokio::spawn(forward(far_read, near_write, bytes.clone(), chunks.clone()));
+        }
+    });
+    Ok(relay)
+}
+
+async fn forward(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    bytes: Arc<AtomicU64>,
+    chunks: Arc<AtomicU64>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(length) = from.read(&mut buffer).await {
+        if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+        bytes.fetch_add(length as u64, Ordering::SeqCst);
+        chunks.fetch_add(1, Ordering::SeqCst);
+    }
+}
--- a/oleander-load/src/lib.rs
+++ b/oleander-load/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load, experiments, history checks and measures for oleanderrudder.
 
+pub mod capacity;
 pub mod cluster;
 pub mod drive;
 pub mod experiments;
--- a/oleander-load/src/main.rs
+++ b/oleander-load/src/main.rs
@@ -9,6 +9,7 @@
 
 use clap::Parser;
 use clap::Subcommand;
+use oleander_load::capacity;
 use oleander_load::experiments;
 use oleander_load::experiments::Experiment;
 use oleander_load::history::check;
@@ -39,6 +40,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures slopes and works out what each role carries at the target size.
+    Capacity {
+        /// The seed of the run.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+    },
     /// Brings a fleet of each user's size up on this machine and loads it.
     Demo {
         /// The seconds of load for each user.
@@ -76,6 +86,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Experiment { name, seed, json } => print(&experiments::run(name, seed), json),
+        Command::Capacity { seed, json } => print(&capacity::run(seed), json),
         Command::Demo { seconds, seed, json } => print_live(demo::run(seconds, seed), json),
         Command::Measure { seconds, seed, json } => print_live(measure::run(seconds, seed), json),
         Command::Check { file, json } => check_file(&file, json),
--- a/oleander-load/tests/pages.rs
+++ b/oleander-load/tests/pages.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use oleander_agent::settings::Settings;
+use oleander_agent::settings::Times;
 use oleander_core::verdict::RefusalCode;
 use oleander_proxy::callers::status::http_status;
 use oleander_proxy::settings::ProxySettings;
@@ -22,12 +24,24 @@
 
 #[test]
 fn the_page_lists_exactly_the_settings_of_each_program() {
-    assert_eq!(documented("oleander-proxy"), accepted::<ProxySettings>());
+    assert_eq!(documented("### `oleander-proxy`"), accepted::<ProxySettings>());
+    assert_eq!(documented("### `oleander-agent`"), accepted::<Settings>());
+    assert_eq!(documented("#### `times`"), accepted::<Times>());
 }
 
-/// Gets the settings in the table under a program's heading.
-fn documented(program: &str) -> BTreeSet<String> {
-    let heading = format!("### `{program}`\n");
+#[test]
+fn the_page_gives_the_default_of_each_time() {
+    let text = serde_json::to_value(Times::default()).unwrap();
+    for (name, value) in text.as_object().unwrap() {
+        let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+        let row = format!("| `{name}` | {value} | ");
+        assert!(OPERATIONS.contains(&row), "no row {row}");
+    }
+}
+
+/// Gets the settings in the table under a heading.
+fn documented(heading: &str) -> BTreeSet<String> {
+    let heading = format!("\n{heading}\n");
     let (_, rest) = OPERATIONS.split_once(&heading).expect("no heading");
     let table = rest.split("\n#").next().unwrap_or_default();
     let names = table.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
