Order the home queue by start tags, and add the experiment on fairness

Cause: a turn of the deficit round robin lasted as long as weight x the largest cost, so small workspaces waited for whole turns of a large one; and reads of a busy workspace took every other turn at the primary. Change: weighted fair queueing by start tags, with a small claim for what a workspace left unused; writes go first except at each eighth turn; the latest start of a request allows for two mean deviations of the service time.

--- /dev/null
+++ b/oleander-limits/benches/decisions.rs
@@ -0,0 +1,83 @@
+//! The cost of one decision, at the sizes of today and of the target.
+
+use divan::Bencher;
+use oleander_core::ids::VmId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_limits::home::queue::Class;
+use oleander_limits::home::queue::Connection;
+use oleander_limits::home::queue::HomeQueue;
+use oleander_limits::home::queue::QueueOptions;
+use oleander_limits::home::queue::Ticket as HomeTicket;
+use oleander_limits::home::queue::Waiting;
+use oleander_limits::home::slots::Part;
+use oleander_limits::home::slots::Slots;
+use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::limiter::Ticket;
+use oleander_limits::rates::tokens::Limit;
+
+/// VMs and workspaces of today and of the target.
+const SIZES: [(u64, u64); 2] = [(9, 8), (420, 5_000)];
+/// The shares of the fleet, several for each VM.
+const SHARES: u64 = 2_048;
+/// The time between two requests.
+const STEP: Span = Span::from_micros(50);
+const START: Time = Time(60_000_000);
+
+fn main() {
+    divan::main();
+}
+
+/// Takes tokens for one request of each workspace in turn.
+#[divan::bench(args = SIZES)]
+fn bucket_take(bencher: Bencher<'_, '_>, (vms, workspaces): (u64, u64)) {
+    let owners: Vec<Option<VmId>> = (0..SHARES).map(|share| Some(VmId(share % vms))).collect();
+    let ids: Vec<WorkspaceId> =
+        (0..workspaces).map(|at| WorkspaceId::from_name(&format!("workspace-{at}"))).collect();
+    let mut limiter = RateLimiter::new(VmId(0), 1);
+    let limit = Limit { rate: 100_000, burst: 100_000 };
+    limiter.set_limits(Time(0), ids.iter().map(|id| (*id, limit)), &mut Vec::new());
+    limiter.set_shares(Time(0), &owners, Time(u64::MAX));
+    let mut out = Vec::new();
+    let (mut now, mut serial) = (START, 0);
+    bencher.bench_local(|| {
+        now = now + STEP;
+        serial += 1;
+        out.clear();
+        let workspace = ids[(serial % workspaces) as usize];
+        limiter.ask(now, Ticket(serial), workspace, 1, now + Span::from_secs(1), &mut out)
+    });
+}
+
+/// Pushes, starts and finishes one request while one of each workspace waits.
+#[divan::bench(args = SIZES)]
+fn queue_push_pop(bencher: Bencher<'_, '_>, (_, workspaces): (u64, u64)) {
+    let mut slots = Slots::default();
+    slots.set_parts([Part { slots: 2, connections: 16 }; 3], Time(0));
+    let options = QueueOptions { total: 100_000, workspace: 100 };
+    let mut queue = HomeQueue::new(options, slots);
+    let request = |serial: u64| Waiting {
+        ticket: HomeTicket(serial),
+        workspace: WorkspaceId(serial % workspaces),
+        weight: 1,
+        cost: 1,
+        deadline: Time(u64::MAX),
+        class: Class::Read,
+    };
+    let mut serial = 0;
+    while serial < workspaces {
+        let pushed = queue.push(START, request(serial));
+        assert!(pushed.is_ok());
+        serial += 1;
+    }
+    bencher.bench_local(|| {
+        serial += 1;
+        let pushed = queue.push(START, request(serial));
+        let start = queue.pop(START, |_, slots| slots.is_free(START, 1).then_some(1));
+        if let Some(start) = start {
+            queue.finish(start.request.ticket, Span::from_millis(1), Connection::Free);
+        }
+        pushed
+    });
+}
--- a/oleander-limits/src/home/estimate.rs
+++ b/oleander-limits/src/home/estimate.rs
@@ -7,10 +7,14 @@
 /// One over the weight of a new sample in the moving average.
 const SMOOTHING: u64 = 16;
 
+/// The mean deviations that are added to the average to cover nearly all requests.
+const DEVIATIONS: u64 = 2;
+
 /// `ServiceEstimate` is a moving average of the service time of one unit of cost.
 #[derive(Clone, Copy, Debug)]
 pub struct ServiceEstimate {
     unit: Span,
+    deviation: Span,
     samples: u64,
 }
 
@@ -20,12 +24,15 @@
         let sample = service.0 / u64::from(cost.max(1));
         // The first samples count as a plain mean, so that the initial value is soon forgotten.
         self.samples = (self.samples + 1).min(SMOOTHING);
-        self.unit = Span((self.unit.0 * (self.samples - 1) + sample) / self.samples);
+        let average = |old: Span, new: u64| (old.0 * (self.samples - 1) + new) / self.samples;
+        let deviation = average(self.deviation, sample.abs_diff(self.unit.0));
+        self.unit = Span(average(self.unit, sample));
+        self.deviation = Span(deviation);
     }
 
-    /// Gets the time in which one server serves `cost` units.
+    /// Gets the time within which one server nearly always serves `cost` units.
     pub fn service(&self, cost: u64) -> Span {
-        self.unit.times(cost)
+        (self.unit + self.deviation.times(DEVIATIONS)).times(cost)
     }
 
     /// Gets the time in which `servers` servers together serve `cost` units; longest if there are none.
@@ -36,6 +43,6 @@
 
 impl Default for ServiceEstimate {
     fn default() -> Self {
-        Self { unit: INITIAL_SERVICE, samples: 0 }
+        Self { unit: INITIAL_SERVICE, deviation: Span::ZERO, samples: 0 }
     }
 }
--- a/oleander-limits/src/home/fair.rs
+++ b/oleander-limits/src/home/fair.rs
@@ -1,5 +1,13 @@
-//! Weighted deficit round robin between workspaces.
-
+//! Weighted fair queueing between workspaces by start tags.
+//!
+//! Each workspace's first request has a start tag in virtual time: the cost
+//! that the workspace was served before, divided by its weight. The lowest tag
+//! is served next, so that a workspace within its part waits for the running
+//! requests only, while a busy one waits for its own backlog. What a workspace
+//! leaves unused it may use a little later, so that a short burst of one
+//! within its part is served at once.
+
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
@@ -7,10 +15,16 @@
 
 use crate::home::queue::Ticket;
 
+/// The virtual time of one unit of cost at weight 1.
+const UNIT: u64 = 1 << 20;
+/// The virtual time that a workspace may save while it asks for less than its part.
+const CREDIT: u64 = 8 * UNIT;
 /// The entries of one flow that are tried when the first cannot be placed.
 const LOOK_AHEAD: usize = 4;
-/// The flows that one call visits at most; the next call goes on from there.
+/// The flows that one call visits at most.
 const MAX_VISITS: usize = 256;
+/// The idle flows that are kept without looking whether they are still needed.
+const IDLE_FLOWS: usize = 64;
 
 /// `Item` is an entry of a flow.
 #[derive(Clone, Copy, Debug)]
@@ -23,39 +37,39 @@
 
 /// `FairQueue` holds a flow for each workspace with waiting requests.
 ///
-/// An idle workspace has no state, so the size follows the waiting requests.
+/// The state of an idle workspace is dropped once virtual time has passed its
+/// tag, so that the size follows the waiting requests.
 #[derive(Debug, Default)]
 pub struct FairQueue {
     flows: HashMap<WorkspaceId, Flow>,
-    ring: VecDeque<WorkspaceId>,
+    order: BTreeSet<(u64, WorkspaceId)>,
+    now: u64,
     cost: u64,
     weight: u64,
-    largest: u32,
 }
 
 /// `Flow` is the backlog of one workspace.
-///
-/// A turn starts with a credit of weight × the largest cost and ends once the
-/// credit is spent; what the last request took beyond it is owed to the next turn.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Flow {
     items: VecDeque<Item>,
     weight: u32,
     cost: u64,
-    credit: i64,
+    start: u64,
 }
 
 impl FairQueue {
     /// Adds a request to the flow of its workspace.
     pub fn push(&mut self, workspace: WorkspaceId, weight: u32, item: Item) {
-        let flow = self.flows.entry(workspace).or_insert_with(|| {
-            self.ring.push_back(workspace);
-            self.weight += u64::from(weight);
-            Flow { items: VecDeque::new(), weight, cost: 0, credit: 0 }
-        });
-        self.weight = self.weight - u64::from(flow.weight) + u64::from(weight);
-        self.largest = self.largest.max(item.cost);
+        let flow = self.flows.entry(workspace).or_default();
+        if flow.items.is_empty() {
+            // A workspace that was served ahead waits its turn; an idle one saves a small claim.
+            flow.start = flow.start.max(self.now.saturating_sub(CREDIT));
+            self.order.insert((flow.start, workspace));
+        } else {
+            self.weight -= u64::from(flow.weight);
+        }
         flow.weight = weight;
+        self.weight += u64::from(weight);
         flow.items.push_back(item);
         flow.cost += u64::from(item.cost);
         self.cost += u64::from(item.cost);
@@ -63,22 +77,17 @@
 
     /// Takes the next request in fair order that `place` finds a place for.
     ///
-    /// A flow whose first requests have no place keeps its turn's credit and
-    /// does not hold up the others.
+    /// A flow whose first requests have no place keeps its tag and does not
+    /// hold up the others.
     pub fn pop<P>(&mut self, mut place: impl FnMut(Ticket) -> Option<P>) -> Option<(Ticket, P)> {
-        let visits = self.ring.len().min(MAX_VISITS);
-        for _ in 0..visits {
-            let workspace = *self.ring.front()?;
-            let flow = self.flows.get_mut(&workspace)?;
-            if flow.credit <= 0 {
-                flow.credit += i64::from(self.largest) * i64::from(flow.weight);
-            }
-            if let Some((at, found)) = flow.first_placed(&mut place) {
-                return self.take(workspace, at).map(|item| (item.ticket, found));
-            }
-            self.ring.rotate_left(1);
-        }
-        None
+        let flows = &self.flows;
+        let (workspace, at, found) =
+            self.order.iter().take(MAX_VISITS).find_map(|(_, workspace)| {
+                let (at, found) = flows.get(workspace)?.first_placed(&mut place)?;
+                Some((*workspace, at, found))
+            })?;
+        let item = self.take(workspace, at)?;
+        Some((item.ticket, found))
     }
 
     /// Removes a request. Returns `true` if it was waiting in this queue.
@@ -91,7 +100,9 @@
         flow.cost -= u64::from(item.cost);
         self.cost -= u64::from(item.cost);
         if flow.items.is_empty() {
-            self.close(workspace);
+            self.order.remove(&(flow.start, workspace));
+            self.weight -= u64::from(flow.weight);
+            self.drop_idle();
         }
         true
     }
@@ -101,43 +112,49 @@
         self.cost
     }
 
-    /// Gets the cost that is served before a new request of `workspace` under fair turns.
+    /// Gets the cost that is served before a new request of `workspace` in fair order.
     pub fn cost_ahead(&self, workspace: WorkspaceId, weight: u32) -> u64 {
-        let own = self.flows.get(&workspace).map_or(0, |flow| flow.cost);
-        let known = self.flows.contains_key(&workspace);
-        let weights = self.weight + if known { 0 } else { u64::from(weight) };
+        let flow = self.flows.get(&workspace).filter(|flow| !flow.items.is_empty());
+        let own = flow.map_or(0, |flow| flow.cost);
+        let weights = self.weight + if flow.is_some() { 0 } else { u64::from(weight) };
         // In the time that the own backlog takes, the others get at most their weights' part.
         (own * weights / u64::from(weight.max(1))).min(self.cost)
     }
 
     /// Returns `true` if nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.ring.is_empty()
+        self.order.is_empty()
     }
 
     fn take(&mut self, workspace: WorkspaceId, at: usize) -> Option<Item> {
         let flow = self.flows.get_mut(&workspace)?;
         let item = flow.items.remove(at)?;
         flow.cost -= u64::from(item.cost);
-        flow.credit -= i64::from(item.cost);
         self.cost -= u64::from(item.cost);
+        self.order.remove(&(flow.start, workspace));
+        self.now = self.now.max(flow.start);
+        flow.start += u64::from(item.cost) * UNIT / u64::from(flow.weight.max(1));
         if flow.items.is_empty() {
-            self.close(workspace);
-        } else if flow.credit <= 0 {
-            self.ring.rotate_left(1);
+            self.weight -= u64::from(flow.weight);
+            self.drop_idle();
+        } else {
+            self.order.insert((flow.start, workspace));
         }
         Some(item)
     }
 
-    fn close(&mut self, workspace: WorkspaceId) {
-        if let Some(flow) = self.flows.remove(&workspace) {
-            self.weight -= u64::from(flow.weight);
+    /// Drops idle flows whose tags virtual time has passed, once there are many.
+    fn drop_idle(&mut self) {
+        if self.flows.len() < 2 * self.order.len() + IDLE_FLOWS {
+            return;
         }
-        if self.ring.front() == Some(&workspace) {
-            self.ring.pop_front();
-        } else {
-            self.ring.retain(|other| *other != workspace);
+        if self.order.is_empty() {
+            // With nothing waiting, all workspaces start anew.
+            self.flows.clear();
+            return;
         }
+        let least = self.now.saturating_sub(CREDIT);
+        self.flows.retain(|_, flow| !flow.items.is_empty() || least < flow.start);
     }
 }
 
--- a/oleander-limits/src/home/queue.rs
+++ b/oleander-limits/src/home/queue.rs
@@ -16,6 +16,8 @@
 use crate::home::fair::Item;
 use crate::home::slots::Slots;
 
+/// The turns of which one prefers reads to writes.
+const READ_TURN: usize = 8;
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Span = Span::from_millis(1);
 
@@ -168,9 +170,10 @@
         if start.is_some() {
             return start;
         }
-        // Reads and writes take turns, so that neither can keep the other from the primary.
-        let order = [[Class::Write, Class::Read], [Class::Read, Class::Write]][self.turn];
-        self.turn = 1 - self.turn;
+        // Writes come first, since reads have the replicas too, but not always, since they may not.
+        self.turn = (self.turn + 1) % READ_TURN;
+        let order =
+            if self.turn == 0 { [Class::Read, Class::Write] } else { [Class::Write, Class::Read] };
         order.into_iter().find_map(|class| self.pop_class(now, class, &mut place))
     }
 
--- /dev/null
+++ b/oleander-load/src/experiments/fairness/bench.rs
@@ -0,0 +1,296 @@
+//! One home with three instances, driven in virtual time.
+
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::timers::TimerQueue;
+use oleander_limits::home::queue::Class;
+use oleander_limits::home::queue::Connection;
+use oleander_limits::home::queue::HomeQueue;
+use oleander_limits::home::queue::QueueOptions;
+use oleander_limits::home::queue::Ticket;
+use oleander_limits::home::queue::Waiting;
+use oleander_limits::home::slots::Part;
+use oleander_limits::home::slots::Slots;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use strum::Display;
+
+use crate::experiments::fairness::NOISY;
+use crate::experiments::fairness::WORKSPACES;
+use crate::experiments::fairness::fifo::Fifo;
+
+/// The instances; the first is the primary.
+const INSTANCES: u8 = 3;
+/// The home's part of each instance.
+const PART: Part = Part { slots: 2, connections: 8 };
+/// The mean service time of a request of one cost unit.
+const SERVICE_MICROS: f64 = 4_000.0;
+/// The mean cost of a request of this load, from the costs below.
+const MEAN_COST: f64 = 1.2;
+/// The part of the requests, in percent, that write.
+const WRITES: u32 = 20;
+/// The part of the requests, in percent, that cost three units.
+const COSTLY: u32 = 10;
+/// The time within which an answer is timely.
+const DEADLINE: Span = Span::from_millis(250);
+/// The length of a run.
+const LENGTH: Span = Span::from_secs(120);
+/// The interval in which overdue requests are dropped.
+const EXPIRY_INTERVAL: Span = Span::from_millis(5);
+
+/// `Policy` is the order in which requests start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Policy {
+    /// The home queue.
+    Fair,
+    /// Plain order of arrival.
+    Fifo,
+}
+
+/// `Load` is what the workspaces send.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// The part of the home's capacity that all workspaces ask for at their rates.
+    pub load: f64,
+    /// How many times its rate the noisy workspace sends.
+    pub excess: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self { load: 0.5, excess: 1.0 }
+    }
+}
+
+/// `Result` is what became of all requests of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Result {
+    /// The outcomes of each workspace.
+    pub workspaces: Vec<Served>,
+    /// The most slots in use at a time on one instance.
+    pub most_slots: u32,
+    /// The slots of an instance.
+    pub slots: u32,
+    /// The most connections in use at a time on one instance.
+    pub most_connections: u32,
+    /// The connections of an instance.
+    pub connections: u32,
+}
+
+/// `Served` is what became of one workspace's requests.
+#[derive(Clone, Debug, Default)]
+pub struct Served {
+    /// The latencies of the timely answers, in order.
+    pub latencies: Vec<Span>,
+    /// The requests that ended without having run.
+    pub refused: u64,
+    /// The answers after the deadline.
+    pub late: u64,
+}
+
+impl Served {
+    /// Gets the timely answers a second.
+    pub fn timely_rate(&self) -> f64 {
+        self.latencies.len() as f64 / LENGTH.as_secs_f64()
+    }
+
+    /// Gets the 99th percentile of the timely answers.
+    pub fn p99(&self) -> Span {
+        let at = self.latencies.len() * 99 / 100;
+        self.latencies.get(at).copied().unwrap_or_default()
+    }
+
+    /// Gets the part of the requests that were refused.
+    pub fn refused_share(&self) -> f64 {
+        let all = self.latencies.len() as u64 + self.refused + self.late;
+        self.refused as f64 / all.max(1) as f64
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Event {
+    Arrival(usize),
+    End { request: Waiting, ordinal: u8, service: Span },
+    Expiry,
+}
+
+#[derive(Clone, Copy)]
+struct Arrived {
+    at: Time,
+    workspace: usize,
+    service: Span,
+}
+
+struct Home {
+    policy: Policy,
+    queue: HomeQueue,
+    fifo: Fifo,
+    slots: Slots,
+    events: TimerQueue<Event>,
+    /// One generator a workspace, so that the others send the same in every run.
+    rngs: Vec<ChaCha8Rng>,
+    load: Load,
+    arrived: Vec<Arrived>,
+    result: Result,
+}
+
+/// Runs one load under one policy.
+pub fn run(policy: Policy, seed: u64, load: &Load) -> Result {
+    let mut slots = Slots::default();
+    slots.set_parts([PART; INSTANCES as usize], Time(0));
+    let result = Result {
+        workspaces: vec![Served::default(); WORKSPACES],
+        slots: PART.slots,
+        connections: PART.connections,
+        ..Result::default()
+    };
+    let mut home = Home {
+        policy,
+        queue: HomeQueue::new(QueueOptions::default(), slots.clone()),
+        fifo: Fifo::default(),
+        slots,
+        events: TimerQueue::new(),
+        rngs: (0..WORKSPACES as u64)
+            .map(|workspace| ChaCha8Rng::seed_from_u64(seed * 1_000 + workspace))
+            .collect(),
+        load: *load,
+        arrived: Vec::new(),
+        result,
+    };
+    for workspace in 0..WORKSPACES {
+        home.schedule_arrival(Time(0), workspace);
+    }
+    home.events.schedule(Time(0), Event::Expiry);
+    while let Some(now) = home.events.next_due().filter(|due| due.0 < LENGTH.0) {
+        if let Some(event) = home.events.pop_due(now) {
+            home.handle(now, event);
+        }
+    }
+    for served in &mut home.result.workspaces {
+        served.latencies.sort_unstable();
+    }
+    home.result
+}
+
+impl Home {
+    fn handle(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Arrival(workspace) => {
+                self.schedule_arrival(now, workspace);
+                self.push(now, workspace);
+            }
+            Event::End { request, ordinal, service } => self.end(now, request, ordinal, service),
+            Event::Expiry => {
+                self.expire(now);
+                self.events.schedule(now + EXPIRY_INTERVAL, Event::Expiry);
+            }
+        }
+        self.start_all(now);
+    }
+
+    /// Draws the next arrival; two workspaces are four times as large as the others.
+    fn schedule_arrival(&mut self, now: Time, workspace: usize) {
+        let size = |workspace: usize| if workspace < 2 { 4.0 } else { 1.0 };
+        let all: f64 = (0..WORKSPACES).map(size).sum();
+        let servers = f64::from(PART.slots) * f64::from(INSTANCES);
+        let total = servers / (SERVICE_MICROS * MEAN_COST) * self.load.load;
+        let excess = if workspace == NOISY { self.load.excess } else { 1.0 };
+        let rate = total * size(workspace) / all * excess;
+        let gap = -(1.0 - self.rngs[workspace].random::<f64>()).ln() / rate;
+        self.events.schedule(now + Span(gap as u64 + 1), Event::Arrival(workspace));
+    }
+
+    fn push(&mut self, now: Time, workspace: usize) {
+        let rng = &mut self.rngs[workspace];
+        let writes = rng.random_ratio(WRITES, 100);
+        let cost = if rng.random_ratio(COSTLY, 100) { 3 } else { 1 };
+        let mean = SERVICE_MICROS * f64::from(cost);
+        let service = Span((mean * rng.random_range(0.5..1.5)) as u64);
+        let request = Waiting {
+            ticket: Ticket(self.arrived.len() as u64),
+            workspace: WorkspaceId(workspace as u64),
+            weight: if workspace < 2 { 4 } else { 1 },
+            cost,
+            deadline: now + DEADLINE,
+            class: if writes { Class::Write } else { Class::Read },
+        };
+        self.arrived.push(Arrived { at: now, workspace, service });
+        let is_taken = match self.policy {
+            Policy::Fair => self.queue.push(now, request).is_ok(),
+            Policy::Fifo => self.fifo.push(request),
+        };
+        if !is_taken {
+            self.result.workspaces[workspace].refused += 1;
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        let expired: Vec<Ticket> = match self.policy {
+            Policy::Fair => self.queue.expire(now),
+            Policy::Fifo => self.fifo.expire(now),
+        };
+        for ticket in expired {
+            let workspace = self.arrived[ticket.0 as usize].workspace;
+            self.result.workspaces[workspace].refused += 1;
+        }
+    }
+
+    fn start_all(&mut self, now: Time) {
+        loop {
+            let start = match self.policy {
+                Policy::Fair => self
+                    .queue
+                    .pop(now, |request, slots| place(now, request, slots))
+                    .map(|start| (start.request, start.ordinal)),
+                Policy::Fifo => self.start_fifo(now),
+            };
+            let Some((request, ordinal)) = start else { return };
+            let service = self.arrived[request.ticket.0 as usize].service;
+            self.events.schedule(now + service, Event::End { request, ordinal, service });
+            self.note_use(ordinal);
+        }
+    }
+
+    fn start_fifo(&mut self, now: Time) -> Option<(Waiting, u8)> {
+        let slots = &self.slots;
+        let (request, ordinal) = self.fifo.pop(|request| place(now, request, slots))?;
+        self.slots.start(now, ordinal).then_some((request, ordinal))
+    }
+
+    fn end(&mut self, now: Time, request: Waiting, ordinal: u8, service: Span) {
+        match self.policy {
+            Policy::Fair => self.queue.finish(request.ticket, service, Connection::Free),
+            Policy::Fifo => {
+                self.slots.finish(ordinal);
+                self.slots.disconnect(ordinal);
+            }
+        }
+        let served = &mut self.result.workspaces[request.workspace.0 as usize];
+        if request.deadline < now {
+            served.late += 1;
+        } else {
+            served.latencies.push(now.since(self.arrived[request.ticket.0 as usize].at));
+        }
+    }
+
+    fn note_use(&mut self, ordinal: u8) {
+        let slots = match self.policy {
+            Policy::Fair => self.queue.slots(),
+            Policy::Fifo => &self.slots,
+        };
+        self.result.most_slots = self.result.most_slots.max(slots.running(ordinal));
+        self.result.most_connections = self.result.most_connections.max(slots.connections(ordinal));
+    }
+}
+
+/// Sends writes to the primary and reads to the free instance with the least load, replicas first.
+fn place(now: Time, request: &Waiting, slots: &Slots) -> Option<u8> {
+    if request.class != Class::Read {
+        return slots.is_free(now, 0).then_some(0);
+    }
+    let free = (0..INSTANCES).rev().filter(|ordinal| slots.is_free(now, *ordinal));
+    free.min_by_key(|ordinal| (*ordinal == 0, slots.running(*ordinal)))
+}
--- /dev/null
+++ b/oleander-load/src/experiments/fairness/fifo.rs
@@ -0,0 +1,41 @@
+//! The baseline: one queue in order of arrival, with the same bound and the same slots.
+
+use std::collections::VecDeque;
+
+use oleander_core::time::Time;
+use oleander_limits::home::queue::Ticket;
+use oleander_limits::home::queue::Waiting;
+
+/// `Fifo` serves requests in order of arrival and drops those past their deadline.
+#[derive(Debug, Default)]
+pub struct Fifo {
+    requests: VecDeque<Waiting>,
+}
+
+/// The requests that may wait, as in the home queue.
+const MAX_WAITING: usize = 1024;
+
+impl Fifo {
+    /// Adds a request. Returns `false` if the queue is full.
+    pub fn push(&mut self, request: Waiting) -> bool {
+        if self.requests.len() == MAX_WAITING {
+            return false;
+        }
+        self.requests.push_back(request);
+        true
+    }
+
+    /// Takes the first request if `place` finds a place for it.
+    pub fn pop(&mut self, place: impl FnOnce(&Waiting) -> Option<u8>) -> Option<(Waiting, u8)> {
+        let ordinal = place(self.requests.front()?)?;
+        Some((self.requests.pop_front()?, ordinal))
+    }
+
+    /// Drops the requests past their deadline. Returns their tickets.
+    pub fn expire(&mut self, now: Time) -> Vec<Ticket> {
+        let is_late = |request: &&Waiting| request.deadline <= now;
+        let late = self.requests.iter().filter(is_late).map(|request| request.ticket).collect();
+        self.requests.retain(|request| now < request.deadline);
+        late
+    }
+}
--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! Seeded experiments: a policy beside its baselines, in one run.
 
 pub mod failover;
+pub mod fairness;
 pub mod rates;
 pub mod replica_reads;
 
@@ -16,6 +17,8 @@
 pub enum Experiment {
     /// Detection, promotion and acknowledgement beside their variants.
     Failover,
+    /// Fairness between workspaces at a home, beside plain FIFO.
+    Fairness,
     /// Rates over the whole fleet beside a static split and a single owner.
     Rates,
     /// The share of reads that replicas serve.
@@ -26,6 +29,7 @@
 pub fn run(experiment: Experiment, seed: u64) -> Report {
     match experiment {
         Experiment::Failover => failover::run(seed),
+        Experiment::Fairness => fairness::run(seed),
         Experiment::Rates => rates::run(seed),
         Experiment::ReplicaReads => replica_reads::run(seed),
     }
