Give each series of a fleet its own value again

The series of the time of views was missing from the list of names, so all later values stood under their neighbours' names; names and values now share their count, so that the compiler refuses a difference.

--- a/oleander-load/src/capacity/membership.rs
+++ b/oleander-load/src/capacity/membership.rs
@@ -65,12 +65,16 @@
 /// The name of the series of a lost zone's commits.
 pub const ZONE_COMMITS: &str = "lost zone: commits to the store";
 
-const NAMES: [&str; 13] = [
+/// The quantities of a fleet.
+const COUNT: usize = 14;
+
+const NAMES: [&str; COUNT] = [
     CPU,
     CALLS,
     BYTES,
     STATE,
     VIEW,
+    VIEW_TIME,
     SHARES,
     READS,
     WATCHERS,
@@ -96,7 +100,7 @@
 }
 
 /// Measures one fleet; the values come in the order of `NAMES`.
-fn measure_fleet(size: u16, seed: u64) -> [f64; 14] {
+fn measure_fleet(size: u16, seed: u64) -> [f64; COUNT] {
     let vms = f64::from(size);
     let mut fleet = Fleet::new(usize::from(size), seed);
     fleet.publish("- name: a\n");
