Use the shared knowledge of a group at the homes, and tighten retries and ages

The home kept a second form of what routing knows of a group. It now uses that form, earns its retry budget, refuses a write before it runs where the known primary lacks the session's history, counts the age of an agent's report from the echo, and an entry VM remembers a home that could not be reached.

--- a/oleander-proxy/src/entry/forward.rs
+++ b/oleander-proxy/src/entry/forward.rs
@@ -71,6 +71,10 @@
             };
             let Some(cut) = fault.cut else { return Err(fault.refusal) };
             let now = self.timers.now();
+            if let Some(vm) = target.filter(|_| is_homeless(cut)) {
+                let heard = Heard { wait: homes::UNREACHABLE_WAIT, at: now };
+                self.waits().record(request.database, vm, heard);
+            }
             if is_homeless(cut) && order.len() <= attempt.sends as usize && now < patience {
                 // Shares are changing hands; the next view names the new homes.
                 self.wait_for_view(now + VIEW_PATIENCE).await;
--- a/oleander-proxy/src/fleet/subscription.rs
+++ b/oleander-proxy/src/fleet/subscription.rs
@@ -94,7 +94,7 @@
     };
     let changed = snapshot.is_some();
     let snapshot = snapshot.unwrap_or_else(|| known.snapshot.clone());
-    let next = FleetView::next(snapshot, view, proxy.timers.now());
+    let next = FleetView::next(snapshot, view);
     if changed {
         proxy
             .journal
--- a/oleander-proxy/src/fleet/view.rs
+++ b/oleander-proxy/src/fleet/view.rs
@@ -46,11 +46,11 @@
 
 impl FleetView {
     /// Makes the view that follows on this one; `snapshot` is the configuration in force.
-    pub fn next(snapshot: Arc<Snapshot>, view: View, now: Time) -> Self {
+    pub fn next(snapshot: Arc<Snapshot>, view: View) -> Self {
         let instances = view
             .instances
             .iter()
-            .map(|report| (report.instance, known_report(*report, now)))
+            .map(|report| (report.instance, known_report(*report, view.echo)))
             .collect();
         Self {
             snapshot,
@@ -81,6 +81,7 @@
     }
 }
 
-fn known_report(report: InstanceReport, now: Time) -> KnownReport {
-    KnownReport { report, asked: Time(now.0.saturating_sub(report.age.0)) }
+/// Counts the age from the report that the view echoes, so that a delay in transit makes nothing younger.
+fn known_report(report: InstanceReport, echo: Time) -> KnownReport {
+    KnownReport { report, asked: Time(echo.0.saturating_sub(report.age.0)) }
 }
--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -18,7 +18,6 @@
 use oleander_limits::home::queue::Waiting;
 use oleander_limits::home::slots::Part;
 use oleander_limits::home::slots::Slots;
-use oleander_routing::reads;
 use oleander_routing::reads::Choice;
 use oleander_routing::reads::ReadNeed;
 use oleander_routing::retry;
@@ -27,11 +26,8 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
-use crate::home::instances::Excluded;
 use crate::home::instances::Instances;
-
-/// The time that a read is expected to run.
-const READ_SERVICE: Span = Span::from_millis(5);
+use crate::home::instances::Tried;
 
 /// `Admission` is the queue of one home with its waiting tasks.
 #[derive(Debug)]
@@ -63,7 +59,7 @@
     /// The time by which the answer is wanted.
     pub deadline: Time,
     /// The instances that have been tried.
-    pub excluded: Excluded,
+    pub tried: Tried,
 }
 
 impl ReadPlace {
@@ -368,11 +364,7 @@
         instances: &Instances,
         slots: &Slots,
     ) -> Option<u8> {
-        let options = reads::Options::default();
-        let choice = instances.with_group(now, slots, read.excluded, READ_SERVICE, |group| {
-            reads::choose(now, &read.need(), group, &options)
-        });
-        match choice {
+        match instances.choose(now, &read.need(), slots, &read.tried) {
             Choice::Run(instance) => Some(instance.ordinal),
             Choice::WaitFor { until, .. } => {
                 self.wake = until.min(self.wake);
--- a/oleander-proxy/src/home/database.rs
+++ b/oleander-proxy/src/home/database.rs
@@ -14,6 +14,7 @@
 use oleander_config::model::KeyHash;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::Incarnation;
+use oleander_core::ids::Revision;
 use oleander_core::ids::VmId;
 use oleander_core::places::Place;
 use oleander_core::statement::Access;
@@ -85,6 +86,7 @@
     pub(crate) transactions: Table,
     pools: RwLock<Vec<Arc<InstancePool>>>,
     budget: Mutex<RetryBudget>,
+    revision: AtomicU64,
     stopping: AtomicBool,
     open: AtomicU64,
     driver: JoinHandle<()>,
@@ -119,7 +121,12 @@
 
 impl Home {
     /// Makes the home of one part of a database; `part` is 0 or 1.
-    pub fn start(context: HomeContext, database: &Database, part: u32) -> Arc<Self> {
+    pub fn start(
+        context: HomeContext,
+        revision: Revision,
+        database: &Database,
+        part: u32,
+    ) -> Arc<Self> {
         let id = DatabaseId::from_name(&database.name);
         let queue = HomeQueue::new(QueueOptions::default(), Slots::default());
         let admission = Admission::new(context.timers.clone(), queue);
@@ -134,17 +141,21 @@
             admission,
             pools: RwLock::default(),
             budget: Mutex::new(RetryBudget::new(RetryOptions::default(), now)),
+            revision: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             open: AtomicU64::new(0),
             driver,
             context,
         });
-        home.configure(database);
+        home.configure(revision, database);
         home
     }
 
-    /// Takes in the configuration of the database.
-    pub fn configure(self: &Arc<Self>, database: &Database) {
+    /// Takes in the configuration of the database as of a revision; one that is in force already is passed over.
+    pub fn configure(self: &Arc<Self>, revision: Revision, database: &Database) {
+        if self.revision.swap(revision.0, Ordering::AcqRel) == revision.0 {
+            return;
+        }
         self.admission.update(|instances| instances.configure(database, &self.context.place));
         let ordinals = 0..database.instances.len() as u8;
         let part = |ordinal| part_of(database, self.part, ordinal);
@@ -157,9 +168,8 @@
     /// Takes in the agent's reports on the instances.
     pub fn observe(self: &Arc<Self>, view: &FleetView) {
         self.admission.update(|instances| {
-            let ordinals: Vec<u8> = instances.all().iter().map(|known| known.id.ordinal).collect();
-            for ordinal in ordinals {
-                let id = oleander_core::ids::InstanceId { database: self.id, ordinal };
+            for ordinal in instances.ordinals() {
+                let Some(id) = instances.id(ordinal) else { continue };
                 let Some(known) = view.instances.get(&id) else { continue };
                 instances.set_reachable(ordinal, known.report.reachable);
                 if let Some(status) = known.report.status {
@@ -173,6 +183,7 @@
     /// Runs a piece of work.
     pub async fn run(self: &Arc<Self>, request: WorkRequest) -> Result<WorkAnswer, Refusal> {
         let _guard = WorkGuard::new(self)?;
+        self.budget().earn();
         let job = self.accept(request)?;
         match job.request.work.clone() {
             Work::Single { statement, access: Access::Read, seen, age } => {
@@ -265,8 +276,9 @@
 
     /// Tells the pending acknowledgements what is known of the instances.
     pub(crate) fn note_statuses(&self) {
-        let statuses =
-            self.admission.with_instances(|instances| instances.statuses().collect::<Vec<_>>());
+        let statuses: Vec<_> = self.admission.with_instances(|instances| {
+            instances.knowledge().statuses().map(|(id, known)| (id, known.status)).collect()
+        });
         self.acks.observe(&statuses);
     }
 
--- a/oleander-proxy/src/home/registry.rs
+++ b/oleander-proxy/src/home/registry.rs
@@ -66,9 +66,14 @@
         for key in wanted {
             let Some(database) = view.snapshot.database(key.database) else { continue };
             match state.homes.get(&key) {
-                Some(home) => home.configure(database),
+                Some(home) => home.configure(view.snapshot.revision, database),
                 None => {
-                    let home = Home::start(self.context.clone(), database, key.part);
+                    let home = Home::start(
+                        self.context.clone(),
+                        view.snapshot.revision,
+                        database,
+                        key.part,
+                    );
                     state.homes.insert(key, home);
                 }
             }
--- a/oleander-proxy/src/home/single.rs
+++ b/oleander-proxy/src/home/single.rs
@@ -9,6 +9,7 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
 use oleander_peer::messages::WorkAnswer;
 use oleander_routing::reads;
@@ -29,7 +30,7 @@
 use crate::home::admission::Started;
 use crate::home::database::Home;
 use crate::home::database::Job;
-use crate::home::instances::Excluded;
+use crate::home::instances::Tried;
 
 /// The time that one more try at this home is expected to take.
 const EXPECTED_RUN: Span = Span::from_millis(5);
@@ -59,8 +60,7 @@
         age: Option<Span>,
     ) -> Result<WorkAnswer, Refusal> {
         let mut tries = Tries::new(Effect::Read);
-        let mut place =
-            ReadPlace { seen, age, deadline: job.deadline, excluded: Excluded::default() };
+        let mut place = ReadPlace { seen, age, deadline: job.deadline, tried: Tried::new() };
         loop {
             let started =
                 self.admission.enter(self.entrant(job, Place::Read(place.clone()))).await?;
@@ -68,7 +68,7 @@
             match self.read_on(&started, job, statement, &place).await {
                 Ok(answer) => return Ok(answer),
                 Err(fault) => {
-                    place.excluded.insert(started.ordinal);
+                    place.tried.push(InstanceId { database: self.id, ordinal: started.ordinal });
                     // The slot is given back before the pause.
                     drop(started);
                     self.next_try(&mut tries, job, fault).await?;
@@ -89,7 +89,7 @@
         loop {
             let started = self.admission.enter(self.entrant(job, Place::Primary)).await?;
             self.recheck(job)?;
-            let outcome = self.write_on(&started, job, statement).await;
+            let outcome = self.write_on(&started, job, statement, access, &seen).await;
             let (ordinal, queued) = (started.ordinal, started.queued);
             drop(started);
             match outcome {
@@ -99,10 +99,7 @@
                     let durable = self.acks.confirm(outcome.status.point, job.deadline).await?;
                     if lost {
                         let detail = "the write ran, but a change of primary dropped a part of what this session has seen";
-                        return Err(Refusal::ran(
-                            oleander_core::verdict::RefusalCode::HistoryLost,
-                            detail,
-                        ));
+                        return Err(Refusal::ran(RefusalCode::HistoryLost, detail));
                     }
                     let seen = SeenPoint { point: outcome.status.point, durable };
                     return Ok(self.answer(
@@ -227,25 +224,17 @@
         self.note_status(ordinal, outcome.status, asked);
         let now = self.context.timers.now();
         let need = place.need();
-        let (check, durable) = self.admission.with_instances(|instances| {
-            let check = reads::check_answer(now, &outcome.status, &need, instances.confirmed());
-            let status = outcome.after;
-            let id = InstanceId { database: self.id, ordinal };
-            let size = instances.all().len();
-            (check, proof::is_durable(&status, id, instances.statuses(), size))
+        let id = InstanceId { database: self.id, ordinal };
+        // What the statement saw lies at or before the status that was asked for after it.
+        let (check, seen) = self.admission.with_instances(|instances| {
+            let knowledge = instances.knowledge();
+            let check = knowledge.check_answer(now, &outcome.status, &need);
+            (check, knowledge.seen_point(id, &outcome.after))
         });
         match check {
             Check::Accept(_) => {
-                // What the statement saw lies at or before the status that was asked for after it.
-                let seen = SeenPoint { point: outcome.after.point, durable };
-                Ok(self.answer(
-                    job,
-                    ordinal,
-                    outcome.rows,
-                    seen,
-                    outcome.status.role,
-                    started.queued,
-                ))
+                let (role, queued) = (outcome.status.role, started.queued);
+                Ok(self.answer(job, ordinal, outcome.rows, seen, role, queued))
             }
             Check::Retry => Err(Fault { cut: Cut::AnswerStale, refusal: stale() }),
             Check::HistoryLost => {
@@ -259,12 +248,16 @@
         started: &Started,
         job: &Job,
         statement: &Statement,
+        access: Access,
+        seen: &[SeenPoint],
     ) -> Result<Outcome, Fault> {
         let ordinal = started.ordinal;
+        let effect = Effect::of_single(access);
+        self.check_known_primary(ordinal, access, seen)?;
         let mut connection = self
             .connect(ordinal, job)
             .await
-            .map_err(|error| self.fault(ordinal, &error, None, Effect::Write))?;
+            .map_err(|error| self.fault(ordinal, &error, None, effect))?;
         // The wait for a connection may have been long enough for a withdrawal.
         if let Err(refusal) = self.recheck(job) {
             if let Some(pool) = self.pool(ordinal) {
@@ -281,11 +274,40 @@
                 self.note_status(ordinal, outcome.status, asked);
                 Ok(outcome)
             }
-            Err(error) => Err(self.fault(ordinal, &error, Some(connection), Effect::Write)),
+            Err(error) => Err(self.fault(ordinal, &error, Some(connection), effect)),
         }
     }
 }
 
+impl Home {
+    /// Refuses a write, before it is sent, whose session has seen more than the primary is known to hold.
+    ///
+    /// The status is of an earlier time, so only a primary of an older term counts as behind.
+    fn check_known_primary(
+        &self,
+        ordinal: u8,
+        access: Access,
+        seen: &[SeenPoint],
+    ) -> Result<(), Fault> {
+        let known = self.admission.with_instances(|instances| {
+            let id = instances.id(ordinal)?;
+            instances
+                .knowledge()
+                .statuses()
+                .find(|(instance, _)| *instance == id)
+                .map(|(_, known)| known.status)
+        });
+        let Some(status) = known else { return Ok(()) };
+        let newer: Vec<SeenPoint> =
+            seen.iter().filter(|seen| seen.point.term != status.point.term).copied().collect();
+        reads::check_primary(&status, access, &newer).map_err(|refusal| {
+            let is_lost = refusal.code == RefusalCode::HistoryLost;
+            let cut = if is_lost { Cut::StatementFailed } else { Cut::RefusedBeforeRun };
+            Fault { cut, refusal }
+        })
+    }
+}
+
 impl Tries {
     /// Starts to count.
     pub(crate) fn new(effect: Effect) -> Self {
@@ -310,5 +332,5 @@
 
 fn stale() -> Refusal {
     let detail = "no instance has caught up with what this session has seen";
-    Refusal::not_run(oleander_core::verdict::RefusalCode::UpstreamUnavailable, detail)
+    Refusal::not_run(RefusalCode::UpstreamUnavailable, detail)
 }
