--- a/oleander-limits/src/lib.rs
+++ b/oleander-limits/src/lib.rs
@@ -1,4 +1,42 @@
 //! Limits over the whole fleet and at one home: rates, queues, slots and open transactions.
+//!
+//! `rates::limiter::RateLimiter` decides at each proxy whether a workspace is
+//! within its rate, together with those of the other VMs. At a home of a
+//! database `home::queue::HomeQueue` decides which request starts next:
+//!
+//! ```
+//! use oleander_core::ids::WorkspaceId;
+//! use oleander_core::time::Span;
+//! use oleander_core::time::Time;
+//! use oleander_limits::home::queue::Class;
+//! use oleander_limits::home::queue::Connection;
+//! use oleander_limits::home::queue::HomeQueue;
+//! use oleander_limits::home::queue::QueueOptions;
+//! use oleander_limits::home::queue::Ticket;
+//! use oleander_limits::home::queue::Waiting;
+//! use oleander_limits::home::slots::Part;
+//! use oleander_limits::home::slots::Slots;
+//!
+//! let now = Time(0);
+//! let mut slots = Slots::default();
+//! slots.set_parts([Part { slots: 2, connections: 8 }; 3], now);
+//! let mut queue = HomeQueue::new(QueueOptions::default(), slots);
+//! let request = Waiting {
+//!     ticket: Ticket(1),
+//!     workspace: WorkspaceId::from_name("rye"),
+//!     weight: 1,
+//!     cost: 1,
+//!     deadline: now + Span::from_secs(2),
+//!     class: Class::Read,
+//! };
+//! // A refusal here is final and says "not run".
+//! assert!(queue.push(now, request).is_ok());
+//! // Routing chooses the instance; `None` lets the request wait.
+//! while let Some(start) = queue.pop(now, |_, slots| (0..3).find(|at| slots.is_free(now, *at))) {
+//!     // The statement runs on instance `start.ordinal`; its end frees the slot.
+//!     queue.finish(start.request.ticket, Span::from_millis(4), Connection::Free);
+//! }
+//! ```
 
 pub mod home;
 pub mod messages;
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -22,6 +22,9 @@
 use crate::rates::ownership::Ownership;
 use crate::rates::peers;
 use crate::rates::peers::Peer;
+use crate::rates::plan;
+use crate::rates::plan::Offer;
+use crate::rates::plan::Part;
 use crate::rates::tokens::FRACTIONS;
 use crate::rates::tokens::Limit;
 use crate::rates::tokens::Tokens;
@@ -40,10 +43,6 @@
 const PROBED_SILENCE: f64 = 1.5;
 /// The interval in which an account is looked at, to drop it once it is idle.
 const IDLE_CHECK: Span = Span::from_secs(5);
-/// The parts of a peer's capacity in which a need is divided over the peers.
-const CHUNKS: u64 = 4;
-/// The parts of a peer's capacity of which it is asked for at least one, unless less is needed.
-const LEAST_PARTS: u64 = 16;
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Span = Span::from_millis(1);
 
@@ -64,35 +63,6 @@
     pub wake: Option<Time>,
 }
 
-/// `Offer` is what one peer is expected to have and will be asked for.
-#[derive(Clone, Copy, Debug)]
-struct Offer {
-    at: usize,
-    left: Tokens,
-    capacity: Tokens,
-    amount: Tokens,
-}
-
-impl Offer {
-    /// Gets the amount that is asked for in one step.
-    ///
-    /// Parts of a token wait for one another, so a peer that can hold a whole
-    /// token is asked for a whole one.
-    fn chunk(&self) -> Tokens {
-        let whole = Tokens::whole(1);
-        if whole <= self.capacity { whole } else { Tokens(self.capacity.0 / CHUNKS) }
-    }
-
-    /// Gets the least amount that is worth a message.
-    fn least(&self) -> Tokens {
-        Tokens(self.capacity.0 / LEAST_PARTS)
-    }
-
-    fn fill(&self) -> f64 {
-        self.left.0 as f64 / self.capacity.0.max(1) as f64
-    }
-}
-
 impl Account {
     /// Makes the account of a workspace whose limit may be used since `since`.
     pub fn new(
@@ -429,7 +399,7 @@
         }
         self.recall(ctx, ctx.ownership.vm());
         let demand = self.meter.per_second(ctx.now);
-        for (at, amount) in self.divide(ctx, need) {
+        for Part { at, amount } in plan::divide(self.offers(ctx), need) {
             let to = self.peers[at].vm;
             let settled = self.borrower.take_settled(ctx.now, to);
             let ask = Ask::Borrow { need: amount, demand, settled };
@@ -438,30 +408,17 @@
         }
     }
 
-    /// Divides `need` over the peers that may be asked now, so that their levels become even.
-    fn divide(&mut self, ctx: &Context<'_>, need: Tokens) -> SmallVec<[(usize, Tokens); 8]> {
-        let mut offers: SmallVec<[Offer; 8]> = SmallVec::new();
+    /// Gets what the peers that may be asked now are expected to have.
+    fn offers(&mut self, ctx: &Context<'_>) -> SmallVec<[Offer; 8]> {
+        let mut offers = SmallVec::new();
         for at in 0..self.peers.len() {
             let free = self.free(at);
             if self.peers[at].is_ready(ctx.now) && 0 < free {
                 let left = self.peers[at].expected(ctx.now, self.limit, free);
-                let capacity = self.limit.capacity(free);
-                offers.push(Offer { at, left, capacity, amount: Tokens::ZERO });
+                offers.push(Offer::new(at, left, self.limit.capacity(free)));
             }
         }
-        let mut rest = need;
-        while rest != Tokens::ZERO {
-            let fullest =
-                offers.iter_mut().max_by(|left, right| left.fill().total_cmp(&right.fill()));
-            let Some(fullest) = fullest.filter(|offer| offer.least() < offer.left) else { break };
-            let chunk = fullest.chunk();
-            let part = chunk.min(rest).min(fullest.left);
-            fullest.left = fullest.left.saturating_sub(part);
-            fullest.amount += part;
-            rest = rest.saturating_sub(part);
-        }
-        let asked = offers.into_iter().filter(|offer| offer.least().min(need) <= offer.amount);
-        asked.map(|offer| (offer.at, offer.amount)).collect()
+        offers
     }
 
     /// Gets the tokens that a request may hope for until `until`.
--- a/oleander-limits/src/rates/mod.rs
+++ b/oleander-limits/src/rates/mod.rs
@@ -15,5 +15,6 @@
 pub mod overflow;
 pub mod ownership;
 pub mod peers;
+pub mod plan;
 pub mod tokens;
 pub mod waiting;
