--- a/oleander-load/src/experiments/failover/scenarios.rs
+++ b/oleander-load/src/experiments/failover/scenarios.rs
@@ -38,12 +38,21 @@
     ZoneLost,
     /// The primary stops and returns after a second.
     PrimaryReturns,
+    /// The primary does not answer for half a second.
+    ShortPause,
     /// The first home loses its link to the primary, which works for all others.
     BadLink,
     /// The primary stops while two messages in a hundred are lost.
     LossyNetwork,
 }
 
+impl Scenario {
+    /// Returns `true` if the fault calls for a new primary.
+    pub fn needs_promotion(self) -> bool {
+        !matches!(self, Scenario::BadLink | Scenario::ShortPause)
+    }
+}
+
 /// `Outcome` is what a run showed.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -108,6 +117,9 @@
         Scenario::PrimaryReturns => {
             vec![(now, Fault::LoseInstance(0)), (Span::from_secs(1), Fault::ReturnInstance(0))]
         }
+        Scenario::ShortPause => {
+            vec![(now, Fault::LoseInstance(0)), (Span::from_millis(500), Fault::ReturnInstance(0))]
+        }
         Scenario::BadLink => vec![(now, Fault::LoseLine(0, 0))],
     }
 }
--- a/oleander-load/src/experiments/failover/tables.rs
+++ b/oleander-load/src/experiments/failover/tables.rs
@@ -69,7 +69,7 @@
         let gaps = gaps(&outcomes);
         table.push(gap_row(&scenario.to_string(), &gaps, &outcomes));
         check(scenario, &gaps, &outcomes, report);
-        if scenario != Scenario::BadLink {
+        if scenario.needs_promotion() {
             all.add(&gaps).expect("the histograms have the same bounds");
         }
     }
@@ -108,7 +108,8 @@
         "lost primary p50 ms",
         "lossy p99 ms",
         "zone lost max ms",
-        "bad link promotions",
+        "promotions: bad link",
+        "short pause",
         "abandoned",
     ];
     let title = format!("Detection: the policy beside its variants, {VARIANT_RUNS} runs each");
@@ -118,14 +119,16 @@
         let lost = gaps(&run(Scenario::PrimaryLost));
         let lossy = run(Scenario::LossyNetwork);
         let zone = run(Scenario::ZoneLost);
-        let bad: usize = run(Scenario::BadLink).iter().map(|outcome| outcome.promotions).sum();
+        let promotions =
+            |scenario| -> usize { run(scenario).iter().map(|outcome| outcome.promotions).sum() };
         let given_up = lossy.iter().chain(&zone).map(|outcome| outcome.abandoned).sum::<usize>();
         table.push([
             name.to_owned(),
             lost.value_at_quantile(0.5).to_string(),
             gaps(&lossy).value_at_quantile(0.99).to_string(),
             gaps(&zone).max().to_string(),
-            bad.to_string(),
+            promotions(Scenario::BadLink).to_string(),
+            promotions(Scenario::ShortPause).to_string(),
             given_up.to_string(),
         ]);
     }
