Bound the time that a silent connection keeps its place in the pool

Closing a connection that went silent first waited for the cancel request, then for the answers, 5 s each, in which a small pool had no room although new connections worked. Both now run side by side within 2 s. Tests cover that and a request whose caller has gone.

--- a/oleander-upstream/src/connection.rs
+++ b/oleander-upstream/src/connection.rs
@@ -26,7 +26,7 @@
 use crate::values::AnswerLimit;
 
 /// The time that a closed connection is given to finish what it had sent.
-const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 
 /// The time between the end of a connection here and its end at the instance.
 pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(50);
@@ -401,11 +401,14 @@
         let attached = std::mem::take(&mut self.attached);
         let busy = self.phase == Phase::Busy || self.phase == Phase::Poisoned;
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
-        runtime.spawn(async move {
-            if busy {
-                let cancel = client.cancel_token();
+        if busy {
+            let cancel = client.cancel_token();
+            // On a connection that went silent this fails too, and the limit below ends the wait.
+            runtime.spawn(async move {
                 let _ = tokio::time::timeout(CLOSE_LIMIT, cancel.cancel_query(NoTls)).await;
-            }
+            });
+        }
+        runtime.spawn(async move {
             // The driver ends once all that was sent is answered.
             drop(client);
             if tokio::time::timeout(CLOSE_LIMIT, &mut driver).await.is_err() {
--- a/oleander-upstream/tests/pool.rs
+++ b/oleander-upstream/tests/pool.rs
@@ -91,3 +91,29 @@
     tokio::time::timeout(common::LONG, released).await.expect("the slot was not released");
     assert_eq!(group.counters(0).running, 0);
 }
+
+#[tokio::test]
+async fn connection_of_a_cancelled_request_is_not_used_again() {
+    let group = common::group(GroupOptions::default()).await;
+    let pool = common::pool(&group, 0, 1);
+    let mut connection = pool.acquire("w", common::soon()).await.unwrap();
+    group.set_service(0, Duration::from_secs(3600));
+    let statement = common::read();
+    let read = connection.read("w", &statement, common::soon());
+    let cancelled = tokio::time::timeout(common::SHORT, read).await;
+    assert!(cancelled.is_err() && !connection.is_clean());
+    pool.put_back(connection);
+    assert_eq!(pool.counts().idle, 0);
+}
+
+#[tokio::test]
+async fn pool_recovers_from_silence_while_new_connections_work() {
+    let group = common::group(GroupOptions::default()).await;
+    let pool = common::pool(&group, 0, 1);
+    let mut silent = pool.acquire("w", common::soon()).await.unwrap();
+    group.gate(0).silence_established();
+    assert!(silent.read("w", &common::read(), common::shortly()).await.is_err());
+    pool.discard_silent(silent);
+    let mut fresh = pool.acquire("w", common::soon()).await.unwrap();
+    assert!(fresh.read("w", &common::read(), common::soon()).await.is_ok());
+}
