Move the primary away from an instance that leaves

A leaving instance gets no new work, so a primary that was marked as leaving left its database without writes until it stopped. The first home now promotes an instance that stays, if those that stay are a fenced majority, which holds all acknowledged writes; with acknowledgement by the primary alone nothing is moved, for that could lose writes.

--- a/oleander-agent/src/failover/guard.rs
+++ b/oleander-agent/src/failover/guard.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use oleander_config::model::Acknowledge;
 use oleander_config::model::Database;
 use oleander_core::events::Event;
 use oleander_core::hash;
@@ -72,7 +73,8 @@
     let phase = hash::combine(id.0, VmId::from_name(&shared.settings.name).0);
     let options = shared.settings.failover_options();
     let size = database.instances.len() as u8;
-    let mut supervisor = Supervisor::new(size, rank, options, shared.now(), phase);
+    let supervisor = Supervisor::new(size, rank, options, shared.now(), phase);
+    let mut supervisor = supervisor.with_leaving(leaving(&database));
     let watch = Arc::new(Watch { shared, database, id, admins, inputs });
     let mut input = Input::Tick;
     loop {
@@ -237,3 +239,13 @@
         let _ = self.inputs.send(input);
     }
 }
+
+/// Gets the instances from which the primary is to be moved away.
+///
+/// A planned change keeps all acknowledged writes only where a majority holds them.
+fn leaving(database: &Database) -> Vec<u8> {
+    let replicated = database.acknowledge == Acknowledge::Replicated;
+    let instances = database.instances.iter().enumerate();
+    let leaving = instances.filter(|(_, instance)| replicated && instance.leaving);
+    leaving.map(|(ordinal, _)| ordinal as u8).collect()
+}
--- a/oleander-agent/tests/failover.rs
+++ b/oleander-agent/tests/failover.rs
@@ -11,6 +11,7 @@
 use oleander_core::terms::Role;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
+use oleander_membership::head::BodyHash;
 use oleander_platform::configuration;
 use oleander_platform::configuration::Publication;
 use oleander_platform::store::Store;
@@ -66,6 +67,16 @@
     assert_eq!(fleet.group.status(0).fence, Term(1));
 }
 
+#[tokio::test]
+async fn primary_that_leaves_is_relieved() {
+    let fleet = Fleet::start(Times::default().ping_limit).await;
+    let before = upstreams(&fleet.group);
+    let after = before.replacen("zone: south-0}", "zone: south-0, leaving: true}", 1);
+    publish(&fleet.store, Some(&before), &after).await;
+    until(|| fleet.group.primary().is_some_and(|primary| primary != 0)).await;
+    until(|| fleet.group.status(0).role == Role::Replica).await;
+}
+
 struct Fleet {
     store: StoreStandin,
     _list: VmList,
@@ -79,7 +90,7 @@
         let store = StoreStandin::start().await.unwrap();
         let list = VmList::start().await.unwrap();
         let group = Group::start(GroupOptions::default()).await.unwrap();
-        publish(&store, &upstreams(&group)).await;
+        publish(&store, None, &upstreams(&group)).await;
         let mut agents = Vec::new();
         for number in 0..3 {
             list.set(format!("vm-{number}"), VmState::Live);
@@ -131,14 +142,14 @@
     format!("- name: orders\n  slots: 2\n  connections: 16\n  instances:\n{instances}")
 }
 
-async fn publish(store: &StoreStandin, text: &str) {
+async fn publish(store: &StoreStandin, base: Option<&str>, text: &str) {
     let endpoints = vec![format!("http://{}", store.address())];
     let store = Store::new(StoreOptions { endpoints, ..StoreOptions::default() });
     let publication = Publication {
         section: "upstreams".to_owned(),
         text: text.to_owned(),
-        base: None,
-        change: ChangeId(1),
+        base: base.map(BodyHash::of),
+        change: ChangeId(text.len() as u64),
     };
     configuration::publish::<()>(&store, &publication, |_| Ok(())).await.unwrap();
 }
--- a/oleander-failover/src/promoter.rs
+++ b/oleander-failover/src/promoter.rs
@@ -20,6 +20,7 @@
     replies: usize,
     majority_at: Option<Time>,
     stage: Stage,
+    leaving: SmallVec<[u8; 3]>,
 }
 
 /// `Progress` is what a promotion asks for next.
@@ -54,9 +55,16 @@
             replies: 0,
             majority_at: None,
             stage: Stage::Fencing,
+            leaving: SmallVec::new(),
         }
     }
 
+    /// Passes over these instances if the others alone make a fenced majority.
+    pub fn avoiding(mut self, leaving: &[u8]) -> Self {
+        self.leaving = SmallVec::from_slice(leaving);
+        self
+    }
+
     /// Gets the term.
     pub fn term(&self) -> Term {
         self.term
@@ -139,11 +147,22 @@
         if self.stage != Stage::Fencing || !gathered {
             return Progress::Waiting;
         }
+        let Some(chosen) = self.furthest() else { return Progress::Waiting };
+        self.stage = Stage::Promoting(chosen);
+        Progress::Promote(chosen)
+    }
+
+    /// Gets the furthest fenced instance.
+    ///
+    /// Any fenced majority holds all acknowledged writes, so instances that
+    /// leave may be passed over where the others are such a majority.
+    fn furthest(&self) -> Option<u8> {
+        let stays = |ordinal: u8| !self.leaving.contains(&ordinal);
+        let staying = self.fenced.iter().filter(|(ordinal, _)| stays(*ordinal)).count();
+        let enough = majority(self.size) <= staying;
+        let able = self.fenced.iter().filter(|(ordinal, _)| !enough || stays(*ordinal));
         // Among equals the lowest ordinal, so that rivals choose alike.
-        let furthest =
-            self.fenced.iter().max_by_key(|(ordinal, status)| (status.point, u8::MAX - ordinal));
-        let Some((chosen, _)) = furthest else { return Progress::Waiting };
-        self.stage = Stage::Promoting(*chosen);
-        Progress::Promote(*chosen)
+        let furthest = able.max_by_key(|(ordinal, status)| (status.point, u8::MAX - ordinal));
+        furthest.map(|(ordinal, _)| *ordinal)
     }
 }
--- a/oleander-failover/src/supervisor.rs
+++ b/oleander-failover/src/supervisor.rs
@@ -38,6 +38,7 @@
     retry_at: Time,
     rejoins: SmallVec<[Option<Time>; 3]>,
     top: Term,
+    leaving: SmallVec<[u8; 3]>,
 }
 
 /// `Vacancy` is why a promotion may be needed.
@@ -67,9 +68,16 @@
             retry_at: Time::default(),
             rejoins: (0..size).map(|_| None).collect(),
             top: Term::default(),
+            leaving: SmallVec::new(),
         }
     }
 
+    /// Names instances that leave: a primary among them is replaced by an instance that stays.
+    pub fn with_leaving(mut self, leaving: impl IntoIterator<Item = u8>) -> Self {
+        self.leaving = leaving.into_iter().collect();
+        self
+    }
+
     /// Takes in what has happened and gets what is to be done.
     pub fn handle(&mut self, now: Time, input: Input) -> Actions {
         let mut actions = Actions::new();
@@ -235,9 +243,22 @@
             // The opinion is under way while the last miss is still awaited.
             self.ask_opinion(now, usize::from(leader), out);
         }
+        if self.may_relieve(now, leader) {
+            return self.start_promotion(now, "the primary leaves", out);
+        }
         self.mend_stray(now, primary, out);
     }
 
+    /// Returns `true` if the primary leaves and the instances that stay are a majority.
+    fn may_relieve(&self, now: Time, leader: u8) -> bool {
+        let staying = self.reachable().filter(|(ordinal, _)| !self.leaving.contains(ordinal));
+        // The second home leaves a planned change to the first.
+        self.rank == Rank::First
+            && self.leaving.contains(&leader)
+            && self.retry_at <= now
+            && majority(self.instances.len()) <= staying.count()
+    }
+
     /// Starts a promotion if this home can show that there is no primary.
     fn fill_vacancy(&mut self, now: Time, out: &mut Actions) {
         let Some(vacancy) = self.vacancy() else {
@@ -324,7 +345,8 @@
 
     fn start_promotion(&mut self, now: Time, reason: &'static str, out: &mut Actions) {
         let term = Term(self.top.0 + 1);
-        self.promoter = Some(Promoter::new(term, self.instances.len(), now));
+        let promoter = Promoter::new(term, self.instances.len(), now);
+        self.promoter = Some(promoter.avoiding(&self.leaving));
         out.push(record(Event::PromotionStarted, None, term, reason));
         for ordinal in 0..self.instances.len() as u8 {
             out.push(Action::Run { ordinal, step: Step::Fence, term });
--- a/oleander-failover/tests/supervisor.rs
+++ b/oleander-failover/tests/supervisor.rs
@@ -143,3 +143,31 @@
     let second = supervisor.handle(NOW + Options::default().retry_interval, Input::Tick);
     assert!(second.contains(&Action::Run { ordinal: 1, step: Step::Fence, term: Term(3) }));
 }
+
+#[rstest]
+#[case::primary_leaves(Rank::First, &[0], true)]
+#[case::replica_leaves(Rank::First, &[1], false)]
+#[case::two_of_three_leave(Rank::First, &[0, 1], false)]
+#[case::left_to_the_first_home(Rank::Second, &[0], false)]
+fn leaving_primary_is_relieved(#[case] rank: Rank, #[case] leaving: &[u8], #[case] relieved: bool) {
+    let mut supervisor = supervisor(rank).with_leaving(leaving.iter().copied());
+    assert_eq!(promotes(&supervisor.handle(NOW, Input::Tick)), relieved);
+}
+
+#[rstest]
+#[case::others_are_a_majority(&[(0, 9), (1, 5), (2, 7)], 2)]
+#[case::others_are_none(&[(0, 9), (1, 5)], 0)]
+fn leaving_instance_is_passed_over_where_that_is_safe(
+    #[case] fenced: &[(u8, u64)],
+    #[case] chosen: u8,
+) {
+    let options = Options::default();
+    let mut promoter = Promoter::new(Term(3), 3, NOW).avoiding(&[0]);
+    let mut steps = Vec::new();
+    for (ordinal, position) in fenced {
+        let done = StepResult::Done(status(Role::Fenced, 2, *position, 3));
+        steps.push(promoter.stepped(NOW, *ordinal, Step::Fence, done, &options));
+    }
+    steps.push(promoter.tick(NOW + options.gather_limit, &options));
+    assert!(steps.contains(&Progress::Promote(chosen)));
+}
