--- a/oleander-limits/src/messages.rs
+++ b/oleander-limits/src/messages.rs
@@ -41,6 +41,11 @@
         /// Earlier grants that the sender has finished with.
         settled: SmallVec<[Settled; INLINE_SETTLED]>,
     },
+    /// Tells an owner which grants the sender has finished with.
+    Settle {
+        /// The grants.
+        settled: SmallVec<[Settled; INLINE_SETTLED]>,
+    },
     /// Asks an owner to extend a loan.
     Renew {
         /// The loan.
@@ -71,6 +76,8 @@
     pub grant: LoanId,
     /// The tokens of the grant that were not used.
     pub unused: Tokens,
+    /// The time since the last of the others was used.
+    pub age: Span,
 }
 
 /// `Returned` is a loan on its way back.
@@ -108,7 +115,7 @@
     Renewed,
     /// The owner does not know the loan; it must not be used any more.
     Ended,
-    /// The answer to `Ask::Return`.
+    /// The answer to `Ask::Return` and `Ask::Settle`.
     Accepted,
     /// The answer to `Ask::Recall` and `Ask::Probe`: the loan, or `None` if it is not given back.
     Recalled(Option<Returned>),
--- a/oleander-load/src/drive/run.rs
+++ b/oleander-load/src/drive/run.rs
@@ -11,6 +11,7 @@
 use oleander_core::verdict::Verdict;
 use oleander_runtime::timer::TimerService;
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::cluster::profile::Profile;
@@ -58,6 +59,15 @@
     }
 }
 
+/// `ReadClass` says under which class reads are sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadClass {
+    /// As reads, which replicas may serve.
+    Routed,
+    /// As idempotent writes, which only the primary serves: the baseline.
+    Primary,
+}
+
 /// `Driver` sends planned calls.
 #[derive(Clone, Debug)]
 pub struct Driver {
@@ -69,6 +79,10 @@
     pub client: Client,
     /// The timers.
     pub timers: TimerService,
+    /// The class of reads.
+    pub reads: ReadClass,
+    /// Turns `true` when no further calls are to start.
+    pub stop: watch::Receiver<bool>,
 }
 
 impl Driver {
@@ -79,6 +93,9 @@
         let mut calls = Vec::with_capacity(plan.len());
         for planned in plan {
             self.timers.sleep_until(start + planned.at).await;
+            if *self.stop.borrow() {
+                break;
+            }
             let driver = self.clone();
             open.spawn(async move { driver.call(planned, start).await });
             while let Some(done) = open.try_join_next() {
@@ -119,7 +136,11 @@
         let key = self.profile.key(workspace.name);
         match &planned.operation {
             Operation::Read { key: entry, age } => {
-                let class = if age.is_some() { "quote" } else { "read" };
+                let class = match self.reads {
+                    ReadClass::Primary => "upsert",
+                    ReadClass::Routed if age.is_some() => "quote",
+                    ReadClass::Routed => "read",
+                };
                 let address = self.address(planned, 0, &key)?;
                 let answer =
                     self.client.read(address, &format!("{database}.{class}"), entry).await?;
--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -18,19 +18,16 @@
 use oleander_limits::home::queue::Waiting;
 use oleander_limits::home::slots::Part;
 use oleander_limits::home::slots::Slots;
-use oleander_routing::reads;
 use oleander_routing::reads::Choice;
 use oleander_routing::reads::ReadNeed;
+use oleander_routing::retry;
 use oleander_runtime::timer::TimerService;
 use oleander_session::token::SeenPoint;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
-use crate::home::instances::Excluded;
 use crate::home::instances::Instances;
-
-/// The time that a read is expected to run.
-const READ_SERVICE: Span = Span::from_millis(5);
+use crate::home::instances::Tried;
 
 /// `Admission` is the queue of one home with its waiting tasks.
 #[derive(Debug)]
@@ -62,7 +59,7 @@
     /// The time by which the answer is wanted.
     pub deadline: Time,
     /// The instances that have been tried.
-    pub excluded: Excluded,
+    pub tried: Tried,
 }
 
 impl ReadPlace {
@@ -245,7 +242,7 @@
         for ticket in state.queue.expire(now) {
             state.refuse(
                 ticket,
-                Refusal::not_run(RefusalCode::DeadlineExceeded, "no slot came free in time"),
+                refusal(RefusalCode::DeadlineExceeded, "no slot came free in time"),
             );
         }
         let mut look = Look { wake: Time(u64::MAX), refused: Vec::new() };
@@ -367,11 +364,7 @@
         instances: &Instances,
         slots: &Slots,
     ) -> Option<u8> {
-        let options = reads::Options::default();
-        let choice = instances.with_group(now, slots, read.excluded, READ_SERVICE, |group| {
-            reads::choose(now, &read.need(), group, &options)
-        });
-        match choice {
+        match instances.choose(now, &read.need(), slots, &read.tried) {
             Choice::Run(instance) => Some(instance.ordinal),
             Choice::WaitFor { until, .. } => {
                 self.wake = until.min(self.wake);
@@ -389,5 +382,9 @@
 
 /// Makes the refusal of a home that has stopped.
 pub fn gone() -> Refusal {
-    Refusal::not_run(RefusalCode::HomeUnreachable, "this VM is not a home of the database")
+    refusal(RefusalCode::HomeUnreachable, "this VM is not a home of the database")
+}
+
+fn refusal(code: RefusalCode, detail: &str) -> Refusal {
+    Refusal { retry_after: retry::retry_after(code), ..Refusal::not_run(code, detail) }
 }
