--- /dev/null
+++ b/oleander-platform/tests/store.rs
@@ -0,0 +1,204 @@
+//! The store client against the stand-in, with faults in a table.
+
+use std::time::Duration;
+
+use oleander_core::ids::ChangeId;
+use oleander_core::ids::Revision;
+use oleander_core::time::Span;
+use oleander_core::verdict::Verdict;
+use oleander_membership::head::BodyHash;
+use oleander_membership::messages::SectionBody;
+use oleander_platform::configuration;
+use oleander_platform::configuration::Applied;
+use oleander_platform::configuration::Publication;
+use oleander_platform::configuration::PublishError;
+use oleander_platform::keys;
+use oleander_platform::store::Commit;
+use oleander_platform::store::CommitOutcome;
+use oleander_platform::store::Expectation;
+use oleander_platform::store::Store;
+use oleander_platform::store::StoreOptions;
+use oleander_platform::store::StoreRevision;
+use oleander_platform::store::Write;
+use oleander_standin::gate::Gate;
+use oleander_standin::gate::Passage;
+use oleander_standin::store::Store as Standin;
+use rstest::rstest;
+
+/// The bound on a wait for the store to tell something.
+const BOUND: Duration = Duration::from_secs(60);
+
+struct FaultCase {
+    fault: fn(&Gate),
+    first: Option<Verdict>,
+    second: Option<Verdict>,
+}
+
+/// The verdict on a write under the fault, and on the next one.
+#[rstest]
+#[case::none(FaultCase { fault: |_| {}, first: None, second: None })]
+#[case::lost_answer(FaultCase {
+    fault: |gate| gate.lose_answers("/v3/kv/txn", 1),
+    first: Some(Verdict::MayHaveRun),
+    second: None,
+})]
+#[case::silent_connection(FaultCase {
+    fault: Gate::silence_established,
+    first: Some(Verdict::MayHaveRun),
+    second: None,
+})]
+#[case::silent_store(FaultCase {
+    fault: |gate| gate.set_passage(Passage::Silent),
+    first: Some(Verdict::MayHaveRun),
+    second: Some(Verdict::MayHaveRun),
+})]
+#[tokio::test]
+async fn each_fault_gives_its_verdict(#[case] case: FaultCase) {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    // Opens the connection that the fault falls on.
+    store.read("warm").await.unwrap();
+    (case.fault)(standin.gate());
+    assert_eq!(write(&store).await, case.first);
+    assert_eq!(write(&store).await, case.second);
+}
+
+#[tokio::test]
+async fn a_refused_connection_has_not_run() {
+    let nobody = "http://127.0.0.1:1".to_owned();
+    let store = Store::new(StoreOptions { endpoints: vec![nobody], ..StoreOptions::default() });
+    assert_eq!(write(&store).await, Some(Verdict::NotRun));
+}
+
+#[tokio::test]
+async fn a_failed_endpoint_gives_way_to_the_next() {
+    let standin = Standin::start().await.unwrap();
+    let endpoints = vec!["http://127.0.0.1:1".to_owned(), format!("http://{}", standin.address())];
+    let store = Store::new(StoreOptions { endpoints, ..StoreOptions::default() });
+    assert!(store.read("key").await.is_err());
+    assert!(store.read("key").await.is_ok());
+}
+
+#[tokio::test]
+async fn a_lost_answer_does_not_apply_a_change_twice() {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    standin.gate().lose_answers("/v3/kv/txn", 1);
+    let applied = publish(&store, "rates", None, "[]", 1).await;
+    assert_eq!(applied, Ok(Applied { revision: Revision(1) }));
+    let document = configuration::read_document(&store).await.unwrap();
+    assert_eq!(document.head.changes.len(), 1);
+}
+
+#[tokio::test]
+async fn only_the_edited_section_conflicts() {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    publish(&store, "rates", None, "[]", 1).await.unwrap();
+    publish(&store, "routes", None, "[]", 2).await.unwrap();
+    let stale = publish(&store, "rates", None, "# late\n[]", 3).await;
+    assert_eq!(stale, Err(PublishError::Conflict(Some(BodyHash::of("[]")))));
+    let fresh = publish(&store, "rates", Some("[]"), "# new\n[]", 4).await;
+    assert_eq!(fresh, Ok(Applied { revision: Revision(3) }));
+}
+
+#[tokio::test]
+async fn racing_edits_of_different_sections_are_all_in() {
+    let standin = Standin::start().await.unwrap();
+    let stores = [client(&standin), client(&standin), client(&standin)];
+    let edits = ["rates", "routes", "upstreams"].into_iter().zip(&stores).enumerate();
+    let edits = edits.map(|(at, (section, store))| publish(store, section, None, "[]", at as u64));
+    let applied = futures::future::join_all(edits).await;
+    assert!(applied.iter().all(Result::is_ok));
+    let document = configuration::read_document(&stores[0]).await.unwrap();
+    assert_eq!((document.head.revision, document.sections.len()), (Revision(3), 3));
+}
+
+#[tokio::test]
+async fn a_refused_check_leaves_the_store_as_it_was() {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    let refuse = |_: &[SectionBody]| Err("refused");
+    let result = configuration::publish(&store, &publication("rates", None, "[", 1), refuse).await;
+    assert_eq!(result, Err(PublishError::Rejected("refused")));
+    assert!(store.read(keys::HEAD).await.unwrap().entries.is_empty());
+}
+
+#[tokio::test]
+async fn a_look_returns_nothing_until_a_key_changes() {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    let known = [Expectation { key: "key".to_owned(), revision: StoreRevision(0) }];
+    assert_eq!(store.look(&known).await.unwrap(), None);
+    write(&store).await;
+    let found = store.look(&known).await.unwrap().unwrap();
+    assert!(found.entries.iter().all(|entry| entry.value.is_empty()));
+    assert_eq!(found.entries.len(), 1);
+}
+
+#[tokio::test]
+async fn a_watch_tells_what_changes() {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    let mut watch = store.watch("key", "kez").await.unwrap();
+    write(&store).await;
+    let search = async {
+        loop {
+            let notice = watch.next().await.unwrap();
+            if let Some(entry) = notice.changed.into_iter().next() {
+                return entry.value;
+            }
+        }
+    };
+    let value = tokio::time::timeout(BOUND, search).await.unwrap();
+    assert_eq!(value, b"value");
+}
+
+#[tokio::test]
+async fn a_silent_watch_ends_with_an_error() {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    let mut watch = store.watch("key", "kez").await.unwrap();
+    standin.gate().silence_established();
+    let search = async { while watch.next().await.is_ok() {} };
+    tokio::time::timeout(BOUND, search).await.unwrap();
+    assert!(store.watch("key", "kez").await.is_ok() || store.watch("key", "kez").await.is_ok());
+}
+
+fn client(standin: &Standin) -> Store {
+    Store::new(StoreOptions {
+        endpoints: vec![format!("http://{}", standin.address())],
+        silence: Span::from_secs(3),
+        ..StoreOptions::default()
+    })
+}
+
+/// Writes a key; gets the verdict of the failure, if any.
+async fn write(store: &Store) -> Option<Verdict> {
+    let writes = vec![Write::Put { key: "key".to_owned(), value: b"value".to_vec() }];
+    match store.commit(Commit { expected: Vec::new(), writes }).await {
+        Ok(CommitOutcome::Committed(_)) => None,
+        Ok(CommitOutcome::Conflict) => panic!("a commit without expectations conflicted"),
+        Err(error) => Some(error.verdict()),
+    }
+}
+
+async fn publish(
+    store: &Store,
+    section: &str,
+    base: Option<&str>,
+    text: &str,
+    change: u64,
+) -> Result<Applied, PublishError<()>> {
+    let publication = publication(section, base, text, change);
+    configuration::publish(store, &publication, |_| Ok(())).await
+}
+
+fn publication(section: &str, base: Option<&str>, text: &str, change: u64) -> Publication {
+    Publication {
+        section: section.to_owned(),
+        text: text.to_owned(),
+        base: base.map(BodyHash::of),
+        change: ChangeId(change),
+    }
+}
