Let a leaving agent stay until its proxy has finished, and not come back

Peers must find the proxy for transactions that are open there, so the registration stays until it reports none. A leaving agent that hears of its own removal no longer registers again.

--- a/oleander-agent/src/agent.rs
+++ b/oleander-agent/src/agent.rs
@@ -28,6 +28,7 @@
 use crate::server;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::shared::lock;
 
 /// The time between looks at what has become due.
 const TICK: Span = Span::from_millis(50);
@@ -230,7 +231,8 @@
     }
 }
 
-/// Tells the fleet that this VM leaves, and waits until its shares are handed over.
+/// Tells the fleet that this VM leaves, and waits until its shares are handed over and its proxy
+/// has finished; until then peers must find the proxy for transactions that are open there.
 async fn drain(shared: &Arc<Shared>) {
     shared.record(Event::DrainStarted, &[]);
     let entropy = rand::random();
@@ -238,8 +240,7 @@
     actions::run(shared, actions.unwrap_or_default());
     shared.notify();
     let due = shared.now() + shared.settings.times.drain;
-    while shared.now() < due && !shared.with_node(|node, _| node.is_empty_handed()).unwrap_or(true)
-    {
+    while shared.now() < due && !is_finished(shared) {
         shared.timers.sleep(TICK).await;
     }
     // The VM list ends what could not be ended here.
@@ -249,3 +250,8 @@
     }
     shared.record(Event::DrainFinished, &[]);
 }
+
+fn is_finished(shared: &Shared) -> bool {
+    let is_idle = lock(&shared.proxy).report.open == 0;
+    is_idle && shared.with_node(|node, _| node.is_empty_handed()).unwrap_or(true)
+}
--- a/oleander-membership/src/node/gossip.rs
+++ b/oleander-membership/src/node/gossip.rs
@@ -111,6 +111,10 @@
             self.departed.remove(&vm);
         }
         self.liveness.retain(|vm| self.roster.member(vm).is_some());
+        if self.left {
+            // A VM that leaves does not come back.
+            return Vec::new();
+        }
         let own = ShareOwner { vm: self.own.vm, incarnation: self.own.incarnation };
         if self.roster.is_removed(own) {
             return vec![Action::Rejoin];
@@ -121,7 +125,7 @@
             // taken its name. Either way this life is over for the others.
             return vec![Action::Rejoin];
         }
-        if told.state == MemberState::Leaving && !self.left {
+        if told.state == MemberState::Leaving {
             return vec![Action::Leave];
         }
         Vec::new()
