--- a/oleander-load/src/experiments/config_spread/fleet.rs
+++ b/oleander-load/src/experiments/config_spread/fleet.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
-use oleander_core::ids::ChangeId;
 use oleander_core::ids::Incarnation;
 use oleander_core::ids::Revision;
 use oleander_core::ids::VmId;
@@ -13,8 +12,6 @@
 use oleander_core::time::Time;
 use oleander_core::timers::TimerQueue;
 use oleander_membership::head::BodyHash;
-use oleander_membership::head::Edit;
-use oleander_membership::head::EditOutcome;
 use oleander_membership::head::Head;
 use oleander_membership::messages::MemberReply;
 use oleander_membership::messages::MemberRequest;
@@ -40,6 +37,7 @@
 
 use crate::experiments::config_spread::document;
 use crate::experiments::config_spread::new_histogram;
+use crate::experiments::config_spread::store::Platform;
 use crate::experiments::config_spread::traffic::Traffic;
 
 /// The regions of the fleet.
@@ -52,7 +50,7 @@
 const FAR: Span = Span::from_millis(10);
 
 /// The time of a call to the store beside the way there and back.
-const STORE_TIME: Span = Span::from_millis(3);
+pub(super) const STORE_TIME: Span = Span::from_millis(3);
 
 /// The time of the check of a configuration, for each VM of the fleet that the sections serve.
 const CHECK_TIME_PER_VM: Span = Span::from_micros(100);
@@ -87,28 +85,19 @@
     pub spread: Histogram<u64>,
     /// Set once a VM that is not cut off has lost currency.
     pub lost_currency: bool,
-    options: FleetOptions,
-    now: Time,
-    nodes: Vec<Node>,
+    pub(super) options: FleetOptions,
+    pub(super) now: Time,
+    pub(super) nodes: Vec<Node>,
     numbers: HashMap<VmId, usize>,
-    known: Vec<(Revision, u64)>,
-    cut: Vec<bool>,
-    queue: TimerQueue<Event>,
-    rng: ChaCha8Rng,
-    store: Platform,
+    pub(super) known: Vec<(Revision, u64)>,
+    pub(super) cut: Vec<bool>,
+    pub(super) queue: TimerQueue<Event>,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) store: Platform,
 }
 
-struct Platform {
-    up: bool,
-    head: Head,
-    texts: Vec<String>,
-    shares: ShareMap,
-    stored: u64,
-    published: Time,
-    edits: u64,
-}
-
-enum Event {
+/// `Event` is what happens at a time.
+pub(super) enum Event {
     Round { vm: usize },
     Request { from: usize, to: usize, asked: Time, request: MemberRequest },
     Reply { to: usize, asked: Time, reply: MemberReply },
@@ -294,54 +283,6 @@
         self.queue.schedule(due, Event::Reply { to: from, asked, reply });
     }
 
-    fn read(&mut self, vm: usize, asked: Time) {
-        if self.cut[vm] {
-            return;
-        }
-        let known = (self.store.head.revision, self.store.stored);
-        self.read_values(vm, known);
-        if !self.store.up {
-            return;
-        }
-        self.known[vm] = known;
-        let Platform { head, shares, stored, .. } = &self.store;
-        let state =
-            StoreState { asked, head: head.clone(), shares: shares.clone(), stored: *stored };
-        let due = self.now + self.way(0, vm);
-        self.queue.schedule(due, Event::State { vm, state: Box::new(state) });
-    }
-
-    /// Counts the look at both keys, and a read of each that has changed.
-    fn read_values(&mut self, vm: usize, present: (Revision, u64)) {
-        let length = |text: serde_json::Result<Vec<u8>>| text.map_or(0, |text| text.len() as u64);
-        let (head, shares) = self.known[vm];
-        self.traffic.read(vm, 0);
-        if head != present.0 {
-            self.traffic.read(vm, length(serde_json::to_vec(&self.store.head)));
-        }
-        if shares != present.1 {
-            self.traffic.read(vm, length(serde_json::to_vec(&self.store.shares)));
-        }
-    }
-
-    fn state(&mut self, vm: usize, state: StoreState) {
-        let (present, stored) = (state.shares.clone(), state.stored);
-        self.decide(vm, |node, now| node.store_read(now, state));
-        if let Some(plan) = self.nodes[vm].plan(self.now, &present) {
-            let due = self.now + STORE_TIME + self.way(vm, 0);
-            self.queue.schedule(due, Event::Commit { vm, plan: Box::new(plan), stored });
-        }
-    }
-
-    fn commit(&mut self, vm: usize, plan: SharePlan, stored: u64) {
-        self.traffic.write();
-        if self.store.up && stored == self.store.stored {
-            self.store.stored += 1;
-            self.store.shares = plan.next;
-        }
-        self.act(vm, vec![Action::ReadStore]);
-    }
-
     fn checked(&mut self, vm: usize, candidate: Candidate) {
         let revision = candidate.revision;
         let entropy = self.rng.next_u64();
@@ -353,14 +294,18 @@
         }
     }
 
-    fn decide(&mut self, vm: usize, decide: impl FnOnce(&mut Node, Time) -> Vec<Action>) {
+    pub(super) fn decide(
+        &mut self,
+        vm: usize,
+        decide: impl FnOnce(&mut Node, Time) -> Vec<Action>,
+    ) {
         let start = Instant::now();
         let actions = decide(&mut self.nodes[vm], self.now);
         self.traffic.decide(start.elapsed());
         self.act(vm, actions);
     }
 
-    fn act(&mut self, vm: usize, actions: Vec<Action>) {
+    pub(super) fn act(&mut self, vm: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Send { to, request } => self.send(vm, to, request),
@@ -402,36 +347,10 @@
     }
 
     /// Gets the time of a message; the store stands in the region of VM 0.
-    fn way(&mut self, from: usize, to: usize) -> Span {
+    pub(super) fn way(&mut self, from: usize, to: usize) -> Span {
         let base = if from % REGIONS == to % REGIONS { NEAR } else { FAR };
         base + Span(self.rng.next_u64() % JITTER.0)
     }
-
-    fn store_first_document(&mut self) {
-        self.store.texts = vec![String::new(); document::SECTIONS.len()];
-        (0..document::SECTIONS.len()).for_each(|at| self.edit(at));
-        // The whole first document counts as one revision.
-        self.store.head.revision = Revision(1);
-    }
-
-    fn edit(&mut self, at: usize) {
-        let name = document::SECTIONS[at];
-        // Edits go round the sections, beginning with the second one.
-        let sections = document::SECTIONS.len() as u64;
-        let edits =
-            (1..=self.store.edits).filter(|edit| edit % sections == at as u64).count() as u64;
-        let text = document::section(name, self.options.vms, edits);
-        let edit = Edit {
-            section: name.to_owned(),
-            base: self.store.head.hash(name),
-            hash: BodyHash::of(&text),
-            change: ChangeId(self.rng.next_u64()),
-        };
-        if let EditOutcome::Next(next) = self.store.head.edit(&edit) {
-            self.store.head = next;
-            self.store.texts[at] = text;
-        }
-    }
 }
 
 fn make_whole<'a>(section: &mut SectionCopy, find: impl FnOnce(BodyHash) -> Option<&'a str>) {
--- a/oleander-load/src/experiments/config_spread/mod.rs
+++ b/oleander-load/src/experiments/config_spread/mod.rs
@@ -6,6 +6,7 @@
 
 mod document;
 mod fleet;
+mod store;
 mod traffic;
 
 use hdrhistogram::Histogram;
