Leave a term without a primary where the term before it was not seen

Cause: a promotion at term t + 1 may continue a log that ends before t although a primary held t; a session that saw t would then take the start of t + 1 as proof. A model of random promotions had found it. The promoter now fences again at the next term, and a report of an instance that has promised a later term no longer counts towards an acknowledgement.

--- a/oleander-failover/src/acks.rs
+++ b/oleander-failover/src/acks.rs
@@ -5,8 +5,8 @@
 //! that is fenced at a higher term receives nothing of term t any more, so each
 //! of that majority held the write when it was fenced. A later promotion fences
 //! a majority too; the two share an instance, and the furthest fenced instance
-//! is promoted, so the new history holds the write. A report therefore counts
-//! for ever, in whatever order reports arrive.
+//! is promoted, so the new history holds the write. A report counts for ever, in
+//! whatever order reports arrive, if the instance had promised no later term.
 
 use oleander_core::terms::InstanceStatus;
 use oleander_core::terms::LogPoint;
@@ -97,7 +97,10 @@
             let leader = (status.role == Role::Primary).then_some(ordinal);
             settled = self.enter(status.point.term, leader);
         }
-        self.reach(ordinal, status.point);
+        // Once it has promised to a later term, an instance may hold the entry as that term's history only.
+        if status.fence <= status.point.term {
+            self.reach(ordinal, status.point);
+        }
         self.settle(now, &mut settled);
         settled
     }
--- a/oleander-failover/src/promoter.rs
+++ b/oleander-failover/src/promoter.rs
@@ -21,6 +21,8 @@
     majority_at: Option<Time>,
     stage: Stage,
     leaving: SmallVec<[u8; 3]>,
+    /// `true` once a term has been left out; see `choose`.
+    skipped: bool,
 }
 
 /// `Progress` is what a promotion asks for next.
@@ -30,6 +32,8 @@
     Waiting,
     /// A majority has just been fenced.
     Fenced,
+    /// All instances are to be fenced again, at the promoter's new term.
+    FenceAgain,
     /// The instance is to be promoted.
     Promote(u8),
     /// The instance is primary.
@@ -56,6 +60,7 @@
             majority_at: None,
             stage: Stage::Fencing,
             leaving: SmallVec::new(),
+            skipped: false,
         }
     }
 
@@ -141,13 +146,21 @@
     }
 
     /// Chooses the furthest instance once all have answered or had time to.
+    ///
+    /// A term that follows directly on another promises that its history is that
+    /// of the other up to its start. Where the furthest log ends in an older
+    /// term, a primary of the term between may have been missed, so the fenced
+    /// term stays without a primary and the next one is taken.
     fn choose(&mut self, now: Time, options: &Options) -> Progress {
         let Some(majority_at) = self.majority_at else { return Progress::Waiting };
         let gathered = self.replies == self.size || options.gather_limit <= now.since(majority_at);
         if self.stage != Stage::Fencing || !gathered {
             return Progress::Waiting;
         }
-        let Some(chosen) = self.furthest() else { return Progress::Waiting };
+        let Some((chosen, status)) = self.furthest() else { return Progress::Waiting };
+        if !self.skipped && status.point.term.0 + 1 != self.term.0 {
+            return self.skip_term();
+        }
         self.stage = Stage::Promoting(chosen);
         Progress::Promote(chosen)
     }
@@ -156,13 +169,21 @@
     ///
     /// Any fenced majority holds all acknowledged writes, so instances that
     /// leave may be passed over where the others are such a majority.
-    fn furthest(&self) -> Option<u8> {
+    fn furthest(&self) -> Option<(u8, InstanceStatus)> {
         let stays = |ordinal: u8| !self.leaving.contains(&ordinal);
         let staying = self.fenced.iter().filter(|(ordinal, _)| stays(*ordinal)).count();
         let enough = majority(self.size) <= staying;
         let able = self.fenced.iter().filter(|(ordinal, _)| !enough || stays(*ordinal));
         // Among equals the lowest ordinal, so that rivals choose alike.
-        let furthest = able.max_by_key(|(ordinal, status)| (status.point, u8::MAX - ordinal));
-        furthest.map(|(ordinal, _)| *ordinal)
+        able.max_by_key(|(ordinal, status)| (status.point, u8::MAX - ordinal)).copied()
+    }
+
+    fn skip_term(&mut self) -> Progress {
+        self.term = Term(self.term.0 + 1);
+        self.skipped = true;
+        self.fenced.clear();
+        self.replies = 0;
+        self.majority_at = None;
+        Progress::FenceAgain
     }
 }
--- a/oleander-failover/src/supervisor.rs
+++ b/oleander-failover/src/supervisor.rs
@@ -187,6 +187,10 @@
         match progress {
             Progress::Waiting => {}
             Progress::Fenced => out.push(record(Event::MajorityFenced, None, term, "")),
+            Progress::FenceAgain => {
+                self.top = self.top.max(term);
+                self.fence_all(term, out);
+            }
             Progress::Promote(ordinal) => {
                 out.push(Action::Run { ordinal, step: Step::Promote, term });
             }
@@ -348,6 +352,10 @@
         let promoter = Promoter::new(term, self.instances.len(), now);
         self.promoter = Some(promoter.avoiding(&self.leaving));
         out.push(record(Event::PromotionStarted, None, term, reason));
+        self.fence_all(term, out);
+    }
+
+    fn fence_all(&self, term: Term, out: &mut Actions) {
         for ordinal in 0..self.instances.len() as u8 {
             out.push(Action::Run { ordinal, step: Step::Fence, term });
         }
--- a/oleander-failover/tests/supervisor.rs
+++ b/oleander-failover/tests/supervisor.rs
@@ -171,3 +171,22 @@
     steps.push(promoter.tick(NOW + options.gather_limit, &options));
     assert!(steps.contains(&Progress::Promote(chosen)));
 }
+
+#[test]
+fn term_after_an_unseen_one_is_left_without_a_primary() {
+    let options = Options::default();
+    let mut promoter = Promoter::new(Term(3), 3, NOW);
+    let fence = |promoter: &mut Promoter, fence| {
+        let steps = [1, 2].map(|ordinal| {
+            let done = StepResult::Done(status(Role::Fenced, 1, 7, fence));
+            promoter.stepped(NOW, ordinal, Step::Fence, done, &options)
+        });
+        assert_eq!(steps, [Progress::Waiting, Progress::Fenced]);
+    };
+    fence(&mut promoter, 3);
+    let late = NOW + options.gather_limit;
+    assert_eq!(promoter.tick(late, &options), Progress::FenceAgain);
+    assert_eq!(promoter.term(), Term(4));
+    fence(&mut promoter, 4);
+    assert_eq!(promoter.tick(late, &options), Progress::Promote(1));
+}
