--- a/oleander-limits/benches/decisions.rs
+++ b/oleander-limits/benches/decisions.rs
@@ -37,7 +37,7 @@
 #[divan::bench(args = SIZES, sample_count = SAMPLES, sample_size = SAMPLE_SIZE)]
 fn bucket_take(bencher: Bencher<'_, '_>, (vms, workspaces): (u64, u64)) {
     // This VM owns the same part in both sizes, so that both take from a local bucket.
-    let owner = |share: u64| if share % 9 == 0 { 0 } else { 1 + share % (vms - 1) };
+    let owner = |share: u64| if share.is_multiple_of(9) { 0 } else { 1 + share % (vms - 1) };
     let owners: Vec<Option<VmId>> = (0..SHARES).map(|share| Some(VmId(owner(share)))).collect();
     let ids: Vec<WorkspaceId> =
         (0..workspaces).map(|at| WorkspaceId::from_name(&format!("workspace-{at}"))).collect();
