--- a/oleander-load/src/capacity/roles/control.rs
+++ b/oleander-load/src/capacity/roles/control.rs
@@ -2,6 +2,7 @@
 
 use crate::capacity::configuration;
 use crate::capacity::membership;
+use crate::capacity::rates;
 use crate::capacity::roles::Figure;
 use crate::capacity::roles::bounded;
 use crate::capacity::roles::free;
@@ -98,7 +99,8 @@
         2.0 * (slopes.at_target(configuration::SNAPSHOT) + slopes.at_target(configuration::TEXT));
     // Each VM has one end of a connection to each peer, and one of a connection from it.
     let connections = slopes.at_target(wire::MEMORY);
-    let memory = slopes.at_target(membership::STATE) + configuration + connections;
+    let accounts = slopes.at_target(rates::STATE) * target.workspaces;
+    let memory = slopes.at_target(membership::STATE) + configuration + connections + accounts;
     let view = 2.0 * slopes.at_target(membership::VIEW);
     vec![
         bounded(
@@ -132,7 +134,7 @@
             "control, MB of memory",
             (memory + view) / 1e6,
             target.control_memory / 1e6,
-            "roster, shares, configuration in agent and proxy, peer connections",
+            "roster, shares, configuration in agent and proxy, peer connections, rates of all workspaces",
         ),
         free(
             role,
