--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod failover;
 pub mod home_loss;
+pub mod fairness;
 pub mod rates;
 pub mod replica_reads;
 
@@ -17,6 +18,8 @@
 pub enum Experiment {
     /// Detection, promotion and acknowledgement beside their variants.
     Failover,
+    /// Fairness between workspaces at a home, beside plain FIFO.
+    Fairness,
     /// Rates over the whole fleet beside a static split and a single owner.
     Rates,
     /// The share of reads that replicas serve.
@@ -29,6 +32,7 @@
 pub fn run(experiment: Experiment, seed: u64) -> Report {
     match experiment {
         Experiment::Failover => failover::run(seed),
+        Experiment::Fairness => fairness::run(seed),
         Experiment::Rates => rates::run(seed),
         Experiment::ReplicaReads => replica_reads::run(seed),
         Experiment::HomeLoss => home_loss::run(seed),
