Settle writes by the tested tracker, and hold a slot until the instance has finished

The home judged replication by rules of its own beside the tracker that the failover experiment drives; it now uses the tracker. A statement that timed out or whose caller went away gave its slot back while the instance still ran it; the slot is attached to the connection now.

--- a/oleander-proxy/src/home/acks.rs
+++ b/oleander-proxy/src/home/acks.rs
@@ -1,5 +1,6 @@
 //! Acknowledgement of writes: a write is done once enough instances hold it.
 
+use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -8,14 +9,17 @@
 use oleander_core::ids::InstanceId;
 use oleander_core::terms::InstanceStatus;
 use oleander_core::terms::LogPoint;
-use oleander_core::terms::Role;
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
+use oleander_failover::acks::AckTracker;
+use oleander_failover::acks::Settled;
+use oleander_failover::acks::SettledList;
+use oleander_failover::acks::WriteId;
 use oleander_routing::retry;
 use oleander_runtime::timer::TimerService;
-use oleander_session::proof;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -30,58 +34,56 @@
 #[derive(Debug)]
 struct State {
     mode: Acknowledge,
-    size: usize,
-    known: Vec<(InstanceId, InstanceStatus)>,
-    pending: Vec<Pending>,
-}
-
-#[derive(Debug)]
-struct Pending {
-    point: LogPoint,
-    done: oneshot::Sender<Result<(), Refusal>>,
-}
-
-/// `Standing` is how a write stands with what is known of the group.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Standing {
-    Confirmed,
-    Waiting,
-    Superseded,
+    size: u8,
+    tracker: AckTracker,
+    pending: HashMap<WriteId, oneshot::Sender<Result<(), Refusal>>>,
+    serial: u64,
 }
 
 impl Acks {
     /// Makes an empty set in the default mode.
     pub fn new(timers: TimerService) -> Self {
-        let state =
-            State { mode: Acknowledge::default(), size: 1, known: Vec::new(), pending: Vec::new() };
+        let state = State {
+            mode: Acknowledge::default(),
+            size: 0,
+            tracker: AckTracker::new(0),
+            pending: HashMap::new(),
+            serial: 0,
+        };
         Self { timers, state: Mutex::new(state), waiting: Notify::new() }
     }
 
     /// Sets the mode and the number of instances of the group.
-    pub fn set_mode(&self, mode: Acknowledge, size: usize) {
+    ///
+    /// A group of another size starts anew; its waiting writes stay unconfirmed.
+    pub fn set_mode(&self, mode: Acknowledge, size: u8) {
         let mut state = self.lock();
         state.mode = mode;
-        state.size = size;
+        if state.size != size {
+            state.size = size;
+            state.tracker = AckTracker::new(size);
+            state.pending.clear();
+        }
     }
 
-    /// Waits until the write at `point` may be acknowledged. Returns `true` if a majority holds it.
+    /// Waits until the write that `primary` made at `point` may be acknowledged.
     ///
-    /// Fails "may have run" if another term began first or the deadline passes.
-    pub async fn confirm(&self, point: LogPoint, deadline: Time) -> Result<bool, Refusal> {
-        let done = {
+    /// Returns `true` if a majority holds it. Fails "may have run" if another
+    /// term began first or the deadline passes.
+    pub async fn confirm(
+        &self,
+        primary: u8,
+        point: LogPoint,
+        deadline: Time,
+    ) -> Result<bool, Refusal> {
+        let (id, done) = {
             let mut state = self.lock();
             if state.mode == Acknowledge::Primary {
                 return Ok(false);
             }
-            match state.standing(point) {
-                Standing::Confirmed => return Ok(true),
-                Standing::Superseded => return Err(superseded()),
-                Standing::Waiting => {}
-            }
-            let (sender, done) = oneshot::channel();
-            state.pending.push(Pending { point, done: sender });
-            done
+            state.add(self.timers.now(), primary, point)
         };
+        let _guard = WriteGuard { acks: self, id };
         self.waiting.notify_waiters();
         tokio::select! {
             outcome = done => outcome.unwrap_or_else(|_| Err(unconfirmed())).map(|()| true),
@@ -91,29 +93,30 @@
 
     /// Takes in the last known statuses of the group.
     pub fn observe(&self, known: &[(InstanceId, InstanceStatus)]) {
+        let now = self.timers.now();
         let mut state = self.lock();
-        state.known = known.to_vec();
-        let pending = std::mem::take(&mut state.pending);
-        for waiting in pending {
-            match state.standing(waiting.point) {
-                Standing::Confirmed => drop(waiting.done.send(Ok(()))),
-                Standing::Superseded => drop(waiting.done.send(Err(superseded()))),
-                Standing::Waiting if waiting.done.is_closed() => {}
-                Standing::Waiting => state.pending.push(waiting),
-            }
+        for (instance, status) in known {
+            let settled = state.tracker.observe(now, instance.ordinal, *status);
+            state.settle(settled);
         }
     }
 
-    /// Returns `true` if a write waits for its replication.
-    pub fn is_waiting(&self) -> bool {
-        !self.lock().pending.is_empty()
+    /// Gets the time until the instances are to be asked again; `None` while no write waits.
+    pub fn next_poll(&self) -> Option<Span> {
+        let now = self.timers.now();
+        let mut state = self.lock();
+        let due = state.tracker.next_poll()?;
+        if due <= now {
+            state.tracker.polled(now);
+        }
+        state.tracker.next_poll().map(|due| due.since(now))
     }
 
     /// Waits until a write waits for its replication.
     pub async fn wait_pending(&self) {
         loop {
             let notified = self.waiting.notified();
-            if self.is_waiting() {
+            if !self.lock().tracker.is_idle() {
                 return;
             }
             notified.await;
@@ -126,21 +129,46 @@
 }
 
 impl State {
-    /// Judges a write by the last known statuses.
-    ///
-    /// An instance of the same term at or past the position, which has promised
-    /// no later one, holds the write. A majority of such instances includes one
-    /// of every later majority, so no promotion can drop it.
-    fn standing(&self, point: LogPoint) -> Standing {
-        let statuses = self.known.iter().map(|(_, status)| status);
-        let holders = statuses.clone().filter(|status| proof::holds_in_term(status, point));
-        if self.size / 2 < holders.count() {
-            return Standing::Confirmed;
+    fn add(
+        &mut self,
+        now: Time,
+        primary: u8,
+        point: LogPoint,
+    ) -> (WriteId, oneshot::Receiver<Result<(), Refusal>>) {
+        self.serial += 1;
+        let id = WriteId(self.serial);
+        let (sender, done) = oneshot::channel();
+        self.pending.insert(id, sender);
+        let settled = self.tracker.add(now, id, primary, point);
+        self.settle(settled);
+        (id, done)
+    }
+
+    fn settle(&mut self, settled: SettledList) {
+        for one in settled {
+            let (id, outcome) = match one {
+                Settled::Acknowledged(id) => (id, Ok(())),
+                Settled::Unconfirmed(id) => (id, Err(superseded())),
+            };
+            if let Some(sender) = self.pending.remove(&id) {
+                // The caller may have gone.
+                let _ = sender.send(outcome);
+            }
         }
-        let newer = |status: &InstanceStatus| {
-            point.term < status.point.term && status.role == Role::Primary
-        };
-        if statuses.clone().any(newer) { Standing::Superseded } else { Standing::Waiting }
+    }
+}
+
+/// `WriteGuard` forgets a write whose caller waits no longer.
+struct WriteGuard<'a> {
+    acks: &'a Acks,
+    id: WriteId,
+}
+
+impl Drop for WriteGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.acks.lock();
+        state.tracker.forget(self.id);
+        state.pending.remove(&self.id);
     }
 }
 
--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
@@ -121,13 +123,13 @@
     ///
     /// Fails "not run" if the queue is full or the deadline cannot be met. A
     /// caller that drops the future leaves the queue.
-    pub async fn enter(self: &Arc<Self>, entrant: Entrant) -> Result<Started, Refusal> {
+    pub async fn enter(self: &Arc<Self>, entrant: Entrant) -> Result<Arc<Started>, Refusal> {
         let (start, started) = oneshot::channel();
         let ticket = self.push(entrant, start)?;
         let _guard = QueueGuard { admission: self, ticket };
         self.pump();
         self.arrived.notify_waiters();
-        started.await.unwrap_or_else(|_| Err(gone()))
+        started.await.unwrap_or_else(|_| Err(gone())).map(Arc::new)
     }
 
     /// Changes what is known of the instances and starts what can run now.
@@ -293,7 +295,7 @@
             ordinal: start.ordinal,
             queued: start.queued,
             since: now,
-            connection: Connection::Free,
+            kept: AtomicBool::new(false),
         };
         Some((ticket, started))
     }
@@ -306,6 +308,10 @@
 }
 
 /// `Started` holds the slot of a running request; the drop gives it back.
+///
+/// It is attached to the request's connection, which drops it once the instance
+/// has surely finished, so that a slot never comes free while a statement that
+/// timed out or was cancelled still runs.
 #[derive(Debug)]
 pub struct Started {
     admission: Arc<Admission>,
@@ -315,20 +321,22 @@
     /// The time spent in the queue.
     pub queued: Span,
     since: Time,
-    connection: Connection,
+    kept: AtomicBool,
 }
 
 impl Started {
     /// Leaves the connection counted when the slot is given back, for a transaction that keeps it.
-    pub fn keep_connection(&mut self) {
-        self.connection = Connection::Kept;
+    pub fn keep_connection(&self) {
+        self.kept.store(true, Ordering::Release);
     }
 }
 
 impl Drop for Started {
     fn drop(&mut self) {
         let service = self.admission.timers.now().since(self.since);
-        self.admission.finish(self.ticket, service, self.connection);
+        let kept = self.kept.load(Ordering::Acquire);
+        let connection = if kept { Connection::Kept } else { Connection::Free };
+        self.admission.finish(self.ticket, service, connection);
     }
 }
 
--- a/oleander-proxy/src/home/database.rs
+++ b/oleander-proxy/src/home/database.rs
@@ -52,9 +52,6 @@
 /// The connections of the home's part that are left to status questions and promotions.
 pub const CONTROL_CONNECTIONS: u32 = 2;
 
-/// The least number of connections for work on an instance.
-const MIN_WORK_CONNECTIONS: u32 = 1;
-
 /// `HomeContext` is what all homes of a VM share.
 #[derive(Clone)]
 pub struct HomeContext {
@@ -162,7 +159,7 @@
         self.admission.set_parts(ordinals.map(part), self.context.timers.now());
         self.set_pools(database, part);
         self.transactions.set_room(part(0).connections);
-        self.acks.set_mode(database.acknowledge, database.instances.len());
+        self.acks.set_mode(database.acknowledge, database.instances.len() as u8);
     }
 
     /// Takes in the agent's reports on the instances.
@@ -342,8 +339,11 @@
 /// promotions find room when all work connections are busy.
 fn part_of(database: &Database, part: u32, ordinal: u8) -> Part {
     let split = |total| slots::split(total, HOMES as u32, part, ordinal);
-    let connections = split(database.connections).saturating_sub(CONTROL_CONNECTIONS);
-    Part { slots: split(database.slots), connections: connections.max(MIN_WORK_CONNECTIONS) }
+    let connections = split(database.connections);
+    // A small part is shared evenly, so that the parts never add up to more than there is.
+    let control = CONTROL_CONNECTIONS.min(connections / 2);
+    Part { slots: split(database.slots), connections: connections - control }
+}
 }
 
 /// `WorkGuard` counts a piece of work as open at the home.
--- a/oleander-proxy/src/home/polls.rs
+++ b/oleander-proxy/src/home/polls.rs
@@ -9,9 +9,6 @@
 
 use crate::home::database::Home;
 
-/// The time between two status questions to one instance while a write waits.
-const POLL_INTERVAL: Span = Span::from_millis(4);
-
 /// The time between two status questions to one instance while requests wait in the queue only.
 const QUEUE_INTERVAL: Span = Span::from_millis(20);
 
@@ -41,7 +38,7 @@
     match admin.status(POLL_LIMIT.duration()).await {
         Ok(status) => {
             home.note_status(ordinal, status, asked);
-            if home.acks.is_waiting() { POLL_INTERVAL } else { QUEUE_INTERVAL }
+            home.acks.next_poll().unwrap_or(QUEUE_INTERVAL)
         }
         Err(_) => FAILED_PAUSE,
     }
--- a/oleander-proxy/src/home/single.rs
+++ b/oleander-proxy/src/home/single.rs
@@ -1,5 +1,7 @@
 //! Statements outside transactions.
 
+use std::sync::Arc;
+
 use oleander_core::ids::InstanceId;
 use oleander_core::statement::Access;
 use oleander_core::statement::Rows;
@@ -96,7 +98,8 @@
                 Ok(outcome) => {
                     // A session that saw more than this primary holds saw a history that was dropped.
                     let lost = proof::proves_all(&outcome.status, &seen) == proof::Proof::Lost;
-                    let durable = self.acks.confirm(outcome.status.point, job.deadline).await?;
+                    let durable =
+                        self.acks.confirm(ordinal, outcome.status.point, job.deadline).await?;
                     if lost {
                         let detail = "the write ran, but a change of primary dropped a part of what this session has seen";
                         return Err(Refusal::ran(RefusalCode::HistoryLost, detail));
@@ -202,7 +205,7 @@
 
     async fn read_on(
         &self,
-        started: &Started,
+        started: &Arc<Started>,
         job: &Job,
         statement: &Statement,
         place: &ReadPlace,
@@ -213,6 +216,7 @@
             .connect(ordinal, job)
             .await
             .map_err(|error| self.fault(ordinal, &error, None, Effect::Read))?;
+        connection.attach(started.clone());
         let outcome = connection.read(&job.workspace, statement, self.instant(job.deadline)).await;
         let outcome = match outcome {
             Ok(outcome) => outcome,
@@ -245,7 +249,7 @@
 
     async fn write_on(
         &self,
-        started: &Started,
+        started: &Arc<Started>,
         job: &Job,
         statement: &Statement,
         access: Access,
@@ -258,6 +262,7 @@
             .connect(ordinal, job)
             .await
             .map_err(|error| self.fault(ordinal, &error, None, effect))?;
+        connection.attach(started.clone());
         // The wait for a connection may have been long enough for a withdrawal.
         if let Err(refusal) = self.recheck(job) {
             if let Some(pool) = self.pool(ordinal) {
--- a/oleander-proxy/src/home/transactions.rs
+++ b/oleander-proxy/src/home/transactions.rs
@@ -32,8 +32,8 @@
 use oleander_upstream::errors::Error;
 use tokio::sync::Notify;
 
-use crate::home::admission;
 use crate::home::admission::Place;
+use crate::home::admission::Started;
 use crate::home::database::Home;
 use crate::home::database::Job;
 use crate::home::single::Fault;
@@ -127,7 +127,7 @@
         self.wait_for_room(job).await?;
         let mut tries = Tries::new(Effect::Begin);
         loop {
-            let mut started = self.admission.enter(self.entrant(job, Place::Primary)).await?;
+            let started = self.admission.enter(self.entrant(job, Place::Primary)).await?;
             self.recheck(job)?;
             match self.begin_on(started.ordinal, job).await {
                 Ok((connection, status)) => {
@@ -162,7 +162,7 @@
         statement: &Statement,
     ) -> Result<WorkAnswer, Refusal> {
         let (open, started) = self.enter_transaction(job, transaction).await?;
-        let mut lease = self.lease(&open)?;
+        let mut lease = self.lease(&open, started.clone())?;
         let outcome = match lease.connection.as_mut() {
             Some(connection) => connection.execute(statement, self.instant(job.deadline)).await,
             None => return Err(transaction_gone()),
@@ -186,7 +186,7 @@
         transaction: TransactionId,
     ) -> Result<WorkAnswer, Refusal> {
         let (open, started) = self.enter_transaction(job, transaction).await?;
-        let mut lease = self.lease(&open)?;
+        let mut lease = self.lease(&open, started.clone())?;
         let outcome = match lease.connection.as_mut() {
             Some(connection) => connection.commit(self.instant(job.deadline)).await,
             None => return Err(transaction_gone()),
@@ -198,7 +198,7 @@
         lease.end_clean();
         let queued = started.queued;
         drop(started);
-        let durable = self.acks.confirm(status.point, job.deadline).await?;
+        let durable = self.acks.confirm(open.ordinal, status.point, job.deadline).await?;
         let seen = SeenPoint { point: status.point, durable };
         Ok(self.answer(job, open.ordinal, Rows::default(), seen, Role::Primary, queued))
     }
@@ -210,7 +210,7 @@
         transaction: TransactionId,
     ) -> Result<WorkAnswer, Refusal> {
         let (open, started) = self.enter_transaction(job, transaction).await?;
-        let mut lease = self.lease(&open)?;
+        let mut lease = self.lease(&open, started.clone())?;
         if let Some(connection) = lease.connection.as_mut() {
             // Without an answer the connection is closed, which rolls back as well.
             let _ = connection.rollback(self.instant(job.deadline)).await;
@@ -323,7 +323,7 @@
         &self,
         job: &Job,
         transaction: TransactionId,
-    ) -> Result<(Arc<Open>, admission::Started), Refusal> {
+    ) -> Result<(Arc<Open>, Arc<Started>), Refusal> {
         let open = self.transactions.find(transaction).ok_or_else(transaction_gone)?;
         if open.job.workspace != job.request.workspace || open.job.key != job.request.key {
             // The same answer as for an unknown one, so that identifiers cannot be probed.
@@ -335,7 +335,11 @@
         Ok((open, started))
     }
 
-    fn lease<'a>(&'a self, open: &'a Arc<Open>) -> Result<Lease<'a>, Refusal> {
+    fn lease<'a>(
+        &'a self,
+        open: &'a Arc<Open>,
+        started: Arc<Started>,
+    ) -> Result<Lease<'a>, Refusal> {
         let Some(connection) = open.slot().take() else {
             let detail = "another statement of the transaction is running";
             return Err(Refusal::not_run(RefusalCode::BadRequest, detail));
@@ -344,7 +348,7 @@
         if !self.transactions.lock().bounds.begin_statement(now, open.ticket()) {
             return Err(transaction_gone());
         }
-        Ok(Lease { home: self, open, connection: Some(connection) })
+        Ok(Lease { home: self, open, started, connection: Some(connection) })
     }
 
     /// Ends a transaction from this side; its connection is closed, which rolls it back.
@@ -383,6 +387,7 @@
 struct Lease<'a> {
     home: &'a Home,
     open: &'a Open,
+    started: Arc<Started>,
     connection: Option<Connection>,
 }
 
@@ -413,7 +418,10 @@
             self.give_back();
             return refusal;
         }
-        let connection = self.connection.take();
+        let mut connection = self.connection.take();
+        if let Some(connection) = &mut connection {
+            connection.attach(self.started.clone());
+        }
         let fault = self.home.fault(self.open.ordinal, error, connection, effect);
         let outcome = oleander_routing::retry::outcome(fault.cut, effect);
         Refusal { code: outcome.code, verdict: outcome.verdict, ..fault.refusal }
@@ -422,6 +430,9 @@
 
 impl Drop for Lease<'_> {
     fn drop(&mut self) {
+        if let Some(connection) = &mut self.connection {
+            connection.attach(self.started.clone());
+        }
         if self.connection.take().is_some() || self.open.slot().is_none() {
             self.home.forget(self.open);
         }
