Leave an owner alone for a while after it gave less than half

Cause: at ten times the rate each VM went on asking owners that gave a small part of a token at a time. Change: the doubling back-off after an empty answer applies to an answer of less than half of what was asked as well.

--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -151,9 +151,10 @@
         self.sync(ctx);
         let peer = self.peers.iter().position(|peer| peer.vm == call.to);
         if let Some(at) = peer
+            && let Ask::Borrow { need, .. } = call.ask
             && self.peers[at].answered(call.id)
         {
-            self.note_answer(ctx.now, at, reply.as_ref());
+            self.note_answer(ctx.now, at, need, reply.as_ref());
         }
         self.take_in(ctx.now, call, reply);
         self.serve(ctx);
@@ -290,7 +291,7 @@
         }
     }
 
-    fn note_answer(&mut self, now: Time, at: usize, reply: Option<&LimitReply>) {
+    fn note_answer(&mut self, now: Time, at: usize, asked: Tokens, reply: Option<&LimitReply>) {
         let limit = self.limit;
         let free = self.free(at);
         let peer = &mut self.peers[at];
@@ -298,7 +299,11 @@
             Some(LimitReply::Lent { again: Some(again), .. }) => {
                 peer.recalls(now, limit, free, *again);
             }
-            Some(LimitReply::Lent { grant: None, loan: None, .. }) => peer.was_empty(now),
+            Some(LimitReply::Lent { grant, loan: None, .. })
+                if grant.map_or(Tokens::ZERO, |grant| grant.amount).0 < asked.0 / 2 =>
+            {
+                peer.was_empty(now);
+            }
             Some(LimitReply::Lent { left, lent, .. }) => {
                 // What a recall would bring is not known; half is a fair guess.
                 let recalled = Tokens(limit.capacity(*lent).0 / 2);
