--- a/oleander-load/src/experiments/mod.rs
+++ b/oleander-load/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! Seeded experiments: a policy beside its baselines, in one run.
 
+pub mod config_spread;
 pub mod failover;
 pub mod home_loss;
 pub mod fairness;
@@ -16,6 +17,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Experiment {
+    /// Spread of the configuration, cost of control, currency.
+    Config,
     /// Detection, promotion and acknowledgement beside their variants.
     Failover,
     /// Fairness between workspaces at a home, beside plain FIFO.
@@ -31,6 +34,7 @@
 /// Runs an experiment from its seed.
 pub fn run(experiment: Experiment, seed: u64) -> Report {
     match experiment {
+        Experiment::Config => config_spread::run(seed),
         Experiment::Failover => failover::run(seed),
         Experiment::Fairness => fairness::run(seed),
         Experiment::Rates => rates::run(seed),
