Tell what share of requests within the rate the rate probe saw refused

Calls alone hid that with callers on 4 of 60 VMs most requests were refused at 280 and 560 requests a second, far inside the rate; the refusals now stand in the table and are held against 0.

--- a/oleander-load/src/capacity/rates.rs
+++ b/oleander-load/src/capacity/rates.rs
@@ -75,6 +75,10 @@
 pub const FEW_CALLS: &str = "rates: calls a second of a workspace, callers on 4 VMs";
 /// The name of the series of calls when callers land on one VM.
 pub const ONE_CALLS: &str = "rates: calls a second of a workspace, callers on 1 VM";
+/// The name of the series of refusals when callers land on few VMs.
+pub const FEW_REFUSED: &str = "rates: refused within the rate, %, callers on 4 VMs";
+/// The name of the series of refusals when callers land on one VM.
+pub const ONE_REFUSED: &str = "rates: refused within the rate, %, callers on 1 VM";
 /// The name of the series of frame bytes a call.
 pub const CALL_BYTES: &str = "rates: frame bytes a call";
 /// The name of the series of decision time.
@@ -96,8 +100,8 @@
     for (series, value) in series.iter_mut().zip(measure_fleet(CHECK, seed)) {
         series.check = Some(Point { size: f64::from(CHECK), value });
     }
-    series.push(measure_few(FEW_CALLS, FEW, seed));
-    series.push(measure_few(ONE_CALLS, 1, seed));
+    series.extend(measure_few([FEW_CALLS, FEW_REFUSED], FEW, seed));
+    series.extend(measure_few([ONE_CALLS, ONE_REFUSED], 1, seed));
     series
 }
 
@@ -115,12 +119,13 @@
 }
 
 /// Measures a workspace whose callers land on few VMs, at several rates.
-fn measure_few(name: &'static str, landing: u64, seed: u64) -> Series {
-    let mut series = Series::new(name, Axis::Rate);
+fn measure_few(names: [&'static str; 2], landing: u64, seed: u64) -> [Series; 2] {
+    let mut series = names.map(|name| Series::new(name, Axis::Rate));
     for rate in FEW_RATES {
         let few = run(Load::new(FEW_FLEET, landing, f64::from(rate), seed));
         let seconds = END.since(WARM_UP).as_secs_f64();
-        series.push(rate, few.calls as f64 / seconds / WORKSPACES as f64);
+        series[0].push(rate, few.calls as f64 / seconds / WORKSPACES as f64);
+        series[1].push(rate, 100.0 * few.refused as f64 / few.requests as f64);
     }
     series
 }
--- a/oleander-load/src/capacity/roles/serving.rs
+++ b/oleander-load/src/capacity/roles/serving.rs
@@ -70,6 +70,27 @@
         bounded(role, few_bytes, few * frame, target.control_bytes, "single tokens from owners"),
         free(role, "calls a second, each workspace on 1 VM", one, "loans of fractions"),
         bounded(role, one_bytes, one * frame, target.control_bytes, "loans of fractions"),
+        bounded(
+            role,
+            "refused within the rate, %, callers spread evenly",
+            slopes.at_target(rates::REFUSED),
+            0.0,
+            "single tokens from owners",
+        ),
+        bounded(
+            role,
+            "refused within the rate, %, each workspace on 4 VMs",
+            slopes.at_target(rates::FEW_REFUSED),
+            0.0,
+            "single tokens from owners",
+        ),
+        bounded(
+            role,
+            "refused within the rate, %, each workspace on 1 VM",
+            slopes.at_target(rates::ONE_REFUSED),
+            0.0,
+            "loans of fractions",
+        ),
         free(role, "state of all workspaces, MB", state / 1e6, "an account a workspace seen"),
     ]
 }
