--- a/oleander-load/src/capacity/roles/control.rs
+++ b/oleander-load/src/capacity/roles/control.rs
@@ -36,9 +36,9 @@
             role,
             "heartbeats, decisions, % of a core",
             slopes.at_target(membership::CPU) / 1e4,
-            "2 heartbeats in 500 ms to random peers",
+            "heartbeats to random peers",
         ),
-        free(role, "heartbeats, calls, % of a core", call_core, "2 heartbeats in 500 ms"),
+        free(role, "heartbeats, calls, % of a core", call_core, "heartbeats to random peers"),
         free(
             role,
             "check of edits by agent and proxy, % of a core",
--- a/oleander-load/src/capacity/roles/platform.rs
+++ b/oleander-load/src/capacity/roles/platform.rs
@@ -41,7 +41,7 @@
             "time of an edit to all VMs without latency, s",
             slopes.at_target(membership::SPREAD),
             target.edit_gap,
-            "eager heartbeats to 3 peers on news, then rounds of 500 ms",
+            "eager heartbeats to 3 peers on news, then ordinary heartbeats",
         ),
         free(
             role,
