Draw the four measures of a measure run as SVG

The four figures of a run are now a value of their own, `Figures`, from which both the table of the report and the plot are made; the tables read as before.

--- a/oleander-load/src/lib.rs
+++ b/oleander-load/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod experiments;
 pub mod history;
 pub mod measures;
+pub mod plots;
 pub mod report;
 pub mod runs;
--- a/oleander-load/src/main.rs
+++ b/oleander-load/src/main.rs
@@ -85,6 +85,9 @@
         /// Prints JSON instead of tables.
         #[arg(long)]
         json: bool,
+        /// Draws the four measures of each variant to this SVG file.
+        #[arg(long, value_name = "FILE")]
+        plot: Option<PathBuf>,
     },
     /// Checks a recorded history (JSON lines) for broken guarantees.
     Check {
@@ -102,7 +105,9 @@
         Command::Capacity { seed, json } => print(&capacity::run(seed), json),
         Command::Demo { seconds, seed, json } => print_live(demo::run(seconds, seed), json),
         Command::Drain { restarts, seed, json } => print_live(drain::run(restarts, seed), json),
-        Command::Measure { seconds, seed, json } => print_live(measure::run(seconds, seed), json),
+        Command::Measure { seconds, seed, json, plot } => {
+            print_live(measure::run(seconds, seed, plot), json)
+        }
         Command::Check { file, json } => check_file(&file, json),
     }
 }
--- a/oleander-load/src/measures/mod.rs
+++ b/oleander-load/src/measures/mod.rs
@@ -4,6 +4,7 @@
 //! worst-served workspace fares, and the refusals of requests inside a
 //! workspace's rate.
 
+pub mod figures;
 pub mod gap;
 pub mod ideal;
 pub mod summary;
--- a/oleander-load/src/runs/demo.rs
+++ b/oleander-load/src/runs/demo.rs
@@ -13,11 +13,11 @@
 use crate::drive::plan::PlanOptions;
 use crate::drive::run::ReadClass;
 use crate::history::check;
+use crate::measures::figures::Figures;
+use crate::measures::figures::Gap;
 use crate::measures::gap;
 use crate::measures::summary::Summary;
-use crate::measures::summary::percent;
 use crate::report::Report;
-use crate::report::Table;
 use crate::runs::live;
 use crate::runs::live::LiveOptions;
 use crate::runs::live::LiveRun;
@@ -56,36 +56,27 @@
     Ok(())
 }
 
-/// Adds the measures of a run, and what its history breaks, to the report.
-pub fn add_measures(report: &mut Report, name: &str, database: &str, run: &LiveRun) {
+/// Adds the measures of a run, and what its history breaks, to the report. Returns the figures.
+pub fn add_measures(report: &mut Report, name: &str, database: &str, run: &LiveRun) -> Figures {
     let summary = Summary::new(&run.history.calls, &run.limits());
     report.tables.push(summary.table(&format!("{name}: by workspace")));
-    let gap = run.failed.map(|failed| gap::failover_gap(&run.history.calls, database, failed));
-    let mut table = Table::new(format!("{name}: the four measures"), &["measure", "figure"]);
-    let gap_text = match gap {
-        None => "no failure".to_owned(),
-        Some(None) => "no write after the failure".to_owned(),
-        Some(Some(gap)) => format!("{:.2} s", gap.as_secs_f64()),
+    let figures = Figures::new(name, &summary, failover_gap(run, database));
+    report.tables.push(figures.table());
+    let in_time = match figures.gap {
+        Gap::NoFailure => true,
+        Gap::NoWrite => false,
+        Gap::Lasted(gap) => gap <= MAX_GAP,
     };
-    let figures = [
-        ("reads served by replicas", percent(summary.total.replica_share())),
-        ("failover gap", gap_text),
-        ("worst-served workspace, timely weight", percent(summary.worst)),
-        ("refused inside the rate", percent(summary.total.wrongful_share())),
-    ];
-    for (measure, figure) in figures {
-        table.push([measure.to_owned(), figure]);
-    }
-    report.tables.push(table);
-    if let Some(gap) = gap {
-        report.require(
-            gap.is_some_and(|gap| gap <= MAX_GAP),
-            format!("{name}: a failover within 10 s"),
-        );
-    }
+    report.require(in_time, format!("{name}: a failover within 10 s"));
     for violation in check::check(&run.history) {
         report.missed.push(format!("{name}: {violation}"));
     }
+    figures
+}
+
+fn failover_gap(run: &LiveRun, database: &str) -> Gap {
+    let Some(failed) = run.failed else { return Gap::NoFailure };
+    gap::failover_gap(&run.history.calls, database, failed).map_or(Gap::NoWrite, Gap::Lasted)
 }
 
 /// Shows a progress line on standard error while `work` runs.
--- a/oleander-load/src/runs/measure.rs
+++ b/oleander-load/src/runs/measure.rs
@@ -1,5 +1,7 @@
 //! The four measures of both users, beside reads that all go to the primary.
 
+use std::path::PathBuf;
+
 use oleander_core::time::Span;
 use strum::IntoEnumIterator as _;
 
@@ -10,6 +12,8 @@
 use crate::drive::plan::Flood;
 use crate::drive::plan::PlanOptions;
 use crate::drive::run::ReadClass;
+use crate::measures::figures::Figures;
+use crate::plots;
 use crate::report::Report;
 use crate::runs::demo;
 use crate::runs::live;
@@ -44,17 +48,22 @@
     Variant { name: "primary cut off", reads: ReadClass::Routed, flood: None, fails: true },
 ];
 
-/// Measures both users with each variant, `seconds` of load each.
+/// Measures both users with each variant, `seconds` of load each, and draws the figures to `plot`.
 ///
-/// Fails if a fleet does not come up.
-pub async fn run(seconds: u64, seed: u64) -> Result<Report, String> {
+/// Fails if a fleet does not come up or the plot cannot be written.
+pub async fn run(seconds: u64, seed: u64, plot: Option<PathBuf>) -> Result<Report, String> {
+    let mut figures = Vec::new();
     let mut report = Report::new("Measures", seed);
     for user in User::iter() {
         for variant in VARIANTS {
             eprintln!("{user}: {}", variant.name);
-            measure(&mut report, user, variant, seconds, seed).await?;
+            figures.push(measure(&mut report, user, variant, seconds, seed).await?);
         }
     }
+    if let Some(path) = plot {
+        let written = std::fs::write(&path, plots::svg(&figures)?);
+        written.map_err(|error| format!("{}: {error}", path.display()))?;
+    }
     Ok(report)
 }
 
@@ -64,7 +73,7 @@
     variant: Variant,
     seconds: u64,
     seed: u64,
-) -> Result<(), String> {
+) -> Result<Figures, String> {
     // Each variant gets a fresh fleet, so that none inherits the other's state.
     let profile = Profile::of(user);
     let database = profile.databases[0];
@@ -77,6 +86,6 @@
         fail_primary: variant.fails.then_some(Span(length.0 / 2)),
     };
     let run = live::run(&fleet, &options).await?;
-    demo::add_measures(report, &format!("{user}, {}", variant.name), database, &run);
-    Ok(())
+    let name = format!("{user}, {}", variant.name);
+    Ok(demo::add_measures(report, &name, database, &run))
 }
