--- a/oleander-proxy/src/home/database.rs
+++ b/oleander-proxy/src/home/database.rs
@@ -344,7 +344,6 @@
     let control = CONTROL_CONNECTIONS.min(connections / 2);
     Part { slots: split(database.slots), connections: connections - control }
 }
-}
 
 /// `WorkGuard` counts a piece of work as open at the home.
 struct WorkGuard<'a>(&'a Home);
