--- a/oleander-load/src/cluster/fleet.rs
+++ b/oleander-load/src/cluster/fleet.rs
@@ -132,13 +132,21 @@
         })
     }
 
-    /// Starts the VM with this number anew.
+    /// Starts the VM with this number anew and waits until the fleet is ready.
     ///
     /// Fails if it cannot listen or does not become ready.
     pub async fn restart(&mut self, number: usize) -> Result<()> {
+        self.start_node(number).await?;
+        self.wait_ready().await
+    }
+
+    /// Starts the VM with this number anew.
+    ///
+    /// Fails if it cannot listen.
+    pub async fn start_node(&mut self, number: usize) -> Result<()> {
         self.vms.set(vm_name(number), VmState::Live);
         self.nodes[number] = Some(Node::start(self.node_options(number)).await?);
-        self.wait_ready().await
+        Ok(())
     }
 
     /// Takes the VM out of the balancer's list and returns it.
--- a/oleander-load/src/cluster/profile.rs
+++ b/oleander-load/src/cluster/profile.rs
@@ -100,6 +100,13 @@
         text
     }
 
+    /// Writes the section `workspaces` with another key in place of the given workspace's.
+    pub fn workspaces_without_key(&self, workspace: &str) -> String {
+        let hash = |key: &str| keys::hex(&keys::hash_key(key).0);
+        let key = self.key(workspace);
+        self.workspaces_section().replace(&hash(&key), &hash(&format!("{key}-next")))
+    }
+
     /// Writes the section `rates`.
     pub fn rates_section(&self) -> String {
         let mut text = String::new();
--- a/oleander-load/src/main.rs
+++ b/oleander-load/src/main.rs
@@ -17,6 +17,8 @@
 use oleander_load::report::Report;
 use oleander_load::runs::demo;
 use oleander_load::runs::drain;
+use oleander_load::runs::faults;
+use oleander_load::runs::faults::Fault;
 use oleander_load::runs::measure;
 
 /// Load, experiments and checks for oleanderrudder.
@@ -74,6 +76,21 @@
         #[arg(long)]
         json: bool,
     },
+    /// Lets faults happen in pairs under load and checks what must hold.
+    Faults {
+        /// The first fault; with `--second`, runs this pair only.
+        #[arg(long, value_parser = Fault::from_str, requires = "second")]
+        first: Option<Fault>,
+        /// The second fault.
+        #[arg(long, value_parser = Fault::from_str, requires = "first")]
+        second: Option<Fault>,
+        /// The seed of the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+    },
     /// Measures a fleet of each user's size under several loads, beside a baseline.
     Measure {
         /// The seconds of load for each measurement.
@@ -104,6 +121,9 @@
         Command::Experiment { name, seed, json } => print(&experiments::run(name, seed), json),
         Command::Capacity { seed, json } => print(&capacity::run(seed), json),
         Command::Demo { seconds, seed, json } => print_live(demo::run(seconds, seed), json),
+        Command::Faults { first, second, seed, json } => {
+            print_live(faults::run(first.zip(second), seed), json)
+        }
         Command::Drain { restarts, seed, json } => print_live(drain::run(restarts, seed), json),
         Command::Measure { seconds, seed, json, plot } => {
             print_live(measure::run(seconds, seed, plot), json)
--- a/oleander-load/src/runs/mod.rs
+++ b/oleander-load/src/runs/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod demo;
 pub mod drain;
+pub mod faults;
 pub mod live;
 pub mod measure;
--- a/oleander-load/tests/answers.rs
+++ b/oleander-load/tests/answers.rs
@@ -175,13 +175,8 @@
     assert_eq!(begun.status, 200, "{}", begun.body);
     let transaction = begun.body["transaction"].as_str().expect("an identifier").to_owned();
 
-    let old = fleet.profile.workspaces_section();
-    let hash = oleander_config::keys::hex(&oleander_config::keys::hash_key(&key).0);
-    let other = oleander_config::keys::hex(&oleander_config::keys::hash_key("another").0);
-    fleet
-        .publish("workspaces", old.replace(&hash, &other))
-        .await
-        .expect("the withdrawal is accepted");
+    let section = fleet.profile.workspaces_without_key("rye");
+    fleet.publish("workspaces", section).await.expect("the withdrawal is accepted");
 
     let mut last = Value::Null;
     for _ in 0..LOOKS {
