--- a/oleander-ctl/src/fleet.rs
+++ b/oleander-ctl/src/fleet.rs
@@ -5,13 +5,13 @@
 
 use futures::future::join_all;
 use oleander_core::time::Span;
+use oleander_membership::roster::Member;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
-use oleander_platform::keys;
+use oleander_platform::registration;
 use oleander_platform::store::Store;
 use oleander_runtime::logs::EventRecord;
-use serde::Deserialize;
 
 use crate::errors::Result;
 use crate::errors::unreachable;
@@ -19,17 +19,6 @@
 /// The time within which a VM answers.
 const ANSWER_LIMIT: Span = Span::from_secs(2);
 
-/// `Registration` is what a VM wrote about itself into the store.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Registration {
-    /// The name of the VM.
-    pub name: String,
-    /// The address of its agent.
-    pub agent: SocketAddr,
-    /// The address of its proxy.
-    pub proxy: SocketAddr,
-}
-
 /// `Station` is one process that can be asked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Station {
@@ -43,15 +32,14 @@
 ///
 /// # Errors
 /// Fails if the store cannot be read.
-pub async fn registered(store: &Store) -> Result<Vec<Registration>> {
-    let reading = store.list(keys::VMS).await.map_err(unreachable)?;
-    let parse = |value: &[u8]| serde_json::from_slice::<Registration>(value).ok();
-    Ok(reading.entries.iter().filter_map(|entry| parse(&entry.value)).collect())
+pub async fn registered(store: &Store) -> Result<Vec<Member>> {
+    let (_, members) = registration::read_members(store).await.map_err(unreachable)?;
+    Ok(members)
 }
 
 /// Gets the agent and the proxy of each VM.
-pub fn stations(vms: &[Registration]) -> Vec<Station> {
-    let both = |vm: &Registration| {
+pub fn stations(vms: &[Member]) -> Vec<Station> {
+    let both = |vm: &Member| {
         [("agent", vm.agent), ("proxy", vm.proxy)]
             .map(|(program, address)| Station { name: format!("{}/{program}", vm.name), address })
     };
--- a/oleander-ctl/tests/tool/vms.rs
+++ b/oleander-ctl/tests/tool/vms.rs
@@ -3,16 +3,16 @@
 use std::net::SocketAddr;
 
 use oleander_core::events::Event;
+use oleander_core::places::Place;
 use oleander_ctl::errors::Exit;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_peer::server;
 use oleander_peer::server::Incoming;
-use oleander_platform::keys;
-use oleander_platform::store::Commit;
+use oleander_platform::registration;
+use oleander_platform::registration::Registration;
 use oleander_platform::store::Store as StoreClient;
 use oleander_platform::store::StoreOptions;
-use oleander_platform::store::Write;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -53,9 +53,14 @@
 async fn register(store: &Store, process: &Process) {
     let endpoints = vec![format!("http://{}", store.address())];
     let client = StoreClient::new(StoreOptions { endpoints, ..StoreOptions::default() });
-    let value = json!({"name": "vm-1", "agent": process.address, "proxy": process.address});
-    let write = Write::Put { key: keys::vm("vm-1"), value: value.to_string().into_bytes() };
-    client.commit(Commit { expected: Vec::new(), writes: vec![write] }).await.unwrap();
+    let own = Registration {
+        name: "vm-1".to_owned(),
+        place: Place::default(),
+        agent: process.address,
+        proxy: process.address,
+        life: 1,
+    };
+    registration::register(&client, &own).await.unwrap();
 }
 
 #[tokio::test]
