Let a VM leave only while the record of shares names it nowhere

Cause: a leaving VM judged by its own knowledge of the record whether it owned anything. The registration is now deleted in a commit that expects the record without this VM, shares of a life that has left are taken over, and a hand-over to a leaving VM is given up.

--- a/oleander-agent/src/agent.rs
+++ b/oleander-agent/src/agent.rs
@@ -25,6 +25,7 @@
 use crate::failover;
 use crate::observer::Observer;
 use crate::platform;
+use crate::platform::Departure;
 use crate::server;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -240,17 +241,29 @@
     actions::run(shared, actions.unwrap_or_default());
     shared.notify();
     let due = shared.now() + shared.settings.times.drain;
-    while shared.now() < due && !is_finished(shared) {
+    let mut left = false;
+    while shared.now() < due && !left {
         shared.timers.sleep(TICK).await;
+        left = is_finished(shared) && has_departed(shared).await;
     }
     // The VM list ends what could not be ended here.
-    if platform::unregister(shared).await.is_ok() {
+    if left || platform::unregister(shared).await.is_ok() {
         let news = shared.with_node(|node, now| node.retire(now, entropy)).unwrap_or_default();
         actions::finish(shared, news).await;
     }
     shared.record(Event::DrainFinished, &[]);
 }
 
+/// Attempts to leave; reads the record of shares again if it still names this VM.
+async fn has_departed(shared: &Arc<Shared>) -> bool {
+    if platform::depart(shared).await == Ok(Departure::Left) {
+        return true;
+    }
+    let actions = platform::read_store(shared).await;
+    actions::run(shared, actions);
+    false
+}
+
 fn is_finished(shared: &Shared) -> bool {
     let is_idle = lock(&shared.proxy).report.open == 0;
     is_idle && shared.with_node(|node, _| node.is_empty_handed()).unwrap_or(true)
--- a/oleander-agent/src/platform.rs
+++ b/oleander-agent/src/platform.rs
@@ -15,6 +15,7 @@
 use oleander_membership::node::StoreState;
 use oleander_membership::roster::Member;
 use oleander_membership::roster::MemberState;
+use oleander_membership::shares::ShareOwner;
 use oleander_platform::configuration;
 use oleander_platform::errors::Result;
 use oleander_platform::errors::decode_error;
@@ -126,7 +127,37 @@
     last.head.max(last.state.stored)
 }
 
-/// Deletes the registration of this life, once it owns nothing.
+/// `Departure` is the outcome of an attempt to leave the fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Departure {
+    /// The registration is gone.
+    Left,
+    /// The record of shares still names this life, or changed meanwhile.
+    HoldsShares,
+}
+
+/// Deletes the registration of this life if the record of shares, as it is at that moment, names it nowhere.
+///
+/// This VM's own knowledge of the record may be old: a share may have been on its way here.
+pub async fn depart(shared: &Arc<Shared>) -> Result<Departure> {
+    let Some(own) = shared.with_node(|node, _| node.own().clone()) else {
+        return Ok(Departure::Left);
+    };
+    let state = read_state(shared, shared.now()).await?;
+    let life = ShareOwner { vm: own.vm, incarnation: own.incarnation };
+    if state.shares.owners.iter().flatten().any(|owner| *owner == life) {
+        return Ok(Departure::HoldsShares);
+    }
+    let unchanged = expect(keys::SHARES, state.stored);
+    let expected = vec![registered(&own.name, own.incarnation.0), unchanged];
+    let writes = vec![Write::Delete { key: keys::vm(&own.name) }];
+    match shared.store.commit(Commit { expected, writes }).await? {
+        CommitOutcome::Committed(_) => Ok(Departure::Left),
+        CommitOutcome::Conflict => Ok(Departure::HoldsShares),
+    }
+}
+
+/// Deletes the registration of this life, whatever it owns.
 pub async fn unregister(shared: &Arc<Shared>) -> Result<()> {
     let Some(own) = shared.with_node(|node, _| node.own().clone()) else { return Ok(()) };
     let commit = Commit {
--- a/oleander-membership/src/node/ownership.rs
+++ b/oleander-membership/src/node/ownership.rs
@@ -51,8 +51,9 @@
             changed |= self.is_watcher(now)
                 && plan::assign_free(&mut next, &self.takers(now), self.claim_limit(now));
         }
+        let before = next.owners.clone();
         let removed = self.reclaim(now, &mut next);
-        changed |= !removed.is_empty();
+        changed |= !removed.is_empty() || before != next.owners;
         changed |= self.change_voters(now, &mut next);
         if !changed {
             return None;
@@ -68,6 +69,7 @@
         self.claims.can_hand_over(now)
             || present.owners.len() < usize::from(self.options.shares)
             || present.owners.iter().flatten().any(is_former)
+            || self.has_orphans(present)
             || present.owners.contains(&None)
             || !self.dropped(now).is_empty()
             || !self.roster.ids().eq(present.voters.iter().copied())
@@ -201,7 +203,8 @@
         let roster = &self.roster;
         self.claims.cancel_releases(|to| {
             let member = roster.member(to.vm);
-            member.is_some_and(|member| member.incarnation == to.incarnation)
+            let takes = |state| state != MemberState::Leaving;
+            member.is_some_and(|member| member.incarnation == to.incarnation && takes(member.state))
         });
         if self.left {
             self.release_all(now);
@@ -254,7 +257,8 @@
     /// Moves the shares of VMs that the platform has dropped, and of lives that are over.
     fn reclaim(&self, now: Time, next: &mut ShareMap) -> Vec<ShareOwner> {
         let dropped = self.dropped(now);
-        if dropped.is_empty() || !self.may_reclaim(now) {
+        let is_idle = dropped.is_empty() && !self.has_orphans(next);
+        if is_idle || !self.may_reclaim(now) {
             return Vec::new();
         }
         let takers: Vec<ShareOwner> =
@@ -262,7 +266,7 @@
         let mut counts = Counts::new(next, &takers);
         plan::reclaim(
             next,
-            |owner| dropped.contains(&owner.vm),
+            |owner| dropped.contains(&owner.vm) || self.roster.is_removed(owner),
             |share| counts.take_poorest(share),
         );
         let life = |vm: &VmId| {
@@ -272,6 +276,14 @@
         dropped.iter().filter_map(life).collect()
     }
 
+    /// Returns `true` if a share belongs to a life that has left the fleet.
+    ///
+    /// A share may have been on its way to a VM that left meanwhile, and the
+    /// platform's list may name that VM for long after.
+    fn has_orphans(&self, map: &ShareMap) -> bool {
+        map.owners.iter().flatten().any(|owner| self.roster.is_removed(*owner))
+    }
+
     /// A new owner waits until half of the voters have the record, so a VM that does not hear
     /// half of them takes nothing.
     fn may_reclaim(&self, now: Time) -> bool {
