Ask owners in steps that are worth a message

Cause: a need of a few tokens was divided by single tokens over many full owners, and then each part was dropped as less than a sixteenth of a fraction's capacity, so large limits were never asked for. A step is now at least the least part.

--- a/oleander-limits/src/rates/plan.rs
+++ b/oleander-limits/src/rates/plan.rs
@@ -27,10 +27,12 @@
     /// Gets the amount that is asked for in one step.
     ///
     /// Parts of a token wait for one another, so a peer that can hold a whole
-    /// token is asked for a whole one.
+    /// token is asked for a whole one. A step is never less than what is worth
+    /// a message, or a need spread over many peers would be sent to none.
     fn chunk(&self) -> Tokens {
         let whole = Tokens::whole(1);
-        if whole <= self.capacity { whole } else { Tokens(self.capacity.0 / CHUNKS) }
+        let step = if whole <= self.capacity { whole } else { Tokens(self.capacity.0 / CHUNKS) };
+        step.max(self.least())
     }
 
     /// Gets the least amount that is worth a message.
