--- a/oleander-limits/src/rates/plan.rs
+++ b/oleander-limits/src/rates/plan.rs
@@ -60,7 +60,10 @@
     while rest != Tokens::ZERO {
         let fullest = offers.iter_mut().max_by(|left, right| left.fill().total_cmp(&right.fill()));
         let Some(fullest) = fullest.filter(|offer| offer.least() < offer.left) else { break };
-        let part = fullest.chunk().min(rest).min(fullest.left);
+        let step = fullest.chunk();
+        // What would be left over is not worth a message of its own.
+        let wish = if rest.saturating_sub(step) < fullest.least() { rest } else { step };
+        let part = wish.min(fullest.left);
         fullest.left = fullest.left.saturating_sub(part);
         fullest.amount += part;
         rest = rest.saturating_sub(part);
