Treat a repeated change identifier with another text as a conflict, and bound a read's first try

An edit was taken as done by its identifier alone, so that another text under the same identifier was reported as in though it was not; the case of the lost answer in the table named another text than the lost edit and now names the same one. A read on a silent connection waited for its whole deadline; its first try now ends after 300 ms and the rest of the time is left to other instances.

--- a/oleander-membership/src/head.rs
+++ b/oleander-membership/src/head.rs
@@ -31,6 +31,8 @@
     pub id: ChangeId,
     /// The revision that the edit made.
     pub revision: Revision,
+    /// The hash of the text that the edit put in.
+    pub hash: BodyHash,
 }
 
 /// `Head` is the small record by which the whole configuration is known.
@@ -84,7 +86,14 @@
     /// Decides on an edit. Only a change to the edited section is a conflict.
     pub fn edit(&self, edit: &Edit) -> EditOutcome {
         if let Some(change) = self.changes.iter().find(|change| change.id == edit.change) {
-            return EditOutcome::Done(change.revision);
+            // The same identifier with another text is another edit, which is not in.
+            let is_same = change.hash == edit.hash;
+            let present = self.hash(&edit.section);
+            return if is_same {
+                EditOutcome::Done(change.revision)
+            } else {
+                EditOutcome::Conflict(present)
+            };
         }
         let present = self.hash(&edit.section);
         if present != edit.base {
@@ -99,7 +108,7 @@
         next.sections.retain(|entry| entry.section != edit.section);
         next.sections.push(SectionHead { section: edit.section.clone(), hash: edit.hash });
         next.sections.sort_by(|left, right| left.section.cmp(&right.section));
-        next.changes.push(Change { id: edit.change, revision: next.revision });
+        next.changes.push(Change { id: edit.change, revision: next.revision, hash: edit.hash });
         let excess = next.changes.len().saturating_sub(REMEMBERED_CHANGES);
         next.changes.drain(..excess);
         next
--- a/oleander-membership/tests/head.rs
+++ b/oleander-membership/tests/head.rs
@@ -10,20 +10,22 @@
 use rstest::rstest;
 
 #[rstest]
-#[case::own_section_unmoved("rates", Some("rates 1"), 9, Ok(3))]
-#[case::own_section_moved("rates", Some("rates 0"), 9, Err(Some("rates 1")))]
-#[case::own_section_missing("routes", Some("routes 0"), 9, Err(None))]
-#[case::new_section("routes", None, 9, Ok(3))]
-#[case::new_section_taken("rates", None, 9, Err(Some("rates 1")))]
-#[case::lost_answer("rates", Some("rates 0"), 1, Ok(1))]
+#[case::own_section_unmoved("rates", Some("rates 1"), "new", 9, Ok(3))]
+#[case::own_section_moved("rates", Some("rates 0"), "new", 9, Err(Some("rates 1")))]
+#[case::own_section_missing("routes", Some("routes 0"), "new", 9, Err(None))]
+#[case::new_section("routes", None, "new", 9, Ok(3))]
+#[case::new_section_taken("rates", None, "new", 9, Err(Some("rates 1")))]
+#[case::identifier_of_another_text("rates", Some("rates 1"), "new", 1, Err(Some("rates 1")))]
+#[case::lost_answer("rates", Some("rates 0"), "rates 1", 1, Ok(1))]
 fn edits_conflict_only_in_their_section(
     #[case] section: &str,
     #[case] base: Option<&str>,
+    #[case] text: &str,
     #[case] change: u64,
     #[case] expected: Result<u64, Option<&str>>,
 ) {
     let head = apply(&apply(&Head::default(), "rates", None, 1), "workspaces", None, 2);
-    let edit = edit(section, base, "new", change);
+    let edit = edit(section, base, text, change);
     let outcome = match head.edit(&edit) {
         EditOutcome::Done(revision) => Ok(revision),
         EditOutcome::Next(next) => Ok(next.revision),
--- a/oleander-proxy/src/home/single.rs
+++ b/oleander-proxy/src/home/single.rs
@@ -37,6 +37,9 @@
 /// The time that one more try at this home is expected to take.
 const EXPECTED_RUN: Span = Span::from_millis(5);
 
+/// The longest time that a read waits for its first instance before it goes to another.
+const FIRST_TRY: Span = Span::from_millis(300);
+
 /// `Fault` is a try that got no result.
 pub(crate) struct Fault {
     /// Where the try was cut.
@@ -211,13 +214,16 @@
         place: &ReadPlace,
     ) -> Result<WorkAnswer, Fault> {
         let ordinal = started.ordinal;
-        let asked = self.context.timers.now();
         let mut connection = self
             .connect(ordinal, job)
             .await
             .map_err(|error| self.fault(ordinal, &error, None, Effect::Read))?;
         connection.attach(started.clone());
-        let outcome = connection.read(&job.workspace, statement, self.instant(job.deadline)).await;
+        let asked = self.context.timers.now();
+        // A first try that gets no answer may sit on a silent connection; the rest of the time is for others.
+        let limit = if place.tried.is_empty() { asked + FIRST_TRY } else { job.deadline };
+        let limit = self.instant(limit.min(job.deadline));
+        let outcome = connection.read(&job.workspace, statement, limit).await;
         let outcome = match outcome {
             Ok(outcome) => outcome,
             Err(error) => return Err(self.fault(ordinal, &error, Some(connection), Effect::Read)),
