End a home's status questions with the home

Cause: the task that asks an instance for its status held the home while it waited, so each retired home kept its tasks and one connection an instance. Connections that an instance refused count as an overrun in the checks of a history.

--- a/oleander-load/src/runs/live.rs
+++ b/oleander-load/src/runs/live.rs
@@ -153,6 +153,8 @@
             let counters = group.counters(ordinal);
             let limits = [
                 ("slots", profile.slots, counters.peak_running),
+                // A connection that was refused was one too many.
+                ("connections", profile.connections, profile.connections + counters.refused as u32),
                 ("connections", profile.connections, counters.peak_connections),
             ];
             for (resource, limit, seen) in
--- a/oleander-proxy/src/home/database.rs
+++ b/oleander-proxy/src/home/database.rs
@@ -47,7 +47,7 @@
 use crate::home::admission::Admission;
 use crate::home::admission::Entrant;
 use crate::home::polls;
-use crate::home::transactions::Table;
+use crate::home::table::Table;
 
 /// The connections of the home's part that are left to status questions and promotions.
 pub const CONTROL_CONNECTIONS: u32 = 2;
@@ -215,7 +215,10 @@
         self.start_stop();
         self.admission.close();
         self.transactions.clear();
-        for pool in self.read_pools().iter() {
+        // The pollers end with the pools; each holds the home and a connection of its own.
+        let pools =
+            std::mem::take(&mut *self.pools.write().unwrap_or_else(PoisonError::into_inner));
+        for pool in pools {
             pool.pool.close();
         }
     }
--- a/oleander-proxy/src/home/mod.rs
+++ b/oleander-proxy/src/home/mod.rs
@@ -11,4 +11,5 @@
 pub mod polls;
 pub mod registry;
 pub mod single;
+pub mod table;
 pub mod transactions;
--- /dev/null
+++ b/oleander-proxy/src/home/table.rs
@@ -0,0 +1,98 @@
+//! The table of open transactions of one home.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use oleander_core::ids::TransactionId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::terms::LogPoint;
+use oleander_limits::home::queue::Ticket;
+use oleander_limits::home::transactions::TransactionLimits;
+use oleander_limits::home::transactions::Transactions;
+use oleander_upstream::connection::Connection;
+use tokio::sync::Notify;
+
+/// `Table` holds the open transactions of one home.
+#[derive(Default)]
+pub struct Table {
+    pub(crate) state: Mutex<TableState>,
+    pub(crate) ended: Notify,
+}
+
+#[derive(Default)]
+pub(crate) struct TableState {
+    pub(crate) bounds: Transactions,
+    pub(crate) open: HashMap<TransactionId, Arc<Open>>,
+}
+
+/// `Open` is one open transaction.
+pub(crate) struct Open {
+    pub(crate) id: TransactionId,
+    pub(crate) sender: Sender,
+    pub(crate) ordinal: u8,
+    /// The point at which the transaction began.
+    pub(crate) began: LogPoint,
+    /// The connection; `None` while a statement runs on it.
+    pub(crate) connection: Mutex<Option<Connection>>,
+}
+
+/// `Sender` is what the opening request said of its sender.
+pub(crate) struct Sender {
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) key: Option<[u8; 32]>,
+}
+
+impl Table {
+    /// Gets the number of open transactions.
+    pub fn len(&self) -> u64 {
+        self.lock().open.len() as u64
+    }
+
+    /// Bounds the transactions so that one of the instance's work connections stays free.
+    pub fn set_room(&self, connections: u32) {
+        let total = connections.saturating_sub(1).max(1);
+        let workspace = total.div_ceil(2);
+        self.lock().bounds.set_limits(TransactionLimits {
+            total,
+            workspace,
+            ..TransactionLimits::default()
+        });
+    }
+
+    /// Returns `true` if no transaction is open.
+    pub fn is_empty(&self) -> bool {
+        self.lock().open.is_empty()
+    }
+
+    /// Returns `true` if the transaction is open here.
+    pub fn holds(&self, transaction: TransactionId) -> bool {
+        self.lock().open.contains_key(&transaction)
+    }
+
+    /// Ends all transactions; their connections are closed.
+    pub fn clear(&self) {
+        let ended: Vec<Arc<Open>> = self.lock().open.drain().map(|(_, open)| open).collect();
+        drop(ended);
+    }
+
+    pub(crate) fn find(&self, transaction: TransactionId) -> Option<Arc<Open>> {
+        self.lock().open.get(&transaction).cloned()
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, TableState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Open {
+    pub(crate) fn ticket(&self) -> Ticket {
+        Ticket(self.id.serial)
+    }
+
+    pub(crate) fn slot(&self) -> MutexGuard<'_, Option<Connection>> {
+        self.connection.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/oleander-proxy/src/home/transactions.rs
+++ b/oleander-proxy/src/home/transactions.rs
@@ -1,10 +1,7 @@
-//! Open transactions, each on a connection of its own.
+//! Work of open transactions, each on a connection of its own.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
 use oleander_core::events::Event;
 use oleander_core::ids::InstanceId;
@@ -13,14 +10,10 @@
 use oleander_core::statement::Rows;
 use oleander_core::statement::Statement;
 use oleander_core::terms::InstanceStatus;
-use oleander_core::terms::LogPoint;
 use oleander_core::terms::Role;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
-use oleander_limits::home::queue::Ticket;
-use oleander_limits::home::transactions::TransactionLimits;
-use oleander_limits::home::transactions::Transactions;
 use oleander_peer::messages::WorkAnswer;
 use oleander_routing::admit;
 use oleander_routing::admit::Currency;
@@ -30,7 +23,6 @@
 use oleander_session::token::SeenPoint;
 use oleander_upstream::connection::Connection;
 use oleander_upstream::errors::Error;
-use tokio::sync::Notify;
 
 use crate::home::admission::Place;
 use crate::home::admission::Started;
@@ -38,88 +30,8 @@
 use crate::home::database::Job;
 use crate::home::single::Fault;
 use crate::home::single::Tries;
-
-/// `Table` holds the open transactions of one home.
-#[derive(Default)]
-pub struct Table {
-    state: Mutex<TableState>,
-    ended: Notify,
-}
-
-#[derive(Default)]
-struct TableState {
-    bounds: Transactions,
-    open: HashMap<TransactionId, Arc<Open>>,
-}
-
-/// `Open` is one open transaction.
-struct Open {
-    id: TransactionId,
-    job: OpenJob,
-    ordinal: u8,
-    /// The point at which the transaction began.
-    began: LogPoint,
-    /// The connection; `None` while a statement runs on it.
-    connection: Mutex<Option<Connection>>,
-}
-
-/// `OpenJob` is what the opening request said of its sender.
-struct OpenJob {
-    workspace: oleander_core::ids::WorkspaceId,
-    key: Option<[u8; 32]>,
-}
-
-impl Table {
-    /// Gets the number of open transactions.
-    pub fn len(&self) -> u64 {
-        self.lock().open.len() as u64
-    }
-
-    /// Bounds the transactions so that one of the instance's work connections stays free.
-    pub fn set_room(&self, connections: u32) {
-        let total = connections.saturating_sub(1).max(1);
-        let workspace = total.div_ceil(2);
-        self.lock().bounds.set_limits(TransactionLimits {
-            total,
-            workspace,
-            ..TransactionLimits::default()
-        });
-    }
-
-    /// Returns `true` if no transaction is open.
-    pub fn is_empty(&self) -> bool {
-        self.lock().open.is_empty()
-    }
-
-    /// Returns `true` if the transaction is open here.
-    pub fn holds(&self, transaction: TransactionId) -> bool {
-        self.lock().open.contains_key(&transaction)
-    }
-
-    /// Ends all transactions; their connections are closed.
-    pub fn clear(&self) {
-        let ended: Vec<Arc<Open>> = self.lock().open.drain().map(|(_, open)| open).collect();
-        drop(ended);
-    }
-
-    fn find(&self, transaction: TransactionId) -> Option<Arc<Open>> {
-        self.lock().open.get(&transaction).cloned()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, TableState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Open {
-    fn ticket(&self) -> Ticket {
-        Ticket(self.id.serial)
-    }
-
-    fn slot(&self) -> MutexGuard<'_, Option<Connection>> {
-        self.connection.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
+use crate::home::table::Open;
+use crate::home::table::Sender;
 
 impl Home {
     /// Opens a transaction on the primary.
@@ -243,10 +155,15 @@
         let view = self.context.fleet.load_full();
         let open: Vec<Arc<Open>> = self.transactions.lock().open.values().cloned().collect();
         for open in open {
-            let key = open.job.key.map(oleander_config::model::KeyHash);
+            let key = open.sender.key.map(oleander_config::model::KeyHash);
             // The key alone counts here; a VM that is not current refuses statements by itself.
-            if admit::recheck(&view.snapshot, Currency::Current, open.job.workspace, key.as_ref())
-                .is_err()
+            if admit::recheck(
+                &view.snapshot,
+                Currency::Current,
+                open.sender.workspace,
+                key.as_ref(),
+            )
+            .is_err()
             {
                 self.end(&open, "key withdrawn");
             }
@@ -305,7 +222,7 @@
         };
         let open = Arc::new(Open {
             id,
-            job: OpenJob { workspace: job.request.workspace, key: job.request.key },
+            sender: Sender { workspace: job.request.workspace, key: job.request.key },
             ordinal,
             began: status.point,
             connection: Mutex::new(Some(connection)),
@@ -325,7 +242,7 @@
         transaction: TransactionId,
     ) -> Result<(Arc<Open>, Arc<Started>), Refusal> {
         let open = self.transactions.find(transaction).ok_or_else(transaction_gone)?;
-        if open.job.workspace != job.request.workspace || open.job.key != job.request.key {
+        if open.sender.workspace != job.request.workspace || open.sender.key != job.request.key {
             // The same answer as for an unknown one, so that identifiers cannot be probed.
             return Err(transaction_gone());
         }
