Refuse a statement that changes rows under a class that reads

A read may be sent a second time after a failure, so a write that a caller sent under a reading class could have run twice. Found with the programs run as processes of their own: the stand-in's primary took such a write.

--- a/oleander-load/tests/answers.rs
+++ b/oleander-load/tests/answers.rs
@@ -136,6 +136,12 @@
             code: "body-too-large",
             ..base
         },
+        Case {
+            name: "write under a class that reads",
+            body: json!({ "class": "orders.read", "sql": WRITE_SQL, "parameters": ["a", "b"] })
+                .to_string(),
+            ..base
+        },
         Case {
             name: "transaction control",
             body: json!({ "class": "orders.write", "sql": "COMMIT" }).to_string(),
--- a/oleander-proxy/src/home/single.rs
+++ b/oleander-proxy/src/home/single.rs
@@ -26,6 +26,7 @@
 use oleander_upstream::connection::Connection;
 use oleander_upstream::connection::Outcome;
 use oleander_upstream::errors::Error;
+use oleander_upstream::guard;
 
 use crate::home::admission::Place;
 use crate::home::admission::ReadPlace;
@@ -64,6 +65,10 @@
         seen: Vec<SeenPoint>,
         age: Option<Span>,
     ) -> Result<WorkAnswer, Refusal> {
+        if guard::changes_rows(&statement.sql) {
+            // A read may be sent twice, so a write must not pass as one.
+            return Err(Refusal::not_run(RefusalCode::BadRequest, "the class reads only"));
+        }
         let mut tries = Tries::new(Effect::Read);
         let mut place = ReadPlace { seen, age, deadline: job.deadline, tried: Tried::new() };
         loop {
