Keep one form of a call's latency and drop an unused method

The load driver and the summary each worked out a call's latency; the call does so now. Nothing called the method that forgets VMs in the queue waits. Format, lint, documentation and the tests of the two crates were run, not the whole check.

--- a/oleander-load/src/drive/run.rs
+++ b/oleander-load/src/drive/run.rs
@@ -5,7 +5,6 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 
-use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
@@ -210,8 +209,3 @@
         },
     }
 }
-
-/// Gets the length of a call.
-pub fn latency(call: &Call) -> Span {
-    Span(call.answered.saturating_sub(call.invoked))
-}
--- a/oleander-load/src/history/record.rs
+++ b/oleander-load/src/history/record.rs
@@ -4,6 +4,7 @@
 //! values written to it, oldest first, and a read answers the whole list, so
 //! that a lost, doubled or reordered write is seen.
 
+use oleander_core::time::Span;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
 use serde::Deserialize;
@@ -97,6 +98,13 @@
     pub transaction: u64,
 }
 
+impl Call {
+    /// Gets the time from the sending of the call until its outcome was known.
+    pub fn latency(&self) -> Span {
+        Span(self.answered.saturating_sub(self.invoked))
+    }
+}
+
 impl Outcome {
     /// Gets the verdict on the call.
     pub fn verdict(&self) -> Verdict {
--- a/oleander-load/src/measures/summary.rs
+++ b/oleander-load/src/measures/summary.rs
@@ -124,7 +124,7 @@
     for judged in calls {
         count(&mut served, judged);
         if matches!(judged.call.outcome, Outcome::Answered { .. }) {
-            latencies.saturating_record(latency(judged.call).0);
+            latencies.saturating_record(judged.call.latency().0);
         }
     }
     served.p50 = latencies.value_at_quantile(0.5) as f64 / 1e3;
@@ -143,7 +143,7 @@
             let is_read = matches!(call.operation, Operation::Read { .. });
             served.reads += u64::from(is_read);
             served.replica += u64::from(is_read && *replica);
-            served.timely += if latency(call) <= TIMELY { weight } else { 0 };
+            served.timely += if call.latency() <= TIMELY { weight } else { 0 };
         }
         Outcome::Refused { code: RefusalCode::RateLimited, .. } => {
             served.wrongful += u64::from(admitted);
@@ -165,10 +165,6 @@
     ]
 }
 
-fn latency(call: &Call) -> Span {
-    Span(call.answered.saturating_sub(call.invoked))
-}
-
 fn share(part: u64, whole: u64) -> f64 {
     if whole == 0 { 1.0 } else { part as f64 / whole as f64 }
 }
--- a/oleander-proxy/src/entry/waits.rs
+++ b/oleander-proxy/src/entry/waits.rs
@@ -42,10 +42,4 @@
         let map = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
         map.get(&HomeOf { database, vm }).copied().unwrap_or_default()
     }
-
-    /// Forgets VMs that `keep` refuses.
-    pub fn retain(&self, keep: impl Fn(VmId) -> bool) {
-        let mut map = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        map.retain(|home, _| keep(home.vm));
-    }
 }
