--- a/oleander-agent/src/agent.rs
+++ b/oleander-agent/src/agent.rs
@@ -5,11 +5,11 @@
 use oleander_core::events::Event;
 use oleander_core::time::Span;
 use oleander_membership::node::Action;
-use oleander_platform::keys;
-use oleander_platform::registration::Registration;
-use oleander_platform::store::Store;
-use oleander_platform::store::StoreOptions;
-use oleander_platform::vms::VmList;
+use oleander_store::keys;
+use oleander_store::registration::Registration;
+use oleander_store::store::Store;
+use oleander_store::store::StoreOptions;
+use oleander_store::vms::VmList;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -197,7 +197,7 @@
     }
 }
 
-async fn follow_watch(shared: &Arc<Shared>) -> oleander_platform::errors::Result<()> {
+async fn follow_watch(shared: &Arc<Shared>) -> oleander_store::errors::Result<()> {
     let mut watch = shared.store.watch(keys::HEAD, keys::WATCH_END).await?;
     // What changed while no watch was open is read now.
     actions::run(shared, vec![Action::ReadStore, Action::ReadRoster]);
--- a/oleander-agent/src/platform.rs
+++ b/oleander-agent/src/platform.rs
@@ -16,18 +16,18 @@
 use oleander_membership::roster::Member;
 use oleander_membership::roster::MemberState;
 use oleander_membership::shares::ShareOwner;
-use oleander_platform::configuration;
-use oleander_platform::errors::Result;
-use oleander_platform::errors::decode_error;
-use oleander_platform::keys;
-use oleander_platform::registration;
-use oleander_platform::store::Commit;
-use oleander_platform::store::CommitOutcome;
-use oleander_platform::store::Entry;
-use oleander_platform::store::Expectation;
-use oleander_platform::store::StoreRevision;
-use oleander_platform::store::Write;
-use oleander_platform::vms::VmState;
+use oleander_store::configuration;
+use oleander_store::errors::Result;
+use oleander_store::errors::decode_error;
+use oleander_store::keys;
+use oleander_store::registration;
+use oleander_store::store::Commit;
+use oleander_store::store::CommitOutcome;
+use oleander_store::store::Entry;
+use oleander_store::store::Expectation;
+use oleander_store::store::StoreRevision;
+use oleander_store::store::Write;
+use oleander_store::vms::VmState;
 use oleander_runtime::logs::Field;
 
 use crate::shared::Busy;
@@ -92,7 +92,7 @@
 pub async fn read_list(shared: &Arc<Shared>) -> Vec<Action> {
     let Some(_busy) = Busy::begin(shared, |shared| &shared.listing) else { return Vec::new() };
     let Ok(records) = shared.list.fetch().await else { return Vec::new() };
-    let entry = |record: &oleander_platform::vms::VmRecord| ListedVm {
+    let entry = |record: &oleander_store::vms::VmRecord| ListedVm {
         vm: VmId::from_name(&record.name),
         state: match record.state {
             VmState::Live => MemberState::Alive,
@@ -278,7 +278,7 @@
     expect(&keys::vm(name), incarnation)
 }
 
-fn store_failed(shared: &Shared, error: &oleander_platform::errors::Error) {
+fn store_failed(shared: &Shared, error: &oleander_store::errors::Error) {
     if !shared.unreachable.swap(true, Ordering::AcqRel) {
         shared.record(Event::StoreUnreachable, &[Field::text("reason", error)]);
     }
--- a/oleander-config/src/model.rs
+++ b/oleander-config/src/model.rs
@@ -52,6 +52,8 @@
     pub upstreams: Vec<Database>,
     /// The routes.
     pub routes: Vec<Route>,
+    /// The time for which an open transaction may rest; `None` leaves it to the home.
+    pub rest: Option<Span>,
 }
 
 /// `Workspace` is a tenant with its keys.
@@ -165,6 +167,27 @@
     pub deadline: Span,
     /// The cost of a request in rate tokens and queue shares; 1 or more.
     pub cost: u32,
+    /// What a read must see.
+    pub consistency: Consistency,
+    /// The time within which an answer has its full worth to the caller; at most the deadline
+    /// unless one request takes several statements.
+    pub target: Span,
+}
+
+/// `Consistency` says which commits a read of a route must see.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Consistency {
+    /// The session's own commits, and all commits older than the route's age.
+    #[default]
+    Session,
+    /// All commits older than the route's age.
+    Bounded,
+    /// All commits; only the primary serves such a read.
+    Primary,
 }
 
 /// `Matcher` says which requests a route takes.
@@ -172,6 +195,8 @@
 pub enum Matcher {
     /// A statement class, sent to `/v1/statements`.
     Class(String),
+    /// The database name that a session names when it opens.
+    Session(String),
     /// An HTTP method and path of the route's own.
     Path {
         /// The method, in upper case.
@@ -185,6 +210,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Matcher::Class(class) => write!(f, "class {class}"),
+            Matcher::Session(name) => write!(f, "session {name}"),
             Matcher::Path { method, path } => write!(f, "{method} {path}"),
         }
     }
--- a/oleander-config/src/parse/routes.rs
+++ b/oleander-config/src/parse/routes.rs
@@ -11,6 +11,7 @@
 use crate::fields::read_items;
 use crate::fields::read_name;
 use crate::model::Audience;
+use crate::model::Consistency;
 use crate::model::Matcher;
 use crate::model::Route;
 use crate::names::Names;
@@ -100,6 +101,8 @@
         age,
         deadline,
         cost,
+        consistency: Consistency::default(),
+        target: deadline,
     };
     drafts.routes.push(Located { value, site: fields.site });
 }
--- a/oleander-config/src/snapshot.rs
+++ b/oleander-config/src/snapshot.rs
@@ -7,6 +7,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::Revision;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
 
 use crate::model::Database;
 use crate::model::Document;
@@ -34,6 +35,8 @@
     pub databases: Arena<Database>,
     /// The routes.
     pub routes: Arena<Route>,
+    /// The time for which an open transaction may rest, where the configuration sets one.
+    pub rest: Option<Span>,
     keys: HashMap<KeyHash, WorkspaceIdx>,
     rates: HashMap<WorkspaceId, Rate>,
     workspace_ids: HashMap<WorkspaceId, WorkspaceIdx>,
@@ -44,7 +47,7 @@
 impl Snapshot {
     /// Compiles a checked document.
     pub fn new(revision: Revision, document: Document) -> Self {
-        let mut snapshot = Self { revision, ..Self::default() };
+        let mut snapshot = Self { revision, rest: document.rest, ..Self::default() };
         for workspace in document.workspaces {
             snapshot.add_workspace(workspace);
         }
--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -18,6 +18,8 @@
     DrainStarted = 101,
     /// A process has finished its graceful shutdown.
     DrainFinished = 102,
+    /// A process has read its settings again.
+    SettingsReloaded = 103,
     /// A configuration revision has come into force on this VM.
     RevisionInForce = 200,
     /// A configuration revision was refused by the check on this VM.
@@ -26,6 +28,10 @@
     CurrencyLost = 202,
     /// This VM is current again.
     CurrencyRegained = 203,
+    /// An entry of the directory of instances cannot be read and names no instance.
+    EntryRejected = 204,
+    /// An instance appeared in the directory, changed or left it.
+    InstanceChanged = 205,
     /// A VM joined the roster.
     VmJoined = 300,
     /// A VM left the roster or was removed from it.
@@ -38,6 +44,8 @@
     StoreUnreachable = 304,
     /// The platform's store answers again.
     StoreReachable = 305,
+    /// This VM uses its own shares.
+    SharesActive = 307,
     /// A peer is suspected to be down.
     PeerSuspected = 306,
     /// An instance stopped answering pings.
@@ -56,12 +64,20 @@
     PromotionAbandoned = 406,
     /// A former primary rejoined its group as a replica.
     PrimaryRejoined = 407,
+    /// An instance has answered as primary.
+    PrimarySeen = 408,
+    /// The platform was asked to promote an instance.
+    PromotionOrdered = 409,
+    /// A VM took over the watch of a database's primary.
+    KeeperChanged = 410,
     /// A request was refused.
     RequestRefused = 500,
     /// A request was sent again after a failure.
     RequestRetried = 501,
     /// An open transaction was ended by the proxy.
     TransactionEnded = 502,
+    /// A request was served; one of many.
+    RequestServed = 503,
     /// A connection was closed because it had been silent for too long.
     ConnectionSilent = 600,
     /// A connection was closed because its state is unknown.
--- a/oleander-core/src/ids.rs
+++ b/oleander-core/src/ids.rs
@@ -43,6 +43,11 @@
     DatabaseId
 }
 
+named_id! {
+    /// `InstanceKey` is the identifier of an instance that a directory names, derived from that name.
+    InstanceKey
+}
+
 /// `InstanceId` is one instance of a database: the database and the ordinal in its `instances` list.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct InstanceId {
--- a/oleander-core/src/verdict.rs
+++ b/oleander-core/src/verdict.rs
@@ -86,6 +86,12 @@
     UpstreamError,
     /// The answer is larger than the limit.
     AnswerTooLarge,
+    /// No instance that can be reached has the data that the read needs yet.
+    ReplicaBehind,
+    /// The instance takes no writes, since it is not the primary.
+    NotPrimary,
+    /// The session has prepared no statement of this name.
+    UnknownStatement,
     /// The token's history was dropped by a promotion.
     HistoryLost,
     /// A write ran but its replication was not confirmed in time.
--- a/oleander-ctl/src/changes.rs
+++ b/oleander-ctl/src/changes.rs
@@ -12,10 +12,10 @@
 use oleander_core::verdict::Verdict;
 use oleander_membership::head::BodyHash;
 use oleander_membership::messages::SectionBody;
-use oleander_platform::configuration;
-use oleander_platform::configuration::Publication;
-use oleander_platform::configuration::PublishError;
-use oleander_platform::store::Store;
+use oleander_store::configuration;
+use oleander_store::configuration::Publication;
+use oleander_store::configuration::PublishError;
+use oleander_store::store::Store;
 
 use crate::errors::Error;
 use crate::errors::Result;
--- a/oleander-ctl/src/commands/documents.rs
+++ b/oleander-ctl/src/commands/documents.rs
@@ -9,8 +9,8 @@
 use oleander_config::sections::SectionText;
 use oleander_config::sections::parse_sections;
 use oleander_membership::head::BodyHash;
-use oleander_platform::configuration;
-use oleander_platform::configuration::StoredDocument;
+use oleander_store::configuration;
+use oleander_store::configuration::StoredDocument;
 use serde_json::json;
 
 use crate::changes;
@@ -38,7 +38,7 @@
             files::parse_bodies(&stored.sections, Some(&text))?
         }
     };
-    let Document { workspaces, rates, upstreams, routes } = &document;
+    let Document { workspaces, rates, upstreams, routes, .. } = &document;
     let counts = [workspaces.len(), rates.len(), upstreams.len(), routes.len()];
     let [workspaces, rates, upstreams, routes] = counts;
     Ok(Answer {
@@ -94,7 +94,7 @@
 
 /// Publishes an edit and tells its revision.
 pub(crate) async fn publish(
-    store: &oleander_platform::store::Store,
+    store: &oleander_store::store::Store,
     edit: &SectionEdit,
 ) -> Result<Answer> {
     let revision = changes::publish(store, edit, PATIENCE).await?;
--- a/oleander-ctl/src/commands/mod.rs
+++ b/oleander-ctl/src/commands/mod.rs
@@ -5,8 +5,8 @@
 mod vms;
 
 use clap::CommandFactory as _;
-use oleander_platform::store::Store;
-use oleander_platform::store::StoreOptions;
+use oleander_store::store::Store;
+use oleander_store::store::StoreOptions;
 use serde_json::Value;
 
 use crate::arguments::Arguments;
--- a/oleander-ctl/src/errors.rs
+++ b/oleander-ctl/src/errors.rs
@@ -4,7 +4,7 @@
 use oleander_config::problems::Problem;
 use oleander_core::ids::ChangeId;
 use oleander_core::verdict::Verdict;
-use oleander_platform::configuration::PublishError;
+use oleander_store::configuration::PublishError;
 use strum::Display;
 use strum::EnumIter;
 
--- a/oleander-ctl/src/fleet.rs
+++ b/oleander-ctl/src/fleet.rs
@@ -9,8 +9,8 @@
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
-use oleander_platform::registration;
-use oleander_platform::store::Store;
+use oleander_store::registration;
+use oleander_store::store::Store;
 use oleander_runtime::logs::EventRecord;
 
 use crate::errors::Result;
--- /dev/null
+++ b/oleander-failover/src/keeper.rs
@@ -0,0 +1,553 @@
+//! Watching a database's primary and replacing it, where the platform arbitrates between promoters.
+//!
+//! The platform promotes whichever instance it is told to, so that an
+//! acknowledged commit is kept only if the promoter chooses well. A commit is
+//! acknowledged once one replica has received it. The keeper therefore stops
+//! all replicas from receiving, which also ends acknowledgements at the old
+//! primary, and promotes the one that has received most. A replica that does
+//! not answer may hold the only copy: it is left out only once the directory no
+//! longer names it.
+//!
+//! Every order carries a fencing token of its own. An order that was not
+//! answered may be executed later, so that a further order with a higher token
+//! has to follow it in any case.
+
+use oleander_core::events::Event;
+use oleander_core::ids::InstanceKey;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Term;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use smallvec::SmallVec;
+
+/// The instances of a database that are kept on the stack.
+const INLINE_INSTANCES: usize = 4;
+
+/// `KeeperOptions` paces a keeper.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeeperOptions {
+    /// The time between two beats at the primary.
+    pub interval: Span,
+    /// The time between two beats while the primary is in doubt.
+    pub alarm: Span,
+    /// The time for which the primary must have been silent before it is replaced.
+    pub silence: Span,
+    /// The beats in a row that must have failed before the primary is replaced.
+    pub misses: u32,
+    /// The time after which an instance is asked again to stop receiving.
+    pub repeat: Span,
+    /// The time within which all replicas must have stopped receiving.
+    pub stopping: Span,
+    /// The time within which an instance must lead after an accepted order.
+    pub taking: Span,
+    /// The time between a promotion given up and the next one.
+    pub retry: Span,
+}
+
+impl Default for KeeperOptions {
+    fn default() -> Self {
+        Self {
+            interval: Span::from_millis(200),
+            alarm: Span::from_millis(100),
+            // Longer than a round trip between regions with a lost packet.
+            silence: Span::from_millis(700),
+            misses: 2,
+            repeat: Span::from_millis(400),
+            stopping: Span::from_millis(3_000),
+            taking: Span::from_millis(4_000),
+            retry: Span::from_millis(500),
+        }
+    }
+}
+
+/// `Known` is an instance as the directory names it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Known {
+    /// The instance.
+    pub key: InstanceKey,
+    /// `true` while it leaves.
+    pub leaving: bool,
+    /// `true` if it holds itself for the primary.
+    pub primary: bool,
+}
+
+/// `Beat` is what came of a question to an instance whether it leads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Beat {
+    /// It leads, and its log has reached the point.
+    Leads(LogPoint),
+    /// It is a replica.
+    Follows,
+    /// It answered, but not on the question.
+    Busy,
+    /// It did not answer in time.
+    Silent,
+}
+
+/// `Ordered` is what came of a promotion order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ordered {
+    /// The platform accepted it.
+    Accepted,
+    /// The platform refused it; its token is dead.
+    Rejected,
+    /// The platform did nothing.
+    NotRun,
+    /// It is unknown whether or when it is executed.
+    Unknown,
+}
+
+/// `Input` is what a keeper is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// The instances of the database.
+    Instances(SmallVec<[Known; INLINE_INSTANCES]>),
+    /// The answer to `Action::Beat`.
+    Beat(InstanceKey, Beat),
+    /// The answer to `Action::Stop`: what the replica has received; `None` if it did not answer.
+    Stopped(InstanceKey, Option<LogPoint>),
+    /// The answer to `Action::Claim`; `None` if no token could be had.
+    Claimed(Option<u64>),
+    /// The answer to `Action::Order`.
+    Ordered(Ordered),
+}
+
+/// `Action` is what a keeper wants done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Asks an instance whether it leads.
+    Beat(InstanceKey),
+    /// Gets a new fencing token.
+    Claim,
+    /// Stops a replica from receiving, up to the term.
+    Stop(InstanceKey, Term),
+    /// Lets a replica receive again; has no answer.
+    Resume(InstanceKey),
+    /// Orders the promotion of an instance.
+    Order {
+        /// The instance.
+        instance: InstanceKey,
+        /// The fencing token.
+        token: u64,
+    },
+    /// Writes an event to the log.
+    Record {
+        /// The event.
+        event: Event,
+        /// The instance that it concerns.
+        instance: Option<InstanceKey>,
+        /// The term that it concerns.
+        term: Term,
+        /// Why.
+        reason: &'static str,
+    },
+}
+
+/// `Keeper` is the state of one database at the VM that keeps it.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    options: KeeperOptions,
+    instances: SmallVec<[Known; INLINE_INSTANCES]>,
+    primary: Option<InstanceKey>,
+    term: Term,
+    phase: Phase,
+    asked: Option<InstanceKey>,
+    next_beat: Time,
+    turn: usize,
+    silent: Option<Silence>,
+    retry: Time,
+    unsettled: bool,
+    started: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    since: Time,
+    misses: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    Watching,
+    Claiming { planned: bool },
+    Stopping(Stopping),
+    Ordering { instance: InstanceKey, token: u64, resend: Option<Time> },
+    Taking { instance: InstanceKey, until: Time },
+    Settling { instance: InstanceKey, token: u64, resend: Option<Time> },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Stopping {
+    token: u64,
+    planned: bool,
+    term: Term,
+    since: Time,
+    asked: Time,
+    stopped: SmallVec<[(InstanceKey, LogPoint); INLINE_INSTANCES]>,
+}
+
+impl Keeper {
+    /// Makes a keeper that knows nothing yet.
+    pub fn new(options: KeeperOptions, now: Time) -> Self {
+        Self {
+            options,
+            instances: SmallVec::new(),
+            primary: None,
+            term: Term(0),
+            phase: Phase::Watching,
+            asked: None,
+            next_beat: now,
+            turn: 0,
+            silent: None,
+            retry: now,
+            unsettled: false,
+            started: false,
+        }
+    }
+
+    /// Gets the instance that led when it was last asked.
+    pub fn primary(&self) -> Option<InstanceKey> {
+        self.primary
+    }
+
+    /// Returns `true` while the primary is being replaced.
+    pub fn is_promoting(&self) -> bool {
+        self.phase != Phase::Watching
+    }
+
+    /// Gets the time at which `Input::Tick` is needed next.
+    pub fn next_due(&self) -> Time {
+        let beat = if self.asked.is_some() { Time(u64::MAX) } else { self.next_beat };
+        match &self.phase {
+            Phase::Watching => beat.min(self.silent.map_or(beat, |_| beat.max(self.retry))),
+            Phase::Claiming { .. } => beat,
+            Phase::Stopping(stopping) => {
+                beat.min(stopping.asked + self.options.repeat)
+                    .min(stopping.since + self.options.stopping)
+            }
+            Phase::Ordering { resend, .. } | Phase::Settling { resend, .. } => {
+                resend.map_or(beat, |at| beat.min(at))
+            }
+            Phase::Taking { until, .. } => beat.min(*until),
+        }
+    }
+
+    /// Takes in an input and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Action>) {
+        match input {
+            Input::Tick => {}
+            Input::Instances(instances) => self.note_instances(now, instances),
+            Input::Beat(instance, beat) => self.note_beat(now, instance, beat, out),
+            Input::Stopped(instance, point) => self.note_stopped(instance, point),
+            Input::Claimed(token) => self.note_claim(now, token, out),
+            Input::Ordered(outcome) => self.note_order(now, outcome, out),
+        }
+        self.advance(now, out);
+        self.beat(now, out);
+    }
+
+    fn note_instances(&mut self, now: Time, instances: SmallVec<[Known; INLINE_INSTANCES]>) {
+        self.instances = instances;
+        if self.primary.is_some_and(|primary| self.known(primary).is_none()) {
+            // The directory no longer names it, so there is nothing to wait for.
+            self.primary = None;
+            self.silent.get_or_insert(Silence { since: now, misses: self.options.misses });
+        }
+    }
+
+    fn note_beat(&mut self, now: Time, instance: InstanceKey, beat: Beat, out: &mut Vec<Action>) {
+        if self.asked == Some(instance) {
+            self.asked = None;
+        }
+        match beat {
+            Beat::Leads(point) => self.note_leader(now, instance, point, out),
+            Beat::Busy => {}
+            Beat::Follows => {
+                if self.primary == Some(instance) {
+                    self.primary = None;
+                }
+                if self.primary.is_none() {
+                    self.miss(now);
+                }
+            }
+            Beat::Silent => {
+                let counts = self.primary.is_none_or(|primary| primary == instance);
+                if counts {
+                    self.miss(now);
+                }
+            }
+        }
+        let pace =
+            if self.silent.is_some() { self.options.alarm } else { self.options.interval };
+        self.next_beat = now + pace;
+    }
+
+    fn note_leader(
+        &mut self,
+        now: Time,
+        instance: InstanceKey,
+        point: LogPoint,
+        out: &mut Vec<Action>,
+    ) {
+        if point.term < self.term {
+            return;
+        }
+        self.term = point.term;
+        self.silent = None;
+        let former = self.primary.replace(instance);
+        let first = !std::mem::replace(&mut self.started, true);
+        if first || former != Some(instance) {
+            out.push(record(Event::PrimarySeen, Some(instance), point.term, "answered as primary"));
+        }
+        if first {
+            // A keeper before this one may have left replicas stopped.
+            self.resume_all(out);
+        }
+        match &self.phase {
+            Phase::Taking { instance: target, .. } if *target == instance => {
+                out.push(record(Event::PrimaryPromoted, Some(instance), point.term, "leads"));
+                self.phase = Phase::Watching;
+                self.unsettled = false;
+            }
+            Phase::Stopping(stopping) if !stopping.planned => {
+                let token = stopping.token;
+                self.give_up(now, "the primary answers again", out);
+                if self.unsettled {
+                    self.settle(instance, token, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn note_stopped(&mut self, instance: InstanceKey, point: Option<LogPoint>) {
+        let Phase::Stopping(stopping) = &mut self.phase else { return };
+        let Some(point) = point else { return };
+        stopping.stopped.retain(|(stopped, _)| *stopped != instance);
+        stopping.stopped.push((instance, point));
+        self.term = self.term.max(point.term);
+    }
+
+    fn note_claim(&mut self, now: Time, token: Option<u64>, out: &mut Vec<Action>) {
+        let Phase::Claiming { planned } = self.phase else { return };
+        let Some(token) = token else {
+            self.phase = Phase::Watching;
+            self.retry = now + self.options.retry;
+            return;
+        };
+        if let (true, Some(primary), None) = (self.unsettled, self.primary, self.silent) {
+            self.settle(primary, token, out);
+            return;
+        }
+        let term = Term(self.term.0 + 1);
+        out.push(record(Event::PromotionStarted, self.primary, term, why(planned)));
+        self.phase = Phase::Stopping(Stopping {
+            token,
+            planned,
+            term,
+            since: now,
+            asked: now,
+            stopped: SmallVec::new(),
+        });
+        self.ask_to_stop(out);
+    }
+
+    fn note_order(&mut self, now: Time, outcome: Ordered, out: &mut Vec<Action>) {
+        let (settling, instance, token) = match self.phase {
+            Phase::Ordering { instance, token, .. } => (false, instance, token),
+            Phase::Settling { instance, token, .. } => (true, instance, token),
+            _ => return,
+        };
+        let resend = Some(now + self.options.alarm);
+        match (outcome, settling) {
+            (Ordered::Accepted, false) => {
+                self.phase = Phase::Taking { instance, until: now + self.options.taking };
+                self.next_beat = now;
+            }
+            (Ordered::Accepted, true) => {
+                self.unsettled = false;
+                self.phase = Phase::Watching;
+            }
+            (Ordered::Rejected, _) => {
+                // The platform has seen a higher token or the instance does not run.
+                self.give_up(now, "the platform refused the order", out);
+            }
+            (Ordered::NotRun, false) => self.phase = Phase::Ordering { instance, token, resend },
+            (Ordered::NotRun, true) => self.phase = Phase::Settling { instance, token, resend },
+            (Ordered::Unknown, _) => {
+                self.unsettled = true;
+                self.phase = Phase::Claiming { planned: self.silent.is_none() && !settling };
+                out.push(Action::Claim);
+            }
+        }
+    }
+
+    fn advance(&mut self, now: Time, out: &mut Vec<Action>) {
+        match &self.phase {
+            Phase::Watching => self.consider(now, out),
+            Phase::Stopping(stopping) => {
+                if self.all_stopped(stopping) {
+                    self.choose(now, out);
+                } else if stopping.since + self.options.stopping <= now {
+                    self.give_up(now, "a replica does not answer", out);
+                } else if stopping.asked + self.options.repeat <= now {
+                    self.ask_again(now, out);
+                }
+            }
+            Phase::Ordering { instance, token, resend: Some(at) } if *at <= now => {
+                let (instance, token) = (*instance, *token);
+                self.order(instance, token, out);
+            }
+            Phase::Settling { instance, token, resend: Some(at) } if *at <= now => {
+                let (instance, token) = (*instance, *token);
+                self.settle(instance, token, out);
+            }
+            Phase::Taking { until, .. } if *until <= now => {
+                self.give_up(now, "the promoted instance does not lead", out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts a promotion if the primary is silent or leaves.
+    fn consider(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.retry {
+            return;
+        }
+        let silent = self.silent.is_some_and(|silence| {
+            self.options.misses <= silence.misses
+                && self.options.silence <= now.since(silence.since)
+        });
+        let leaving = self.primary.and_then(|primary| self.known(primary)).is_some_and(|primary| {
+            primary.leaving && self.instances.iter().any(|other| !other.leaving)
+        });
+        let able = self.instances.iter().any(|known| self.primary != Some(known.key));
+        if able && (silent || leaving || self.unsettled) {
+            self.phase = Phase::Claiming { planned: !silent };
+            out.push(Action::Claim);
+        }
+    }
+
+    /// Returns `true` once every replica that the directory names has stopped receiving.
+    fn all_stopped(&self, stopping: &Stopping) -> bool {
+        let mut any = false;
+        for replica in self.replicas() {
+            if !stopping.stopped.iter().any(|(stopped, _)| *stopped == replica) {
+                return false;
+            }
+            any = true;
+        }
+        any
+    }
+
+    fn choose(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Phase::Stopping(stopping) = &self.phase else { return };
+        let (token, planned) = (stopping.token, stopping.planned);
+        let present = stopping.stopped.iter().filter(|(key, _)| self.known(*key).is_some());
+        let best = present.max_by_key(|(key, point)| (*point, !self.is_leaving(*key)));
+        let Some((instance, _)) = best.copied() else {
+            return self.give_up(now, "no replica is left", out);
+        };
+        if planned && self.is_leaving(instance) {
+            return self.give_up(now, "the furthest replica leaves too", out);
+        }
+        self.order(instance, token, out);
+    }
+
+    fn order(&mut self, instance: InstanceKey, token: u64, out: &mut Vec<Action>) {
+        self.phase = Phase::Ordering { instance, token, resend: None };
+        out.push(record(Event::PromotionOrdered, Some(instance), self.term, "received most"));
+        out.push(Action::Order { instance, token });
+    }
+
+    /// Makes tokens of earlier orders worthless by an order that changes nothing.
+    fn settle(&mut self, primary: InstanceKey, token: u64, out: &mut Vec<Action>) {
+        self.phase = Phase::Settling { instance: primary, token, resend: None };
+        out.push(Action::Order { instance: primary, token });
+    }
+
+    fn give_up(&mut self, now: Time, reason: &'static str, out: &mut Vec<Action>) {
+        out.push(record(Event::PromotionAbandoned, self.primary, self.term, reason));
+        self.resume_all(out);
+        self.phase = Phase::Watching;
+        self.retry = now + self.options.retry;
+    }
+
+    fn resume_all(&self, out: &mut Vec<Action>) {
+        out.extend(self.replicas().map(Action::Resume));
+    }
+
+    fn ask_to_stop(&self, out: &mut Vec<Action>) {
+        let Phase::Stopping(stopping) = &self.phase else { return };
+        let is_stopped = |key| stopping.stopped.iter().any(|(stopped, _)| *stopped == key);
+        let missing = self.replicas().filter(|key| !is_stopped(*key));
+        out.extend(missing.map(|key| Action::Stop(key, stopping.term)));
+    }
+
+    fn ask_again(&mut self, now: Time, out: &mut Vec<Action>) {
+        let term = Term(self.term.0 + 1);
+        if let Phase::Stopping(stopping) = &mut self.phase {
+            stopping.asked = now;
+            stopping.term = stopping.term.max(term);
+        }
+        self.ask_to_stop(out);
+    }
+
+    fn beat(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.asked.is_some() || now < self.next_beat {
+            return;
+        }
+        let target = match self.phase {
+            Phase::Taking { instance, .. } => Some(instance),
+            _ => self.primary.or_else(|| self.next_suspect()),
+        };
+        let Some(target) = target else {
+            self.next_beat = now + self.options.interval;
+            return;
+        };
+        self.asked = Some(target);
+        out.push(Action::Beat(target));
+    }
+
+    /// Gets the next instance that may lead: those that say so in the directory first.
+    fn next_suspect(&mut self) -> Option<InstanceKey> {
+        let mut order = self.instances.clone();
+        order.sort_by_key(|known| !known.primary);
+        let known = order.get(self.turn % order.len().max(1))?;
+        self.turn += 1;
+        Some(known.key)
+    }
+
+    fn miss(&mut self, now: Time) {
+        let silence = self.silent.get_or_insert(Silence { since: now, misses: 0 });
+        silence.misses += 1;
+    }
+
+    fn replicas(&self) -> impl Iterator<Item = InstanceKey> {
+        let primary = self.primary;
+        self.instances.iter().map(|known| known.key).filter(move |key| primary != Some(*key))
+    }
+
+    fn known(&self, key: InstanceKey) -> Option<Known> {
+        self.instances.iter().copied().find(|known| known.key == key)
+    }
+
+    fn is_leaving(&self, key: InstanceKey) -> bool {
+        self.known(key).is_some_and(|known| known.leaving)
+    }
+}
+
+fn why(planned: bool) -> &'static str {
+    if planned { "the primary leaves" } else { "the primary is silent" }
+}
+
+fn record(
+    event: Event,
+    instance: Option<InstanceKey>,
+    term: Term,
+    reason: &'static str,
+) -> Action {
+    Action::Record { event, instance, term, reason }
+}
--- a/oleander-failover/src/lib.rs
+++ b/oleander-failover/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod acks;
 pub mod detector;
+pub mod keeper;
 pub mod messages;
 pub mod options;
 pub mod promoter;
--- a/oleander-limits/src/home/mod.rs
+++ b/oleander-limits/src/home/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod estimate;
 pub mod fair;
+pub mod pool;
 pub mod queue;
 pub mod slots;
 pub mod transactions;
--- a/oleander-load/src/cluster/fleet.rs
+++ b/oleander-load/src/cluster/fleet.rs
@@ -12,10 +12,10 @@
 use oleander_core::time::Span;
 use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_membership::messages::SectionBody;
-use oleander_platform::configuration;
-use oleander_platform::configuration::Publication;
-use oleander_platform::configuration::PublishError;
-use oleander_platform::store::StoreOptions;
+use oleander_store::configuration;
+use oleander_store::configuration::Publication;
+use oleander_store::configuration::PublishError;
+use oleander_store::store::StoreOptions;
 use oleander_proxy::fleet::view::FleetView;
 use oleander_standin::group::Group;
 use oleander_standin::group::GroupOptions;
@@ -171,9 +171,9 @@
     }
 
     /// Gets a client of the store.
-    pub fn store_client(&self) -> oleander_platform::store::Store {
+    pub fn store_client(&self) -> oleander_store::store::Store {
         let endpoints = vec![format!("http://{}", self.store.address())];
-        oleander_platform::store::Store::new(StoreOptions { endpoints, ..StoreOptions::default() })
+        oleander_store::store::Store::new(StoreOptions { endpoints, ..StoreOptions::default() })
     }
 
     /// Puts the running VMs into the balancer's list.
--- /dev/null
+++ b/oleander-membership/src/leased.rs
@@ -0,0 +1,137 @@
+//! Membership by leased keys of the store: who is here, who serves what, and who owns which share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use oleander_core::hash;
+use oleander_core::ids::VmId;
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+
+/// The number of shares that VMs own: a power of two well above the number of VMs before one workspace.
+pub const SHARES: usize = 64;
+
+/// The VMs of a placement that are kept on the stack.
+const INLINE_HOMES: usize = 4;
+
+/// `LeasedMember` is what a VM writes of itself under its lease.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LeasedMember {
+    /// The name from the VM's settings.
+    pub name: String,
+    /// Where the VM stands.
+    pub place: Place,
+    /// The address at which it takes peer streams.
+    pub peers: SocketAddr,
+    /// The number of this life of the process.
+    pub life: u64,
+    /// `true` once the VM is stopping.
+    pub leaving: bool,
+}
+
+impl LeasedMember {
+    /// Gets the identifier of the VM.
+    pub fn vm(&self) -> VmId {
+        VmId::from_name(&self.name)
+    }
+}
+
+/// `LeasedRoster` holds the VMs whose leases run, and for a while those whose lease has ended.
+///
+/// A lease may end because the store was away, so that a VM without one still
+/// counts for the placement of homes, which needs no agreement. Shares, which
+/// must be exclusive, count by running leases alone.
+#[derive(Clone, Debug, Default)]
+pub struct LeasedRoster {
+    members: BTreeMap<VmId, Entry>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    member: LeasedMember,
+    ended: Option<Time>,
+}
+
+impl LeasedRoster {
+    /// Takes in the record of a VM.
+    pub fn put(&mut self, member: LeasedMember) {
+        self.members.insert(member.vm(), Entry { member, ended: None });
+    }
+
+    /// Takes in that the lease of a VM has ended.
+    pub fn end(&mut self, vm: VmId, now: Time) {
+        let Some(entry) = self.members.get_mut(&vm) else { return };
+        if entry.member.leaving {
+            self.members.remove(&vm);
+        } else {
+            entry.ended.get_or_insert(now);
+        }
+    }
+
+    /// Ends the leases of all VMs but those named, as after a full read of the store.
+    pub fn keep(&mut self, present: &[VmId], now: Time) {
+        let gone: Vec<VmId> =
+            self.members.keys().filter(|vm| !present.contains(vm)).copied().collect();
+        for vm in gone {
+            self.end(vm, now);
+        }
+    }
+
+    /// Forgets the VMs whose leases ended more than `grace` ago.
+    pub fn forget(&mut self, now: Time, grace: Span) {
+        self.members.retain(|_, entry| entry.ended.is_none_or(|at| now.since(at) < grace));
+    }
+
+    /// Gets a VM that is here or was a moment ago.
+    pub fn member(&self, vm: VmId) -> Option<&LeasedMember> {
+        self.members.get(&vm).map(|entry| &entry.member)
+    }
+
+    /// Returns `true` if the VM's lease runs.
+    pub fn is_present(&self, vm: VmId) -> bool {
+        self.members.get(&vm).is_some_and(|entry| entry.ended.is_none())
+    }
+
+    /// Gets the VMs whose leases run.
+    pub fn present(&self) -> impl Iterator<Item = &LeasedMember> {
+        self.members.values().filter(|entry| entry.ended.is_none()).map(|entry| &entry.member)
+    }
+
+    /// Orders the VMs that may be the home of `key` at `place`: the nearest first, among equally
+    /// near ones by rendezvous. `is_up` leaves out those that are known not to answer.
+    pub fn homes(
+        &self,
+        key: u64,
+        place: &Place,
+        is_up: impl Fn(VmId) -> bool,
+    ) -> SmallVec<[VmId; INLINE_HOMES]> {
+        let mut ranked: SmallVec<[_; 16]> = self
+            .members
+            .values()
+            .map(|entry| &entry.member)
+            .filter(|member| !member.leaving && is_up(member.vm()))
+            .map(|member| {
+                let vm = member.vm();
+                let score = hash::combine(key, vm.0);
+                (member.place.distance(place), std::cmp::Reverse(score), vm)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, _, vm)| vm).collect()
+    }
+
+    /// Orders the VMs whose leases run for a duty of the fleet, the first in line first.
+    pub fn candidates(&self, key: u64) -> Vec<VmId> {
+        let vms = self.present().filter(|member| !member.leaving).map(LeasedMember::vm);
+        hash::rendezvous(key, vms, |vm| vm.0)
+    }
+
+    /// Gets the owner of each share: the first VM in the rendezvous order of those with a lease.
+    pub fn owners(&self) -> Vec<Option<VmId>> {
+        (0..SHARES as u64).map(|share| self.candidates(hash::mix(share)).first().copied()).collect()
+    }
+}
--- a/oleander-membership/src/lib.rs
+++ b/oleander-membership/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod currency;
 pub mod head;
+pub mod leased;
 pub mod liveness;
 pub mod messages;
 pub mod node;
--- /dev/null
+++ b/oleander-node/src/control/apply.rs
@@ -0,0 +1,270 @@
+//! How readings and changes of the store become a view.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use oleander_config::snapshot::Snapshot;
+use oleander_core::events::Event;
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::InstanceKey;
+use oleander_core::ids::VmId;
+use oleander_core::time::Time;
+use oleander_membership::leased::LeasedMember;
+use oleander_ports::sources::Sources;
+use oleander_ports::store::Change;
+use oleander_ports::store::Changes;
+use oleander_ports::store::Entry;
+use oleander_ports::store::Reading;
+use oleander_ports::store::StoreRevision;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+
+use crate::fleet::Instance;
+use crate::fleet::KeeperRecord;
+use crate::fleet::Kept;
+use crate::fleet::View;
+use crate::settings::NodeSettings;
+
+/// The folder of the records of VMs below the product's own prefix.
+const VMS: &str = "vm/";
+
+/// The folder of the records of keepers below the product's own prefix.
+const KEEPERS: &str = "keeper/";
+
+/// Gets the key of a VM's record.
+pub fn vm_key(sources: &Sources, name: &str) -> String {
+    format!("{}{VMS}{name}", sources.own)
+}
+
+/// Gets the key of the record of a database's keeper.
+pub fn keeper_key(sources: &Sources, database: &str) -> String {
+    format!("{}{KEEPERS}{database}", sources.own)
+}
+
+/// `Applier` turns what the store told into views.
+#[derive(Debug)]
+pub struct Applier {
+    sources: Sources,
+    settings: Arc<NodeSettings>,
+    journal: Journal,
+}
+
+/// `Draft` is a view in the making; its parts are copied only once they change.
+struct Draft {
+    view: View,
+    now: Time,
+}
+
+impl Applier {
+    /// Makes an applier.
+    pub fn new(sources: Sources, settings: Arc<NodeSettings>, journal: Journal) -> Self {
+        Self { sources, settings, journal }
+    }
+
+    /// Makes the view that follows `former` after a full read.
+    pub fn read(&self, former: &View, reading: Reading, now: Time) -> View {
+        let mut draft = Draft { view: former.clone(), now };
+        let present: HashSet<&str> =
+            reading.entries.iter().map(|entry| entry.key.as_str()).collect();
+        self.drop_absent(&mut draft, &present);
+        for entry in &reading.entries {
+            self.put(&mut draft, entry);
+        }
+        draft.view.revision = reading.revision;
+        draft.view
+    }
+
+    /// Makes the view that follows `former` after changes; `None` if nothing of interest changed.
+    pub fn change(&self, former: &View, changes: Changes, now: Time) -> Option<View> {
+        if changes.changes.is_empty() {
+            return None;
+        }
+        let mut draft = Draft { view: former.clone(), now };
+        for change in &changes.changes {
+            match change {
+                Change::Put(entry) => self.put(&mut draft, entry),
+                Change::Deleted { key, revision } => self.delete(&mut draft, key, *revision),
+            }
+        }
+        draft.view.revision = changes.revision;
+        Some(draft.view)
+    }
+
+    fn drop_absent(&self, draft: &mut Draft, present: &HashSet<&str>) {
+        let view = &mut draft.view;
+        let directory = self.sources.directory;
+        let is_listed = |instance: &Instance| {
+            present.contains(format!("{directory}{}", instance.entry.instance).as_str())
+        };
+        if !view.instances.values().all(is_listed) {
+            Arc::make_mut(&mut view.instances).retain(|_, instance| is_listed(instance));
+        }
+        let vms: Vec<VmId> = present
+            .iter()
+            .filter_map(|key| key.strip_prefix(self.sources.own)?.strip_prefix(VMS))
+            .map(VmId::from_name)
+            .collect();
+        Arc::make_mut(&mut view.roster).keep(&vms, draft.now);
+        let databases: Vec<DatabaseId> = present
+            .iter()
+            .filter_map(|key| key.strip_prefix(self.sources.own)?.strip_prefix(KEEPERS))
+            .map(DatabaseId::from_name)
+            .collect();
+        Arc::make_mut(&mut view.keepers).retain(|database, _| databases.contains(database));
+    }
+
+    fn put(&self, draft: &mut Draft, entry: &Entry) {
+        if entry.key == self.sources.configuration {
+            self.put_configuration(draft, entry);
+        } else if entry.key.starts_with(self.sources.directory) {
+            self.put_instance(draft, entry);
+        } else if let Some(own) = entry.key.strip_prefix(self.sources.own) {
+            if own.starts_with(VMS) {
+                self.put_vm(draft, entry);
+            } else if let Some(database) = own.strip_prefix(KEEPERS) {
+                self.put_keeper(draft, database, entry);
+            }
+        }
+    }
+
+    fn delete(&self, draft: &mut Draft, key: &str, revision: StoreRevision) {
+        let view = &mut draft.view;
+        if let Some(name) = key.strip_prefix(self.sources.directory) {
+            let instances = Arc::make_mut(&mut view.instances);
+            if instances.remove(&InstanceKey::from_name(name)).is_some() {
+                let fields =
+                    [Field::text("instance", name), Field::text("state", "gone"), at(revision)];
+                self.journal.record(Event::InstanceChanged, &fields);
+            }
+        } else if let Some(own) = key.strip_prefix(self.sources.own) {
+            if let Some(name) = own.strip_prefix(VMS) {
+                Arc::make_mut(&mut view.roster).end(VmId::from_name(name), draft.now);
+                self.journal.record(Event::VmLeft, &[Field::text("vm", name), at(revision)]);
+            } else if let Some(database) = own.strip_prefix(KEEPERS) {
+                Arc::make_mut(&mut view.keepers).remove(&DatabaseId::from_name(database));
+            }
+        }
+    }
+
+    /// A configuration that cannot be read leaves the one before in force.
+    fn put_configuration(&self, draft: &mut Draft, entry: &Entry) {
+        if entry.revision <= draft.view.configured {
+            return;
+        }
+        match (self.sources.decode_configuration)(&entry.value) {
+            Ok(snapshot) => {
+                self.note_configuration(&snapshot, entry.revision);
+                draft.view.snapshot = Arc::new(snapshot);
+                draft.view.configured = entry.revision;
+            }
+            Err(reason) => {
+                let fields = [Field::text("reason", reason), at(entry.revision)];
+                self.journal.record(Event::RevisionRejected, &fields);
+            }
+        }
+    }
+
+    fn note_configuration(&self, snapshot: &Snapshot, revision: StoreRevision) {
+        let fields = [
+            Field::number("revision", snapshot.revision.0),
+            Field::number("routes", snapshot.routes.len() as u64),
+            Field::number("workspaces", snapshot.workspaces.len() as u64),
+            at(revision),
+        ];
+        self.journal.record(Event::RevisionInForce, &fields);
+    }
+
+    fn put_instance(&self, draft: &mut Draft, entry: &Entry) {
+        let name = entry.key.strip_prefix(self.sources.directory).unwrap_or_default();
+        let key = InstanceKey::from_name(name);
+        let decoded = match (self.sources.decode_entry)(&entry.key, &entry.value) {
+            Ok(decoded) => decoded,
+            Err(reason) => {
+                let fields =
+                    [Field::text("instance", name), Field::text("reason", reason), at(entry.revision)];
+                self.journal.record(Event::EntryRejected, &fields);
+                Arc::make_mut(&mut draft.view.instances).remove(&key);
+                return;
+            }
+        };
+        let instance = Instance {
+            key,
+            database: DatabaseId::from_name(&decoded.database),
+            place: self.settings.place_of(&decoded.zone),
+            entry: decoded,
+        };
+        if draft.view.instances.get(&key) == Some(&instance) {
+            return;
+        }
+        let fields = [
+            Field::text("instance", name),
+            Field::text("database", &instance.entry.database),
+            Field::text("zone", &instance.entry.zone),
+            Field::text("state", if instance.entry.leaving { "leaving" } else { "ready" }),
+            Field::text("role", if instance.entry.primary { "primary" } else { "replica" }),
+            Field::number("life", instance.entry.life),
+            at(entry.revision),
+        ];
+        self.journal.record(Event::InstanceChanged, &fields);
+        Arc::make_mut(&mut draft.view.instances).insert(key, instance);
+    }
+
+    fn put_vm(&self, draft: &mut Draft, entry: &Entry) {
+        let Ok(member) = serde_json::from_slice::<LeasedMember>(&entry.value) else {
+            return self.reject(entry);
+        };
+        if draft.view.roster.member(member.vm()) != Some(&member) {
+            let fields = [
+                Field::text("vm", &member.name),
+                Field::text("state", if member.leaving { "leaving" } else { "here" }),
+                Field::number("life", member.life),
+                at(entry.revision),
+            ];
+            self.journal.record(Event::VmJoined, &fields);
+        }
+        Arc::make_mut(&mut draft.view.roster).put(member);
+    }
+
+    fn put_keeper(&self, draft: &mut Draft, database: &str, entry: &Entry) {
+        let Ok(record) = serde_json::from_slice::<KeeperRecord>(&entry.value) else {
+            return self.reject(entry);
+        };
+        let id = DatabaseId::from_name(database);
+        let kept = Kept {
+            vm: VmId::from_name(&record.holder),
+            primary: record.primary.as_deref().map(InstanceKey::from_name),
+            revision: entry.revision,
+        };
+        let former = draft.view.keepers.get(&id);
+        if former.is_none_or(|former| (former.vm, former.primary) != (kept.vm, kept.primary)) {
+            let fields = [
+                Field::text("database", database),
+                Field::text("holder", &record.holder),
+                Field::text("primary", record.primary.as_deref().unwrap_or("none")),
+                at(entry.revision),
+            ];
+            self.journal.record(Event::KeeperChanged, &fields);
+        }
+        Arc::make_mut(&mut draft.view.keepers).insert(id, kept);
+    }
+
+    fn reject(&self, entry: &Entry) {
+        let fields = [
+            Field::text("key", &entry.key),
+            Field::text("reason", "the value is not the record that its key names"),
+            at(entry.revision),
+        ];
+        self.journal.record(Event::EntryRejected, &fields);
+    }
+}
+
+fn at(revision: StoreRevision) -> Field {
+    Field::number("at", revision.0)
+}
+
+/// Gets the databases of all instances of a view, each once.
+pub fn databases(view: &View) -> HashMap<DatabaseId, String> {
+    let named = |instance: &Instance| (instance.database, instance.entry.database.clone());
+    view.instances.values().map(named).collect()
+}
--- /dev/null
+++ b/oleander-node/src/control/lease.rs
@@ -0,0 +1,206 @@
+//! The VM's own record in the store, bound to a lease, and the start of the use of its shares.
+
+use std::sync::Arc;
+
+use oleander_core::events::Event;
+use oleander_core::ids::VmId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_membership::leased::LeasedMember;
+use oleander_peer::client::PeerClient;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_ports::sources::Sources;
+use oleander_ports::store::Commit;
+use oleander_ports::store::CommitOutcome;
+use oleander_ports::store::KeyValue;
+use oleander_ports::store::LeaseId;
+use oleander_ports::store::StoreError;
+use oleander_ports::store::StoreRevision;
+use oleander_ports::store::Write;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use tokio::sync::watch;
+
+use super::Backoff;
+use super::apply;
+use crate::fleet::Fleet;
+
+/// The time of a lease: a lost VM is out of the fleet after at most as long.
+const LEASE: Span = Span::from_millis(3_000);
+
+/// The renewals in the time of a lease, so that two may fail in a row.
+const RENEWALS: u64 = 3;
+
+/// The time within which another VM must say whether it knows of this one.
+const APPLIED_LIMIT: Span = Span::from_millis(1_000);
+
+/// `Held` is the lease that this VM's records are bound to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Held {
+    /// The lease.
+    pub lease: LeaseId,
+    /// The revision at which the VM's own record was written.
+    pub joined: StoreRevision,
+}
+
+/// `Leaseholder` keeps the VM's record in the store.
+pub struct Leaseholder {
+    /// Told until when the lease runs.
+    pub fleet: Arc<Fleet>,
+    /// The store.
+    pub store: Arc<dyn KeyValue>,
+    /// Where the record stands.
+    pub sources: Sources,
+    /// Calls to other VMs.
+    pub peers: PeerClient,
+    /// Records what changes.
+    pub journal: Journal,
+    /// The number of this life of the process.
+    pub life: u64,
+    /// Told of the present lease.
+    pub held: watch::Sender<Option<Held>>,
+}
+
+impl Leaseholder {
+    /// Keeps the record until the VM is stopping, then takes it back.
+    pub async fn run(self) {
+        let mut draining = self.fleet.draining();
+        let mut backoff = Backoff::default();
+        loop {
+            tokio::select! {
+                held = self.hold() => {
+                    self.held.send_replace(None);
+                    self.fleet.set_active(false);
+                    if held.is_err() {
+                        self.fleet.timers.sleep(backoff.pause()).await;
+                    } else {
+                        backoff = Backoff::default();
+                    }
+                }
+                () = drained(&mut draining) => break,
+            }
+        }
+        self.leave().await;
+    }
+
+    /// Takes a lease and renews it until it is lost.
+    async fn hold(&self) -> Result<(), StoreError> {
+        let time = Span(LEASE.0.max(self.fleet.settings.lease.0));
+        let asked = self.fleet.now();
+        let lease = self.store.grant(time).await?;
+        self.fleet.set_leased(asked + time);
+        let joined = self.write(false, lease).await?;
+        self.held.send_replace(Some(Held { lease, joined }));
+        let renewing = self.renew(lease, time);
+        let activating = async {
+            self.activate(joined).await;
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            lost = renewing => lost,
+            () = activating => Ok(()),
+        }
+    }
+
+    async fn renew(&self, lease: LeaseId, time: Span) -> Result<(), StoreError> {
+        let pace = Span(time.0 / RENEWALS);
+        loop {
+            self.fleet.timers.sleep(pace).await;
+            let asked = self.fleet.now();
+            match self.store.renew(lease).await {
+                Ok(()) => self.fleet.set_leased(asked + time),
+                Err(StoreError::LeaseEnded) => return Ok(()),
+                // The lease may still run; the next renewal tells.
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Writes the VM's record, whatever stands there from an earlier life.
+    async fn write(&self, leaving: bool, lease: LeaseId) -> Result<StoreRevision, StoreError> {
+        let settings = &self.fleet.settings;
+        let member = LeasedMember {
+            name: settings.name.clone(),
+            place: settings.place.clone(),
+            peers: settings.peers,
+            life: self.life,
+            leaving,
+        };
+        let value = serde_json::to_vec(&member).map_err(|_| StoreError::Refused)?;
+        let key = apply::vm_key(&self.sources, &settings.name);
+        let commit = Commit { expected: Vec::new(), writes: vec![Write::Put { key, value }] };
+        match self.store.commit(&commit, Some(lease)).await? {
+            CommitOutcome::Committed(revision) => Ok(revision),
+            CommitOutcome::Conflict => Err(StoreError::Refused),
+        }
+    }
+
+    /// Starts the use of own shares once every VM that may have owned them knows of this one.
+    ///
+    /// A VM that does not answer stops using its shares by itself once it has not heard from the
+    /// store for the time of currency.
+    async fn activate(&self, joined: StoreRevision) {
+        let mut changes = self.fleet.changes();
+        if changes.wait_for(|revision| joined <= *revision).await.is_err() {
+            return;
+        }
+        let since = self.fleet.now();
+        let own = self.fleet.vm;
+        let others: Vec<VmId> =
+            self.fleet.view().roster.present().map(LeasedMember::vm).filter(|vm| *vm != own).collect();
+        let calls = others.into_iter().map(|vm| self.wait_applied(vm, joined, since));
+        let mut calls: Vec<_> = calls.map(Box::pin).collect();
+        while let Some(call) = calls.pop() {
+            call.await;
+        }
+        self.fleet.set_active(true);
+        let waited = self.fleet.now().since(since);
+        self.journal.record(
+            Event::SharesActive,
+            &[Field::number("joined", joined.0), Field::millis("waited", waited)],
+        );
+    }
+
+    /// Waits until a VM knows of this one, or cannot use shares that are no longer its own.
+    async fn wait_applied(&self, vm: VmId, joined: StoreRevision, since: Time) {
+        let limit = since + self.fleet.settings.currency();
+        let mut backoff = Backoff::default();
+        while self.fleet.now() < limit {
+            let Some(address) = self.fleet.address(vm) else { return };
+            let request = Request::Applied(joined.0);
+            if let Ok(Reply::Accepted) = self.peers.call(address, &request, APPLIED_LIMIT).await {
+                return;
+            }
+            if !self.fleet.view().roster.is_present(vm) {
+                // Its lease has ended, and it counts its lease from before the store does.
+                return;
+            }
+            self.fleet.timers.sleep(backoff.pause()).await;
+        }
+    }
+
+    /// Tells the fleet that this VM leaves.
+    async fn leave(&self) {
+        let Some(held) = *self.held.borrow() else { return };
+        self.fleet.set_active(false);
+        if let Err(error) = self.write(true, held.lease).await {
+            self.journal.record(Event::StoreUnreachable, &[Field::text("reason", error)]);
+        }
+    }
+
+    /// Ends the lease, once the VM has finished what was open.
+    pub async fn end(store: &dyn KeyValue, held: Option<Held>, journal: &Journal) {
+        let Some(held) = held else { return };
+        if let Err(error) = store.end(held.lease).await {
+            // The lease ends by itself a little later.
+            journal.record(Event::StoreUnreachable, &[Field::text("reason", error)]);
+        }
+    }
+}
+
+/// Returns once the VM is stopping.
+async fn drained(draining: &mut watch::Receiver<bool>) {
+    // A closed channel means that the node has gone, which is a stop too.
+    let _ = draining.wait_for(|draining| *draining).await;
+}
--- /dev/null
+++ b/oleander-node/src/entry/mod.rs
@@ -0,0 +1,5 @@
+//! The entry of callers' sessions: admission, routing and the state of each session.
+
+pub mod forward;
+pub mod route;
+pub mod session;
--- /dev/null
+++ b/oleander-node/src/entry/session.rs
@@ -0,0 +1,380 @@
+//! A caller's session: a connection with values, prepared statements and transactions.
+
+use std::sync::Arc;
+
+use oleander_config::keys;
+use oleander_config::model::KeyHash;
+use oleander_core::events::Event;
+use oleander_core::ids::TransactionId;
+use oleander_core::ids::VmId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
+use oleander_core::verdict::Verdict;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::metrics::Metrics;
+use oleander_session::command::Command;
+use oleander_session::dialog::Dialog;
+use oleander_session::dialog::Phase;
+use oleander_session::dialog::Step;
+use oleander_session::work::Freshness;
+use oleander_session::work::HomeRequest;
+use oleander_session::work::Scope;
+use oleander_session::work::Work;
+
+use super::forward::Forwarder;
+use super::forward::Need;
+use super::route;
+use super::route::Admitted;
+use crate::fleet::Fleet;
+use crate::rates::Rates;
+
+/// The time for which a transaction may rest where the configuration sets none.
+const DEFAULT_REST: Span = Span::from_secs(5);
+
+/// The time within which a transaction of a caller that has gone must be rolled back.
+const ABANDON_LIMIT: Span = Span::from_millis(500);
+
+/// The served requests for each one that is logged.
+const LOG_SAMPLE: u64 = 256;
+
+/// `Entry` opens sessions; it holds what they share.
+pub struct Entry {
+    /// What the VM believes.
+    pub fleet: Arc<Fleet>,
+    /// The rates of workspaces.
+    pub rates: Rates,
+    /// The way to homes.
+    pub forwarder: Forwarder,
+    /// Records refusals.
+    pub journal: Journal,
+    /// Counts and times requests.
+    pub metrics: Metrics,
+}
+
+/// `Session` is one caller's session.
+pub struct Session {
+    entry: Arc<Entry>,
+    name: String,
+    key: Option<KeyHash>,
+    dialog: Dialog,
+    operation: Option<Operation>,
+    open: Option<Open>,
+}
+
+/// `Operation` is a statement or transaction that was admitted.
+struct Operation {
+    admitted: Admitted,
+    started: Time,
+}
+
+/// `Open` is where the session's transaction is.
+struct Open {
+    home: VmId,
+    id: TransactionId,
+    instance: String,
+}
+
+/// `Answered` is the result of one command.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answered {
+    /// The rows.
+    pub rows: Vec<String>,
+    /// The instance's signature; `None` if no instance had to answer.
+    pub signature: Option<String>,
+}
+
+impl Entry {
+    /// Opens a session on the database that callers know by `name`.
+    ///
+    /// # Errors
+    /// Fails "not run" if the configuration does not allow it.
+    pub fn open(self: &Arc<Self>, name: &str, key: Option<&str>) -> Result<Session, Refusal> {
+        let key = key.map(keys::hash_key);
+        route::admit(&self.fleet, name, key.as_ref())
+            .inspect_err(|refusal| self.note_refusal("-", name, None, refusal))?;
+        Ok(Session {
+            entry: self.clone(),
+            name: name.to_owned(),
+            key,
+            dialog: Dialog::default(),
+            operation: None,
+            open: None,
+        })
+    }
+
+    fn note_refusal(
+        &self,
+        statement: &str,
+        name: &str,
+        operation: Option<&Operation>,
+        refusal: &Refusal,
+    ) {
+        let now = self.fleet.now();
+        let view = self.fleet.view();
+        let workspace = operation.map_or("", |operation| operation.admitted.name.as_str());
+        let fields = [
+            Field::text("statement", statement),
+            Field::text("database", name),
+            Field::text("workspace", workspace),
+            Field::text("code", refusal.code),
+            Field::text("verdict", refusal.verdict),
+            Field::text("detail", &refusal.detail),
+            Field::millis("retry_after", refusal.retry_after.unwrap_or(Span::ZERO)),
+            Field::number("revision", view.snapshot.revision.0),
+            Field::millis("age", now.since(self.fleet.proven())),
+        ];
+        self.journal.record(Event::RequestRefused, &fields);
+        self.metrics.count_refusal(workspace, name, refusal.code);
+    }
+}
+
+impl Session {
+    /// Gets the state of the session's transaction.
+    pub fn phase(&self) -> Phase {
+        self.dialog.phase()
+    }
+
+    /// Runs a command.
+    ///
+    /// # Errors
+    /// Fails with the refusal's code and whether the command may have run. A failed statement
+    /// fails its transaction.
+    pub async fn run(&mut self, statement: &str, command: Command) -> Result<Answered, Refusal> {
+        let begins = matches!(command, Command::Begin { .. });
+        if begins && self.dialog.phase() == Phase::Idle {
+            let operation = self.admit().await;
+            self.operation = Some(operation.inspect_err(|refusal| {
+                self.entry.note_refusal(statement, &self.name, None, refusal);
+            })?);
+        }
+        let outcome = match self.dialog.handle(command) {
+            Step::Done => Ok(None),
+            Step::Abandon => {
+                self.abandon();
+                Ok(None)
+            }
+            Step::Refuse(refusal) => Err(refusal),
+            Step::Run(work) => self.run_work(statement, work).await.map(Some),
+        };
+        if let Err(refusal) = &outcome {
+            let operation = self.operation.as_ref();
+            self.entry.note_refusal(statement, &self.name, operation, refusal);
+        }
+        if self.dialog.phase() == Phase::Idle {
+            self.operation = None;
+        }
+        let nothing = Answered { rows: Vec::new(), signature: None };
+        outcome.map(|answered| answered.unwrap_or(nothing))
+    }
+
+    /// Rolls back what is open, as when the caller has gone.
+    pub fn close(mut self) {
+        self.abandon();
+    }
+
+    /// Rolls back what is open; the caller is told that nothing was kept.
+    pub fn abort(&mut self) {
+        self.abandon();
+        self.dialog.failed(&Work::Rollback);
+        self.operation = None;
+    }
+
+    async fn admit(&self) -> Result<Operation, Refusal> {
+        let entry = &self.entry;
+        let started = entry.fleet.now();
+        let admitted = route::admit(&entry.fleet, &self.name, self.key.as_ref())?;
+        let until = started + Span(admitted.route.target.0 / 4);
+        entry.rates.admit(admitted.workspace, admitted.route.cost, until).await?;
+        Ok(Operation { admitted, started })
+    }
+
+    async fn run_work(&mut self, statement: &str, work: Work) -> Result<Answered, Refusal> {
+        let outcome = self.try_work(statement, &work).await;
+        let now = self.entry.fleet.now();
+        match &outcome {
+            Ok((_, point)) => {
+                self.dialog.succeeded(&work, *point);
+                self.note_served(statement, now);
+            }
+            Err(refusal) => {
+                self.dialog.failed(&work);
+                if let Some(open) = self.open.take() {
+                    // The home has ended the transaction unless it never heard of the statement.
+                    if refusal.code == RefusalCode::KeyRejected
+                        || refusal.code == RefusalCode::NotCurrent
+                    {
+                        self.open = Some(open);
+                        self.abandon();
+                    }
+                }
+            }
+        }
+        outcome.map(|(answered, _)| answered)
+    }
+
+    async fn try_work(
+        &mut self,
+        statement: &str,
+        work: &Work,
+    ) -> Result<(Answered, Option<oleander_core::terms::LogPoint>), Refusal> {
+        let operation = match self.operation.take() {
+            Some(operation) => {
+                self.recheck(&operation)?;
+                operation
+            }
+            None => self.admit().await?,
+        };
+        let request = self.request(statement, work, &operation);
+        let outcome = match &self.open {
+            Some(open) => self.run_next(open, request).await,
+            None => self.run_first(&operation, request).await,
+        };
+        self.operation = Some(operation);
+        let (answer, home, instance) = outcome?;
+        self.open = answer.transaction.map(|id| Open { home, id, instance });
+        let answered = Answered { rows: answer.rows, signature: Some(answer.signature) };
+        Ok((answered, answer.point))
+    }
+
+    /// Checks a further statement of a transaction: the key must still hold.
+    fn recheck(&self, operation: &Operation) -> Result<(), Refusal> {
+        if operation.admitted.open {
+            return Ok(());
+        }
+        let entry = &self.entry;
+        let snapshot = &entry.fleet.view().snapshot;
+        if !entry.fleet.is_current() {
+            let detail = "this VM has not heard from the store lately";
+            return Err(Refusal::not_run(RefusalCode::NotCurrent, detail));
+        }
+        let found = self.key.as_ref().and_then(|key| snapshot.workspace_of_key(key));
+        match found.map(|workspace| &snapshot.workspaces[workspace].name) {
+            Some(name) if *name == operation.admitted.name => Ok(()),
+            _ => Err(Refusal::not_run(RefusalCode::KeyRejected, "the key is not known any more")),
+        }
+    }
+
+    fn request(&self, statement: &str, work: &Work, operation: &Operation) -> HomeRequest {
+        let route = &operation.admitted.route;
+        let read_only = match self.dialog.phase() {
+            Phase::Begun { read_only } | Phase::Open { read_only, .. } => read_only,
+            Phase::Idle | Phase::Failed => false,
+        };
+        let scope = match (&self.open, self.dialog.phase()) {
+            (Some(open), _) => Scope::Within(open.id),
+            (None, Phase::Begun { .. }) => Scope::First { read_only },
+            (None, _) => Scope::Single,
+        };
+        let uses_session = route.consistency == oleander_config::model::Consistency::Session;
+        let seen = self.dialog.written().filter(|_| uses_session);
+        let freshness = Freshness { latest: route::needs_latest(route), age: route.age, seen };
+        HomeRequest {
+            id: self.entry.forwarder.next_id(),
+            statement: statement.to_owned(),
+            workspace: operation.admitted.name.clone(),
+            instance: String::new(),
+            values: self.dialog.values(),
+            work: work.clone(),
+            scope,
+            freshness,
+            limit: route.deadline,
+            patience: self.patience(operation),
+            rest: operation.admitted.rest.unwrap_or(DEFAULT_REST),
+        }
+    }
+
+    /// Gets the time for which a statement may wait: until the answer would come too late to be
+    /// of full worth. What is open already may wait as long as it may run.
+    fn patience(&self, operation: &Operation) -> Span {
+        let route = &operation.admitted.route;
+        if self.open.is_some() {
+            return route.deadline;
+        }
+        let spent = self.entry.fleet.now().since(operation.started);
+        route.target.saturating_sub(spent).min(route.deadline)
+    }
+
+    async fn run_first(
+        &self,
+        operation: &Operation,
+        request: HomeRequest,
+    ) -> Result<(oleander_session::work::HomeAnswer, VmId, String), Refusal> {
+        let read_only = matches!(request.scope, Scope::First { read_only: true });
+        let reads = match request.scope {
+            Scope::First { .. } => read_only,
+            _ => !request.work.is_write(),
+        };
+        let need = if reads && !request.freshness.latest { Need::Any } else { Need::Primary };
+        let until = self.entry.fleet.now() + request.patience;
+        let database = operation.admitted.database;
+        let ran = self.entry.forwarder.run(database, need, request, until).await?;
+        Ok((ran.answer, ran.home, ran.instance))
+    }
+
+    async fn run_next(
+        &self,
+        open: &Open,
+        mut request: HomeRequest,
+    ) -> Result<(oleander_session::work::HomeAnswer, VmId, String), Refusal> {
+        request.instance.clone_from(&open.instance);
+        let is_commit = request.work == Work::Commit;
+        let answer = self.entry.forwarder.run_within(open.home, request).await;
+        let answer = answer.map_err(|refusal| {
+            if is_commit {
+                return refusal;
+            }
+            // Without a commit nothing of the transaction is kept, wherever its home is.
+            Refusal { verdict: Verdict::NotRun, ..refusal }
+        })?;
+        Ok((answer, open.home, open.instance.clone()))
+    }
+
+    /// Tells the home to roll the transaction back; nobody waits for it.
+    fn abandon(&mut self) {
+        let Some(open) = self.open.take() else { return };
+        let request = HomeRequest {
+            id: self.entry.forwarder.next_id(),
+            statement: String::new(),
+            workspace: String::new(),
+            instance: open.instance,
+            values: Vec::new(),
+            work: Work::Rollback,
+            scope: Scope::Within(open.id),
+            freshness: Freshness::default(),
+            limit: ABANDON_LIMIT,
+            patience: ABANDON_LIMIT,
+            rest: ABANDON_LIMIT,
+        };
+        let entry = self.entry.clone();
+        tokio::spawn(async move {
+            // Without an answer the home ends the transaction once it has rested for too long.
+            let _ = entry.forwarder.run_within(open.home, request).await;
+        });
+    }
+
+    fn note_served(&self, statement: &str, now: Time) {
+        let Some(operation) = &self.operation else { return };
+        let entry = &self.entry;
+        let span = now.since(operation.started);
+        entry.metrics.record_latency(&operation.admitted.name, &self.name, span);
+        if !entry.forwarder.next_id().serial.is_multiple_of(LOG_SAMPLE) {
+            return;
+        }
+        let fields = [
+            Field::text("statement", statement),
+            Field::text("database", &self.name),
+            Field::text("workspace", &operation.admitted.name),
+            Field::millis("latency", span),
+        ];
+        entry.journal.record(Event::RequestServed, &fields);
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.abandon();
+    }
+}
--- /dev/null
+++ b/oleander-node/src/fleet.rs
@@ -0,0 +1,242 @@
+//! What the VM believes of the fleet: one immutable view, replaced as a whole.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use oleander_config::snapshot::Snapshot;
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::InstanceKey;
+use oleander_core::ids::VmId;
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_membership::leased::LeasedRoster;
+use oleander_ports::directory::DirectoryEntry;
+use oleander_ports::store::StoreRevision;
+use oleander_runtime::timer::TimerService;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::settings::NodeSettings;
+
+/// The time for which a VM that did not answer is passed over.
+const SUSPECT_TIME: Span = Span::from_millis(1_000);
+
+/// `KeeperRecord` is the holder of the duty to watch a database, as the store has it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KeeperRecord {
+    /// The name of the VM.
+    pub holder: String,
+    /// The instance that leads; `None` while it is unknown or being replaced.
+    pub primary: Option<String>,
+}
+
+/// `Kept` is a keeper's record with the revision at which it was written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Kept {
+    /// The VM that holds the duty.
+    pub vm: VmId,
+    /// The instance that leads; `None` while it is unknown or being replaced.
+    pub primary: Option<InstanceKey>,
+    /// The revision of the record, which is also the holder's latest fencing token.
+    pub revision: StoreRevision,
+}
+
+/// `View` is the state of the store as this VM knows it.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The revision of the store that the view reflects.
+    pub revision: StoreRevision,
+    /// The configuration.
+    pub snapshot: Arc<Snapshot>,
+    /// The revision of the key that holds the configuration.
+    pub configured: StoreRevision,
+    /// The instances of all databases.
+    pub instances: Arc<HashMap<InstanceKey, Instance>>,
+    /// The VMs.
+    pub roster: Arc<LeasedRoster>,
+    /// The VMs that watch the databases' primaries.
+    pub keepers: Arc<HashMap<DatabaseId, Kept>>,
+}
+
+/// `Instance` is an entry of the directory with what follows from it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Instance {
+    /// The identifier.
+    pub key: InstanceKey,
+    /// The identifier of the database.
+    pub database: DatabaseId,
+    /// Where it stands.
+    pub place: Place,
+    /// The entry.
+    pub entry: DirectoryEntry,
+}
+
+impl View {
+    /// Gets the instances of a database.
+    pub fn instances_of(&self, database: DatabaseId) -> impl Iterator<Item = &Instance> {
+        self.instances.values().filter(move |instance| instance.database == database)
+    }
+
+    /// Gets the instance of a database that the directory names as primary.
+    pub fn listed_primary(&self, database: DatabaseId) -> Option<InstanceKey> {
+        self.instances_of(database)
+            .filter(|instance| instance.entry.primary)
+            .map(|instance| instance.key)
+            .min()
+    }
+}
+
+/// `Fleet` holds the view and when it was last known to be current.
+#[derive(Debug)]
+pub struct Fleet {
+    /// This VM.
+    pub vm: VmId,
+    /// The settings of this VM.
+    pub settings: Arc<NodeSettings>,
+    /// The clock and timers.
+    pub timers: TimerService,
+    view: ArcSwap<View>,
+    changed: watch::Sender<StoreRevision>,
+    proven: AtomicU64,
+    leased: AtomicU64,
+    active: AtomicBool,
+    draining: watch::Sender<bool>,
+    suspects: Mutex<HashMap<VmId, Time>>,
+}
+
+impl Fleet {
+    /// Makes an empty view.
+    pub fn new(settings: Arc<NodeSettings>, timers: TimerService) -> Self {
+        Self {
+            vm: VmId::from_name(&settings.name),
+            settings,
+            timers,
+            view: ArcSwap::default(),
+            changed: watch::Sender::new(StoreRevision(0)),
+            proven: AtomicU64::new(0),
+            leased: AtomicU64::new(0),
+            active: AtomicBool::new(false),
+            draining: watch::Sender::new(false),
+            suspects: Mutex::default(),
+        }
+    }
+
+    /// Gets the time.
+    pub fn now(&self) -> Time {
+        self.timers.now()
+    }
+
+    /// Gets the view.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Replaces the view.
+    pub fn set(&self, view: View) {
+        let revision = view.revision;
+        self.view.store(Arc::new(view));
+        self.changed.send_replace(revision);
+    }
+
+    /// Gets a receiver that tells of each new view.
+    pub fn changes(&self) -> watch::Receiver<StoreRevision> {
+        self.changed.subscribe()
+    }
+
+    /// Notes that the view had all of the store's changes at `time`.
+    pub fn prove(&self, time: Time) {
+        self.proven.fetch_max(time.0, Ordering::AcqRel);
+    }
+
+    /// Gets the last time at which the view was known to be complete.
+    pub fn proven(&self) -> Time {
+        Time(self.proven.load(Ordering::Acquire))
+    }
+
+    /// Gets the time until which the configuration counts as current.
+    pub fn current_until(&self) -> Time {
+        match self.proven() {
+            Time(0) => Time(0),
+            proven => proven + self.settings.currency(),
+        }
+    }
+
+    /// Returns `true` if requests with a key may start.
+    pub fn is_current(&self) -> bool {
+        self.now() < self.current_until()
+    }
+
+    /// Notes until when this VM's lease runs at least.
+    pub fn set_leased(&self, until: Time) {
+        self.leased.store(until.0, Ordering::Release);
+    }
+
+    /// Gets the time until which this VM's lease runs at least.
+    pub fn leased_until(&self) -> Time {
+        Time(self.leased.load(Ordering::Acquire))
+    }
+
+    /// Notes whether all VMs know that this one is here, so that it may use its shares.
+    pub fn set_active(&self, active: bool) {
+        self.active.store(active, Ordering::Release);
+    }
+
+    /// Gets the time until which this VM may use its own shares.
+    pub fn shares_until(&self) -> Time {
+        if self.active.load(Ordering::Acquire) {
+            self.leased_until().min(self.current_until())
+        } else {
+            Time(0)
+        }
+    }
+
+    /// Notes that this VM is stopping.
+    pub fn drain(&self) {
+        self.draining.send_replace(true);
+    }
+
+    /// Returns `true` once this VM is stopping.
+    pub fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Gets a receiver that tells when this VM is stopping.
+    pub fn draining(&self) -> watch::Receiver<bool> {
+        self.draining.subscribe()
+    }
+
+    /// Notes that a VM did not answer, so that others are tried before it. Returns `true` if this
+    /// is news.
+    pub fn suspect(&self, vm: VmId) -> bool {
+        let now = self.now();
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        let until = suspects.insert(vm, now + SUSPECT_TIME);
+        until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns `true` unless the VM has just failed to answer.
+    pub fn is_up(&self, vm: VmId) -> bool {
+        let suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        suspects.get(&vm).is_none_or(|until| *until <= self.now())
+    }
+
+    /// Gets the address of a VM.
+    pub fn address(&self, vm: VmId) -> Option<SocketAddr> {
+        self.view.load().roster.member(vm).map(|member| member.peers)
+    }
+
+    /// Orders the VMs that may be the home of an instance, the first one first.
+    pub fn homes(&self, instance: &Instance) -> smallvec::SmallVec<[VmId; 4]> {
+        let roster = &self.view.load().roster;
+        roster.homes(instance.key.0, &instance.place, |vm| self.is_up(vm))
+    }
+}
--- /dev/null
+++ b/oleander-node/src/home/instance.rs
@@ -0,0 +1,428 @@
+//! One instance at its home: connections, admission and the run of statements.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use oleander_core::events::Event;
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
+use oleander_core::verdict::Verdict;
+use oleander_limits::home::pool::Pick;
+use oleander_limits::home::pool::Pool;
+use oleander_limits::home::queue::Class;
+use oleander_limits::home::slots::Part;
+use oleander_ports::directory::DirectoryEntry;
+use oleander_ports::upstream::LinkError;
+use oleander_ports::upstream::Reply;
+use oleander_ports::upstream::Target;
+use oleander_ports::upstream::Upstreams;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::timer::TimerService;
+use oleander_session::work::Freshness;
+use oleander_session::work::HomeAnswer;
+use oleander_session::work::HomeRequest;
+use oleander_session::work::Scope;
+use oleander_session::work::Work;
+
+use super::backend;
+use super::backend::Backend;
+use super::backend::Statement;
+use super::backend::Wrap;
+use super::slots::InstanceSlots;
+use super::slots::Permit;
+use super::slots::Wanted;
+use super::transactions::OpenTransaction;
+use super::transactions::Transactions;
+use crate::fleet::Instance;
+use crate::primaries::Primaries;
+
+/// The connections of an instance that are left to the keeper and to connections that are closing.
+const RESERVED_CONNECTIONS: u32 = 2;
+
+/// The time within which a connection must be open: a few round trips between regions.
+const OPEN_LIMIT: Span = Span::from_millis(600);
+
+/// The time within which a transaction must be rolled back, or its connection is closed.
+const ROLLBACK_LIMIT: Span = Span::from_millis(500);
+
+/// `HomeParts` is what all homes of a VM share.
+pub struct HomeParts {
+    /// Opens connections.
+    pub upstreams: Arc<dyn Upstreams>,
+    /// What is known of primaries.
+    pub primaries: Arc<Primaries>,
+    /// The open transactions.
+    pub transactions: Transactions,
+    /// The clock and timers.
+    pub timers: TimerService,
+    /// Records what happens to connections.
+    pub journal: Journal,
+}
+
+/// `InstanceHome` runs the statements of one instance.
+pub struct InstanceHome {
+    parts: Arc<HomeParts>,
+    target: Target,
+    database: DatabaseId,
+    key: oleander_core::ids::InstanceKey,
+    slots: InstanceSlots,
+    pool: Mutex<Connections>,
+}
+
+#[derive(Default)]
+struct Connections {
+    pool: Pool<Backend>,
+    cap: u32,
+    closed: bool,
+}
+
+impl InstanceHome {
+    /// Makes the home of an instance that accepts `connections` in all.
+    pub fn new(parts: Arc<HomeParts>, instance: &Instance, connections: u32) -> Self {
+        let DirectoryEntry { instance: name, database, address, .. } = instance.entry.clone();
+        let cap = cap_of(connections);
+        let part = Part { slots: instance.entry.slots.max(1), connections: cap };
+        Self {
+            slots: InstanceSlots::new(parts.timers.clone(), part),
+            target: Target { address, database, instance: name },
+            database: instance.database,
+            key: instance.key,
+            pool: Mutex::new(Connections { cap, ..Connections::default() }),
+            parts,
+        }
+    }
+
+    /// Changes the number of connections and slots.
+    pub fn set_size(&self, slots: u32, connections: u32) {
+        let cap = cap_of(connections);
+        self.lock().cap = cap;
+        self.slots.set_part(Part { slots: slots.max(1), connections: cap });
+    }
+
+    /// Closes the idle connections, as when another VM has become the home.
+    pub fn close_idle(&self) {
+        let idle = self.lock().pool.drain();
+        drop(idle);
+    }
+
+    /// Closes connections as they come back from now on.
+    pub fn close(&self) {
+        self.lock().closed = true;
+        self.close_idle();
+    }
+
+    /// Gets the number of connections, in use or idle.
+    pub fn connections(&self) -> u32 {
+        self.lock().pool.open()
+    }
+
+    /// Runs a statement that stands alone.
+    pub async fn single(
+        self: &Arc<Self>,
+        request: &HomeRequest,
+        until: Time,
+    ) -> Result<HomeAnswer, Refusal> {
+        let wrap = if request.work.is_write() {
+            Wrap::After(None)
+        } else {
+            self.wrap(&request.freshness)?
+        };
+        let permit = self.acquire(request, class_of(&request.work), until).await?;
+        let mut lease = self.connect(request).await?;
+        let reply = lease.backend.single(statement(request), wrap).await;
+        drop(lease);
+        answer(&permit, reply?)
+    }
+
+    /// Opens a transaction and runs its first statement.
+    pub async fn first(
+        self: &Arc<Self>,
+        request: &HomeRequest,
+        read_only: bool,
+        until: Time,
+    ) -> Result<HomeAnswer, Refusal> {
+        let (read_only, after) = match (read_only, self.wrap(&request.freshness)) {
+            (true, Ok(Wrap::After(after))) => (true, after),
+            (true, Err(refusal)) => return Err(refusal),
+            _ => (false, None),
+        };
+        let class = if read_only { Class::Read } else { Class::Write };
+        let mut permit = self.acquire(request, class, until).await?;
+        let mut lease = self.connect(request).await?;
+        lease.backend.begin(read_only, after).await?;
+        // The transaction gives the connection back when it is dropped.
+        permit.keep_connection();
+        let mut transaction = lease.into_transaction(request);
+        self.run_within(&mut transaction, request, &permit).await.map(|mut answer| {
+            if !request.work.is_end() {
+                let id = self.parts.transactions.name();
+                self.parts.transactions.rest(id, transaction, self.parts.timers.now());
+                answer.transaction = Some(id);
+            }
+            answer
+        })
+    }
+
+    /// Runs a further statement of a transaction; a failure ends it.
+    pub async fn next(
+        self: &Arc<Self>,
+        mut transaction: OpenTransaction,
+        request: &HomeRequest,
+        until: Time,
+    ) -> Result<HomeAnswer, Refusal> {
+        let Scope::Within(id) = request.scope else {
+            return Err(Refusal::not_run(RefusalCode::Internal, "home: not within a transaction"));
+        };
+        if request.work == Work::Rollback {
+            self.roll_back(transaction).await;
+            return Ok(HomeAnswer::default());
+        }
+        let permit = match self.acquire(request, Class::Transaction, until).await {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                self.roll_back(transaction).await;
+                return Err(refusal);
+            }
+        };
+        match self.run_within(&mut transaction, request, &permit).await {
+            Ok(mut answer) => {
+                if !request.work.is_end() {
+                    self.parts.transactions.rest(id, transaction, self.parts.timers.now());
+                    answer.transaction = Some(id);
+                }
+                Ok(answer)
+            }
+            Err(refusal) => {
+                drop(permit);
+                self.roll_back(transaction).await;
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Ends a transaction without its commit.
+    pub async fn roll_back(&self, mut transaction: OpenTransaction) {
+        let Some(backend) = transaction.backend() else { return };
+        // A connection in an unknown state is closed, which rolls back, too.
+        let _ = self.parts.timers.within(ROLLBACK_LIMIT, backend.roll_back()).await;
+    }
+
+    /// Takes the connection of an ended transaction back.
+    pub fn release_transaction(&self, workspace: &str, backend: Backend) {
+        self.put_back(workspace, backend);
+        self.slots.disconnect();
+    }
+
+    async fn run_within(
+        &self,
+        transaction: &mut OpenTransaction,
+        request: &HomeRequest,
+        permit: &Permit,
+    ) -> Result<HomeAnswer, Refusal> {
+        let Some(backend) = transaction.backend() else {
+            return Err(Refusal::not_run(RefusalCode::TransactionGone, "the transaction has ended"));
+        };
+        let running = backend.within(statement(request));
+        let reply = match self.parts.timers.within(request.limit, running).await {
+            Some(reply) => reply,
+            None => Err(Refusal::may_have_run(RefusalCode::Timeout, "no answer in time")),
+        };
+        reply.and_then(|reply| answer(permit, reply)).map_err(|refusal| kept_nothing(request, refusal))
+    }
+
+    async fn acquire(
+        &self,
+        request: &HomeRequest,
+        class: Class,
+        until: Time,
+    ) -> Result<Permit, Refusal> {
+        let workspace = WorkspaceId::from_name(&request.workspace);
+        self.slots.acquire(Wanted { workspace, weight: 1, class, until }).await
+    }
+
+    /// Gets a connection of the workspace, an idle one if there is one.
+    async fn connect(self: &Arc<Self>, request: &HomeRequest) -> Result<Lease, Refusal> {
+        let workspace = WorkspaceId::from_name(&request.workspace);
+        let mark = backend::mark_of(&request.values);
+        loop {
+            let pick = {
+                let mut connections = self.lock();
+                let cap = connections.cap;
+                connections.pool.pick(workspace, mark, cap)
+            };
+            match pick {
+                Pick::Reuse(mut backend) => {
+                    if backend.is_sound() {
+                        return Ok(Lease::new(self, &request.workspace, backend));
+                    }
+                    self.lock().pool.forget();
+                }
+                Pick::Open { close } => {
+                    drop(close);
+                    return self.open(&request.workspace).await;
+                }
+                Pick::Full => {
+                    let detail = "all connections of the instance are in use";
+                    return Err(Refusal::not_run(RefusalCode::QueueFull, detail));
+                }
+            }
+        }
+    }
+
+    async fn open(self: &Arc<Self>, workspace: &str) -> Result<Lease, Refusal> {
+        let count = CountGuard { home: self, armed: true };
+        let opening = self.parts.upstreams.open(&self.target, workspace);
+        let opened = match self.parts.timers.within(OPEN_LIMIT, opening).await {
+            Some(opened) => opened,
+            None => Err(LinkError::Connect("the instance did not answer in time")),
+        };
+        match opened {
+            Ok(link) => {
+                count.disarm();
+                Ok(Lease::new(self, workspace, Backend::new(link)))
+            }
+            Err(error) => {
+                let fields = [
+                    Field::text("instance", &self.target.instance),
+                    Field::text("address", self.target.address),
+                    Field::text("reason", &error),
+                ];
+                self.parts.journal.record(Event::ConnectionFailed, &fields);
+                Err(backend::lost(&error))
+            }
+        }
+    }
+
+    /// Decides what must be proved for a read.
+    fn wrap(&self, freshness: &Freshness) -> Result<Wrap, Refusal> {
+        let leads = self.parts.primaries.primary(self.database) == Some(self.key);
+        if freshness.latest {
+            return Ok(Wrap::Primary);
+        }
+        let floor = match freshness.age {
+            None => None,
+            Some(age) => match self.parts.primaries.floor(self.database, age) {
+                Some(floor) => Some(floor),
+                None if leads => return Ok(Wrap::Primary),
+                None => {
+                    let detail = "home: the primary's progress is not known";
+                    return Err(Refusal::not_run(RefusalCode::ReplicaBehind, detail));
+                }
+            },
+        };
+        // A point of a newer term includes whatever the promotion kept of an older one.
+        Ok(Wrap::After(floor.max(freshness.seen)))
+    }
+
+    fn put_back(&self, workspace: &str, mut backend: Backend) {
+        let sound = backend.is_sound();
+        let mark = backend.mark();
+        let mut connections = self.lock();
+        if sound && !connections.closed {
+            connections.pool.put(WorkspaceId::from_name(workspace), mark, backend);
+        } else {
+            connections.pool.forget();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Connections> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `Lease` is a connection in use by one statement; dropping it puts the connection back.
+struct Lease {
+    home: Arc<InstanceHome>,
+    workspace: String,
+    backend: LeasedBackend,
+}
+
+/// `LeasedBackend` is taken out of a `Lease` that becomes a transaction.
+struct LeasedBackend(Option<Backend>);
+
+impl std::ops::Deref for LeasedBackend {
+    type Target = Backend;
+
+    fn deref(&self) -> &Backend {
+        self.0.as_ref().expect("a lease holds its backend until it is dropped")
+    }
+}
+
+impl std::ops::DerefMut for LeasedBackend {
+    fn deref_mut(&mut self) -> &mut Backend {
+        self.0.as_mut().expect("a lease holds its backend until it is dropped")
+    }
+}
+
+impl Lease {
+    fn new(home: &Arc<InstanceHome>, workspace: &str, backend: Backend) -> Self {
+        let backend = LeasedBackend(Some(backend));
+        Self { home: home.clone(), workspace: workspace.to_owned(), backend }
+    }
+
+    fn into_transaction(mut self, request: &HomeRequest) -> OpenTransaction {
+        let backend = self.backend.0.take().expect("a lease holds its backend until it is dropped");
+        OpenTransaction::new(self.home.clone(), self.workspace.clone(), request.rest, backend)
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(backend) = self.backend.0.take() {
+            self.home.put_back(&self.workspace, backend);
+        }
+    }
+}
+
+/// `CountGuard` takes a connection out of the count that was not opened.
+struct CountGuard<'a> {
+    home: &'a InstanceHome,
+    armed: bool,
+}
+
+impl CountGuard<'_> {
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            self.home.lock().pool.forget();
+        }
+    }
+}
+
+fn cap_of(connections: u32) -> u32 {
+    connections.saturating_sub(RESERVED_CONNECTIONS).max(1)
+}
+
+fn class_of(work: &Work) -> Class {
+    if work.is_write() { Class::Write } else { Class::Read }
+}
+
+fn statement(request: &HomeRequest) -> Statement<'_> {
+    Statement { id: &request.statement, values: &request.values, work: &request.work }
+}
+
+fn answer(permit: &Permit, reply: Reply) -> Result<HomeAnswer, Refusal> {
+    let Reply { rows, outcome, point, .. } = reply;
+    let signature = outcome.map_err(|failure| backend::refusal(&failure, failure.kind.verdict()))?;
+    Ok(HomeAnswer { rows, signature, point, transaction: None, queued: permit.queued })
+}
+
+/// A statement of a transaction that failed is rolled back with it, unless the commit was sent.
+fn kept_nothing(request: &HomeRequest, refusal: Refusal) -> Refusal {
+    if request.work == Work::Commit || refusal.code == RefusalCode::UpstreamError {
+        return refusal;
+    }
+    Refusal { verdict: Verdict::NotRun, ..refusal }
+}
--- /dev/null
+++ b/oleander-node/src/keeper/duties.rs
@@ -0,0 +1,145 @@
+//! Which databases this VM watches: the first VM in line takes a duty that nobody has.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use oleander_core::ids::DatabaseId;
+use oleander_core::time::Span;
+use oleander_peer::messages::PrimaryReport;
+use oleander_ports::promotion::Promotions;
+use oleander_ports::sources::Sources;
+use oleander_ports::store::KeyValue;
+use oleander_ports::store::StoreRevision;
+use oleander_ports::upstream::Upstreams;
+use oleander_runtime::logs::Journal;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::links::Links;
+use super::watcher::Watcher;
+use super::watcher::Written;
+use crate::control::apply;
+use crate::control::lease::Held;
+use crate::fleet::Fleet;
+use crate::fleet::View;
+
+/// The time between two looks at the duties when nothing has changed.
+const REVIEW_INTERVAL: Span = Span::from_secs(1);
+
+/// `Duties` holds the duties of this VM.
+pub struct Duties {
+    /// What the VM believes.
+    pub fleet: Arc<Fleet>,
+    /// The store.
+    pub store: Arc<dyn KeyValue>,
+    /// Where the records stand.
+    pub sources: Sources,
+    /// Connections to instances.
+    pub upstreams: Arc<dyn Upstreams>,
+    /// The platform, which promotes.
+    pub promotions: Arc<dyn Promotions>,
+    /// The lease of this VM.
+    pub held: watch::Receiver<Option<Held>>,
+    /// Records what is decided.
+    pub journal: Journal,
+    /// The duties that run.
+    pub running: Mutex<HashMap<DatabaseId, Running>>,
+}
+
+/// `Running` is a duty that this VM has.
+pub struct Running {
+    watcher: Arc<Watcher>,
+    lease: Held,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Duties {
+    /// Takes and gives up duties as the view and the lease change, until dropped.
+    pub async fn run(&self) {
+        let mut changes = self.fleet.changes();
+        let mut held = self.held.clone();
+        loop {
+            self.review().await;
+            tokio::select! {
+                changed = changes.changed() => if changed.is_err() { return },
+                changed = held.changed() => if changed.is_err() { return },
+                () = self.fleet.timers.sleep(REVIEW_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Gets what this VM knows of the primary of a database that it watches.
+    pub fn report(&self, database: DatabaseId) -> Option<PrimaryReport> {
+        self.lock().get(&database)?.watcher.report()
+    }
+
+    /// Gives all duties up.
+    pub fn stop(&self) {
+        self.lock().clear();
+    }
+
+    async fn review(&self) {
+        let view = self.fleet.view();
+        let held = *self.held.borrow();
+        let Some(lease) = held.filter(|_| !self.fleet.is_draining()) else {
+            return self.stop();
+        };
+        let databases = apply::databases(&view);
+        // A record goes with the lease under which it was written.
+        self.lock().retain(|database, running| {
+            let kept = view.keepers.get(database);
+            databases.contains_key(database)
+                && running.lease == lease
+                && kept.is_none_or(|kept| kept.vm == self.fleet.vm)
+        });
+        for (database, name) in databases {
+            if !self.lock().contains_key(&database) && self.is_due(&view, database) {
+                self.take(&view, database, name, lease).await;
+            }
+        }
+    }
+
+    fn is_due(&self, view: &View, database: DatabaseId) -> bool {
+        match view.keepers.get(&database) {
+            // A record of this VM's own earlier life.
+            Some(kept) if kept.vm == self.fleet.vm => true,
+            // The record goes with its holder's lease.
+            Some(_) => false,
+            None => view.roster.candidates(database.0).first() == Some(&self.fleet.vm),
+        }
+    }
+
+    async fn take(&self, view: &View, database: DatabaseId, name: String, lease: Held) {
+        let revision = view.keepers.get(&database).map_or(StoreRevision(0), |kept| kept.revision);
+        let watcher = Arc::new(Watcher {
+            fleet: self.fleet.clone(),
+            store: self.store.clone(),
+            sources: self.sources,
+            promotions: self.promotions.clone(),
+            held: self.held.clone(),
+            links: Links::new(self.fleet.clone(), self.upstreams.clone()),
+            journal: self.journal.clone(),
+            database: name,
+            record: tokio::sync::Mutex::new(Written { revision, primary: None }),
+            known: Mutex::default(),
+        });
+        if watcher.claim().await.is_none() {
+            return;
+        }
+        let task = tokio::spawn(watcher.clone().run());
+        self.lock().insert(database, Running { watcher, lease, task });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<DatabaseId, Running>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/oleander-node/src/keeper/links.rs
@@ -0,0 +1,147 @@
+//! The keeper's own connections to the instances of its database.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use oleander_core::ids::InstanceKey;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Term;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_failover::keeper::Beat;
+use oleander_ports::upstream::FailureKind;
+use oleander_ports::upstream::Link;
+use oleander_ports::upstream::LinkError;
+use oleander_ports::upstream::Message;
+use oleander_ports::upstream::Order;
+use oleander_ports::upstream::Reply;
+use oleander_ports::upstream::Target;
+use oleander_ports::upstream::Upstreams;
+
+use crate::fleet::Fleet;
+
+/// The name under which the keeper connects; no workspace can have it.
+const KEEPER_NAME: &str = "oleander-keeper";
+
+/// The time within which an instance must answer, the opening of a connection included: a few
+/// round trips between regions.
+const ANSWER_LIMIT: Span = Span::from_millis(500);
+
+/// The attempts at an instance that answers that it is busy.
+const BUSY_ATTEMPTS: u32 = 4;
+
+/// The pause before the next attempt at a busy instance: about the work of one statement.
+const BUSY_PAUSE: Span = Span::from_millis(40);
+
+/// `Links` holds one connection to each instance of a database.
+pub struct Links {
+    fleet: Arc<Fleet>,
+    upstreams: Arc<dyn Upstreams>,
+    idle: Mutex<HashMap<InstanceKey, (u64, Box<dyn Link>)>>,
+}
+
+impl Links {
+    /// Makes an empty table.
+    pub fn new(fleet: Arc<Fleet>, upstreams: Arc<dyn Upstreams>) -> Self {
+        Self { fleet, upstreams, idle: Mutex::default() }
+    }
+
+    /// Asks an instance whether it leads; gets the time before the question, too.
+    pub async fn beat(&self, key: InstanceKey) -> (Time, Beat) {
+        let asked = self.fleet.now();
+        // Only a primary opens a transaction that may write, and it takes no slot to do so.
+        let messages =
+            [Message::own(Order::Begin { read_only: false }), Message::own(Order::Rollback)];
+        let beat = match self.exchange(key, &messages).await {
+            Ok(replies) => beat_of(&replies),
+            Err(LinkError::Refused(failure)) => match failure.kind {
+                FailureKind::Busy | FailureKind::TooManyConnections => Beat::Busy,
+                _ => Beat::Silent,
+            },
+            Err(_) => Beat::Silent,
+        };
+        (asked, beat)
+    }
+
+    /// Stops a replica from receiving; gets what it has received.
+    pub async fn stop(&self, key: InstanceKey, term: Term) -> Option<LogPoint> {
+        for _ in 0..BUSY_ATTEMPTS {
+            let message = Message::own(Order::StopReceiving(term));
+            let reply = self.exchange(key, &[message]).await.ok()?.into_iter().next()?;
+            match &reply.outcome {
+                Ok(_) => return self.upstreams.state(&reply).map(|state| state.received),
+                Err(failure) if failure.kind == FailureKind::Busy => {
+                    self.fleet.timers.sleep(BUSY_PAUSE).await;
+                }
+                Err(_) => return None,
+            }
+        }
+        None
+    }
+
+    /// Lets a replica receive again.
+    pub async fn resume(&self, key: InstanceKey) {
+        for _ in 0..BUSY_ATTEMPTS {
+            let message = Message::own(Order::ResumeReceiving);
+            let Ok(replies) = self.exchange(key, &[message]).await else { return };
+            let is_busy = |reply: &Reply| {
+                matches!(&reply.outcome, Err(failure) if failure.kind == FailureKind::Busy)
+            };
+            if !replies.iter().any(is_busy) {
+                return;
+            }
+            self.fleet.timers.sleep(BUSY_PAUSE).await;
+        }
+    }
+
+    async fn exchange(
+        &self,
+        key: InstanceKey,
+        messages: &[Message<'_>],
+    ) -> Result<Vec<Reply>, LinkError> {
+        let exchanging = async {
+            let (life, mut link) = self.take(key).await?;
+            let replies = link.exchange(messages).await?;
+            self.lock().insert(key, (life, link));
+            Ok(replies)
+        };
+        let answered = self.fleet.timers.within(ANSWER_LIMIT, exchanging).await;
+        answered.unwrap_or(Err(LinkError::Lost("no answer in time")))
+    }
+
+    async fn take(&self, key: InstanceKey) -> Result<(u64, Box<dyn Link>), LinkError> {
+        let view = self.fleet.view();
+        let Some(instance) = view.instances.get(&key) else {
+            return Err(LinkError::Connect("the directory does not name the instance"));
+        };
+        let entry = &instance.entry;
+        let idle = self.lock().remove(&key);
+        if let Some((life, mut link)) = idle
+            && life == entry.life
+            && link.is_open()
+        {
+            return Ok((life, link));
+        }
+        let target = Target {
+            address: entry.address,
+            database: entry.database.clone(),
+            instance: entry.instance.clone(),
+        };
+        Ok((entry.life, self.upstreams.open(&target, KEEPER_NAME).await?))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<InstanceKey, (u64, Box<dyn Link>)>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn beat_of(replies: &[Reply]) -> Beat {
+    let Some(first) = replies.first() else { return Beat::Silent };
+    match &first.outcome {
+        Ok(_) => first.point.map_or(Beat::Busy, Beat::Leads),
+        Err(failure) if failure.kind == FailureKind::NotPrimary => Beat::Follows,
+        Err(_) => Beat::Busy,
+    }
+}
--- /dev/null
+++ b/oleander-node/src/keeper/watcher.rs
@@ -0,0 +1,281 @@
+//! The run of one duty: decisions in, calls out.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::InstanceKey;
+use oleander_core::terms::LogPoint;
+use oleander_core::time::Time;
+use oleander_failover::keeper::Action;
+use oleander_failover::keeper::Beat;
+use oleander_failover::keeper::Input;
+use oleander_failover::keeper::Keeper;
+use oleander_failover::keeper::KeeperOptions;
+use oleander_failover::keeper::Known;
+use oleander_failover::keeper::Ordered;
+use oleander_peer::messages::PrimaryReport;
+use oleander_ports::promotion::PromotionOrder;
+use oleander_ports::promotion::PromotionOutcome;
+use oleander_ports::promotion::Promotions;
+use oleander_ports::sources::Sources;
+use oleander_ports::store::Commit;
+use oleander_ports::store::CommitOutcome;
+use oleander_ports::store::Expectation;
+use oleander_ports::store::KeyValue;
+use oleander_ports::store::StoreError;
+use oleander_ports::store::StoreRevision;
+use oleander_ports::store::Write;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::links::Links;
+use crate::control::apply;
+use crate::control::lease::Held;
+use crate::fleet::Fleet;
+use crate::fleet::KeeperRecord;
+
+/// The inputs of a keeper that may wait; each action has one answer, so there are few.
+const INPUT_QUEUE: usize = 64;
+
+/// The tries to write the keeper's record in one claim.
+const CLAIM_ATTEMPTS: u32 = 3;
+
+/// `Watcher` is one duty of this VM.
+pub struct Watcher {
+    /// What the VM believes.
+    pub fleet: Arc<Fleet>,
+    /// The store, which gives the fencing tokens.
+    pub store: Arc<dyn KeyValue>,
+    /// Where the record of the duty stands.
+    pub sources: Sources,
+    /// The platform, which promotes.
+    pub promotions: Arc<dyn Promotions>,
+    /// The lease that the record is bound to.
+    pub held: watch::Receiver<Option<Held>>,
+    /// The connections to the instances.
+    pub links: Links,
+    /// Records what is decided.
+    pub journal: Journal,
+    /// The name of the database.
+    pub database: String,
+    /// The record, as last written; locked while it is being written.
+    pub record: tokio::sync::Mutex<Written>,
+    /// What is known of the primary.
+    pub known: Mutex<Option<Seen>>,
+}
+
+/// `Written` is the record of the duty, as this VM last wrote it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Written {
+    /// The revision; 0 before the first write to an absent key.
+    pub revision: StoreRevision,
+    /// The primary that the record names.
+    pub primary: Option<InstanceKey>,
+}
+
+/// `Seen` is the last answer of the primary.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    instance: InstanceKey,
+    point: LogPoint,
+    asked: Time,
+}
+
+impl Watcher {
+    /// Gets what is known of the primary.
+    pub fn report(&self) -> Option<PrimaryReport> {
+        let seen = *self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let Seen { instance, point, asked } = seen?;
+        let age = self.fleet.now().since(asked);
+        Some(PrimaryReport { instance, point, age })
+    }
+
+    /// Takes the duty, or a new fencing token for it, by writing a record without a primary.
+    ///
+    /// Gets `None` if another VM has the duty or the store does not answer.
+    pub async fn claim(&self) -> Option<u64> {
+        self.write(None).await.map(|revision| revision.0)
+    }
+
+    async fn write(&self, primary: Option<InstanceKey>) -> Option<StoreRevision> {
+        let mut written = self.record.lock().await;
+        let key = apply::keeper_key(&self.sources, &self.database);
+        let record = KeeperRecord {
+            holder: self.fleet.settings.name.clone(),
+            primary: primary.and_then(|key| self.name_of(key)),
+        };
+        let value = serde_json::to_vec(&record).ok()?;
+        for _ in 0..CLAIM_ATTEMPTS {
+            let held = (*self.held.borrow())?;
+            let commit = Commit {
+                expected: vec![Expectation { key: key.clone(), revision: written.revision }],
+                writes: vec![Write::Put { key: key.clone(), value: value.clone() }],
+            };
+            match self.store.commit(&commit, Some(held.lease)).await {
+                Ok(CommitOutcome::Committed(revision)) => {
+                    *written = Written { revision, primary };
+                    return Some(revision);
+                }
+                // An earlier attempt may have taken effect after its answer was lost.
+                Ok(CommitOutcome::Conflict) | Err(StoreError::Lost) => {
+                    written.revision = self.look_again(&key).await?;
+                }
+                Err(error) => {
+                    self.note_failure(error);
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    /// Watches the primary until dropped.
+    pub async fn run(self: Arc<Self>) {
+        let database = DatabaseId::from_name(&self.database);
+        let (answers, mut inputs) = mpsc::channel(INPUT_QUEUE);
+        let mut keeper = Keeper::new(KeeperOptions::default(), self.fleet.now());
+        let mut changes = self.fleet.changes();
+        let mut input = self.instances(database);
+        loop {
+            let mut actions = Vec::new();
+            keeper.handle(self.fleet.now(), input, &mut actions);
+            for action in actions {
+                self.perform(action, &answers);
+            }
+            if !keeper.is_promoting() {
+                self.publish(keeper.primary());
+            }
+            input = tokio::select! {
+                Some(input) = inputs.recv() => input,
+                changed = changes.changed() => match changed {
+                    Ok(()) => self.instances(database),
+                    Err(_) => return,
+                },
+                () = self.fleet.timers.sleep_until(keeper.next_due()) => Input::Tick,
+            };
+        }
+    }
+
+    /// Writes the primary into the record, so that all VMs know it, unless it stands there.
+    fn publish(self: &Arc<Self>, primary: Option<InstanceKey>) {
+        let Ok(written) = self.record.try_lock() else { return };
+        if primary.is_none() || written.primary == primary {
+            return;
+        }
+        drop(written);
+        let watcher = self.clone();
+        // A failed attempt is followed by another after the next beat.
+        tokio::spawn(async move { watcher.write(primary).await });
+    }
+
+    fn perform(self: &Arc<Self>, action: Action, answers: &mpsc::Sender<Input>) {
+        if let Action::Record { event, instance, term, reason } = action {
+            let name = instance.and_then(|key| self.name_of(key)).unwrap_or_default();
+            let fields = [
+                Field::text("database", &self.database),
+                Field::text("instance", name),
+                Field::number("term", term.0),
+                Field::text("reason", reason),
+            ];
+            return self.journal.record(event, &fields);
+        }
+        let watcher = self.clone();
+        let answers = answers.clone();
+        tokio::spawn(async move {
+            if let Some(input) = watcher.answer(action).await {
+                // The duty may have ended meanwhile.
+                let _ = answers.send(input).await;
+            }
+        });
+    }
+
+    async fn answer(&self, action: Action) -> Option<Input> {
+        match action {
+            Action::Beat(key) => {
+                let (asked, beat) = self.links.beat(key).await;
+                if let Beat::Leads(point) = beat {
+                    self.note_leader(key, point, asked);
+                }
+                Some(Input::Beat(key, beat))
+            }
+            Action::Stop(key, term) => {
+                Some(Input::Stopped(key, self.links.stop(key, term).await))
+            }
+            Action::Resume(key) => {
+                self.links.resume(key).await;
+                None
+            }
+            Action::Claim => Some(Input::Claimed(self.claim().await)),
+            Action::Order { instance, token } => {
+                Some(Input::Ordered(self.order(instance, token).await))
+            }
+            Action::Record { .. } => None,
+        }
+    }
+
+    async fn order(&self, key: InstanceKey, token: u64) -> Ordered {
+        let Some(instance) = self.name_of(key) else { return Ordered::Rejected };
+        if self.fleet.leased_until() <= self.fleet.now() {
+            // Another VM may have the duty by now.
+            return Ordered::Rejected;
+        }
+        let order = PromotionOrder {
+            database: self.database.clone(),
+            instance,
+            holder: self.fleet.settings.name.clone(),
+            token,
+        };
+        match self.promotions.promote(&order).await {
+            PromotionOutcome::Accepted => Ordered::Accepted,
+            PromotionOutcome::Rejected => Ordered::Rejected,
+            PromotionOutcome::NotRun => Ordered::NotRun,
+            PromotionOutcome::Unknown => Ordered::Unknown,
+        }
+    }
+
+    /// Gets the revision of the record if it is this VM's or absent.
+    async fn look_again(&self, key: &str) -> Option<StoreRevision> {
+        let reading = match self.store.read(key).await {
+            Ok(reading) => reading,
+            Err(error) => {
+                self.note_failure(error);
+                return None;
+            }
+        };
+        let Some(entry) = reading.entries.first() else { return Some(StoreRevision(0)) };
+        let record: KeeperRecord = serde_json::from_slice(&entry.value).ok()?;
+        (record.holder == self.fleet.settings.name).then_some(entry.revision)
+    }
+
+    fn note_failure(&self, error: StoreError) {
+        let fields = [Field::text("database", &self.database), Field::text("reason", error)];
+        self.journal.record(oleander_core::events::Event::StoreUnreachable, &fields);
+    }
+
+    fn note_leader(&self, instance: InstanceKey, point: LogPoint, asked: Time) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_newer = known.is_none_or(|seen| seen.point.term <= point.term);
+        if is_newer {
+            *known = Some(Seen { instance, point, asked });
+        }
+    }
+
+    fn instances(&self, database: DatabaseId) -> Input {
+        let view = self.fleet.view();
+        let known = view.instances_of(database).map(|instance| Known {
+            key: instance.key,
+            leaving: instance.entry.leaving,
+            primary: instance.entry.primary,
+        });
+        Input::Instances(known.collect())
+    }
+
+    fn name_of(&self, key: InstanceKey) -> Option<String> {
+        self.fleet.view().instances.get(&key).map(|instance| instance.entry.instance.clone())
+    }
+}
+
--- /dev/null
+++ b/oleander-node/src/node.rs
@@ -0,0 +1,353 @@
+//! The node as a whole: its parts, their start and their stop.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+
+use oleander_core::events::Event;
+use oleander_core::ids::Incarnation;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_limits::rates::tokens::Limit;
+use oleander_peer::client::PeerClient;
+use oleander_peer::connection::ConnectionOptions;
+use oleander_peer::server;
+use oleander_ports::promotion::Promotions;
+use oleander_ports::sources::Sources;
+use oleander_ports::store::KeyValue;
+use oleander_ports::upstream::Upstreams;
+use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::metrics::Metrics;
+use oleander_runtime::timer::TimerService;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::control::apply::Applier;
+use crate::control::follow::Follower;
+use crate::control::lease::Held;
+use crate::control::lease::Leaseholder;
+use crate::entry::forward::Forwarder;
+use crate::entry::session::Entry;
+use crate::fleet::Fleet;
+use crate::fleet::View;
+use crate::home::instance::HomeParts;
+use crate::home::registry::Homes;
+use crate::home::transactions::Transactions;
+use crate::keeper::duties::Duties;
+use crate::peers;
+use crate::peers::PeerServer;
+use crate::primaries::Primaries;
+use crate::rates::Rates;
+use crate::settings::NodeSettings;
+
+/// The times of connections between VMs: a silent one is given up well within the time limit of
+/// one statement, and several round trips between regions fit.
+const PEER_OPTIONS: ConnectionOptions = ConnectionOptions {
+    connect: Span::from_millis(300),
+    ping: Span::from_millis(250),
+    idle: Span::from_secs(5),
+    silence: Span::from_millis(350),
+};
+
+/// The time for which a VM without proof of its configuration still counts as ready.
+const READY_AGE: Span = Span::from_millis(2_900);
+
+/// The time between two looks at the rates' shares when nothing has changed.
+const SHARES_INTERVAL: Span = Span::from_millis(500);
+
+/// `Ports` are the adapters that a node runs on.
+#[derive(Clone)]
+pub struct Ports {
+    /// The store.
+    pub store: Arc<dyn KeyValue>,
+    /// Where others' records stand in the store and how they are decoded.
+    pub sources: Sources,
+    /// Connections to instances.
+    pub upstreams: Arc<dyn Upstreams>,
+    /// Promotion of primaries.
+    pub promotions: Arc<dyn Promotions>,
+}
+
+/// `Node` is one running VM.
+pub struct Node {
+    /// Opens callers' sessions.
+    pub entry: Arc<Entry>,
+    /// What the VM believes.
+    pub fleet: Arc<Fleet>,
+    /// Counts and times requests.
+    pub metrics: Metrics,
+    homes: Arc<Homes>,
+    duties: Arc<Duties>,
+    rates: Rates,
+    journal: Journal,
+    store: Arc<dyn KeyValue>,
+    held: watch::Receiver<Option<Held>>,
+    leaving: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// `NodeStatus` is the state of a VM for operators.
+#[derive(Clone, Debug, Serialize)]
+pub struct NodeStatus {
+    /// The name of the VM.
+    pub name: String,
+    /// The revision of the configuration in force.
+    pub configuration: u64,
+    /// The revision of the store that the VM has applied.
+    pub store: u64,
+    /// The time since the view was last known to be complete, in milliseconds.
+    pub age_ms: u64,
+    /// `true` if requests with a key may start.
+    pub current: bool,
+    /// `true` if the VM uses its own shares.
+    pub shares: bool,
+    /// `true` once the VM is stopping.
+    pub draining: bool,
+    /// The VMs whose leases run.
+    pub vms: usize,
+    /// The instances that the directory names.
+    pub instances: usize,
+    /// The open transactions that rest at this VM's homes.
+    pub transactions: usize,
+}
+
+impl Node {
+    /// Starts a node.
+    ///
+    /// # Errors
+    /// Fails if the address for other VMs cannot be bound.
+    pub async fn start(
+        settings: NodeSettings,
+        ports: Ports,
+        timers: TimerService,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(settings.peers).await?;
+        let settings = Arc::new(settings);
+        let life: u64 = rand::random();
+        let journal = Journal::new("oleander-node", timers.clock());
+        let metrics = Metrics::local();
+        let fleet = Arc::new(Fleet::new(settings.clone(), timers.clone()));
+        let peer_client = PeerClient::new(PEER_OPTIONS);
+        let primaries = Arc::new(Primaries::new(fleet.clone()));
+        let homes = Arc::new(Homes::new(
+            fleet.clone(),
+            HomeParts {
+                upstreams: ports.upstreams.clone(),
+                primaries: primaries.clone(),
+                transactions: Transactions::new(fleet.vm, Incarnation(life)),
+                timers: timers.clone(),
+                journal: journal.clone(),
+            },
+        ));
+        let directory = fleet.clone();
+        let rates = Rates::new(
+            fleet.vm,
+            life,
+            timers.clone(),
+            peer_client.clone(),
+            Box::new(move |vm| directory.address(vm)),
+        );
+        let (hold, held) = watch::channel(None);
+        let duties = Arc::new(Duties {
+            fleet: fleet.clone(),
+            store: ports.store.clone(),
+            sources: ports.sources,
+            upstreams: ports.upstreams.clone(),
+            promotions: ports.promotions.clone(),
+            held: held.clone(),
+            journal: journal.clone(),
+            running: Mutex::default(),
+        });
+        let entry = Arc::new(Entry {
+            fleet: fleet.clone(),
+            rates: rates.clone(),
+            forwarder: Forwarder {
+                fleet: fleet.clone(),
+                primaries: primaries.clone(),
+                homes: homes.clone(),
+                peers: peer_client.clone(),
+                journal: journal.clone(),
+                serial: AtomicU64::new(0),
+            },
+            journal: journal.clone(),
+            metrics: metrics.clone(),
+        });
+        let follower = Follower {
+            fleet: fleet.clone(),
+            store: ports.store.clone(),
+            applier: Applier::new(ports.sources, settings.clone(), journal.clone()),
+            journal: journal.clone(),
+        };
+        let leaseholder = Leaseholder {
+            fleet: fleet.clone(),
+            store: ports.store.clone(),
+            sources: ports.sources,
+            peers: peer_client.clone(),
+            journal: journal.clone(),
+            life,
+            held: hold,
+        };
+        let server = Arc::new(PeerServer {
+            fleet: fleet.clone(),
+            homes: homes.clone(),
+            duties: duties.clone(),
+            rates: rates.clone(),
+            journal: journal.clone(),
+            status: status_of(fleet.clone(), homes.clone()),
+        });
+        let answer = move |incoming| peers::answer(server.clone(), incoming);
+        let (stop, stopped) = watch::channel(false);
+        let tasks = vec![
+            tokio::spawn(async move {
+                server::serve(listener, stopped, answer).await;
+                drop(stop);
+            }),
+            tokio::spawn(follower.run()),
+            tokio::spawn(follow_rates(fleet.clone(), rates.clone())),
+            spawn_rates(rates.clone()),
+            spawn_homes(homes.clone()),
+            spawn_duties(duties.clone()),
+            spawn_primaries(primaries, peer_client, homes.clone(), duties.clone()),
+        ];
+        let fields = [
+            Field::text("vm", &settings.name),
+            Field::text("peers", settings.peers),
+            Field::text("zone", &settings.place.zone),
+            Field::number("life", life),
+        ];
+        journal.record(Event::ProcessStarted, &fields);
+        let leaving = tokio::spawn(leaseholder.run());
+        let store = ports.store;
+        Ok(Self {
+            entry, fleet, metrics, homes, duties, rates, journal, store, held, leaving, tasks,
+        })
+    }
+
+    /// Returns `true` if callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let fleet = &self.fleet;
+        let view = fleet.view();
+        let proven = fleet.proven();
+        let is_recent = proven.0 != 0 && fleet.now().since(proven) < READY_AGE;
+        is_recent && !fleet.is_draining() && !view.snapshot.routes.is_empty()
+    }
+
+    /// Gets the recent events of the node.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
+    /// Gets the state for operators.
+    pub fn status(&self) -> NodeStatus {
+        node_status(&self.fleet, &self.homes)
+    }
+
+    /// Starts the graceful stop: no new sessions, the record in the store says so.
+    pub fn start_drain(&self) {
+        if !self.fleet.is_draining() {
+            self.journal.record(Event::DrainStarted, &[]);
+            self.fleet.drain();
+            self.rates.stop();
+        }
+    }
+
+    /// Ends the node after the drain: open transactions are rolled back, the lease ends.
+    pub async fn stop(&self) {
+        self.duties.stop();
+        // Read before the leaseholder's end clears it.
+        let held = *self.held.borrow();
+        self.homes.close().await;
+        self.leaving.abort();
+        Leaseholder::end(self.store.as_ref(), held, &self.journal).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.journal.record(Event::DrainFinished, &[]);
+    }
+}
+
+/// Gives the limiter the shares and limits of each new view.
+async fn follow_rates(fleet: Arc<Fleet>, rates: Rates) {
+    let mut changes = fleet.changes();
+    let mut former: Option<Arc<View>> = None;
+    let mut owners = Vec::new();
+    loop {
+        let view = fleet.view();
+        let is_same = |part: fn(&View, &View) -> bool| {
+            former.as_ref().is_some_and(|former| part(former, &view))
+        };
+        if !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster)) {
+            owners = view.roster.owners();
+        }
+        let until = fleet.shares_until();
+        if fleet.now() < until {
+            rates.set_shares(&owners, until);
+        }
+        if !is_same(|former, view| Arc::ptr_eq(&former.snapshot, &view.snapshot)) {
+            rates.set_limits(limits_of(&view));
+        }
+        former = Some(view);
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return },
+            () = fleet.timers.sleep(SHARES_INTERVAL) => {}
+        }
+    }
+}
+
+fn limits_of(view: &View) -> Vec<(WorkspaceId, Limit)> {
+    let workspaces = view.snapshot.workspaces.iter().map(|(_, workspace)| &workspace.name);
+    workspaces
+        .filter_map(|name| {
+            let id = WorkspaceId::from_name(name);
+            let rate = view.snapshot.rate(id)?;
+            Some((id, Limit { rate: rate.rate, burst: rate.burst }))
+        })
+        .collect()
+}
+
+fn spawn_rates(rates: Rates) -> JoinHandle<()> {
+    tokio::spawn(async move { rates.run().await })
+}
+
+fn spawn_homes(homes: Arc<Homes>) -> JoinHandle<()> {
+    tokio::spawn(async move { homes.watch().await })
+}
+
+fn spawn_duties(duties: Arc<Duties>) -> JoinHandle<()> {
+    tokio::spawn(async move { duties.run().await })
+}
+
+fn spawn_primaries(
+    primaries: Arc<Primaries>,
+    peers: PeerClient,
+    homes: Arc<Homes>,
+    duties: Arc<Duties>,
+) -> JoinHandle<()> {
+    let wanted = move || homes.databases();
+    tokio::spawn(primaries.run(peers, wanted, move |database| duties.report(database)))
+}
+
+fn status_of(fleet: Arc<Fleet>, homes: Arc<Homes>) -> Box<dyn Fn() -> String + Send + Sync> {
+    Box::new(move || serde_json::to_string(&node_status(&fleet, &homes)).unwrap_or_default())
+}
+
+fn node_status(fleet: &Fleet, homes: &Homes) -> NodeStatus {
+    let view = fleet.view();
+    let now = fleet.now();
+    NodeStatus {
+        name: fleet.settings.name.clone(),
+        configuration: view.snapshot.revision.0,
+        store: view.revision.0,
+        age_ms: now.since(fleet.proven()).as_millis(),
+        current: fleet.is_current(),
+        shares: now < fleet.shares_until(),
+        draining: fleet.is_draining(),
+        vms: view.roster.present().count(),
+        instances: view.instances.len(),
+        transactions: homes.resting(),
+    }
+}
+
--- /dev/null
+++ b/oleander-node/src/peers.rs
@@ -0,0 +1,79 @@
+//! What other VMs ask of this one.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use oleander_core::time::Span;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
+use oleander_peer::messages::Reply;
+use oleander_peer::messages::Request;
+use oleander_peer::server::Incoming;
+use oleander_ports::store::StoreRevision;
+use oleander_runtime::logs::Journal;
+
+use crate::fleet::Fleet;
+use crate::home::registry::Homes;
+use crate::keeper::duties::Duties;
+use crate::rates::Rates;
+
+/// The longest wait for a revision of the store to be applied here.
+const APPLIED_WAIT: Span = Span::from_millis(900);
+
+/// `PeerServer` answers other VMs.
+pub struct PeerServer {
+    /// What the VM believes.
+    pub fleet: Arc<Fleet>,
+    /// The homes of this VM.
+    pub homes: Arc<Homes>,
+    /// The duties of this VM.
+    pub duties: Arc<Duties>,
+    /// The rates of workspaces.
+    pub rates: Rates,
+    /// The recent events, for operators.
+    pub journal: Journal,
+    /// Gets the state for operators as JSON.
+    pub status: Box<dyn Fn() -> String + Send + Sync>,
+}
+
+/// Answers one request.
+pub fn answer(
+    server: Arc<PeerServer>,
+    incoming: Incoming,
+) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(async move {
+        let reply = match incoming.request {
+            Request::Home(request) => {
+                // The work goes on if the caller's stream breaks, so that its connection is kept.
+                let homes = server.homes.clone();
+                let running = tokio::spawn(async move { homes.run(*request).await });
+                let lost = |_| Err(Refusal::may_have_run(RefusalCode::Internal, "the task failed"));
+                Reply::Home(running.await.unwrap_or_else(lost))
+            }
+            Request::Primary(database) => Reply::Primary(server.duties.report(database)),
+            Request::Applied(revision) => server.applied(StoreRevision(revision)).await,
+            Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
+            Request::Status => Reply::Status((server.status)()),
+            Request::Events => Reply::Events(server.journal.recent_json()),
+            Request::Drain => {
+                server.fleet.drain();
+                Reply::Accepted
+            }
+            _ => Reply::Unsupported,
+        };
+        // The caller may have gone; its own side has noticed then.
+        let _ = incoming.responder.send(reply).await;
+    })
+}
+
+impl PeerServer {
+    async fn applied(&self, revision: StoreRevision) -> Reply {
+        let mut changes = self.fleet.changes();
+        let applied = changes.wait_for(|at| revision <= *at);
+        match self.fleet.timers.within(APPLIED_WAIT, applied).await {
+            Some(Ok(_)) => Reply::Accepted,
+            _ => Reply::Unsupported,
+        }
+    }
+}
--- /dev/null
+++ b/oleander-node/src/settings.rs
@@ -0,0 +1,48 @@
+//! The settings of a node that do not depend on its adapters.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_runtime::settings::span;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// `NodeSettings` describe one VM and the bounds that it has to keep.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// The unique name of the VM.
+    pub name: String,
+    /// Where it stands.
+    pub place: Place,
+    /// The region of each availability zone.
+    pub zones: BTreeMap<String, String>,
+    /// The address at which it takes the streams of other VMs.
+    pub peers: SocketAddr,
+    /// The time after which a withdrawn key must have stopped working.
+    #[serde(with = "span")]
+    pub revocation: Span,
+    /// The time between the request to stop and the end of the process.
+    #[serde(with = "span")]
+    pub grace: Span,
+    /// The shortest lease that the store grants.
+    #[serde(with = "span")]
+    pub lease: Span,
+}
+
+impl NodeSettings {
+    /// Gets the time for which the configuration counts as current after the store was heard.
+    ///
+    /// Four fifths of the bound leave a fifth for a request on its way to the instance.
+    pub fn currency(&self) -> Span {
+        Span(self.revocation.0 / 5 * 4)
+    }
+
+    /// Gets the place of an availability zone; an unknown zone is in no region.
+    pub fn place_of(&self, zone: &str) -> Place {
+        let region = self.zones.get(zone).cloned().unwrap_or_default();
+        Place { region, zone: zone.to_owned() }
+    }
+}
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceId;
+use oleander_core::ids::InstanceKey;
 use oleander_core::ids::RequestId;
 use oleander_core::ids::Revision;
 use oleander_core::ids::TransactionId;
@@ -10,6 +11,7 @@
 use oleander_core::statement::Access;
 use oleander_core::statement::Rows;
 use oleander_core::statement::Statement;
+use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -21,6 +23,8 @@
 use oleander_membership::messages::MemberRequest;
 use oleander_membership::messages::View;
 use oleander_session::token::SeenPoint;
+use oleander_session::work::HomeAnswer;
+use oleander_session::work::HomeRequest;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -29,6 +33,13 @@
 pub enum Request {
     /// An entry proxy asks a home to run work on its database.
     Work(WorkRequest),
+    /// An entry VM asks the home of an instance to run a statement of a session.
+    Home(Box<HomeRequest>),
+    /// A home asks the keeper of a database about its primary.
+    Primary(DatabaseId),
+    /// A VM that has joined asks whether the receiver knows of it: whether it has applied the
+    /// store's changes up to this revision. The answer waits until it has.
+    Applied(u64),
     /// A proxy asks another about rate limits.
     Limit {
         /// The asking VM.
@@ -57,6 +68,10 @@
 pub enum Reply {
     /// The result of work.
     Work(Result<WorkAnswer, Refusal>),
+    /// The result of a session's statement.
+    Home(Result<HomeAnswer, Refusal>),
+    /// What the keeper knows of the primary; `None` if it knows none.
+    Primary(Option<PrimaryReport>),
     /// The answer about rate limits.
     Limit(LimitReply),
     /// The answer about membership.
@@ -75,6 +90,17 @@
     Unsupported,
 }
 
+/// `PrimaryReport` is what the keeper of a database knows of its primary.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct PrimaryReport {
+    /// The primary.
+    pub instance: InstanceKey,
+    /// A point that the primary's log had reached.
+    pub point: LogPoint,
+    /// The time since the primary was asked for it.
+    pub age: Span,
+}
+
 /// `WorkRequest` is a caller's request on its way to a home.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkRequest {
--- a/oleander-proxy/src/callers/status.rs
+++ b/oleander-proxy/src/callers/status.rs
@@ -6,7 +6,7 @@
 /// Gets the HTTP status that goes with a refusal code.
 pub fn http_status(code: RefusalCode) -> StatusCode {
     match code {
-        RefusalCode::BadRequest | RefusalCode::BadToken => StatusCode::BAD_REQUEST,
+        RefusalCode::BadRequest | RefusalCode::BadToken | RefusalCode::UnknownStatement => StatusCode::BAD_REQUEST,
         RefusalCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         RefusalCode::KeyMissing | RefusalCode::KeyRejected => StatusCode::UNAUTHORIZED,
         RefusalCode::RouteForbidden => StatusCode::FORBIDDEN,
@@ -23,6 +23,8 @@
         | RefusalCode::HomeUnreachable
         | RefusalCode::UpstreamUnavailable
         | RefusalCode::NotCurrent
+        | RefusalCode::ReplicaBehind
+        | RefusalCode::NotPrimary
         | RefusalCode::Draining => StatusCode::SERVICE_UNAVAILABLE,
         RefusalCode::Timeout | RefusalCode::NotReplicated => StatusCode::GATEWAY_TIMEOUT,
         RefusalCode::Internal => StatusCode::INTERNAL_SERVER_ERROR,
--- a/oleander-proxy/src/peers.rs
+++ b/oleander-proxy/src/peers.rs
@@ -31,7 +31,10 @@
                 proxy.start_drain();
                 Reply::Accepted
             }
-            Request::Member(_)
+            Request::Home(_)
+            | Request::Primary(_)
+            | Request::Applied(_)
+            | Request::Member(_)
             | Request::Failover(_)
             | Request::Subscribe(_)
             | Request::Report(_) => Reply::Unsupported,
--- a/oleander-routing/benches/decisions.rs
+++ b/oleander-routing/benches/decisions.rs
@@ -3,6 +3,7 @@
 use divan::Bencher;
 use oleander_config::model::Acknowledge;
 use oleander_config::model::Audience;
+use oleander_config::model::Consistency;
 use oleander_config::model::Database;
 use oleander_config::model::Document;
 use oleander_config::model::Key;
@@ -221,6 +222,8 @@
         age: None,
         deadline: Span::from_secs(1),
         cost: 1,
+        consistency: Consistency::Session,
+        target: Span::from_secs(1),
     });
     Document {
         workspaces: workspaces.collect(),
--- a/oleander-routing/tests/admit.rs
+++ b/oleander-routing/tests/admit.rs
@@ -1,6 +1,7 @@
 //! Admission by route, key and audience.
 
 use oleander_config::model::Audience;
+use oleander_config::model::Consistency;
 use oleander_config::model::Document;
 use oleander_config::model::Key;
 use oleander_config::model::KeyHash;
@@ -38,6 +39,8 @@
         age: None,
         deadline: Span::from_secs(1),
         cost: 1,
+        consistency: Consistency::Session,
+        target: Span::from_secs(1),
     }
 }
 
--- a/oleander-runtime/src/timer.rs
+++ b/oleander-runtime/src/timer.rs
@@ -1,5 +1,6 @@
 //! The timer service: one task that wakes the parts which subscribed to a time.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -46,8 +47,7 @@
     /// Waits until `due`. Dropping the future cancels the timer.
     pub async fn sleep_until(&self, due: Time) {
         let (sender, receiver) = oneshot::channel();
-        let id = self.shared.lock().schedule(due, sender);
-        self.shared.changed.notify_one();
+        let id = self.shared.schedule(due, sender);
         let _subscription = Subscription { shared: &self.shared, id };
         // The service lives as long as `self`, so the sender is not lost.
         let _ = receiver.await;
@@ -58,6 +58,15 @@
         self.sleep_until(self.now() + span).await;
     }
 
+    /// Waits for `future`, but no longer than `span`; `None` if it took longer and was dropped.
+    pub async fn within<T>(&self, span: Span, future: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            value = future => Some(value),
+            () = self.sleep(span) => None,
+        }
+    }
+
     /// Makes a series of ticks, the first one after `period`.
     pub fn interval(&self, period: Span) -> Interval {
         Interval { due: self.now() + period, period, service: self.clone() }
@@ -100,6 +109,18 @@
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Schedules a timer, and wakes the task if it is now the first one.
+    fn schedule(&self, due: Time, sender: oneshot::Sender<()>) -> TimerId {
+        let mut queue = self.lock();
+        let is_first = queue.next_due().is_none_or(|next| due < next);
+        let id = queue.schedule(due, sender);
+        drop(queue);
+        if is_first {
+            self.changed.notify_one();
+        }
+        id
+    }
+
     /// Wakes what is due and gets the time of the next timer.
     fn wake_due(&self) -> Option<Time> {
         let now = self.clock.now();
--- /dev/null
+++ b/oleander-session/src/dialog.rs
@@ -0,0 +1,189 @@
+//! The state of a session that is a connection: values, prepared statements and the transaction.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use oleander_core::terms::LogPoint;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
+
+use crate::command::Command;
+use crate::work::Prepared;
+use crate::work::Work;
+
+/// The values and prepared statements that one session may hold, so that it cannot use up memory.
+pub const MAX_NAMES: usize = 1_024;
+
+/// `Phase` is the state of the session's transaction.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Phase {
+    /// No transaction is open.
+    #[default]
+    Idle,
+    /// The caller has opened a transaction, and no instance knows of it yet.
+    Begun {
+        /// `true` if it only reads.
+        read_only: bool,
+    },
+    /// The transaction is open on an instance.
+    Open {
+        /// `true` if it only reads.
+        read_only: bool,
+        /// `true` once a statement of it may have changed data.
+        wrote: bool,
+    },
+    /// The transaction has failed and is rolled back.
+    Failed,
+}
+
+/// `Step` is what follows from a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// The command is done, and no instance need hear of it.
+    Done,
+    /// The transaction is over for the caller; the home is to roll it back.
+    Abandon,
+    /// An instance has to run this.
+    Run(Work),
+    /// The command is refused.
+    Refuse(Refusal),
+}
+
+/// `Dialog` is the state of one session.
+#[derive(Clone, Debug, Default)]
+pub struct Dialog {
+    values: BTreeMap<String, String>,
+    prepared: HashMap<String, Prepared>,
+    phase: Phase,
+    written: Option<LogPoint>,
+}
+
+impl Dialog {
+    /// Gets the state of the transaction.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Gets the values of the session, in the order of their names.
+    pub fn values(&self) -> Vec<(String, String)> {
+        self.values.iter().map(|(name, value)| (name.clone(), value.clone())).collect()
+    }
+
+    /// Gets the log point that includes the session's last commit.
+    pub fn written(&self) -> Option<LogPoint> {
+        self.written
+    }
+
+    /// Takes in a command.
+    pub fn handle(&mut self, command: Command) -> Step {
+        if self.phase == Phase::Failed && !matches!(command, Command::Commit | Command::Rollback) {
+            return refuse(RefusalCode::BadRequest, "the transaction has failed; end it first");
+        }
+        match command {
+            Command::Begin { read_only } => self.begin(read_only),
+            Command::Commit => self.commit(),
+            Command::Rollback => self.rollback(),
+            Command::Read(text) => Step::Run(Work::Read(text)),
+            Command::Write(text) => Step::Run(Work::Write(text)),
+            Command::Set { name, value } => self.set(name, value),
+            Command::Prepare { name, access, shape } => {
+                self.prepare(name, Prepared { access, shape })
+            }
+            Command::Execute { name, arguments } => match self.prepared.get(&name) {
+                Some(prepared) => Step::Run(Work::Execute { prepared: prepared.clone(), arguments }),
+                None => refuse(RefusalCode::UnknownStatement, "no statement of this name"),
+            },
+            Command::Close { name } => {
+                self.prepared.remove(&name);
+                Step::Done
+            }
+        }
+    }
+
+    /// Takes in that a statement ran with success; `point` is the log point after it.
+    pub fn succeeded(&mut self, work: &Work, point: Option<LogPoint>) {
+        match self.phase {
+            Phase::Idle => {
+                if work.is_write() {
+                    self.note_write(point);
+                }
+            }
+            Phase::Begun { read_only } | Phase::Open { read_only, wrote: false }
+                if !work.is_end() =>
+            {
+                self.phase = Phase::Open { read_only, wrote: work.is_write() };
+            }
+            Phase::Open { wrote, .. } if work.is_end() => {
+                self.phase = Phase::Idle;
+                if wrote {
+                    self.note_write(point);
+                }
+            }
+            Phase::Begun { .. } if work.is_end() => self.phase = Phase::Idle,
+            Phase::Begun { .. } | Phase::Open { .. } | Phase::Failed => {}
+        }
+    }
+
+    /// Takes in that a statement failed or was refused.
+    ///
+    /// A transaction fails with it; a failed commit ends it.
+    pub fn failed(&mut self, work: &Work) {
+        match self.phase {
+            Phase::Idle => {}
+            Phase::Begun { .. } | Phase::Open { .. } if work.is_end() => self.phase = Phase::Idle,
+            Phase::Begun { .. } | Phase::Open { .. } | Phase::Failed => self.phase = Phase::Failed,
+        }
+    }
+
+    fn begin(&mut self, read_only: bool) -> Step {
+        if self.phase != Phase::Idle {
+            return refuse(RefusalCode::BadRequest, "a transaction is open");
+        }
+        self.phase = Phase::Begun { read_only };
+        Step::Done
+    }
+
+    fn commit(&mut self) -> Step {
+        match self.phase {
+            Phase::Idle => refuse(RefusalCode::BadRequest, "no transaction is open"),
+            Phase::Begun { .. } | Phase::Open { .. } => Step::Run(Work::Commit),
+            Phase::Failed => {
+                self.phase = Phase::Idle;
+                refuse(RefusalCode::TransactionGone, "the transaction was rolled back")
+            }
+        }
+    }
+
+    fn rollback(&mut self) -> Step {
+        match std::mem::take(&mut self.phase) {
+            Phase::Idle => refuse(RefusalCode::BadRequest, "no transaction is open"),
+            Phase::Begun { .. } | Phase::Failed => Step::Done,
+            Phase::Open { .. } => Step::Abandon,
+        }
+    }
+
+    fn set(&mut self, name: String, value: String) -> Step {
+        if MAX_NAMES <= self.values.len() && !self.values.contains_key(&name) {
+            return refuse(RefusalCode::BadRequest, "the session holds too many values");
+        }
+        self.values.insert(name, value);
+        Step::Done
+    }
+
+    fn prepare(&mut self, name: String, prepared: Prepared) -> Step {
+        if MAX_NAMES <= self.prepared.len() && !self.prepared.contains_key(&name) {
+            return refuse(RefusalCode::BadRequest, "the session holds too many statements");
+        }
+        self.prepared.insert(name, prepared);
+        Step::Done
+    }
+
+    fn note_write(&mut self, point: Option<LogPoint>) {
+        // A promotion may have dropped the former point, so the newer one stands alone.
+        self.written = point.or(self.written);
+    }
+}
+
+fn refuse(code: RefusalCode, detail: &str) -> Step {
+    Step::Refuse(Refusal::not_run(code, detail))
+}
--- a/oleander-session/src/lib.rs
+++ b/oleander-session/src/lib.rs
@@ -24,8 +24,14 @@
 //! ```
 //!
 //! A home asks `proof::proves` whether an instance's status includes a point.
+//!
+//! A session may also be a connection: `command` holds what such a caller sends, `dialog` the
+//! state that the entry VM keeps for it, and `work` what the entry VM asks of a home.
 
 pub mod codec;
+pub mod command;
+pub mod dialog;
 pub mod errors;
 pub mod proof;
 pub mod token;
+pub mod work;
--- a/oleander-platform/src/store.rs
+++ b/oleander-store/src/store.rs
@@ -1,6 +1,14 @@
 //! The client of the platform's key-value store.
 
 use oleander_core::time::Span;
+pub use oleander_ports::store::Commit;
+pub use oleander_ports::store::CommitOutcome;
+pub use oleander_ports::store::Entry;
+pub use oleander_ports::store::Expectation;
+pub use oleander_ports::store::LeaseId;
+pub use oleander_ports::store::Reading;
+pub use oleander_ports::store::StoreRevision;
+pub use oleander_ports::store::Write;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -49,78 +57,6 @@
     }
 }
 
-/// `StoreRevision` is a revision of the store as a whole; a key that is absent has revision 0.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct StoreRevision(pub u64);
-
-/// `Entry` is a key with its value.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Entry {
-    /// The key.
-    pub key: String,
-    /// The value.
-    pub value: Vec<u8>,
-    /// The revision at which the value was written.
-    pub revision: StoreRevision,
-}
-
-/// `Reading` is what one read returned.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Reading {
-    /// The revision of the store at the read.
-    pub revision: StoreRevision,
-    /// The entries that exist, in the order of the request or of their keys.
-    pub entries: Vec<Entry>,
-}
-
-/// `Expectation` is the revision that a key must have for a commit to take effect.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Expectation {
-    /// The key.
-    pub key: String,
-    /// The revision of the value that was read; 0 for an absent key.
-    pub revision: StoreRevision,
-}
-
-/// `Write` is one change of a commit.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Write {
-    /// Sets a key.
-    Put {
-        /// The key.
-        key: String,
-        /// The value.
-        value: Vec<u8>,
-    },
-    /// Deletes a key.
-    Delete {
-        /// The key.
-        key: String,
-    },
-}
-
-/// `Commit` is a set of writes that take effect together, if all expectations hold.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Commit {
-    /// The expectations.
-    pub expected: Vec<Expectation>,
-    /// The writes.
-    pub writes: Vec<Write>,
-}
-
-/// `CommitOutcome` is the answer to a commit.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CommitOutcome {
-    /// The writes took effect at this revision.
-    Committed(StoreRevision),
-    /// An expectation did not hold, and nothing was written.
-    Conflict,
-}
-
-/// `LeaseId` names a lease of the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LeaseId(pub i64);
-
 /// `Store` is a client of the store. Each call has a deadline.
 #[derive(Debug)]
 pub struct Store {
