--- a/oleander-runtime/src/logs.rs
+++ b/oleander-runtime/src/logs.rs
@@ -16,7 +16,7 @@
 use log::LevelFilter;
 use log::Record;
 use log::kv::Value;
-use logforth::append::Stderr;
+use logforth::append::Stdout;
 use logforth::layout::JsonLayout;
 use oleander_core::events::Event;
 use oleander_core::time::Span;
@@ -90,7 +90,7 @@
     pub fields: serde_json::Map<String, serde_json::Value>,
 }
 
-/// Sets up the process's log writer: JSON lines on the standard error output.
+/// Sets up the process's log writer: JSON lines on the standard output.
 ///
 /// Calls after the first one change the level only.
 ///
@@ -100,7 +100,7 @@
     static DONE: Mutex<bool> = Mutex::new(false);
     let mut done = DONE.lock().unwrap_or_else(PoisonError::into_inner);
     if !*done {
-        let append = Stderr::default().with_layout(JsonLayout::default());
+        let append = Stdout::default().with_layout(JsonLayout::default());
         let builder = logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(append));
         if builder.try_apply().is_err() {
             return setup_error("another logger has been set up");
@@ -261,7 +261,6 @@
         | Event::ConnectionSilent
         | Event::ConnectionPoisoned
         | Event::ConnectionFailed => Level::Warn,
-        Event::RequestRefused | Event::RequestRetried => Level::Debug,
         _ => Level::Info,
     }
 }
