--- a/oleander-failover/src/keeper.rs
+++ b/oleander-failover/src/keeper.rs
@@ -42,6 +42,8 @@
     pub taking: Span,
     /// The time between a promotion given up and the next one.
     pub retry: Span,
+    /// The time after which an order to receive again that was not answered cannot take effect.
+    pub doubt: Span,
 }
 
 impl Default for KeeperOptions {
@@ -56,6 +58,8 @@
             stopping: Span::from_millis(3_000),
             taking: Span::from_millis(4_000),
             retry: Span::from_millis(500),
+            // Instances drop a connection after 3 s without a sign of the far side.
+            doubt: Span::from_millis(3_500),
         }
     }
 }
@@ -108,6 +112,9 @@
     Beat(InstanceKey, Beat),
     /// The answer to `Action::Stop`: what the replica has received; `None` if it did not answer.
     Stopped(InstanceKey, Option<LogPoint>),
+    /// The answer to `Action::Resume`: `true` if the replica answered, so that no such order is on
+    /// its way any more.
+    Resumed(InstanceKey, bool),
     /// The answer to `Action::Claim`; `None` if no token could be had.
     Claimed(Option<u64>),
     /// The answer to `Action::Order`.
@@ -123,7 +130,7 @@
     Claim,
     /// Stops a replica from receiving, up to the term.
     Stop(InstanceKey, Term),
-    /// Lets a replica receive again; has no answer.
+    /// Lets a replica receive again.
     Resume(InstanceKey),
     /// Orders the promotion of an instance.
     Order {
@@ -160,6 +167,8 @@
     retry: Time,
     unsettled: bool,
     started: bool,
+    /// Orders to receive again that may still take effect, and until when if they were not answered.
+    resuming: SmallVec<[(InstanceKey, Option<Time>); INLINE_INSTANCES]>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -204,6 +213,7 @@
             retry: now,
             unsettled: false,
             started: false,
+            resuming: SmallVec::new(),
         }
     }
 
@@ -241,6 +251,7 @@
             Input::Instances(instances) => self.note_instances(now, instances),
             Input::Beat(instance, beat) => self.note_beat(now, instance, beat, out),
             Input::Stopped(instance, point) => self.note_stopped(instance, point),
+            Input::Resumed(instance, answered) => self.note_resumed(now, instance, answered),
             Input::Claimed(token) => self.note_claim(now, token, out),
             Input::Ordered(outcome) => self.note_order(now, outcome, out),
         }
@@ -323,6 +334,9 @@
     }
 
     fn note_stopped(&mut self, instance: InstanceKey, point: Option<LogPoint>) {
+        if self.resuming.iter().any(|(resuming, _)| *resuming == instance) {
+            return;
+        }
         let Phase::Stopping(stopping) = &mut self.phase else { return };
         let Some(point) = point else { return };
         stopping.stopped.retain(|(stopped, _)| *stopped != instance);
@@ -330,6 +344,21 @@
         self.term = self.term.max(point.term);
     }
 
+    fn note_resumed(&mut self, now: Time, instance: InstanceKey, answered: bool) {
+        if answered {
+            self.resuming.retain(|(resuming, _)| *resuming != instance);
+            if let Phase::Stopping(stopping) = &mut self.phase {
+                // The order to stop can follow at once.
+                stopping.asked = Time(0);
+            }
+            return;
+        }
+        let doubtful = self.resuming.iter_mut().filter(|(resuming, _)| *resuming == instance);
+        for (_, until) in doubtful {
+            *until = Some(now + self.options.doubt);
+        }
+    }
+
     fn note_claim(&mut self, now: Time, token: Option<u64>, out: &mut Vec<Action>) {
         let Phase::Claiming { planned } = self.phase else { return };
         let Some(token) = token else {
@@ -475,18 +504,26 @@
         self.retry = now + self.options.retry;
     }
 
-    fn resume_all(&self, out: &mut Vec<Action>) {
-        out.extend(self.replicas().map(Action::Resume));
+    fn resume_all(&mut self, out: &mut Vec<Action>) {
+        let replicas: SmallVec<[InstanceKey; INLINE_INSTANCES]> = self.replicas().collect();
+        for replica in replicas {
+            self.resuming.retain(|(resuming, _)| *resuming != replica);
+            self.resuming.push((replica, None));
+            out.push(Action::Resume(replica));
+        }
     }
 
     fn ask_to_stop(&self, out: &mut Vec<Action>) {
         let Phase::Stopping(stopping) = &self.phase else { return };
         let is_stopped = |key| stopping.stopped.iter().any(|(stopped, _)| *stopped == key);
-        let missing = self.replicas().filter(|key| !is_stopped(*key));
+        // An order to receive again that arrives after the one to stop would undo it unseen.
+        let is_resuming = |key| self.resuming.iter().any(|(resuming, _)| *resuming == key);
+        let missing = self.replicas().filter(|key| !is_stopped(*key) && !is_resuming(*key));
         out.extend(missing.map(|key| Action::Stop(key, stopping.term)));
     }
 
     fn ask_again(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.resuming.retain(|(_, until)| until.is_none_or(|until| now < until));
         let term = Term(self.term.0 + 1);
         if let Phase::Stopping(stopping) = &mut self.phase {
             stopping.asked = now;
--- /dev/null
+++ b/oleander-failover/tests/keeper.rs
@@ -0,0 +1,206 @@
+//! Promotions where the platform arbitrates, step by step.
+
+use oleander_core::ids::InstanceKey;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Position;
+use oleander_core::terms::Term;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_failover::keeper::Action;
+use oleander_failover::keeper::Beat;
+use oleander_failover::keeper::Input;
+use oleander_failover::keeper::Keeper;
+use oleander_failover::keeper::KeeperOptions;
+use oleander_failover::keeper::Known;
+use oleander_failover::keeper::Ordered;
+use rstest::rstest;
+
+const PRIMARY: InstanceKey = InstanceKey(1);
+const NEAR: InstanceKey = InstanceKey(2);
+const FAR: InstanceKey = InstanceKey(3);
+
+/// `Bench` drives a keeper in virtual time.
+struct Bench {
+    keeper: Keeper,
+    now: Time,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let now = Time(10_000_000);
+        let mut bench = Self { keeper: Keeper::new(KeeperOptions::default(), now), now };
+        bench.give(instances(false));
+        bench
+    }
+
+    /// Makes a bench whose primary has answered and whose replicas receive.
+    fn calm() -> Self {
+        let mut bench = Self::new();
+        let actions = bench.give(Input::Beat(PRIMARY, Beat::Leads(point(1, 10))));
+        assert_eq!(resumed(&actions), [NEAR, FAR]);
+        bench.give(Input::Resumed(NEAR, true));
+        bench.give(Input::Resumed(FAR, true));
+        bench
+    }
+
+    fn give(&mut self, input: Input) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.keeper.handle(self.now, input, &mut out);
+        out
+    }
+
+    fn wait(&mut self, millis: u64) -> Vec<Action> {
+        self.now = self.now + Span::from_millis(millis);
+        self.give(Input::Tick)
+    }
+
+    /// Lets the primary fall silent until a token is asked for.
+    fn silence(&mut self) {
+        for _ in 0..20 {
+            let mut actions = self.wait(100);
+            actions.extend(self.give(Input::Beat(PRIMARY, Beat::Silent)));
+            if actions.contains(&Action::Claim) {
+                return;
+            }
+        }
+        panic!("no token was asked for");
+    }
+}
+
+fn instances(leaving: bool) -> Input {
+    let known = |key, leaving, primary| Known { key, leaving, primary };
+    Input::Instances(
+        [known(PRIMARY, leaving, true), known(NEAR, false, false), known(FAR, false, false)]
+            .into_iter()
+            .collect(),
+    )
+}
+
+fn point(term: u64, position: u64) -> LogPoint {
+    LogPoint { term: Term(term), position: Position(position) }
+}
+
+fn resumed(actions: &[Action]) -> Vec<InstanceKey> {
+    let keys = actions.iter().filter_map(|action| match action {
+        Action::Resume(key) => Some(*key),
+        _ => None,
+    });
+    keys.collect()
+}
+
+fn stopped(actions: &[Action]) -> Vec<InstanceKey> {
+    let keys = actions.iter().filter_map(|action| match action {
+        Action::Stop(key, _) => Some(*key),
+        _ => None,
+    });
+    keys.collect()
+}
+
+fn ordered(actions: &[Action]) -> Option<(InstanceKey, u64)> {
+    actions.iter().find_map(|action| match action {
+        Action::Order { instance, token } => Some((*instance, *token)),
+        _ => None,
+    })
+}
+
+/// `Choice` is what two replicas have received and which one is promoted.
+struct Choice {
+    near: LogPoint,
+    far: LogPoint,
+    best: InstanceKey,
+}
+
+#[rstest]
+#[case::near_is_ahead(Choice { near: point(1, 12), far: point(1, 11), best: NEAR })]
+#[case::far_is_ahead(Choice { near: point(1, 11), far: point(1, 12), best: FAR })]
+#[case::later_term_wins(Choice { near: point(1, 99), far: point(2, 1), best: FAR })]
+fn promotes_the_replica_that_has_received_most(#[case] choice: Choice) {
+    let mut bench = Bench::calm();
+    bench.silence();
+    let actions = bench.give(Input::Claimed(Some(7)));
+    assert_eq!(stopped(&actions), [NEAR, FAR]);
+    let actions = bench.give(Input::Stopped(NEAR, Some(choice.near)));
+    assert_eq!(ordered(&actions), None, "one replica is not enough");
+    let actions = bench.give(Input::Stopped(FAR, Some(choice.far)));
+    assert_eq!(ordered(&actions), Some((choice.best, 7)));
+}
+
+#[test]
+fn waits_for_a_replica_that_does_not_answer_until_the_directory_drops_it() {
+    let mut bench = Bench::calm();
+    bench.silence();
+    bench.give(Input::Claimed(Some(7)));
+    bench.give(Input::Stopped(NEAR, Some(point(1, 12))));
+    let actions = bench.give(Input::Stopped(FAR, None));
+    assert_eq!(ordered(&actions), None);
+    let left = [PRIMARY, NEAR].map(|key| Known { key, leaving: false, primary: key == PRIMARY });
+    let actions = bench.give(Input::Instances(left.into_iter().collect()));
+    assert_eq!(ordered(&actions), Some((NEAR, 7)));
+}
+
+#[test]
+fn a_leaving_primary_is_replaced_while_it_answers() {
+    let mut bench = Bench::calm();
+    bench.wait(1_000);
+    let actions = bench.give(instances(true));
+    assert!(actions.contains(&Action::Claim));
+}
+
+/// A commit was lost when the order to receive again of a new keeper arrived after the order to
+/// stop that followed it.
+#[test]
+fn stops_no_replica_that_may_still_be_told_to_receive() {
+    let mut bench = Bench::new();
+    let actions = bench.give(Input::Beat(PRIMARY, Beat::Leads(point(1, 10))));
+    assert_eq!(resumed(&actions), [NEAR, FAR]);
+    bench.give(instances(true));
+    let actions = bench.give(Input::Claimed(Some(7)));
+    assert_eq!(stopped(&actions), []);
+    let actions = bench.give(Input::Resumed(NEAR, true));
+    assert_eq!(stopped(&actions), [NEAR]);
+    let actions = bench.give(Input::Resumed(FAR, false));
+    assert_eq!(stopped(&actions), [], "the unanswered order may still arrive");
+    let actions = bench.give(Input::Stopped(FAR, Some(point(1, 10))));
+    assert_eq!(ordered(&actions), None);
+}
+
+#[test]
+fn a_primary_that_answers_again_ends_the_promotion() {
+    let mut bench = Bench::calm();
+    bench.silence();
+    bench.give(Input::Claimed(Some(7)));
+    let actions = bench.give(Input::Beat(PRIMARY, Beat::Leads(point(1, 11))));
+    assert_eq!(resumed(&actions), [NEAR, FAR]);
+    assert!(!bench.keeper.is_promoting());
+}
+
+/// An order that was not answered may be executed seconds later, when its instance is behind.
+#[test]
+fn an_unanswered_order_is_followed_by_one_with_a_higher_token() {
+    let mut bench = Bench::calm();
+    bench.silence();
+    bench.give(Input::Claimed(Some(7)));
+    bench.give(Input::Stopped(NEAR, Some(point(1, 12))));
+    bench.give(Input::Stopped(FAR, Some(point(1, 11))));
+    let actions = bench.give(Input::Ordered(Ordered::Unknown));
+    assert!(actions.contains(&Action::Claim));
+    bench.give(Input::Claimed(Some(8)));
+    let actions = bench.give(Input::Beat(PRIMARY, Beat::Leads(point(1, 12))));
+    assert_eq!(ordered(&actions), Some((PRIMARY, 8)), "the old order must find a higher token");
+}
+
+#[rstest]
+#[case::refused(Ordered::Rejected)]
+#[case::not_answered(Ordered::Unknown)]
+fn a_token_is_used_for_one_instance(#[case] outcome: Ordered) {
+    let mut bench = Bench::calm();
+    bench.silence();
+    bench.give(Input::Claimed(Some(7)));
+    bench.give(Input::Stopped(NEAR, Some(point(1, 12))));
+    bench.give(Input::Stopped(FAR, Some(point(1, 11))));
+    let mut later = bench.give(Input::Ordered(outcome));
+    for _ in 0..50 {
+        later.extend(bench.wait(100));
+    }
+    assert!(!later.iter().any(|action| matches!(action, Action::Order { token: 7, .. })));
+}
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -10,6 +10,7 @@
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_core::verdict::Verdict;
 use oleander_failover::keeper::Beat;
 use oleander_ports::upstream::FailureKind;
 use oleander_ports::upstream::Link;
@@ -81,19 +82,23 @@
         None
     }
 
-    /// Lets a replica receive again.
-    pub async fn resume(&self, key: InstanceKey) {
+    /// Lets a replica receive again. Returns `true` if it answered.
+    pub async fn resume(&self, key: InstanceKey) -> bool {
         for _ in 0..BUSY_ATTEMPTS {
             let message = Message::own(Order::ResumeReceiving);
-            let Ok(replies) = self.exchange(key, &[message]).await else { return };
+            let replies = match self.exchange(key, &[message]).await {
+                Ok(replies) => replies,
+                Err(error) => return error.verdict() == Verdict::NotRun,
+            };
             let is_busy = |reply: &Reply| {
                 matches!(&reply.outcome, Err(failure) if failure.kind == FailureKind::Busy)
             };
             if !replies.iter().any(is_busy) {
-                return;
+                return true;
             }
             self.fleet.timers.sleep(BUSY_PAUSE).await;
         }
+        true
     }
 
     async fn exchange(
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -206,8 +206,7 @@
                 Some(Input::Stopped(key, self.links.stop(key, term).await))
             }
             Action::Resume(key) => {
-                self.links.resume(key).await;
-                None
+                Some(Input::Resumed(key, self.links.resume(key).await))
             }
             Action::Claim => Some(Input::Claimed(self.claim().await)),
             Action::Order { instance, token } => {
