--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -46,6 +46,8 @@
     StoreReachable = 305,
     /// This VM uses its own shares.
     SharesActive = 307,
+    /// All VMs that may have owned this VM's shares before know that it has joined.
+    JoinKnown = 308,
     /// A peer is suspected to be down.
     PeerSuspected = 306,
     /// An instance stopped answering pings.
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -192,6 +192,11 @@
         self.available(ctx)
     }
 
+    /// Gets the time until which something borrowed may be used.
+    pub fn held_until(&self) -> Time {
+        self.borrower.held_until()
+    }
+
     /// Takes in a new limit.
     pub fn set_limit(&mut self, now: Time, limit: Limit) {
         self.owner.set_limit(now, self.limit, limit);
--- a/oleander-limits/src/rates/borrower.rs
+++ b/oleander-limits/src/rates/borrower.rs
@@ -96,6 +96,13 @@
 }
 
 impl RateBorrower {
+    /// Gets the time until which something borrowed may be used; `Time(0)` for nothing.
+    pub fn held_until(&self) -> Time {
+        let loans = self.loans.iter().map(|loan| loan.until);
+        let grants = self.grants.iter().map(|grant| grant.until);
+        loans.chain(grants).max().unwrap_or_default()
+    }
+
     /// Takes in a loan that was asked for at `sent`.
     pub fn add_loan(&mut self, now: Time, limit: Limit, owner: VmId, loan: Loan, sent: Time) {
         let until = sent + LOAN_HOLD;
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -91,6 +91,8 @@
     accounts: HashMap<WorkspaceId, Account>,
     wakes: BinaryHeap<Reverse<(Time, WorkspaceId)>>,
     pruned: Time,
+    /// `true` once limits were set.
+    limited: bool,
 }
 
 #[derive(Debug)]
@@ -132,6 +134,7 @@
             accounts: HashMap::new(),
             wakes: BinaryHeap::new(),
             pruned: Time(0),
+            limited: false,
         }
     }
 
@@ -217,16 +220,19 @@
         limits: impl IntoIterator<Item = (WorkspaceId, Limit)>,
         out: &mut Vec<Action>,
     ) {
+        let is_first = !self.limited;
         let former = std::mem::take(&mut self.limits);
         for (workspace, limit) in limits {
             let known = former.get(&workspace).map(|configured| configured.since);
-            // Loans of an earlier time in which the workspace had a limit may still be in use.
-            let since = known.unwrap_or(now + WAIT_OUT);
+            // Loans of an earlier time in which the workspace had a limit may still be in use. At
+            // the start of the process the wait of the shares covers them.
+            let since = known.unwrap_or(if is_first { now } else { now + WAIT_OUT });
             self.limits.insert(workspace, Configured { limit, since });
             if let Some(account) = self.accounts.get_mut(&workspace) {
                 account.set_limit(now, limit);
             }
         }
+        self.limited |= !self.limits.is_empty();
         let gone: Vec<WorkspaceId> =
             former.into_keys().filter(|workspace| !self.limits.contains_key(workspace)).collect();
         for workspace in gone {
@@ -245,6 +251,12 @@
         }
     }
 
+    /// Takes in the shares as `set_shares` does, but without a wait: to be called where no loan of
+    /// an earlier owner can be in use.
+    pub fn start_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time) {
+        self.set_shares(Time(now.0.saturating_sub(WAIT_OUT.0)), owners, until);
+    }
+
     /// Returns all loans and refuses what waits, as before a planned stop.
     pub fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
         for account in self.accounts.values_mut() {
@@ -261,6 +273,17 @@
         self.with_account(now, workspace, &mut Vec::new(), Account::spendable)
     }
 
+    /// Gets the time for which this VM may still use what it borrowed from others.
+    pub fn held(&self, now: Time) -> Span {
+        let until = self.accounts.values().map(Account::held_until).max().unwrap_or_default();
+        until.since(now)
+    }
+
+    /// Gets the time at which the oldest call was sent that has no answer yet.
+    pub fn oldest_call(&self) -> Option<Time> {
+        self.shared.calls.values().map(|call| call.sent).min()
+    }
+
     /// Gets the number of workspaces of which this VM holds a state.
     pub fn accounts(&self) -> usize {
         self.accounts.len()
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -6,6 +6,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_membership::leased::LeasedMember;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
@@ -21,6 +22,7 @@
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use super::Backoff;
 use super::apply;
@@ -33,7 +35,7 @@
 const RENEWALS: u64 = 3;
 
 /// The time within which another VM must say whether it knows of this one.
-const APPLIED_LIMIT: Span = Span::from_millis(1_000);
+const JOINED_LIMIT: Span = Span::from_millis(1_000);
 
 /// `Held` is the lease that this VM's records are bound to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -71,7 +73,7 @@
             tokio::select! {
                 held = self.hold() => {
                     self.held.send_replace(None);
-                    self.fleet.set_active(false);
+                    self.fleet.set_inactive();
                     if held.is_err() {
                         self.fleet.timers.sleep(backoff.pause()).await;
                     } else {
@@ -149,41 +151,28 @@
         let own = self.fleet.vm;
         let others: Vec<VmId> =
             self.fleet.view().roster.present().map(LeasedMember::vm).filter(|vm| *vm != own).collect();
-        let calls = others.into_iter().map(|vm| self.wait_applied(vm, joined, since));
-        let mut calls: Vec<_> = calls.map(Box::pin).collect();
-        while let Some(call) = calls.pop() {
-            call.await;
+        let mut calls = JoinSet::new();
+        for vm in others {
+            calls.spawn(tell_joined(self.fleet.clone(), self.peers.clone(), vm, joined, since));
         }
-        self.fleet.set_active(true);
-        let waited = self.fleet.now().since(since);
-        self.journal.record(
-            Event::SharesActive,
-            &[Field::number("joined", joined.0), Field::millis("waited", waited)],
-        );
-    }
-
-    /// Waits until a VM knows of this one, or cannot use shares that are no longer its own.
-    async fn wait_applied(&self, vm: VmId, joined: StoreRevision, since: Time) {
-        let limit = since + self.fleet.settings.currency();
-        let mut backoff = Backoff::default();
-        while self.fleet.now() < limit {
-            let Some(address) = self.fleet.address(vm) else { return };
-            let request = Request::Applied(joined.0);
-            if let Ok(Reply::Accepted) = self.peers.call(address, &request, APPLIED_LIMIT).await {
-                return;
-            }
-            if !self.fleet.view().roster.is_present(vm) {
-                // Its lease has ended, and it counts its lease from before the store does.
-                return;
-            }
-            self.fleet.timers.sleep(backoff.pause()).await;
+        let mut lent_until = self.fleet.now();
+        while let Some(until) = calls.join_next().await {
+            lent_until = lent_until.max(until.unwrap_or(Time(u64::MAX)));
         }
+        let now = self.fleet.now();
+        self.fleet.set_active(lent_until.min(now + WAIT_OUT));
+        let fields = [
+            Field::number("joined", joined.0),
+            Field::millis("waited", now.since(since)),
+            Field::millis("lent", lent_until.since(now)),
+        ];
+        self.journal.record(Event::JoinKnown, &fields);
     }
 
     /// Tells the fleet that this VM leaves.
     async fn leave(&self) {
         let Some(held) = *self.held.borrow() else { return };
-        self.fleet.set_active(false);
+        self.fleet.set_inactive();
         if let Err(error) = self.write(true, held.lease).await {
             self.journal.record(Event::StoreUnreachable, &[Field::text("reason", error)]);
         }
@@ -204,3 +193,28 @@
     // A closed channel means that the node has gone, which is a stop too.
     let _ = draining.wait_for(|draining| *draining).await;
 }
+
+/// Waits until a VM knows of this one, or cannot use shares that are no longer its own. Gets the
+/// time until which it may use what earlier owners lent to it.
+async fn tell_joined(
+    fleet: Arc<Fleet>,
+    peers: PeerClient,
+    vm: VmId,
+    joined: StoreRevision,
+    since: Time,
+) -> Time {
+    let limit = since + fleet.settings.currency();
+    let mut backoff = Backoff::default();
+    while fleet.now() < limit {
+        let Some(address) = fleet.present_address(vm) else {
+            // Its lease has ended, and it counts its lease from before the store does.
+            return fleet.now() + WAIT_OUT;
+        };
+        let request = Request::Joined(joined.0);
+        if let Ok(Reply::Joined(held)) = peers.call(address, &request, JOINED_LIMIT).await {
+            return fleet.now() + held;
+        }
+        fleet.timers.sleep(backoff.pause()).await;
+    }
+    fleet.now() + WAIT_OUT
+}
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -31,6 +31,10 @@
 use crate::fleet::Fleet;
 use crate::rates::Rates;
 
+/// The part of an operation's target, as a divisor, for which it may wait for its rate: a caller
+/// that is refused sooner can still come back in time.
+const PATIENCE_PART: u64 = 4;
+
 /// The time for which a transaction may rest where the configuration sets none.
 const DEFAULT_REST: Span = Span::from_secs(5);
 
@@ -145,10 +149,11 @@
     pub async fn run(&mut self, statement: &str, command: Command) -> Result<Answered, Refusal> {
         let begins = matches!(command, Command::Begin { .. });
         if begins && self.dialog.phase() == Phase::Idle {
-            let operation = self.admit().await;
-            self.operation = Some(operation.inspect_err(|refusal| {
-                self.entry.note_refusal(statement, &self.name, None, refusal);
-            })?);
+            let admitted = self.admit().await;
+            if let Err(refusal) = &admitted {
+                self.entry.note_refusal(statement, &self.name, self.operation.take().as_ref(), refusal);
+            }
+            admitted?;
         }
         let outcome = match self.dialog.handle(command) {
             Step::Done => Ok(None),
@@ -182,13 +187,15 @@
         self.operation = None;
     }
 
-    async fn admit(&self) -> Result<Operation, Refusal> {
-        let entry = &self.entry;
+    /// Starts an operation; it stands even if it is then refused for its rate.
+    async fn admit(&mut self) -> Result<(), Refusal> {
+        let entry = self.entry.clone();
         let started = entry.fleet.now();
         let admitted = route::admit(&entry.fleet, &self.name, self.key.as_ref())?;
-        let until = started + Span(admitted.route.target.0 / 4);
-        entry.rates.admit(admitted.workspace, admitted.route.cost, until).await?;
-        Ok(Operation { admitted, started })
+        let until = started + Span(admitted.route.target.0 / PATIENCE_PART);
+        let (workspace, cost) = (admitted.workspace, admitted.route.cost);
+        self.operation = Some(Operation { admitted, started });
+        entry.rates.admit(workspace, cost, until).await
     }
 
     async fn run_work(&mut self, statement: &str, work: Work) -> Result<Answered, Refusal> {
@@ -220,19 +227,18 @@
         statement: &str,
         work: &Work,
     ) -> Result<(Answered, Option<oleander_core::terms::LogPoint>), Refusal> {
-        let operation = match self.operation.take() {
-            Some(operation) => {
-                self.recheck(&operation)?;
-                operation
-            }
+        match &self.operation {
+            Some(operation) => self.recheck(operation)?,
             None => self.admit().await?,
+        }
+        let Some(operation) = &self.operation else {
+            return Err(Refusal::not_run(RefusalCode::Internal, "no operation was admitted"));
         };
-        let request = self.request(statement, work, &operation);
+        let request = self.request(statement, work, operation);
         let outcome = match &self.open {
             Some(open) => self.run_next(open, request).await,
-            None => self.run_first(&operation, request).await,
+            None => self.run_first(operation, request).await,
         };
-        self.operation = Some(operation);
         let (answer, home, instance) = outcome?;
         self.open = answer.transaction.map(|id| Open { home, id, instance });
         let answered = Answered { rows: answer.rows, signature: Some(answer.signature) };
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -108,7 +107,7 @@
     changed: watch::Sender<StoreRevision>,
     proven: AtomicU64,
     leased: AtomicU64,
-    active: AtomicBool,
+    active: AtomicU64,
     draining: watch::Sender<bool>,
     suspects: Mutex<HashMap<VmId, Time>>,
 }
@@ -124,7 +123,7 @@
             changed: watch::Sender::new(StoreRevision(0)),
             proven: AtomicU64::new(0),
             leased: AtomicU64::new(0),
-            active: AtomicBool::new(false),
+            active: AtomicU64::new(0),
             draining: watch::Sender::new(false),
             suspects: Mutex::default(),
         }
@@ -185,20 +184,38 @@
         Time(self.leased.load(Ordering::Acquire))
     }
 
-    /// Notes whether all VMs know that this one is here, so that it may use its shares.
-    pub fn set_active(&self, active: bool) {
-        self.active.store(active, Ordering::Release);
+    /// Notes that all VMs know that this one is here, and until when they may use what earlier
+    /// owners of its shares lent to them.
+    pub fn set_active(&self, lent: Time) {
+        self.active.store(lent.0.max(1), Ordering::Release);
+    }
+
+    /// Notes that other VMs may take this one's shares over.
+    pub fn set_inactive(&self) {
+        self.active.store(0, Ordering::Release);
+    }
+
+    /// Gets the time from which this VM may use its own shares; `None` if it may not.
+    pub fn active_from(&self) -> Option<Time> {
+        let from = self.active.load(Ordering::Acquire);
+        (from != 0).then_some(Time(from))
     }
 
     /// Gets the time until which this VM may use its own shares.
     pub fn shares_until(&self) -> Time {
-        if self.active.load(Ordering::Acquire) {
+        if self.active_from().is_some() {
             self.leased_until().min(self.current_until())
         } else {
             Time(0)
         }
     }
 
+    /// Gets the address of a VM whose lease runs.
+    pub fn present_address(&self, vm: VmId) -> Option<SocketAddr> {
+        let roster = &self.view.load().roster;
+        roster.is_present(vm).then(|| roster.member(vm).map(|member| member.peers)).flatten()
+    }
+
     /// Notes that this VM is stopping.
     pub fn drain(&self) {
         self.draining.send_replace(true);
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -15,6 +15,7 @@
 use oleander_ports::promotion::Promotions;
 use oleander_ports::sources::Sources;
 use oleander_ports::store::KeyValue;
+use oleander_ports::store::StoreRevision;
 use oleander_ports::upstream::Upstreams;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -56,7 +57,10 @@
 const READY_AGE: Span = Span::from_millis(2_900);
 
 /// The time between two looks at the rates' shares when nothing has changed.
-const SHARES_INTERVAL: Span = Span::from_millis(500);
+const SHARES_INTERVAL: Span = Span::from_millis(250);
+
+/// The time between two looks at whether this VM may use its shares yet.
+const START_INTERVAL: Span = Span::from_millis(25);
 
 /// `Ports` are the adapters that a node runs on.
 #[derive(Clone)]
@@ -148,7 +152,7 @@
             life,
             timers.clone(),
             peer_client.clone(),
-            Box::new(move |vm| directory.address(vm)),
+            Box::new(move |vm| directory.present_address(vm)),
         );
         let (hold, held) = watch::channel(None);
         let duties = Arc::new(Duties {
@@ -190,7 +194,9 @@
             life,
             held: hold,
         };
+        let (apply, applied) = watch::channel(StoreRevision(0));
         let server = Arc::new(PeerServer {
+            applied,
             fleet: fleet.clone(),
             homes: homes.clone(),
             duties: duties.clone(),
@@ -206,7 +212,7 @@
                 drop(stop);
             }),
             tokio::spawn(follower.run()),
-            tokio::spawn(follow_rates(fleet.clone(), rates.clone())),
+            tokio::spawn(follow_rates(fleet.clone(), rates.clone(), journal.clone(), apply)),
             spawn_rates(rates.clone()),
             spawn_homes(homes.clone()),
             spawn_duties(duties.clone()),
@@ -270,10 +276,16 @@
 }
 
 /// Gives the limiter the shares and limits of each new view.
-async fn follow_rates(fleet: Arc<Fleet>, rates: Rates) {
+async fn follow_rates(
+    fleet: Arc<Fleet>,
+    rates: Rates,
+    journal: Journal,
+    applied: watch::Sender<StoreRevision>,
+) {
     let mut changes = fleet.changes();
     let mut former: Option<Arc<View>> = None;
     let mut owners = Vec::new();
+    let mut started = false;
     loop {
         let view = fleet.view();
         let is_same = |part: fn(&View, &View) -> bool| {
@@ -284,15 +296,24 @@
         }
         let until = fleet.shares_until();
         if fleet.now() < until {
-            rates.set_shares(&owners, until);
+            let from = fleet.active_from();
+            if started {
+                rates.set_shares(&owners, until);
+            } else if from.is_some_and(|from| from <= fleet.now()) {
+                // Whatever earlier owners lent has ended.
+                rates.start_shares(&owners, until);
+                started = true;
+                journal.record(Event::SharesActive, &[]);
+            }
         }
         if !is_same(|former, view| Arc::ptr_eq(&former.snapshot, &view.snapshot)) {
             rates.set_limits(limits_of(&view));
         }
+        applied.send_replace(view.revision);
         former = Some(view);
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
-            () = fleet.timers.sleep(SHARES_INTERVAL) => {}
+            () = fleet.timers.sleep(if started { SHARES_INTERVAL } else { START_INTERVAL }) => {}
         }
     }
 }
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -12,14 +12,15 @@
 use oleander_peer::server::Incoming;
 use oleander_ports::store::StoreRevision;
 use oleander_runtime::logs::Journal;
+use tokio::sync::watch;
 
 use crate::fleet::Fleet;
 use crate::home::registry::Homes;
 use crate::keeper::duties::Duties;
 use crate::rates::Rates;
 
-/// The longest wait for a revision of the store to be applied here.
-const APPLIED_WAIT: Span = Span::from_millis(900);
+/// The longest wait for a revision of the store to be applied here and for calls under way.
+const JOINED_WAIT: Span = Span::from_millis(900);
 
 /// `PeerServer` answers other VMs.
 pub struct PeerServer {
@@ -31,6 +32,8 @@
     pub duties: Arc<Duties>,
     /// The rates of workspaces.
     pub rates: Rates,
+    /// Told of the revision of the view that the limiter goes by.
+    pub applied: watch::Receiver<StoreRevision>,
     /// The recent events, for operators.
     pub journal: Journal,
     /// Gets the state for operators as JSON.
@@ -52,7 +55,7 @@
                 Reply::Home(running.await.unwrap_or_else(lost))
             }
             Request::Primary(database) => Reply::Primary(server.duties.report(database)),
-            Request::Applied(revision) => server.applied(StoreRevision(revision)).await,
+            Request::Joined(revision) => server.joined(StoreRevision(revision)).await,
             Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
             Request::Status => Reply::Status((server.status)()),
             Request::Events => Reply::Events(server.journal.recent_json()),
@@ -68,12 +71,16 @@
 }
 
 impl PeerServer {
-    async fn applied(&self, revision: StoreRevision) -> Reply {
-        let mut changes = self.fleet.changes();
-        let applied = changes.wait_for(|at| revision <= *at);
-        match self.fleet.timers.within(APPLIED_WAIT, applied).await {
-            Some(Ok(_)) => Reply::Accepted,
-            _ => Reply::Unsupported,
+    /// Waits until the limiter knows of a VM that has joined and no earlier loan is on its way.
+    async fn joined(&self, revision: StoreRevision) -> Reply {
+        let mut applied = self.applied.clone();
+        let settling = async {
+            applied.wait_for(|at| revision <= *at).await.ok()?;
+            Some(self.rates.settle().await)
+        };
+        match self.fleet.timers.within(JOINED_WAIT, settling).await.flatten() {
+            Some(held) => Reply::Joined(held),
+            None => Reply::Unsupported,
         }
     }
 }
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -34,7 +34,10 @@
 /// The time between two ticks when the limiter has nothing due.
 const IDLE_TICK: Span = Span::from_secs(1);
 
-/// Gets the address at which a VM answers about rates.
+/// The time between two looks at calls under way: a fraction of a round trip between regions.
+const SETTLE_POLL: Span = Span::from_millis(10);
+
+/// Gets the address at which a VM with a running lease answers about rates.
 pub type AddressOf = Box<dyn Fn(VmId) -> Option<SocketAddr> + Send + Sync>;
 
 /// `Rates` is the rate limiter of a VM with its waiting requests; clones share it.
@@ -93,6 +96,10 @@
 
     /// Answers a request of another VM.
     pub fn answer(&self, from: VmId, request: LimitRequest) -> LimitReply {
+        if (self.inner.address_of)(from).is_none() {
+            // What it borrowed could outlive what the store knows of it.
+            return LimitReply::NotOwner;
+        }
         let now = self.inner.timers.now();
         self.with(|limiter, out| limiter.handle(now, from, request, out))
     }
@@ -103,12 +110,31 @@
         self.with(|limiter, _| limiter.set_shares(now, owners, until));
     }
 
+    /// Takes in the shares where no loan of an earlier owner can be in use.
+    pub fn start_shares(&self, owners: &[Option<VmId>], until: Time) {
+        let now = self.inner.timers.now();
+        self.with(|limiter, _| limiter.start_shares(now, owners, until));
+    }
+
     /// Takes in the limits of a configuration; workspaces that are not named have none.
     pub fn set_limits(&self, limits: impl IntoIterator<Item = (WorkspaceId, Limit)>) {
         let now = self.inner.timers.now();
         self.with(|limiter, out| limiter.set_limits(now, limits, out));
     }
 
+    /// Waits until the calls under way are answered, then gets the time for which this VM may still
+    /// use what it borrowed.
+    pub async fn settle(&self) -> Span {
+        let asked = self.inner.timers.now();
+        loop {
+            let oldest = self.lock().limiter.oldest_call();
+            if oldest.is_none_or(|sent| asked < sent) {
+                return self.lock().limiter.held(self.inner.timers.now());
+            }
+            self.inner.timers.sleep(SETTLE_POLL).await;
+        }
+    }
+
     /// Returns what was borrowed, as before a planned stop.
     pub fn stop(&self) {
         let now = self.inner.timers.now();
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -37,9 +37,9 @@
     Home(Box<HomeRequest>),
     /// A home asks the keeper of a database about its primary.
     Primary(DatabaseId),
-    /// A VM that has joined asks whether the receiver knows of it: whether it has applied the
-    /// store's changes up to this revision. The answer waits until it has.
-    Applied(u64),
+    /// A VM that has joined asks the receiver to take that in: to apply the store's changes up to
+    /// this revision. The answer waits until it has.
+    Joined(u64),
     /// A proxy asks another about rate limits.
     Limit {
         /// The asking VM.
@@ -72,6 +72,9 @@
     Home(Result<HomeAnswer, Refusal>),
     /// What the keeper knows of the primary; `None` if it knows none.
     Primary(Option<PrimaryReport>),
+    /// The receiver knows of the VM that has joined; for this time it may still use what VMs lent
+    /// to it that owned shares before.
+    Joined(Span),
     /// The answer about rate limits.
     Limit(LimitReply),
     /// The answer about membership.
--- a/oleander-proxy/src/peers.rs
+++ b/oleander-proxy/src/peers.rs
@@ -33,7 +33,7 @@
             }
             Request::Home(_)
             | Request::Primary(_)
-            | Request::Applied(_)
+            | Request::Joined(_)
             | Request::Member(_)
             | Request::Failover(_)
             | Request::Subscribe(_)
