--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -314,6 +314,8 @@
                 let recalled = Tokens(limit.capacity(*lent).0 / 2);
                 peer.gave(now, *left + recalled);
             }
+            // The owner has started lately or knows of a newer owner: either passes within moments.
+            Some(LimitReply::NotOwner) => peer.was_empty(now),
             _ => peer.failed(now),
         }
     }
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -17,6 +17,7 @@
 use crate::rates::account::Account;
 use crate::rates::owner::WAIT_OUT;
 use crate::rates::ownership::Ownership;
+use crate::rates::tokens::FRACTIONS;
 use crate::rates::tokens::Limit;
 use crate::rates::tokens::Tokens;
 
@@ -127,7 +128,15 @@
     /// `life` must differ from that of every other process that has run on
     /// this VM within the last seconds, such as a start time in nanoseconds.
     pub fn new(vm: VmId, life: u64) -> Self {
-        let ownership = Ownership::new(vm);
+        Self::with_groups(vm, life, FRACTIONS)
+    }
+
+    /// Makes a limiter as `new` does, with the fractions of each workspace on `groups` shares.
+    ///
+    /// Few groups suit low rates, of which a fraction would hold less than a token or two; many
+    /// lose less with one VM. All VMs must agree on the number.
+    pub fn with_groups(vm: VmId, life: u64, groups: u32) -> Self {
+        let ownership = Ownership::new(vm, groups);
         Self {
             shared: Shared { ownership, life, serial: 0, calls: HashMap::new() },
             limits: HashMap::new(),
--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -28,6 +28,8 @@
 pub struct Ownership {
     vm: VmId,
     shares: Vec<Share>,
+    /// The shares over which a workspace's fractions are spread.
+    groups: u32,
     until: Time,
     epoch: u64,
 }
@@ -50,9 +52,10 @@
 }
 
 impl Ownership {
-    /// Makes a table without owners for this VM.
-    pub fn new(vm: VmId) -> Self {
-        Self { vm, shares: Vec::new(), until: Time(0), epoch: 0 }
+    /// Makes a table without owners for this VM; `groups` is the number of shares over which the
+    /// fractions of a workspace are spread, which all VMs must agree on.
+    pub fn new(vm: VmId, groups: u32) -> Self {
+        Self { vm, shares: Vec::new(), groups, until: Time(0), epoch: 0 }
     }
 
     /// Replaces the owners. Own shares may be used until `until`.
@@ -123,8 +126,10 @@
 
     fn shares_of(&self, workspace: WorkspaceId) -> impl Iterator<Item = Share> {
         let count = self.shares.len() as u64;
+        let groups = u64::from(self.groups);
         (0..u64::from(FRACTIONS)).filter_map(move |fraction| {
-            let at = hash::combine(workspace.0, fraction).checked_rem(count)?;
+            let group = fraction.checked_rem(groups)?;
+            let at = hash::combine(workspace.0, group).checked_rem(count)?;
             self.shares.get(at as usize).copied()
         })
     }
--- a/oleander-limits/src/rates/peers.rs
+++ b/oleander-limits/src/rates/peers.rs
@@ -15,7 +15,10 @@
 const EMPTY_BACKOFF: Span = Span::from_millis(20);
 /// The first time that an owner is left alone that could not be asked.
 const FAILED_BACKOFF: Span = Span::from_millis(200);
-/// The longest time that an owner is left alone.
+/// The longest time that an owner without tokens is left alone: about the time in which a low rate
+/// brings a token.
+const MAX_EMPTY_BACKOFF: Span = Span::from_millis(160);
+/// The longest time that an owner is left alone that could not be asked.
 const MAX_BACKOFF: Span = Span::from_millis(1_000);
 /// The time after which an unanswered call counts as failed.
 const CALL_TIMEOUT: Span = Span::from_millis(300);
@@ -100,14 +103,14 @@
         self.retry = now;
     }
 
-    /// Takes in that the peer had nothing.
+    /// Takes in that the peer had nothing, or does not use its fractions yet.
     pub fn was_empty(&mut self, now: Time) {
-        self.leave_alone(now, EMPTY_BACKOFF);
+        self.leave_alone(now, EMPTY_BACKOFF, MAX_EMPTY_BACKOFF);
     }
 
-    /// Takes in that the peer could not be asked or owns nothing.
+    /// Takes in that the peer could not be asked.
     pub fn failed(&mut self, now: Time) {
-        self.leave_alone(now, FAILED_BACKOFF);
+        self.leave_alone(now, FAILED_BACKOFF, MAX_BACKOFF);
     }
 
     /// Takes in that the peer recalls a loan, which may bring `recalled` fractions after `again`.
@@ -125,9 +128,9 @@
         }
     }
 
-    fn leave_alone(&mut self, now: Time, first: Span) {
+    fn leave_alone(&mut self, now: Time, first: Span, most: Span) {
         self.expected = Bucket::new(Tokens::ZERO, now);
-        self.backoff = self.backoff.times(2).max(first).min(MAX_BACKOFF);
+        self.backoff = self.backoff.times(2).max(first).min(most);
         self.retry = now + self.backoff;
     }
 }
