Start shares that need no wait at once, also soon after the process

Cause: the wait was left out by moving its start back, which a clock younger than the wait cannot do, so a fleet that lost power still refused all keyed requests for 2 s.

--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -252,18 +252,17 @@
 
     /// Takes in who owns each share, and until when this VM may use its own.
     pub fn set_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time) {
-        if !self.shared.ownership.set(now, owners, until) {
-            return;
-        }
-        for account in self.accounts.values_mut() {
-            account.reset_owner(now);
+        if self.shared.ownership.set(now, owners, until) {
+            self.reset_owners(now);
         }
     }
 
     /// Takes in the shares as `set_shares` does, but without a wait: to be called where no loan of
     /// an earlier owner can be in use.
     pub fn start_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time) {
-        self.set_shares(Time(now.0.saturating_sub(WAIT_OUT.0)), owners, until);
+        if self.shared.ownership.start(now, owners, until) {
+            self.reset_owners(now);
+        }
     }
 
     /// Returns all loans and refuses what waits, as before a planned stop.
@@ -324,6 +323,12 @@
         Some(result)
     }
 
+    fn reset_owners(&mut self, now: Time) {
+        for account in self.accounts.values_mut() {
+            account.reset_owner(now);
+        }
+    }
+
     fn forget_calls(&mut self, now: Time) {
         if now < self.pruned + CALL_LIFE {
             return;
--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -82,6 +82,15 @@
         anew
     }
 
+    /// Replaces the owners as `set` does, without a wait for own shares.
+    pub fn start(&mut self, now: Time, owners: &[Option<VmId>], until: Time) -> bool {
+        let anew = self.set(now, owners, until);
+        for share in &mut self.shares {
+            share.usable = share.usable.min(now);
+        }
+        anew
+    }
+
     /// Gets this VM.
     pub fn vm(&self) -> VmId {
         self.vm
--- /dev/null
+++ b/oleander-limits/tests/start.rs
@@ -0,0 +1,60 @@
+//! The start of a limiter's shares, soon after its clock and after every other VM's.
+
+use oleander_core::ids::VmId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_limits::rates::limiter::Decision;
+use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::limiter::Ticket;
+use oleander_limits::rates::owner::WAIT_OUT;
+use oleander_limits::rates::tokens::Limit;
+use rstest::rstest;
+
+const VM: VmId = VmId(7);
+const LIMIT: Limit = Limit { rate: 100, burst: 100 };
+const FOREVER: Time = Time(u64::MAX);
+
+/// `Start` is when a limiter starts to use its shares, and when the first request comes.
+struct Start {
+    waits: bool,
+    after: Span,
+    admitted: bool,
+}
+
+/// The wait of a fleet that lost power as a whole kept all requests out for 2 s: the clock of a
+/// new process is younger than the wait.
+#[rstest]
+#[case::no_wait_in_a_fresh_fleet(Start { waits: false, after: Span::from_millis(50), admitted: true })]
+#[case::no_tokens_from_before(Start { waits: false, after: Span::from_millis(5), admitted: false })]
+#[case::waits_out_loans(Start { waits: true, after: Span::from_millis(50), admitted: false })]
+#[case::lends_after_the_wait(Start { waits: true, after: Span(WAIT_OUT.0 + 50_000), admitted: true })]
+fn starts_as_told(#[case] start: Start) {
+    let now = Time(300_000);
+    let workspace = WorkspaceId(1);
+    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut out = Vec::new();
+    limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
+    if start.waits {
+        limiter.set_shares(now, &[Some(VM); 64], FOREVER);
+    } else {
+        limiter.start_shares(now, &[Some(VM); 64], FOREVER);
+    }
+    let asked = now + start.after;
+    let decision = limiter.ask(asked, Ticket(1), workspace, 1, asked, &mut out);
+    assert_eq!(decision == Decision::Admit, start.admitted);
+}
+
+#[test]
+fn limits_of_an_empty_configuration_start_no_wait() {
+    let now = Time(300_000);
+    let workspace = WorkspaceId(1);
+    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut out = Vec::new();
+    limiter.set_limits(Time(0), [], &mut out);
+    limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
+    limiter.start_shares(now, &[Some(VM); 64], FOREVER);
+    let asked = now + Span::from_millis(50);
+    let decision = limiter.ask(asked, Ticket(1), workspace, 1, asked, &mut out);
+    assert_eq!(decision, Decision::Admit);
+}
