--- a/oleander-limits/src/home/pool.rs
+++ b/oleander-limits/src/home/pool.rs
@@ -2,11 +2,23 @@
 //!
 //! A connection belongs to one workspace for its life. An instance accepts few
 //! connections, and each new one takes a slot for a while, so an idle connection
-//! is closed only when another workspace needs its place.
+//! is closed only when another workspace needs its place, or when it has been idle for long and
+//! the pool holds more than `PoolOptions::kept`: the connections of a VM that loses power count at the instance for a
+//! while, and the next home of the instance needs some at once.
 
 use std::collections::VecDeque;
 
 use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+
+/// The time for which no further connection is tried after an instance has refused one: a tenth of
+/// the time for which the connections of a lost VM count.
+const REFUSED_PAUSE: Span = Span::from_millis(300);
+
+/// The time after which an idle connection counts as little used: many times that in which a new one
+/// opens.
+const IDLE_TIME: Span = Span::from_millis(1_000);
 
 /// `Mark` tells apart the sessions' values that a connection holds.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
@@ -26,11 +38,29 @@
     Full,
 }
 
+/// `PoolOptions` are the bounds of a pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolOptions {
+    /// The connections that may be open.
+    pub cap: u32,
+    /// The connections up to which idle ones are kept.
+    pub kept: u32,
+}
+
 /// `Pool` holds the idle connections of one instance and counts all of them.
 #[derive(Debug)]
 pub struct Pool<L> {
     idle: VecDeque<Idle<L>>,
     open: u32,
+    options: PoolOptions,
+    refused: Option<Refused>,
+}
+
+/// `Refused` says that the instance accepted no more than the connections that were open then.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    open: u32,
+    until: Time,
 }
 
 #[derive(Debug)]
@@ -38,27 +68,46 @@
     workspace: WorkspaceId,
     mark: Mark,
     link: L,
+    since: Time,
 }
 
 impl<L> Default for Pool<L> {
     fn default() -> Self {
-        Self { idle: VecDeque::new(), open: 0 }
+        Self { idle: VecDeque::new(), open: 0, options: PoolOptions::default(), refused: None }
     }
 }
 
 impl<L> Pool<L> {
-    /// Takes a connection for a statement of `workspace`; `cap` bounds the connections.
+    /// Changes the bounds.
+    pub fn set_options(&mut self, options: PoolOptions) {
+        self.options = options;
+    }
+
+    /// Gets the connections that may be open now.
+    pub fn cap(&self, now: Time) -> u32 {
+        match self.refused {
+            Some(refused) if now < refused.until => refused.open.min(self.options.cap),
+            _ => self.options.cap,
+        }
+    }
+
+    /// Takes in that the instance accepts no more connections; no other is tried for a while.
+    pub fn refuse(&mut self, now: Time) {
+        self.refused = Some(Refused { open: self.open.max(1), until: now + REFUSED_PAUSE });
+    }
+
+    /// Takes a connection for a statement of `workspace`.
     ///
     /// A connection that holds the session's values already goes first, then the latest used.
     /// A new connection counts from now on; `forget` takes it out.
-    pub fn pick(&mut self, workspace: WorkspaceId, mark: Mark, cap: u32) -> Pick<L> {
+    pub fn pick(&mut self, now: Time, workspace: WorkspaceId, mark: Mark) -> Pick<L> {
         let same = |idle: &Idle<L>| idle.workspace == workspace;
         let exact = self.idle.iter().rposition(|idle| same(idle) && idle.mark == mark);
         let found = exact.or_else(|| self.idle.iter().rposition(same));
         if let Some(idle) = found.and_then(|at| self.idle.remove(at)) {
             return Pick::Reuse(idle.link);
         }
-        if self.open < cap {
+        if self.open < self.cap(now) {
             self.open += 1;
             return Pick::Open { close: None };
         }
@@ -69,9 +118,17 @@
         }
     }
 
-    /// Takes a connection back that is no longer in use.
-    pub fn put(&mut self, workspace: WorkspaceId, mark: Mark, link: L) {
-        self.idle.push_back(Idle { workspace, mark, link });
+    /// Takes a connection back that is no longer in use. Gets one to close if more are open than
+    /// are kept and one has been idle for long.
+    pub fn put(&mut self, now: Time, workspace: WorkspaceId, mark: Mark, link: L) -> Option<L> {
+        self.idle.push_back(Idle { workspace, mark, link, since: now });
+        if self.open <= self.options.kept {
+            return None;
+        }
+        // Connections come back in the order of time.
+        let oldest = self.idle.pop_front_if(|idle| IDLE_TIME <= now.since(idle.since))?;
+        self.open -= 1;
+        Some(oldest.link)
     }
 
     /// Takes in that a connection in use has been closed.
--- /dev/null
+++ b/oleander-limits/tests/pool.rs
@@ -0,0 +1,88 @@
+//! Which connection serves a statement, and which one gives way.
+
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_limits::home::pool::Mark;
+use oleander_limits::home::pool::Pick;
+use oleander_limits::home::pool::Pool;
+use oleander_limits::home::pool::PoolOptions;
+use rstest::rstest;
+
+const NOW: Time = Time(1_000_000);
+const RYE: WorkspaceId = WorkspaceId(1);
+const OAT: WorkspaceId = WorkspaceId(2);
+const PLAIN: Mark = Mark(0);
+const OTHER: Mark = Mark(9);
+
+/// Makes a pool whose connections, named in order, are idle.
+fn pool(cap: u32, kept: u32, idle: &[(&'static str, WorkspaceId, Mark)]) -> Pool<&'static str> {
+    let mut pool = Pool::default();
+    pool.set_options(PoolOptions { cap, kept });
+    for (name, workspace, mark) in idle {
+        assert_eq!(pool.pick(NOW, WorkspaceId(99), PLAIN), Pick::Open { close: None });
+        assert_eq!(pool.put(NOW, *workspace, *mark, *name), None);
+    }
+    pool
+}
+
+/// `Picked` is a request for a connection and what serves it.
+struct Picked {
+    cap: u32,
+    idle: &'static [(&'static str, WorkspaceId, Mark)],
+    workspace: WorkspaceId,
+    mark: Mark,
+    pick: Pick<&'static str>,
+}
+
+#[rstest]
+#[case::opens_the_first(Picked {
+    cap: 2, idle: &[], workspace: RYE, mark: PLAIN, pick: Pick::Open { close: None },
+})]
+#[case::prefers_the_same_values(Picked {
+    cap: 3, idle: &[("a", RYE, PLAIN), ("b", RYE, OTHER)], workspace: RYE, mark: PLAIN,
+    pick: Pick::Reuse("a"),
+})]
+#[case::takes_the_latest_used(Picked {
+    cap: 3, idle: &[("a", RYE, PLAIN), ("b", RYE, PLAIN)], workspace: RYE, mark: PLAIN,
+    pick: Pick::Reuse("b"),
+})]
+#[case::opens_for_another_workspace(Picked {
+    cap: 3, idle: &[("a", RYE, PLAIN)], workspace: OAT, mark: PLAIN,
+    pick: Pick::Open { close: None },
+})]
+#[case::closes_the_oldest_of_the_richest(Picked {
+    cap: 3, idle: &[("a", OAT, PLAIN), ("b", RYE, PLAIN), ("c", RYE, PLAIN)],
+    workspace: WorkspaceId(3), mark: PLAIN, pick: Pick::Open { close: Some("b") },
+})]
+fn serves_with(#[case] picked: Picked) {
+    let mut pool = pool(picked.cap, picked.cap, picked.idle);
+    assert_eq!(pool.pick(NOW, picked.workspace, picked.mark), picked.pick);
+}
+
+/// After a loss of power an instance counts the lost VM's connections for 3 s: trying to open
+/// more on each statement took a slot each time and served nobody.
+#[test]
+fn a_refused_connection_is_not_tried_again_at_once() {
+    let mut pool = pool(8, 8, &[("a", RYE, PLAIN)]);
+    assert_eq!(pool.pick(NOW, OAT, PLAIN), Pick::Open { close: None });
+    pool.forget();
+    pool.refuse(NOW);
+    assert_eq!(pool.pick(NOW, OAT, PLAIN), Pick::Open { close: Some("a") });
+    pool.forget();
+    assert_eq!(pool.cap(NOW), 1);
+    assert_eq!(pool.cap(NOW + Span::from_millis(301)), 8);
+}
+
+/// The next home of an instance needs connections while those of a lost VM still count; but to
+/// close those in frequent use cost more slots than it saved.
+#[test]
+fn connections_that_have_been_idle_for_long_are_closed_beyond_those_kept() {
+    let mut pool = pool(4, 2, &[("a", RYE, PLAIN), ("b", RYE, PLAIN)]);
+    let open = Pick::Open { close: None };
+    assert_eq!(pool.pick(NOW, OAT, PLAIN), open);
+    assert_eq!(pool.put(NOW + Span::from_millis(900), OAT, PLAIN, "c"), None);
+    assert_eq!(pool.pick(NOW, OAT, PLAIN), Pick::Reuse("c"));
+    assert_eq!(pool.put(NOW + Span::from_millis(1_100), OAT, PLAIN, "c"), Some("a"));
+    assert_eq!(pool.open(), 2);
+}
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -15,9 +15,11 @@
 use oleander_core::verdict::Verdict;
 use oleander_limits::home::pool::Pick;
 use oleander_limits::home::pool::Pool;
+use oleander_limits::home::pool::PoolOptions;
 use oleander_limits::home::queue::Class;
 use oleander_limits::home::slots::Part;
 use oleander_ports::directory::DirectoryEntry;
+use oleander_ports::upstream::FailureKind;
 use oleander_ports::upstream::LinkError;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
@@ -79,7 +81,6 @@
 #[derive(Default)]
 struct Connections {
     pool: Pool<Backend>,
-    cap: u32,
     closed: bool,
 }
 
@@ -87,22 +88,27 @@
     /// Makes the home of an instance that accepts `connections` in all.
     pub fn new(parts: Arc<HomeParts>, instance: &Instance, connections: u32) -> Self {
         let DirectoryEntry { instance: name, database, address, .. } = instance.entry.clone();
-        let cap = cap_of(connections);
-        let part = Part { slots: instance.entry.slots.max(1), connections: cap };
+        let options = pool_options(connections);
+        let part = Part { slots: instance.entry.slots.max(1), connections: options.cap };
+        let mut pool = Connections::default();
+        pool.pool.set_options(options);
         Self {
             slots: InstanceSlots::new(parts.timers.clone(), part),
             target: Target { address, database, instance: name },
             database: instance.database,
             key: instance.key,
-            pool: Mutex::new(Connections { cap, ..Connections::default() }),
+            pool: Mutex::new(pool),
             parts,
         }
     }
 
     /// Changes the number of connections and slots.
     pub fn set_size(&self, slots: u32, connections: u32) {
-        let cap = cap_of(connections);
-        self.lock().cap = cap;
+        let options = pool_options(connections);
+        let mut connections = self.lock();
+        connections.pool.set_options(options);
+        let cap = connections.pool.cap(self.parts.timers.now());
+        drop(connections);
         self.slots.set_part(Part { slots: slots.max(1), connections: cap });
     }
 
@@ -252,11 +258,7 @@
         let workspace = WorkspaceId::from_name(&request.workspace);
         let mark = backend::mark_of(&request.values);
         loop {
-            let pick = {
-                let mut connections = self.lock();
-                let cap = connections.cap;
-                connections.pool.pick(workspace, mark, cap)
-            };
+            let pick = self.lock().pool.pick(self.parts.timers.now(), workspace, mark);
             match pick {
                 Pick::Reuse(mut backend) => {
                     if backend.is_sound() {
@@ -289,6 +291,9 @@
                 Ok(Lease::new(self, workspace, Backend::new(link)))
             }
             Err(error) => {
+                if is_full(&error) {
+                    self.lock().pool.refuse(self.parts.timers.now());
+                }
                 let fields = [
                     Field::text("instance", &self.target.instance),
                     Field::text("address", self.target.address),
@@ -325,11 +330,15 @@
         let sound = backend.is_sound();
         let mark = backend.mark();
         let mut connections = self.lock();
-        if sound && !connections.closed {
-            connections.pool.put(WorkspaceId::from_name(workspace), mark, backend);
+        let surplus = if sound && !connections.closed {
+            let now = self.parts.timers.now();
+            connections.pool.put(now, WorkspaceId::from_name(workspace), mark, backend)
         } else {
             connections.pool.forget();
-        }
+            Some(backend)
+        };
+        drop(connections);
+        drop(surplus);
     }
 
     fn lock(&self) -> MutexGuard<'_, Connections> {
@@ -401,8 +410,14 @@
     }
 }
 
-fn cap_of(connections: u32) -> u32 {
-    connections.saturating_sub(RESERVED_CONNECTIONS).max(1)
+fn pool_options(connections: u32) -> PoolOptions {
+    let cap = connections.saturating_sub(RESERVED_CONNECTIONS).max(1);
+    // Half of the connections are left to the next home, should this VM lose power.
+    PoolOptions { cap, kept: (cap / 2).max(1) }
+}
+
+fn is_full(error: &LinkError) -> bool {
+    matches!(error, LinkError::Refused(failure) if failure.kind == FailureKind::TooManyConnections)
 }
 
 fn class_of(work: &Work) -> Class {
