--- a/oleander-agent/src/platform.rs
+++ b/oleander-agent/src/platform.rs
@@ -16,6 +16,7 @@
 use oleander_membership::roster::Member;
 use oleander_membership::roster::MemberState;
 use oleander_membership::shares::ShareOwner;
+use oleander_runtime::logs::Field;
 use oleander_store::configuration;
 use oleander_store::errors::Result;
 use oleander_store::errors::decode_error;
@@ -28,7 +29,6 @@
 use oleander_store::store::StoreRevision;
 use oleander_store::store::Write;
 use oleander_store::vms::VmState;
-use oleander_runtime::logs::Field;
 
 use crate::shared::Busy;
 use crate::shared::Shared;
--- a/oleander-agent/src/server.rs
+++ b/oleander-agent/src/server.rs
@@ -31,7 +31,11 @@
             Reply::Accepted
         }
         Request::Failover(request) => Reply::Failover(failover::answer(&shared, request).await),
-        Request::Home(_) | Request::Primary(_) | Request::Joined(_) | Request::Work(_) | Request::Limit { .. } => Reply::Unsupported,
+        Request::Home(_)
+        | Request::Primary(_)
+        | Request::Joined(_)
+        | Request::Work(_)
+        | Request::Limit { .. } => Reply::Unsupported,
     };
     // A caller that has gone needs no reply.
     let _ = responder.send(reply).await;
--- a/oleander-agent/src/shared.rs
+++ b/oleander-agent/src/shared.rs
@@ -15,13 +15,13 @@
 use oleander_membership::node::Node;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::ProxyReport;
-use oleander_store::registration::Registration;
-use oleander_store::store::Store;
-use oleander_store::vms::VmList;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::shutdown::Shutdown;
 use oleander_runtime::timer::TimerService;
+use oleander_store::registration::Registration;
+use oleander_store::store::Store;
+use oleander_store::vms::VmList;
 use tokio::sync::watch;
 
 use crate::failover::Guards;
--- a/oleander-agent/tests/failover.rs
+++ b/oleander-agent/tests/failover.rs
@@ -12,16 +12,16 @@
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
 use oleander_membership::head::BodyHash;
-use oleander_store::configuration;
-use oleander_store::configuration::Publication;
-use oleander_store::store::Store;
-use oleander_store::store::StoreOptions;
 use oleander_standin::gate::Passage;
 use oleander_standin::group::Group;
 use oleander_standin::group::GroupOptions;
 use oleander_standin::store::Store as StoreStandin;
 use oleander_standin::vms::VmList;
 use oleander_standin::vms::VmState;
+use oleander_store::configuration;
+use oleander_store::configuration::Publication;
+use oleander_store::store::Store;
+use oleander_store::store::StoreOptions;
 use rstest::rstest;
 
 /// The bound on every wait; a test that reaches it has failed.
--- a/oleander-agent/tests/fleet.rs
+++ b/oleander-agent/tests/fleet.rs
@@ -18,13 +18,13 @@
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_peer::messages::SubscribeRequest;
+use oleander_standin::store::Store as StoreStandin;
+use oleander_standin::vms::VmList;
+use oleander_standin::vms::VmState;
 use oleander_store::configuration;
 use oleander_store::configuration::Publication;
 use oleander_store::store::Store;
 use oleander_store::store::StoreOptions;
-use oleander_standin::store::Store as StoreStandin;
-use oleander_standin::vms::VmList;
-use oleander_standin::vms::VmState;
 
 /// The bound on every wait; a test that reaches it has failed.
 const BOUND: Duration = Duration::from_secs(60);
--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -44,12 +44,12 @@
     StoreUnreachable = 304,
     /// The platform's store answers again.
     StoreReachable = 305,
+    /// A peer is suspected to be down.
+    PeerSuspected = 306,
     /// This VM uses its own shares.
     SharesActive = 307,
     /// All VMs that may have owned this VM's shares before know that it has joined.
     JoinKnown = 308,
-    /// A peer is suspected to be down.
-    PeerSuspected = 306,
     /// An instance stopped answering pings.
     InstanceSuspected = 400,
     /// An instance answers pings again.
--- a/oleander-ctl/src/fleet.rs
+++ b/oleander-ctl/src/fleet.rs
@@ -9,9 +9,9 @@
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
+use oleander_runtime::logs::EventRecord;
 use oleander_store::registration;
 use oleander_store::store::Store;
-use oleander_runtime::logs::EventRecord;
 
 use crate::errors::Result;
 use crate::errors::unreachable;
--- a/oleander-ctl/tests/tool/documents.rs
+++ b/oleander-ctl/tests/tool/documents.rs
@@ -10,10 +10,10 @@
 use oleander_ctl::errors::Error;
 use oleander_ctl::errors::Exit;
 use oleander_ctl::output::error_json;
-use oleander_store::store::Store as StoreClient;
-use oleander_store::store::StoreOptions;
 use oleander_standin::gate::Passage;
 use oleander_standin::store::Store;
+use oleander_store::store::Store as StoreClient;
+use oleander_store::store::StoreOptions;
 
 use crate::support::example;
 use crate::support::file;
--- a/oleander-failover/src/keeper.rs
+++ b/oleander-failover/src/keeper.rs
@@ -233,10 +233,9 @@
         match &self.phase {
             Phase::Watching => beat.min(self.silent.map_or(beat, |_| beat.max(self.retry))),
             Phase::Claiming { .. } => beat,
-            Phase::Stopping(stopping) => {
-                beat.min(stopping.asked + self.options.repeat)
-                    .min(stopping.since + self.options.stopping)
-            }
+            Phase::Stopping(stopping) => beat
+                .min(stopping.asked + self.options.repeat)
+                .min(stopping.since + self.options.stopping),
             Phase::Ordering { resend, .. } | Phase::Settling { resend, .. } => {
                 resend.map_or(beat, |at| beat.min(at))
             }
@@ -290,8 +289,7 @@
                 }
             }
         }
-        let pace =
-            if self.silent.is_some() { self.options.alarm } else { self.options.interval };
+        let pace = if self.silent.is_some() { self.options.alarm } else { self.options.interval };
         self.next_beat = now + pace;
     }
 
@@ -580,11 +578,6 @@
     if planned { "the primary leaves" } else { "the primary is silent" }
 }
 
-fn record(
-    event: Event,
-    instance: Option<InstanceKey>,
-    term: Term,
-    reason: &'static str,
-) -> Action {
+fn record(event: Event, instance: Option<InstanceKey>, term: Term, reason: &'static str) -> Action {
     Action::Record { event, instance, term, reason }
 }
--- a/oleander-limits/src/home/pool.rs
+++ b/oleander-limits/src/home/pool.rs
@@ -126,9 +126,10 @@
             return None;
         }
         // Connections come back in the order of time.
-        let oldest = self.idle.pop_front_if(|idle| IDLE_TIME <= now.since(idle.since))?;
-        self.open -= 1;
-        Some(oldest.link)
+        let is_old = self.idle.front().is_some_and(|idle| IDLE_TIME <= now.since(idle.since));
+        let oldest = if is_old { self.idle.pop_front() } else { None };
+        self.open -= u32::from(oldest.is_some());
+        oldest.map(|idle| idle.link)
     }
 
     /// Takes in that a connection in use has been closed.
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -63,7 +63,7 @@
     }
 
     /// Makes the view that follows `former` after a full read.
-    pub fn read(&self, former: &View, reading: Reading, now: Time) -> View {
+    pub fn read(&self, former: &View, reading: &Reading, now: Time) -> View {
         let mut draft = Draft { view: former.clone(), now };
         let present: HashSet<&str> =
             reading.entries.iter().map(|entry| entry.key.as_str()).collect();
@@ -76,7 +76,7 @@
     }
 
     /// Makes the view that follows `former` after changes; `None` if nothing of interest changed.
-    pub fn change(&self, former: &View, changes: Changes, now: Time) -> Option<View> {
+    pub fn change(&self, former: &View, changes: &Changes, now: Time) -> Option<View> {
         if changes.changes.is_empty() {
             return None;
         }
@@ -181,8 +181,11 @@
         let decoded = match (self.sources.decode_entry)(&entry.key, &entry.value) {
             Ok(decoded) => decoded,
             Err(reason) => {
-                let fields =
-                    [Field::text("instance", name), Field::text("reason", reason), at(entry.revision)];
+                let fields = [
+                    Field::text("instance", name),
+                    Field::text("reason", reason),
+                    at(entry.revision),
+                ];
                 self.journal.record(Event::EntryRejected, &fields);
                 Arc::make_mut(&mut draft.view.instances).remove(&key);
                 return;
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -80,7 +80,7 @@
             // An answer from before this view says nothing about the present.
             return Err(StoreError::Refused);
         }
-        let view = self.applier.read(&former, reading, self.fleet.now());
+        let view = self.applier.read(&former, &reading, self.fleet.now());
         self.fleet.set(view);
         self.fleet.prove(asked);
         Ok(revision)
@@ -95,7 +95,7 @@
         if revision < after {
             return Err(StoreError::Refused);
         }
-        if let Some(mut view) = self.applier.change(&former, changes, now) {
+        if let Some(mut view) = self.applier.change(&former, &changes, now) {
             Arc::make_mut(&mut view.roster).forget(now, ROSTER_GRACE);
             self.fleet.set(view);
         }
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -149,8 +149,14 @@
         }
         let since = self.fleet.now();
         let own = self.fleet.vm;
-        let others: Vec<VmId> =
-            self.fleet.view().roster.present().map(LeasedMember::vm).filter(|vm| *vm != own).collect();
+        let others: Vec<VmId> = self
+            .fleet
+            .view()
+            .roster
+            .present()
+            .map(LeasedMember::vm)
+            .filter(|vm| *vm != own)
+            .collect();
         let mut calls = JoinSet::new();
         for vm in others {
             calls.spawn(tell_joined(self.fleet.clone(), self.peers.clone(), vm, joined, since));
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -151,7 +151,12 @@
         if begins && self.dialog.phase() == Phase::Idle {
             let admitted = self.admit().await;
             if let Err(refusal) = &admitted {
-                self.entry.note_refusal(statement, &self.name, self.operation.take().as_ref(), refusal);
+                self.entry.note_refusal(
+                    statement,
+                    &self.name,
+                    self.operation.take().as_ref(),
+                    refusal,
+                );
             }
             admitted?;
         }
--- a/oleander-node/src/home/backend.rs
+++ b/oleander-node/src/home/backend.rs
@@ -76,11 +76,7 @@
     }
 
     /// Runs a single statement.
-    pub async fn single(
-        &mut self,
-        statement: Statement<'_>,
-        wrap: Wrap,
-    ) -> Result<Reply, Refusal> {
+    pub async fn single(&mut self, statement: Statement<'_>, wrap: Wrap) -> Result<Reply, Refusal> {
         self.prepare(statement).await?;
         match wrap {
             Wrap::After(after) => self.run(statement, after, TransactionState::Idle).await,
@@ -105,11 +101,8 @@
     /// Runs a statement of the open transaction.
     pub async fn within(&mut self, statement: Statement<'_>) -> Result<Reply, Refusal> {
         self.prepare(statement).await?;
-        let state = if statement.work.is_end() {
-            TransactionState::Idle
-        } else {
-            TransactionState::Open
-        };
+        let state =
+            if statement.work.is_end() { TransactionState::Idle } else { TransactionState::Open };
         self.run(statement, None, state).await
     }
 
@@ -125,7 +118,9 @@
             statement.values.iter().all(|(wanted, _)| wanted != name)
         };
         let wanted = match statement.work {
-            Work::Execute { prepared, .. } if !self.prepared.contains_key(prepared) => Some(prepared),
+            Work::Execute { prepared, .. } if !self.prepared.contains_key(prepared) => {
+                Some(prepared)
+            }
             _ => None,
         };
         let reset = self.values.iter().any(is_stale)
@@ -145,7 +140,9 @@
         messages.extend(missing.map(|(name, value)| Message::own(Order::Set { name, value })));
         let name = format!("s{}", self.serial);
         let wanted = match statement.work {
-            Work::Execute { prepared, .. } if !self.prepared.contains_key(prepared) => Some(prepared),
+            Work::Execute { prepared, .. } if !self.prepared.contains_key(prepared) => {
+                Some(prepared)
+            }
             _ => None,
         };
         if let Some(Prepared { access, shape }) = wanted {
@@ -210,7 +207,8 @@
                     self.sound = false;
                 }
                 self.sound &= reply.state == TransactionState::Idle;
-                let verdict = if work.is_write() { failure.kind.verdict() } else { Verdict::NotRun };
+                let verdict =
+                    if work.is_write() { failure.kind.verdict() } else { Verdict::NotRun };
                 Err(refusal(failure, verdict.max(failure.kind.verdict())))
             }
         }
@@ -227,11 +225,7 @@
         Ok(replies)
     }
 
-    fn expect(
-        &mut self,
-        found: TransactionState,
-        wanted: TransactionState,
-    ) -> Result<(), Refusal> {
+    fn expect(&mut self, found: TransactionState, wanted: TransactionState) -> Result<(), Refusal> {
         if found == wanted {
             return Ok(());
         }
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -233,14 +233,19 @@
         permit: &Permit,
     ) -> Result<HomeAnswer, Refusal> {
         let Some(backend) = transaction.backend() else {
-            return Err(Refusal::not_run(RefusalCode::TransactionGone, "the transaction has ended"));
+            return Err(Refusal::not_run(
+                RefusalCode::TransactionGone,
+                "the transaction has ended",
+            ));
         };
         let running = backend.within(statement(request));
         let reply = match self.parts.timers.within(request.limit, running).await {
             Some(reply) => reply,
             None => Err(Refusal::may_have_run(RefusalCode::Timeout, "no answer in time")),
         };
-        reply.and_then(|reply| answer(permit, reply)).map_err(|refusal| kept_nothing(request, refusal))
+        reply
+            .and_then(|reply| answer(permit, reply))
+            .map_err(|refusal| kept_nothing(request, refusal))
     }
 
     async fn acquire(
@@ -430,7 +435,8 @@
 
 fn answer(permit: &Permit, reply: Reply) -> Result<HomeAnswer, Refusal> {
     let Reply { rows, outcome, point, .. } = reply;
-    let signature = outcome.map_err(|failure| backend::refusal(&failure, failure.kind.verdict()))?;
+    let signature =
+        outcome.map_err(|failure| backend::refusal(&failure, failure.kind.verdict()))?;
     Ok(HomeAnswer { rows, signature, point, transaction: None, queued: permit.queued })
 }
 
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -52,7 +52,10 @@
         let until = now + request.patience;
         if let Scope::Within(id) = request.scope {
             let Some(transaction) = self.parts.transactions.take(id) else {
-                return Err(Refusal::not_run(RefusalCode::TransactionGone, "the transaction has ended"));
+                return Err(Refusal::not_run(
+                    RefusalCode::TransactionGone,
+                    "the transaction has ended",
+                ));
             };
             let home = transaction.home.clone();
             return home.next(transaction, &request, until).await;
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use oleander_core::ids::InstanceKey;
@@ -36,11 +37,14 @@
 /// The pause before the next attempt at a busy instance: about the work of one statement.
 const BUSY_PAUSE: Span = Span::from_millis(40);
 
+/// Idle connections, each with the life of its instance.
+type IdleLinks = HashMap<InstanceKey, (u64, Box<dyn Link>)>;
+
 /// `Links` holds one connection to each instance of a database.
 pub struct Links {
     fleet: Arc<Fleet>,
     upstreams: Arc<dyn Upstreams>,
-    idle: Mutex<HashMap<InstanceKey, (u64, Box<dyn Link>)>>,
+    idle: Mutex<IdleLinks>,
 }
 
 impl Links {
@@ -90,9 +94,7 @@
                 Ok(replies) => replies,
                 Err(error) => return error.verdict() == Verdict::NotRun,
             };
-            let is_busy = |reply: &Reply| {
-                matches!(&reply.outcome, Err(failure) if failure.kind == FailureKind::Busy)
-            };
+            let is_busy = |reply: &Reply| matches!(&reply.outcome, Err(failure) if failure.kind == FailureKind::Busy);
             if !replies.iter().any(is_busy) {
                 return true;
             }
@@ -137,7 +139,7 @@
         Ok((entry.life, self.upstreams.open(&target, KEEPER_NAME).await?))
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<InstanceKey, (u64, Box<dyn Link>)>> {
+    fn lock(&self) -> MutexGuard<'_, IdleLinks> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -202,12 +202,8 @@
                 }
                 Some(Input::Beat(key, beat))
             }
-            Action::Stop(key, term) => {
-                Some(Input::Stopped(key, self.links.stop(key, term).await))
-            }
-            Action::Resume(key) => {
-                Some(Input::Resumed(key, self.links.resume(key).await))
-            }
+            Action::Stop(key, term) => Some(Input::Stopped(key, self.links.stop(key, term).await)),
+            Action::Resume(key) => Some(Input::Resumed(key, self.links.resume(key).await)),
             Action::Claim => Some(Input::Claimed(self.claim().await)),
             Action::Order { instance, token } => {
                 Some(Input::Ordered(self.order(instance, token).await))
@@ -277,4 +273,3 @@
         self.fleet.view().instances.get(&key).map(|instance| instance.entry.instance.clone())
     }
 }
-
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -8,6 +8,7 @@
 use oleander_core::ids::Incarnation;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
+use oleander_limits::rates::limiter::RateLimiter;
 use oleander_limits::rates::tokens::Limit;
 use oleander_peer::client::PeerClient;
 use oleander_peer::connection::ConnectionOptions;
@@ -56,6 +57,10 @@
 /// The time for which a VM without proof of its configuration still counts as ready.
 const READY_AGE: Span = Span::from_millis(2_900);
 
+/// The shares over which a workspace's rate is spread: a few, since rates are tens of requests a
+/// second and one VM's loss must leave most of a rate usable.
+const RATE_GROUPS: u32 = 2;
+
 /// The time between two looks at the rates' shares when nothing has changed.
 const SHARES_INTERVAL: Span = Span::from_millis(250);
 
@@ -149,7 +154,7 @@
         let directory = fleet.clone();
         let rates = Rates::new(
             fleet.vm,
-            life,
+            RateLimiter::with_groups(fleet.vm, life, RATE_GROUPS),
             timers.clone(),
             peer_client.clone(),
             Box::new(move |vm| directory.present_address(vm)),
@@ -228,7 +233,17 @@
         let leaving = tokio::spawn(leaseholder.run());
         let store = ports.store;
         Ok(Self {
-            entry, fleet, metrics, homes, duties, rates, journal, store, held, leaving, tasks,
+            entry,
+            fleet,
+            metrics,
+            homes,
+            duties,
+            rates,
+            journal,
+            store,
+            held,
+            leaving,
+            tasks,
         })
     }
 
@@ -268,10 +283,17 @@
         self.homes.close().await;
         self.leaving.abort();
         Leaseholder::end(self.store.as_ref(), held, &self.journal).await;
+        self.kill();
+        self.journal.record(Event::DrainFinished, &[]);
+    }
+
+    /// Ends the node at once, as a crash would.
+    pub fn kill(&self) {
+        self.duties.stop();
+        self.leaving.abort();
         for task in &self.tasks {
             task.abort();
         }
-        self.journal.record(Event::DrainFinished, &[]);
     }
 }
 
@@ -371,4 +393,3 @@
         transactions: homes.resting(),
     }
 }
-
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -34,10 +34,6 @@
 /// The time between two ticks when the limiter has nothing due.
 const IDLE_TICK: Span = Span::from_secs(1);
 
-/// The shares over which a workspace's rate is spread: a few, since rates are tens of requests a
-/// second and one VM's loss must leave most of a rate usable.
-const RATE_GROUPS: u32 = 2;
-
 /// The time between two looks at calls under way: a fraction of a round trip between regions.
 const SETTLE_POLL: Span = Span::from_millis(10);
 
@@ -66,16 +62,15 @@
 }
 
 impl Rates {
-    /// Makes a limiter without limits; `life` must be new for each start of the process.
+    /// Makes a shell around a limiter.
     pub fn new(
         vm: VmId,
-        life: u64,
+        limiter: RateLimiter,
         timers: TimerService,
         peers: PeerClient,
         address_of: AddressOf,
     ) -> Self {
-        let state =
-            State { limiter: RateLimiter::with_groups(vm, life, RATE_GROUPS), waiting: HashMap::new(), serial: 0 };
+        let state = State { limiter, waiting: HashMap::new(), serial: 0 };
         let changed = Notify::new();
         let inner = Inner { vm, timers, peers, address_of, state: Mutex::new(state), changed };
         Self { inner: Arc::new(inner) }
--- a/oleander-proxy/src/callers/status.rs
+++ b/oleander-proxy/src/callers/status.rs
@@ -6,7 +6,9 @@
 /// Gets the HTTP status that goes with a refusal code.
 pub fn http_status(code: RefusalCode) -> StatusCode {
     match code {
-        RefusalCode::BadRequest | RefusalCode::BadToken | RefusalCode::UnknownStatement => StatusCode::BAD_REQUEST,
+        RefusalCode::BadRequest | RefusalCode::BadToken | RefusalCode::UnknownStatement => {
+            StatusCode::BAD_REQUEST
+        }
         RefusalCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         RefusalCode::KeyMissing | RefusalCode::KeyRejected => StatusCode::UNAUTHORIZED,
         RefusalCode::RouteForbidden => StatusCode::FORBIDDEN,
--- a/oleander-proxy/src/entry/mod.rs
+++ b/oleander-proxy/src/entry/mod.rs
@@ -3,5 +3,4 @@
 pub mod call;
 pub mod forward;
 pub mod handle;
-pub mod rates;
 pub mod waits;
--- a/oleander-proxy/src/proxy.rs
+++ b/oleander-proxy/src/proxy.rs
@@ -14,8 +14,12 @@
 use oleander_core::ids::Incarnation;
 use oleander_core::ids::RequestId;
 use oleander_core::ids::VmId;
+use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::tokens::Limit;
+use oleander_node::rates::Rates;
 use oleander_peer::client::PeerClient;
 use oleander_peer::server;
 use oleander_routing::budget::RetryBudget;
@@ -31,7 +35,6 @@
 use tokio::task::JoinHandle;
 
 use crate::callers::http::CallerServer;
-use crate::entry::rates::Rates;
 use crate::entry::waits::Waits;
 use crate::fleet::subscription;
 use crate::fleet::view::FleetView;
@@ -117,9 +120,14 @@
             self.start_drain();
         }
         let view = Arc::new(view);
-        self.fleet.store(view.clone());
+        let former = self.fleet.swap(view.clone());
         self.homes.apply(&view);
-        self.rates.apply(&view);
+        let owners: Vec<Option<VmId>> =
+            view.shares.owners.iter().map(|owner| owner.map(|owner| owner.vm)).collect();
+        self.rates.set_shares(&owners, view.shares_until);
+        if !Arc::ptr_eq(&former.snapshot, &view.snapshot) {
+            self.rates.set_limits(limits_of(&view));
+        }
         self.note_currency();
         self.viewed.notify_waiters();
     }
@@ -233,7 +241,7 @@
         let tasks = vec![
             tokio::spawn(subscription::follow_views(proxy.clone())),
             tokio::spawn(subscription::report_state(proxy.clone())),
-            tokio::spawn(crate::entry::rates::run(proxy.clone())),
+            spawn_rates(proxy.rates.clone()),
             tokio::spawn(crate::home::registry::run(proxy.clone())),
         ];
         let fields = [Field::text("callers", server.address), Field::text("peers", peers)];
@@ -288,6 +296,7 @@
     let peers = PeerClient::default();
     let fleet = Arc::<ArcSwap<FleetView>>::default();
     let incarnation = new_incarnation();
+    let members = fleet.clone();
     let context = HomeContext {
         vm,
         incarnation,
@@ -298,7 +307,13 @@
     };
     Proxy {
         vm,
-        rates: Rates::new(vm, incarnation.0, timers.clone(), peers.clone(), fleet.clone()),
+        rates: Rates::new(
+            vm,
+            RateLimiter::new(vm, incarnation.0),
+            timers.clone(),
+            peers.clone(),
+            Box::new(move |vm| members.load().members.get(&vm).map(|member| member.proxy)),
+        ),
         homes: Homes::new(context),
         viewed: Notify::new(),
         waits: Waits::default(),
@@ -317,6 +332,18 @@
     }
 }
 
+fn spawn_rates(rates: Rates) -> JoinHandle<()> {
+    tokio::spawn(async move { rates.run().await })
+}
+
+fn limits_of(view: &FleetView) -> Vec<(WorkspaceId, Limit)> {
+    let limits = view.snapshot.workspaces.iter().filter_map(|(_, workspace)| {
+        let id = WorkspaceId::from_name(&workspace.name);
+        view.snapshot.rate(id).map(|rate| (id, Limit { rate: rate.rate, burst: rate.burst }))
+    });
+    limits.collect()
+}
+
 /// Makes the number of this life of the proxy; transactions of an earlier life must not match.
 fn new_incarnation() -> Incarnation {
     Incarnation(rand::random())
--- a/oleander-session/src/dialog.rs
+++ b/oleander-session/src/dialog.rs
@@ -90,7 +90,9 @@
                 self.prepare(name, Prepared { access, shape })
             }
             Command::Execute { name, arguments } => match self.prepared.get(&name) {
-                Some(prepared) => Step::Run(Work::Execute { prepared: prepared.clone(), arguments }),
+                Some(prepared) => {
+                    Step::Run(Work::Execute { prepared: prepared.clone(), arguments })
+                }
                 None => refuse(RefusalCode::UnknownStatement, "no statement of this name"),
             },
             Command::Close { name } => {
--- a/oleander-store/tests/store.rs
+++ b/oleander-store/tests/store.rs
@@ -8,6 +8,9 @@
 use oleander_core::verdict::Verdict;
 use oleander_membership::head::BodyHash;
 use oleander_membership::messages::SectionBody;
+use oleander_standin::gate::Gate;
+use oleander_standin::gate::Passage;
+use oleander_standin::store::Store as Standin;
 use oleander_store::configuration;
 use oleander_store::configuration::Applied;
 use oleander_store::configuration::Publication;
@@ -20,9 +23,6 @@
 use oleander_store::store::StoreOptions;
 use oleander_store::store::StoreRevision;
 use oleander_store::store::Write;
-use oleander_standin::gate::Gate;
-use oleander_standin::gate::Passage;
-use oleander_standin::store::Store as Standin;
 use rstest::rstest;
 
 /// The bound on a wait for the store to tell something.
