--- a/oleander-limits/src/rates/borrower.rs
+++ b/oleander-limits/src/rates/borrower.rs
@@ -17,9 +17,9 @@
 use crate::rates::tokens::Tokens;
 
 /// The time before the end of a loan at which it is renewed or returned.
-const RENEW_AHEAD: Span = Span::from_millis(1_000);
+const RENEW_AHEAD: Span = Span::from_millis(500);
 /// The time after which a renewal that was not answered is sent again.
-const RENEW_INTERVAL: Span = Span::from_millis(300);
+const RENEW_INTERVAL: Span = Span::from_millis(150);
 /// The time before the end of a grant at which it is returned if nobody waits for it.
 const SURPLUS_AHEAD: Span = Span::from_millis(60);
 /// The ended grants that are remembered for their owners.
--- a/oleander-limits/src/rates/owner.rs
+++ b/oleander-limits/src/rates/owner.rs
@@ -17,15 +17,15 @@
 use crate::rates::tokens::Tokens;
 
 /// The time for which a borrower may use lent fractions, from the sending of its request.
-pub const LOAN_HOLD: Span = Span::from_millis(2_000);
+pub const LOAN_HOLD: Span = Span::from_millis(1_000);
 /// The time for which a borrower may use granted tokens, from the sending of its request.
 pub const GRANT_HOLD: Span = Span::from_millis(150);
 /// The time for which an owner counts fractions as lent; longer by what two clocks may drift.
-const LENT_FOR: Span = Span::from_millis(2_020);
+const LENT_FOR: Span = Span::from_millis(1_010);
 /// The time for which an owner counts tokens as granted; longer by what two clocks may drift.
 const GRANTED_FOR: Span = Span::from_millis(152);
 /// The time that a new owner or a restarted VM waits, so that every earlier loan has ended.
-pub const WAIT_OUT: Span = Span::from_millis(2_040);
+pub const WAIT_OUT: Span = Span::from_millis(1_020);
 /// The time after which a recall that was not answered may be sent again.
 const RECALL_INTERVAL: Span = Span::from_millis(100);
 /// The time after which a borrower is asked again whether it still needs a loan.
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -29,7 +29,7 @@
 use crate::fleet::Fleet;
 
 /// The time of a lease: a lost VM is out of the fleet after at most as long.
-const LEASE: Span = Span::from_millis(3_000);
+const LEASE: Span = Span::from_millis(2_000);
 
 /// The renewals in the time of a lease, so that two may fail in a row.
 const RENEWALS: u64 = 3;
--- a/oleander-node/src/entry/mod.rs
+++ b/oleander-node/src/entry/mod.rs
@@ -3,3 +3,4 @@
 pub mod forward;
 pub mod route;
 pub mod session;
+pub mod shed;
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -29,6 +29,10 @@
 /// The time for which a VM that did not answer is passed over.
 const SUSPECT_TIME: Span = Span::from_millis(1_000);
 
+/// The time for which a VM without proof of its configuration still counts as ready: well before it
+/// has to refuse callers, who are then sent elsewhere.
+const READY_AGE: Span = Span::from_millis(2_900);
+
 /// `KeeperRecord` is the holder of the duty to watch a database, as the store has it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct KeeperRecord {
@@ -174,6 +178,13 @@
         self.now() < self.current_until()
     }
 
+    /// Returns `true` if callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let proven = self.proven();
+        let is_recent = proven.0 != 0 && self.now().since(proven) < READY_AGE;
+        is_recent && !self.is_draining() && !self.view.load().snapshot.routes.is_empty()
+    }
+
     /// Notes until when this VM's lease runs at least.
     pub fn set_leased(&self, until: Time) {
         self.leased.store(until.0, Ordering::Release);
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -17,6 +17,7 @@
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
 use oleander_session::work::Work;
+use tokio::task::JoinSet;
 
 use super::instance::HomeParts;
 use super::instance::InstanceHome;
@@ -115,10 +116,12 @@
 
     /// Ends all open transactions and closes all connections, as at the end of the process.
     pub async fn close(&self) {
+        let mut ending = JoinSet::new();
         for transaction in self.parts.transactions.take_all() {
             let home = transaction.home.clone();
-            home.roll_back(transaction).await;
+            ending.spawn(async move { home.roll_back(transaction).await });
         }
+        while ending.join_next().await.is_some() {}
         for entry in self.lock().values() {
             entry.home.close();
         }
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -33,6 +33,7 @@
 use crate::control::lease::Leaseholder;
 use crate::entry::forward::Forwarder;
 use crate::entry::session::Entry;
+use crate::entry::shed;
 use crate::fleet::Fleet;
 use crate::fleet::View;
 use crate::home::instance::HomeParts;
@@ -54,9 +55,6 @@
     silence: Span::from_millis(350),
 };
 
-/// The time for which a VM without proof of its configuration still counts as ready.
-const READY_AGE: Span = Span::from_millis(2_900);
-
 /// The shares over which a workspace's rate is spread: a few, since rates are tens of requests a
 /// second and one VM's loss must leave most of a rate usable.
 const RATE_GROUPS: u32 = 2;
@@ -94,6 +92,7 @@
     journal: Journal,
     store: Arc<dyn KeyValue>,
     held: watch::Receiver<Option<Held>>,
+    shedding: watch::Receiver<bool>,
     leaving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -211,7 +210,9 @@
         });
         let answer = move |incoming| peers::answer(server.clone(), incoming);
         let (stop, stopped) = watch::channel(false);
+        let (shed, shedding) = watch::channel(false);
         let tasks = vec![
+            tokio::spawn(shed::run(fleet.clone(), peer_client.clone(), shed)),
             tokio::spawn(async move {
                 server::serve(listener, stopped, answer).await;
                 drop(stop);
@@ -242,6 +243,7 @@
             journal,
             store,
             held,
+            shedding,
             leaving,
             tasks,
         })
@@ -249,11 +251,13 @@
 
     /// Returns `true` if callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        let fleet = &self.fleet;
-        let view = fleet.view();
-        let proven = fleet.proven();
-        let is_recent = proven.0 != 0 && fleet.now().since(proven) < READY_AGE;
-        is_recent && !fleet.is_draining() && !view.snapshot.routes.is_empty()
+        self.fleet.is_ready()
+    }
+
+    /// Gets a receiver that tells whether callers at rest should go to other VMs, since this one
+    /// has lost the store and others have not.
+    pub fn shedding(&self) -> watch::Receiver<bool> {
+        self.shedding.clone()
     }
 
     /// Gets the recent events of the node.
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -56,6 +56,7 @@
             }
             Request::Primary(database) => Reply::Primary(server.duties.report(database)),
             Request::Joined(revision) => server.joined(StoreRevision(revision)).await,
+            Request::Ready => Reply::Ready(server.fleet.is_ready()),
             Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
             Request::Status => Reply::Status((server.status)()),
             Request::Events => Reply::Events(server.journal.recent_json()),
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -9,6 +9,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The part of the bound on withdrawn keys that is left to the drift of clocks and to a process that
+/// is held up between its look at the clock and its answer.
+const CURRENCY_MARGIN: Span = Span::from_millis(300);
+
 /// `NodeSettings` describe one VM and the bounds that it has to keep.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -33,11 +37,10 @@
 }
 
 impl NodeSettings {
-    /// Gets the time for which the configuration counts as current after the store was heard.
-    ///
-    /// Four fifths of the bound leave a fifth for a request on its way to the instance.
+    /// Gets the time for which the configuration counts as current after the store was heard,
+    /// counted from the sending of the question.
     pub fn currency(&self) -> Span {
-        Span(self.revocation.0 / 5 * 4)
+        self.revocation.saturating_sub(CURRENCY_MARGIN)
     }
 
     /// Gets the place of an availability zone; an unknown zone is in no region.
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -40,6 +40,8 @@
     /// A VM that has joined asks the receiver to take that in: to apply the store's changes up to
     /// this revision. The answer waits until it has.
     Joined(u64),
+    /// A VM that has lost the store asks whether the receiver takes callers.
+    Ready,
     /// A proxy asks another about rate limits.
     Limit {
         /// The asking VM.
@@ -70,6 +72,8 @@
     Work(Result<WorkAnswer, Refusal>),
     /// The result of a session's statement.
     Home(Result<HomeAnswer, Refusal>),
+    /// Whether the receiver takes callers.
+    Ready(bool),
     /// What the keeper knows of the primary; `None` if it knows none.
     Primary(Option<PrimaryReport>),
     /// The receiver knows of the VM that has joined; for this time it may still use what VMs lent
--- a/oleander-proxy/src/peers.rs
+++ b/oleander-proxy/src/peers.rs
@@ -34,6 +34,7 @@
             Request::Home(_)
             | Request::Primary(_)
             | Request::Joined(_)
+            | Request::Ready
             | Request::Member(_)
             | Request::Failover(_)
             | Request::Subscribe(_)
