--- a/oleander-limits/src/home/pool.rs
+++ b/oleander-limits/src/home/pool.rs
@@ -16,6 +16,9 @@
 /// the time for which the connections of a lost VM count.
 const REFUSED_PAUSE: Span = Span::from_millis(300);
 
+/// The same where no connection is open, so that nothing can be served without one.
+const EMPTY_PAUSE: Span = Span::from_millis(60);
+
 /// The time after which an idle connection counts as little used: many times that in which a new one
 /// opens.
 const IDLE_TIME: Span = Span::from_millis(1_000);
@@ -86,14 +89,15 @@
     /// Gets the connections that may be open now.
     pub fn cap(&self, now: Time) -> u32 {
         match self.refused {
-            Some(refused) if now < refused.until => refused.open.min(self.options.cap),
+            Some(refused) if self.is_refused(now) => refused.open.min(self.options.cap),
             _ => self.options.cap,
         }
     }
 
     /// Takes in that the instance accepts no more connections; no other is tried for a while.
     pub fn refuse(&mut self, now: Time) {
-        self.refused = Some(Refused { open: self.open.max(1), until: now + REFUSED_PAUSE });
+        let pause = if self.open == 0 { EMPTY_PAUSE } else { REFUSED_PAUSE };
+        self.refused = Some(Refused { open: self.open, until: now + pause });
     }
 
     /// Takes a connection for a statement of `workspace`.
@@ -111,6 +115,9 @@
             self.open += 1;
             return Pick::Open { close: None };
         }
+        if self.is_refused(now) {
+            return Pick::Full;
+        }
         match self.take_surplus() {
             // The place of the closed connection passes to the new one.
             Some(close) => Pick::Open { close: Some(close) },
@@ -154,6 +161,10 @@
         self.idle.len()
     }
 
+    fn is_refused(&self, now: Time) -> bool {
+        self.refused.is_some_and(|refused| now < refused.until)
+    }
+
     /// Takes the least recently used connection of the workspace with most idle ones.
     fn take_surplus(&mut self) -> Option<L> {
         let count = |workspace: WorkspaceId| {
--- a/oleander-limits/src/home/queue.rs
+++ b/oleander-limits/src/home/queue.rs
@@ -145,7 +145,7 @@
         self.check_room(&request, wait)?;
         self.check_deadline(now, &request, wait)?;
         *self.counts.entry(request.workspace).or_default() += 1;
-        let latest = self.latest_start(&request);
+        let latest = self.latest_start(&request).max(now);
         self.deadlines.push(Reverse((latest, request.ticket)));
         let item = Item { ticket: request.ticket, cost: request.cost };
         self.queues[request.class as usize].push(request.workspace, request.weight, item);
@@ -284,6 +284,10 @@
         if now < latest && wait <= latest.since(now) {
             return Ok(());
         }
+        // Estimates are learnt from what runs: with nothing ahead, one request has to be tried.
+        if self.waiting.is_empty() && now < request.deadline {
+            return Ok(());
+        }
         let refusal = Refusal::not_run(
             RefusalCode::DeadlineExceeded,
             "home: the request cannot be answered by its deadline",
@@ -291,7 +295,7 @@
         Err(refusal.after(wait.saturating_sub(latest.since(now)).max(MIN_RETRY)))
     }
 
-    /// Gets the time after which the request, once started, would miss its deadline.
+    /// Gets the time after which the request, once started, would probably miss its deadline.
     fn latest_start(&self, request: &Waiting) -> Time {
         let service = self.estimates[request.class as usize].service(u64::from(request.cost));
         Time(request.deadline.0.saturating_sub(service.0))
--- a/oleander-limits/tests/home.rs
+++ b/oleander-limits/tests/home.rs
@@ -195,3 +195,32 @@
     assert!(transactions.close(Ticket(1)));
     assert_eq!(transactions.overdue(START + limits.age)[..], [(Ticket(3), Overdue::Age)]);
 }
+
+/// A database that hung for a while was refused for good afterwards: nothing ran any more from
+/// which a better estimate could be learnt.
+#[test]
+fn an_estimate_that_is_too_long_is_learnt_anew() {
+    let mut queue = queue(QueueOptions::default());
+    let soon = |ticket| Waiting {
+        deadline: START + Span::from_millis(300),
+        ..request(ticket, 1, Class::Write)
+    };
+    for ticket in 0..16 {
+        queue.push(START, request(ticket, 1, Class::Write)).unwrap();
+        queue.pop(START, place).unwrap();
+        queue.finish(Ticket(ticket), Span::from_millis(800), Connection::Free);
+    }
+    for ticket in 100..200 {
+        queue.push(START, soon(ticket)).expect("with nothing ahead a request is tried");
+        assert_eq!(queue.push(START, soon(ticket + 1_000)).unwrap_err().verdict, Verdict::NotRun);
+        queue.pop(START, place).unwrap();
+        queue.finish(Ticket(ticket), Span::from_millis(5), Connection::Free);
+        if queue.push(START, soon(ticket + 2_000)).is_ok()
+            && queue.push(START, soon(ticket + 3_000)).is_ok()
+        {
+            return;
+        }
+        queue.cancel(Ticket(ticket + 2_000));
+    }
+    panic!("the estimate was not learnt anew");
+}
