--- a/oleander-peer/src/server.rs
+++ b/oleander-peer/src/server.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use h2::RecvStream;
+use h2::SendStream;
 use h2::server::SendResponse;
 use http::HeaderMap;
 use http::Response;
@@ -136,27 +137,82 @@
     let Ok(message) = read_request(request.into_body()).await else {
         return respond.send_reset(h2::Reason::PROTOCOL_ERROR);
     };
-    let Ok(mut sender) = respond.send_response(Response::new(()), false) else { return };
     let (replies, mut waiting) = mpsc::channel(REPLY_QUEUE);
     let work =
         handler(Incoming { from, remaining, request: message, responder: Responder { replies } });
     let mut work = std::pin::pin!(work);
     let mut working = true;
+    let mut stream = ReplyWriter { respond, sender: None };
     loop {
         tokio::select! {
             () = &mut work, if working => working = false,
             reply = waiting.recv() => {
                 // The queue closes once the handler has returned and all replies are out.
                 let Some(reply) = reply else { break };
-                let Ok(frame) = codec::encode(&reply) else { return sender.send_reset(h2::Reason::INTERNAL_ERROR) };
-                if sender.send_data(frame, false).is_err() {
+                if stream.send(&reply).is_err() {
                     return;
                 }
             }
-            _ = std::future::poll_fn(|context| sender.poll_reset(context)) => return,
+            () = stream.reset() => return,
+        }
+    }
+    stream.finish();
+}
+
+/// `ReplyWriter` writes the replies of one stream. The head of the response goes with the first
+/// reply, so that a call is answered in one packet.
+struct ReplyWriter {
+    respond: SendResponse<Bytes>,
+    sender: Option<SendStream<Bytes>>,
+}
+
+impl ReplyWriter {
+    fn send(&mut self, reply: &Reply) -> Result<()> {
+        let frame = match codec::encode(reply) {
+            Ok(frame) => frame,
+            Err(error) => {
+                self.refuse();
+                return Err(error);
+            }
+        };
+        let sent = self.open()?.send_data(frame, false);
+        sent.map_err(|_| lost_error("the caller has gone"))
+    }
+
+    fn finish(mut self) {
+        if let Ok(sender) = self.open() {
+            // The caller may have gone; its own side has noticed then.
+            let _ = sender.send_data(Bytes::new(), true);
+        }
+    }
+
+    /// Waits until the caller gives the call up.
+    async fn reset(&mut self) {
+        let reset = std::future::poll_fn(|context| match &mut self.sender {
+            Some(sender) => sender.poll_reset(context),
+            None => self.respond.poll_reset(context),
+        });
+        // An error means that the connection has ended, which gives the call up, too.
+        let _ = reset.await;
+    }
+
+    fn open(&mut self) -> Result<&mut SendStream<Bytes>> {
+        let sender = match self.sender.take() {
+            Some(sender) => sender,
+            None => {
+                let opened = self.respond.send_response(Response::new(()), false);
+                opened.map_err(|_| lost_error("the caller has gone"))?
+            }
+        };
+        Ok(self.sender.insert(sender))
+    }
+
+    fn refuse(&mut self) {
+        match &mut self.sender {
+            Some(sender) => sender.send_reset(h2::Reason::INTERNAL_ERROR),
+            None => self.respond.send_reset(h2::Reason::INTERNAL_ERROR),
         }
     }
-    let _ = sender.send_data(Bytes::new(), true);
 }
 
 async fn read_request(mut body: RecvStream) -> Result<Request> {
