--- a/oleander-limits/src/messages.rs
+++ b/oleander-limits/src/messages.rs
@@ -36,6 +36,8 @@
     Borrow {
         /// The tokens that waiting requests need.
         need: Tokens,
+        /// The tokens that are wanted beside, for requests to come, if the owner has plenty.
+        stock: Tokens,
         /// The tokens a second that the sender's callers ask for.
         demand: Tokens,
         /// Earlier grants that the sender has finished with.
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -10,7 +10,6 @@
 use crate::messages::LimitReply;
 use crate::messages::LoanId;
 use crate::messages::Returned;
-use crate::messages::Settled;
 use crate::rates::borrower::RateBorrower;
 use crate::rates::demand::DemandMeter;
 use crate::rates::limiter::Call;
@@ -43,6 +42,14 @@
 const PROBED_SILENCE: f64 = 1.5;
 /// The interval in which an account is looked at, to drop it once it is idle.
 const IDLE_CHECK: Span = Span::from_secs(5);
+/// The time for whose demand a VM keeps tokens in stock: less than the hold of a grant.
+const STOCK: Span = Span::from_millis(300);
+/// The time for whose demand the stock must last, or it is filled up: several round trips.
+const LOW_STOCK: Span = Span::from_millis(150);
+/// The least time between two questions for tokens that nobody waits for.
+const STOCK_INTERVAL: Span = Span::from_millis(100);
+/// The least amount that is worth a message when nobody waits.
+const LEAST_STOCK: Tokens = Tokens::whole(1);
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Span = Span::from_millis(1);
 
@@ -59,6 +66,8 @@
     meter: DemandMeter,
     peers: Vec<Peer>,
     queue: WaitQueue,
+    /// The time before which no tokens are asked for that nobody waits for.
+    restock: Time,
     /// The time of the earliest scheduled wake.
     pub wake: Option<Time>,
 }
@@ -84,6 +93,7 @@
             meter: DemandMeter::default(),
             peers: Vec::new(),
             queue: WaitQueue::default(),
+            restock: now,
             wake: None,
         };
         account.update_peers(now, ownership);
@@ -102,6 +112,7 @@
         self.meter.record(ctx.now, cost);
         if self.queue.is_empty() && cost <= self.available(ctx) {
             self.take(ctx, cost);
+            self.plan(ctx);
             return Decision::Admit;
         }
         let until = deadline.min(ctx.now + MAX_WAIT);
@@ -124,7 +135,10 @@
     pub fn handle(&mut self, ctx: &mut Context<'_>, from: VmId, ask: Ask) -> LimitReply {
         self.sync(ctx);
         match ask {
-            Ask::Borrow { need, demand, settled } => self.lend(ctx, from, need, demand, &settled),
+            Ask::Borrow { need, stock, demand, settled } => {
+                self.owner.end_grants(ctx.now, self.limit, &settled);
+                self.lend(ctx, Need { from, tokens: need, stock, demand, own: Tokens::ZERO })
+            }
             Ask::Settle { settled } => {
                 self.owner.end_grants(ctx.now, self.limit, &settled);
                 self.serve(ctx);
@@ -245,24 +259,18 @@
         peers::update(&mut self.peers, now, self.limit, others);
     }
 
-    fn lend(
-        &mut self,
-        ctx: &mut Context<'_>,
-        from: VmId,
-        need: Tokens,
-        demand: Tokens,
-        settled: &[Settled],
-    ) -> LimitReply {
+    fn lend(&mut self, ctx: &mut Context<'_>, need: Need) -> LimitReply {
         if !ctx.ownership.is_valid(ctx.now) || !self.owner.owns_any() {
             return LimitReply::NotOwner;
         }
-        let own = self.meter.per_second(ctx.now);
-        self.owner.end_grants(ctx.now, self.limit, settled);
-        let wish = Need { from, tokens: need, demand, own };
-        let loan = self.owner.lend(ctx.now, self.limit, wish, ctx.next_loan());
+        let need = Need { own: self.meter.per_second(ctx.now), ..need };
+        let Need { from, demand, .. } = need;
+        let loan = self.owner.lend(ctx.now, self.limit, need, ctx.next_loan());
         let lent = loan.map_or(Tokens::ZERO, |loan| loan.level);
-        let rest = need.saturating_sub(lent);
-        let grant = self.owner.grant(ctx.now, self.limit, rest, ctx.next_loan());
+        let rest = need.tokens.saturating_sub(lent);
+        let stock = need.stock.saturating_sub(lent.saturating_sub(need.tokens));
+        let stock = stock.min(self.owner.plenty(ctx.now, self.limit, rest));
+        let grant = self.owner.grant(ctx.now, self.limit, rest + stock, ctx.next_loan());
         let granted = grant.map_or(Tokens::ZERO, |grant| grant.amount);
         let lent = self.owner.lent_beside(from);
         let short = granted < rest && 0 < lent;
@@ -401,20 +409,31 @@
         self.plan(ctx);
     }
 
-    /// Asks the owners that probably have the most for what the waiting requests need.
+    /// Asks the owners that probably have the most for what the waiting requests need, and for
+    /// what is probably asked for next.
     fn plan(&mut self, ctx: &mut Context<'_>) {
         let pending: Tokens = self.peers.iter().map(Peer::pending).sum();
         let covered = self.available(ctx) + pending;
-        let need = self.queue.cost().saturating_sub(covered);
-        if need == Tokens::ZERO {
-            return;
-        }
-        self.recall(ctx, ctx.ownership.vm());
         let demand = self.meter.per_second(ctx.now);
-        for Part { at, amount } in plan::divide(self.offers(ctx), need) {
+        let need = self.queue.cost().saturating_sub(covered);
+        let wanted = if need != Tokens::ZERO {
+            self.recall(ctx, ctx.ownership.vm());
+            need + part_of(demand, STOCK)
+        } else {
+            let spare = covered.saturating_sub(self.queue.cost());
+            if part_of(demand, LOW_STOCK) <= spare || ctx.now < self.restock {
+                return;
+            }
+            self.restock = ctx.now + STOCK_INTERVAL;
+            part_of(demand, STOCK).saturating_sub(spare).max(LEAST_STOCK)
+        };
+        let mut rest = need;
+        for Part { at, amount } in plan::divide(self.offers(ctx), wanted) {
             let to = self.peers[at].vm;
             let settled = self.borrower.take_settled(ctx.now, to);
-            let ask = Ask::Borrow { need: amount, demand, settled };
+            let need = amount.min(rest);
+            rest = rest.saturating_sub(need);
+            let ask = Ask::Borrow { need, stock: amount.saturating_sub(need), demand, settled };
             let call = ctx.send(to, self.workspace, ask);
             self.peers[at].asked(ctx.now, call, amount);
         }
@@ -503,3 +522,8 @@
             && self.owner.is_idle(now, self.limit)
     }
 }
+
+/// Gets the tokens of `demand`, which is a second's, in `span`.
+fn part_of(demand: Tokens, span: Span) -> Tokens {
+    Tokens::from_f64(demand.as_f64() * span.as_secs_f64())
+}
--- a/oleander-limits/src/rates/owner.rs
+++ b/oleander-limits/src/rates/owner.rs
@@ -19,13 +19,15 @@
 /// The time for which a borrower may use lent fractions, from the sending of its request.
 pub const LOAN_HOLD: Span = Span::from_millis(1_000);
 /// The time for which a borrower may use granted tokens, from the sending of its request.
-pub const GRANT_HOLD: Span = Span::from_millis(150);
+pub const GRANT_HOLD: Span = Span::from_millis(400);
 /// The time for which an owner counts fractions as lent; longer by what two clocks may drift.
 const LENT_FOR: Span = Span::from_millis(1_010);
 /// The time for which an owner counts tokens as granted; longer by what two clocks may drift.
-const GRANTED_FOR: Span = Span::from_millis(152);
+const GRANTED_FOR: Span = Span::from_millis(405);
 /// The time that a new owner or a restarted VM waits, so that every earlier loan has ended.
 pub const WAIT_OUT: Span = Span::from_millis(1_020);
+/// The part of its capacity, as a divisor, below which an owner gives no tokens into stock.
+const KEPT_PART: u64 = 4;
 /// The time after which a recall that was not answered may be sent again.
 const RECALL_INTERVAL: Span = Span::from_millis(100);
 /// The time after which a borrower is asked again whether it still needs a loan.
@@ -70,6 +72,8 @@
     pub from: VmId,
     /// The tokens that its waiting requests need.
     pub tokens: Tokens,
+    /// The tokens that it wants beside, for requests to come.
+    pub stock: Tokens,
     /// The tokens a second that its callers ask for.
     pub demand: Tokens,
     /// The tokens a second that the owner's own callers ask for.
@@ -176,6 +180,14 @@
         Some(Loan { id, fractions, level })
     }
 
+    /// Gets the tokens that may be given into stock once `need` is given: what is above a part of
+    /// the capacity, so that waiting requests everywhere go first when tokens are scarce.
+    pub fn plenty(&mut self, now: Time, limit: Limit, need: Tokens) -> Tokens {
+        self.settle(now, limit);
+        let kept = Tokens(limit.capacity(self.home()).0 / KEPT_PART);
+        self.pool.level.saturating_sub(need + kept)
+    }
+
     /// Grants single tokens, as many as there are up to `amount`.
     pub fn grant(&mut self, now: Time, limit: Limit, amount: Tokens, id: LoanId) -> Option<Grant> {
         self.settle(now, limit);
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -152,7 +152,8 @@
     let mut owner = RateOwner::new(NOW, 2, limit.capacity(2));
     owner.grant(NOW, limit, Tokens::whole(1), id(1)).unwrap();
     let demand = Tokens::whole(50);
-    let need = Need { from: VmId(1), tokens: demand, demand, own: Tokens::ZERO };
+    let need =
+        Need { from: VmId(1), tokens: demand, stock: Tokens::ZERO, demand, own: Tokens::ZERO };
     let loan = owner.lend(NOW, limit, need, id(2)).unwrap();
     // Two fractions hold two tokens, and one of them may still be used elsewhere.
     assert_eq!((loan.fractions, owner.home()), (1, 1));
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -105,11 +105,8 @@
     /// Changes the number of connections and slots.
     pub fn set_size(&self, slots: u32, connections: u32) {
         let options = pool_options(connections);
-        let mut connections = self.lock();
-        connections.pool.set_options(options);
-        let cap = connections.pool.cap(self.parts.timers.now());
-        drop(connections);
-        self.slots.set_part(Part { slots: slots.max(1), connections: cap });
+        self.lock().pool.set_options(options);
+        self.slots.set_part(Part { slots: slots.max(1), connections: options.cap });
     }
 
     /// Closes the idle connections, as when another VM has become the home.
--- /dev/null
+++ b/oleander-node/tests/home.rs
@@ -0,0 +1,197 @@
+//! The home of an instance against an upstream that refuses connections for a while.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+use oleander_core::ids::DatabaseId;
+use oleander_core::ids::Incarnation;
+use oleander_core::ids::InstanceKey;
+use oleander_core::ids::RequestId;
+use oleander_core::ids::VmId;
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_core::verdict::Refusal;
+use oleander_core::verdict::RefusalCode;
+use oleander_core::verdict::Verdict;
+use oleander_node::fleet::Fleet;
+use oleander_node::fleet::Instance;
+use oleander_node::home::instance::HomeParts;
+use oleander_node::home::instance::InstanceHome;
+use oleander_node::home::transactions::Transactions;
+use oleander_node::primaries::Primaries;
+use oleander_node::settings::NodeSettings;
+use oleander_ports::directory::DirectoryEntry;
+use oleander_ports::upstream::Failure;
+use oleander_ports::upstream::FailureKind;
+use oleander_ports::upstream::Link;
+use oleander_ports::upstream::LinkError;
+use oleander_ports::upstream::Message;
+use oleander_ports::upstream::Order;
+use oleander_ports::upstream::ReplicationState;
+use oleander_ports::upstream::Reply;
+use oleander_ports::upstream::Target;
+use oleander_ports::upstream::TransactionState;
+use oleander_ports::upstream::Upstreams;
+use oleander_runtime::clock::Clock;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::timer::TimerService;
+use oleander_session::work::Freshness;
+use oleander_session::work::HomeAnswer;
+use oleander_session::work::HomeRequest;
+use oleander_session::work::Scope;
+use oleander_session::work::Work;
+
+/// `Fake` is an instance that can refuse connections, hang and break them.
+#[derive(Default)]
+struct Fake {
+    full: AtomicBool,
+    hangs: AtomicBool,
+    open: AtomicUsize,
+}
+
+struct FakeUpstreams(Arc<Fake>);
+
+struct FakeLink(Arc<Fake>);
+
+#[async_trait]
+impl Upstreams for FakeUpstreams {
+    fn state(&self, _: &Reply) -> Option<ReplicationState> {
+        None
+    }
+
+    async fn open(&self, _: &Target, _: &str) -> Result<Box<dyn Link>, LinkError> {
+        if self.0.full.load(Ordering::Acquire) {
+            let failure =
+                Failure { kind: FailureKind::TooManyConnections, detail: String::new() };
+            return Err(LinkError::Refused(failure));
+        }
+        self.0.open.fetch_add(1, Ordering::AcqRel);
+        Ok(Box::new(FakeLink(self.0.clone())))
+    }
+}
+
+#[async_trait]
+impl Link for FakeLink {
+    async fn exchange(&mut self, messages: &[Message<'_>]) -> Result<Vec<Reply>, LinkError> {
+        if self.0.hangs.load(Ordering::Acquire) {
+            std::future::pending::<()>().await;
+        }
+        let state = |order: &Order<'_>| match order {
+            Order::Begin { .. } => TransactionState::Open,
+            _ => TransactionState::Idle,
+        };
+        let reply = |message: &Message<'_>| Reply {
+            rows: Vec::new(),
+            outcome: Ok("signature".to_owned()),
+            state: state(&message.order),
+            point: None,
+        };
+        Ok(messages.iter().map(reply).collect())
+    }
+
+    fn is_open(&mut self) -> bool {
+        true
+    }
+}
+
+impl Drop for FakeLink {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn home(fake: &Arc<Fake>) -> (Arc<InstanceHome>, TimerService) {
+    let timers = TimerService::start(Clock::new());
+    let settings = NodeSettings {
+        name: "vm".to_owned(),
+        place: Place::default(),
+        zones: [].into(),
+        peers: "127.0.0.1:1".parse().unwrap(),
+        revocation: Span::from_secs(5),
+        grace: Span::from_secs(6),
+        lease: Span::from_secs(1),
+    };
+    let fleet = Arc::new(Fleet::new(Arc::new(settings), timers.clone()));
+    let parts = HomeParts {
+        upstreams: Arc::new(FakeUpstreams(fake.clone())),
+        primaries: Arc::new(Primaries::new(fleet)),
+        transactions: Transactions::new(VmId(1), Incarnation(1)),
+        timers: timers.clone(),
+        journal: Journal::new("test", timers.clock()),
+    };
+    let instance = Instance {
+        key: InstanceKey(1),
+        database: DatabaseId(1),
+        place: Place::default(),
+        entry: DirectoryEntry {
+            instance: "i-1".to_owned(),
+            life: 1,
+            database: "ledger".to_owned(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: String::new(),
+            slots: 2,
+            leaving: false,
+            primary: true,
+        },
+    };
+    (Arc::new(InstanceHome::new(Arc::new(parts), &instance, 16)), timers)
+}
+
+fn write() -> HomeRequest {
+    HomeRequest {
+        id: RequestId { entry: VmId(1), serial: 1 },
+        statement: "1".to_owned(),
+        workspace: "rye".to_owned(),
+        instance: "i-1".to_owned(),
+        values: Vec::new(),
+        work: Work::Write("loaf rye".to_owned()),
+        scope: Scope::Single,
+        freshness: Freshness::default(),
+        limit: Span::from_millis(300),
+        patience: Span::from_millis(300),
+        rest: Span::from_secs(1),
+    }
+}
+
+async fn run(home: &Arc<InstanceHome>, timers: &TimerService) -> Result<HomeAnswer, Refusal> {
+    let request = write();
+    let until = timers.now() + request.patience;
+    let running = home.single(&request, until);
+    let timeout = || Refusal::may_have_run(RefusalCode::Timeout, "no answer in time");
+    timers.within(request.limit, running).await.unwrap_or_else(|| Err(timeout()))
+}
+
+/// A home whose instance refused connections while the directory changed took the refusal for its
+/// size and started nothing any more.
+#[tokio::test]
+async fn a_home_serves_again_once_connections_are_accepted() {
+    let fake = Arc::new(Fake::default());
+    let (home, timers) = home(&fake);
+    fake.full.store(true, Ordering::Release);
+    let refused = run(&home, &timers).await.unwrap_err();
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    home.set_size(2, 16);
+    fake.full.store(false, Ordering::Release);
+    timers.sleep(Span::from_millis(400)).await;
+    assert!(run(&home, &timers).await.is_ok());
+}
+
+/// Statements that are given up must leave neither slots nor connections in use.
+#[tokio::test]
+async fn statements_that_time_out_leave_nothing_behind() {
+    let fake = Arc::new(Fake::default());
+    let (home, timers) = home(&fake);
+    fake.hangs.store(true, Ordering::Release);
+    for _ in 0..6 {
+        let failed = run(&home, &timers).await.unwrap_err();
+        assert_eq!(failed.verdict, Verdict::MayHaveRun);
+    }
+    assert_eq!(fake.open.load(Ordering::Acquire), 0);
+    assert_eq!(home.connections(), 0);
+    fake.hangs.store(false, Ordering::Release);
+    assert!(run(&home, &timers).await.is_ok());
+    assert_eq!(home.connections(), 1);
+}
