--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -28,11 +28,12 @@
 use super::apply;
 use crate::fleet::Fleet;
 
-/// The time of a lease: a lost VM is out of the fleet after at most as long.
-const LEASE: Span = Span::from_millis(2_000);
+/// The time of a lease. Shares are used as long at most without the store, so it is near the time for
+/// which the configuration counts as current; a lost VM is out of the fleet after as long.
+const LEASE: Span = Span::from_millis(4_000);
 
-/// The renewals in the time of a lease, so that two may fail in a row.
-const RENEWALS: u64 = 3;
+/// The renewals in the time of a lease, so that three may fail in a row.
+const RENEWALS: u64 = 4;
 
 /// The time within which another VM must say whether it knows of this one.
 const JOINED_LIMIT: Span = Span::from_millis(1_000);
