Refuse early what would wait too long at a home

Causes: a read's expected wait left out the writes before it, and a queue as long as its requests can wait served most of them too late.

--- a/oleander-limits/src/home/queue.rs
+++ b/oleander-limits/src/home/queue.rs
@@ -21,6 +21,10 @@
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Span = Span::from_millis(1);
 
+/// How many times the expected wait must fit into the time that a request has: estimates err, and
+/// a queue that is as long as its requests can wait serves most of them too late.
+const WAIT_MARGIN: u64 = 2;
+
 /// `Ticket` names one request in a queue; the caller chooses it and never uses it twice.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub u64);
@@ -222,7 +226,21 @@
     pub fn expected_wait(&self, request: &Waiting) -> Span {
         let class = request.class as usize;
         let ahead = self.queues[class].cost_ahead(request.workspace, request.weight);
-        self.estimates[class].drain(ahead, self.servers(request.class))
+        let own = self.estimates[class].drain(ahead, self.servers(request.class));
+        if self.slots.largest() < self.slots.total() {
+            // Other instances may serve the other classes.
+            return own;
+        }
+        let before = match request.class {
+            Class::Transaction => &[][..],
+            Class::Write => &[Class::Transaction],
+            Class::Read => &[Class::Transaction, Class::Write],
+        };
+        let drain = |class: &Class| {
+            let cost = self.queues[*class as usize].cost();
+            self.estimates[*class as usize].drain(cost, self.servers(*class))
+        };
+        before.iter().map(drain).fold(own, |wait, drain| wait + drain)
     }
 
     /// Gets the number of waiting requests.
@@ -281,7 +299,7 @@
 
     fn check_deadline(&self, now: Time, request: &Waiting, wait: Span) -> Result<(), Refusal> {
         let latest = self.latest_start(request);
-        if now < latest && wait <= latest.since(now) {
+        if now < latest && wait.times(WAIT_MARGIN) <= latest.since(now) {
             return Ok(());
         }
         // Estimates are learnt from what runs: with nothing ahead, one request has to be tried.
@@ -292,7 +310,7 @@
             RefusalCode::DeadlineExceeded,
             "home: the request cannot be answered by its deadline",
         );
-        Err(refusal.after(wait.saturating_sub(latest.since(now)).max(MIN_RETRY)))
+        Err(refusal.after(wait.times(WAIT_MARGIN).saturating_sub(latest.since(now)).max(MIN_RETRY)))
     }
 
     /// Gets the time after which the request, once started, would probably miss its deadline.
--- a/oleander-limits/tests/home.rs
+++ b/oleander-limits/tests/home.rs
@@ -224,3 +224,25 @@
     }
     panic!("the estimate was not learnt anew");
 }
+
+/// Reads of a home with one instance waited behind all writes and were refused at their deadline,
+/// long after it was clear that they could not be served.
+#[test]
+fn a_read_that_cannot_start_in_time_behind_writes_is_refused_at_once() {
+    let mut slots = Slots::default();
+    slots.set_parts([Part { slots: 1, connections: 4 }], Time(0));
+    let mut queue = HomeQueue::new(QueueOptions::default(), slots);
+    for ticket in 0..16 {
+        queue.push(START, request(ticket, 1, Class::Write)).unwrap();
+        queue.pop(START, |_, _| Some(PRIMARY)).unwrap();
+        queue.finish(Ticket(ticket), Span::from_millis(20), Connection::Free);
+    }
+    for ticket in 100..120 {
+        queue.push(START, request(ticket, 1, Class::Write)).unwrap();
+    }
+    let deadline = START + Span::from_millis(300);
+    let read = Waiting { deadline, ..request(200, 2, Class::Read) };
+    let refused = queue.push(START, read).unwrap_err();
+    assert_eq!((refused.code, refused.verdict), (RefusalCode::DeadlineExceeded, Verdict::NotRun));
+    assert!(refused.retry_after.is_some());
+}
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -64,8 +64,7 @@
 
     async fn open(&self, _: &Target, _: &str) -> Result<Box<dyn Link>, LinkError> {
         if self.0.full.load(Ordering::Acquire) {
-            let failure =
-                Failure { kind: FailureKind::TooManyConnections, detail: String::new() };
+            let failure = Failure { kind: FailureKind::TooManyConnections, detail: String::new() };
             return Err(LinkError::Refused(failure));
         }
         self.0.open.fetch_add(1, Ordering::AcqRel);
