Wait after a restart for the VM's own earlier loans only

Cause: while VMs that had started first lent to each other, later ones took these loans for those of earlier owners and waited 350 ms more. Where the record of the earlier life still stands, nobody else owned its shares. An idle connection gives way again while an instance accepts no other.

--- a/oleander-agent/src/server.rs
+++ b/oleander-agent/src/server.rs
@@ -33,7 +33,7 @@
         Request::Failover(request) => Reply::Failover(failover::answer(&shared, request).await),
         Request::Home(_)
         | Request::Primary(_)
-        | Request::Joined(_)
+        | Request::Joined { .. }
         | Request::Ready
         | Request::Work(_)
         | Request::Limit { .. } => Reply::Unsupported,
--- a/oleander-limits/src/home/pool.rs
+++ b/oleander-limits/src/home/pool.rs
@@ -115,9 +115,6 @@
             self.open += 1;
             return Pick::Open { close: None };
         }
-        if self.is_refused(now) {
-            return Pick::Full;
-        }
         match self.take_surplus() {
             // The place of the closed connection passes to the new one.
             Some(close) => Pick::Open { close: Some(close) },
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -206,9 +206,9 @@
         self.available(ctx)
     }
 
-    /// Gets the time until which something borrowed may be used.
-    pub fn held_until(&self) -> Time {
-        self.borrower.held_until()
+    /// Gets the time until which something borrowed of the owners that `counts` names may be used.
+    pub fn held_until(&self, counts: impl Fn(VmId) -> bool) -> Time {
+        self.borrower.held_until(counts)
     }
 
     /// Takes in a new limit.
--- a/oleander-limits/src/rates/borrower.rs
+++ b/oleander-limits/src/rates/borrower.rs
@@ -96,11 +96,13 @@
 }
 
 impl RateBorrower {
-    /// Gets the time until which something borrowed may be used; `Time(0)` for nothing.
-    pub fn held_until(&self) -> Time {
-        let loans = self.loans.iter().map(|loan| loan.until);
-        let grants = self.grants.iter().map(|grant| grant.until);
-        loans.chain(grants).max().unwrap_or_default()
+    /// Gets the time until which something borrowed of the owners that `counts` names may be used;
+    /// `Time(0)` for nothing.
+    pub fn held_until(&self, counts: impl Fn(VmId) -> bool) -> Time {
+        let loans = self.loans.iter().map(|loan| (loan.owner, loan.until));
+        let grants = self.grants.iter().map(|grant| (grant.owner, grant.until));
+        let held = loans.chain(grants).filter(|(owner, _)| counts(*owner));
+        held.map(|(_, until)| until).max().unwrap_or_default()
     }
 
     /// Takes in a loan that was asked for at `sent`.
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -281,10 +281,11 @@
         self.with_account(now, workspace, &mut Vec::new(), Account::spendable)
     }
 
-    /// Gets the time for which this VM may still use what it borrowed from others.
-    pub fn held(&self, now: Time) -> Span {
-        let until = self.accounts.values().map(Account::held_until).max().unwrap_or_default();
-        until.since(now)
+    /// Gets the time for which this VM may still use what it borrowed of the owners that `counts`
+    /// names.
+    pub fn held(&self, now: Time, counts: impl Fn(VmId) -> bool + Copy) -> Span {
+        let until = self.accounts.values().map(|account| account.held_until(counts)).max();
+        until.unwrap_or_default().since(now)
     }
 
     /// Gets the time at which the oldest call was sent that has no answer yet.
--- a/oleander-limits/tests/pool.rs
+++ b/oleander-limits/tests/pool.rs
@@ -68,12 +68,21 @@
     assert_eq!(pool.pick(NOW, OAT, PLAIN), Pick::Open { close: None });
     pool.forget();
     pool.refuse(NOW);
-    assert_eq!(pool.pick(NOW, OAT, PLAIN), Pick::Full);
-    assert_eq!(pool.pick(NOW, RYE, PLAIN), Pick::Reuse("a"));
     assert_eq!(pool.cap(NOW), 1);
+    assert_eq!(pool.pick(NOW, RYE, PLAIN), Pick::Reuse("a"));
+    assert_eq!(pool.pick(NOW, OAT, PLAIN), Pick::Full);
     assert_eq!(pool.cap(NOW + Span::from_millis(301)), 8);
 }
 
+/// A workspace without a connection was refused for as long as a lost VM's connections counted,
+/// while others had idle ones.
+#[test]
+fn an_idle_connection_gives_way_where_no_other_is_accepted() {
+    let mut pool = pool(8, 8, &[("a", RYE, PLAIN), ("b", RYE, PLAIN)]);
+    pool.refuse(NOW);
+    assert_eq!(pool.pick(NOW, OAT, PLAIN), Pick::Open { close: Some("a") });
+}
+
 #[test]
 fn an_empty_pool_tries_again_soon_but_not_on_each_statement() {
     let mut pool = pool(8, 8, &[]);
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -35,6 +35,9 @@
 /// The renewals in the time of a lease, so that three may fail in a row.
 const RENEWALS: u64 = 4;
 
+/// The longest wait for the first view before the VM's record is written without it.
+const FIRST_VIEW: Span = Span::from_millis(500);
+
 /// The time within which another VM must say whether it knows of this one.
 const JOINED_LIMIT: Span = Span::from_millis(1_000);
 
@@ -93,11 +96,12 @@
         let asked = self.fleet.now();
         let lease = self.store.grant(time).await?;
         self.fleet.set_leased(asked + time);
+        let former = self.former().await;
         let joined = self.write(false, lease).await?;
         self.held.send_replace(Some(Held { lease, joined }));
         let renewing = self.renew(lease, time);
         let activating = async {
-            self.activate(joined).await;
+            self.activate(joined, former).await;
             std::future::pending::<()>().await;
         };
         tokio::select! {
@@ -139,11 +143,21 @@
         }
     }
 
+    /// Gets this VM if the record of its earlier life still stands.
+    async fn former(&self) -> Option<VmId> {
+        let mut changes = self.fleet.changes();
+        let viewed = changes.wait_for(|revision| *revision != StoreRevision(0));
+        // Without a view nothing is known of an earlier life.
+        self.fleet.timers.within(FIRST_VIEW, viewed).await?.ok()?;
+        let own = self.fleet.vm;
+        self.fleet.view().roster.is_present(own).then_some(own)
+    }
+
     /// Starts the use of own shares once every VM that may have owned them knows of this one.
     ///
     /// A VM that does not answer stops using its shares by itself once it has not heard from the
     /// store for the time of currency.
-    async fn activate(&self, joined: StoreRevision) {
+    async fn activate(&self, joined: StoreRevision, former: Option<VmId>) {
         let mut changes = self.fleet.changes();
         if changes.wait_for(|revision| joined <= *revision).await.is_err() {
             return;
@@ -159,8 +173,10 @@
             .filter(|vm| *vm != own)
             .collect();
         let mut calls = JoinSet::new();
+        let request = Request::Joined { revision: joined.0, former };
         for vm in others {
-            calls.spawn(tell_joined(self.fleet.clone(), self.peers.clone(), vm, joined, since));
+            let (fleet, peers) = (self.fleet.clone(), self.peers.clone());
+            calls.spawn(tell_joined(fleet, peers, vm, request.clone(), since));
         }
         let mut lent_until = self.fleet.now();
         while let Some(until) = calls.join_next().await {
@@ -207,7 +223,7 @@
     fleet: Arc<Fleet>,
     peers: PeerClient,
     vm: VmId,
-    joined: StoreRevision,
+    request: Request,
     since: Time,
 ) -> Time {
     let limit = since + fleet.settings.currency();
@@ -217,7 +233,6 @@
             // Its lease has ended, and it counts its lease from before the store does.
             return fleet.now() + WAIT_OUT;
         };
-        let request = Request::Joined(joined.0);
         if let Ok(Reply::Joined(held)) = peers.call(address, &request, JOINED_LIMIT).await {
             return fleet.now() + held;
         }
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -55,7 +56,9 @@
                 Reply::Home(running.await.unwrap_or_else(lost))
             }
             Request::Primary(database) => Reply::Primary(server.duties.report(database)),
-            Request::Joined(revision) => server.joined(StoreRevision(revision)).await,
+            Request::Joined { revision, former } => {
+                server.joined(StoreRevision(revision), former).await
+            }
             Request::Ready => Reply::Ready(server.fleet.is_ready()),
             Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
             Request::Status => Reply::Status((server.status)()),
@@ -73,11 +76,12 @@
 
 impl PeerServer {
     /// Waits until the limiter knows of a VM that has joined and no earlier loan is on its way.
-    async fn joined(&self, revision: StoreRevision) -> Reply {
+    async fn joined(&self, revision: StoreRevision, former: Option<VmId>) -> Reply {
         let mut applied = self.applied.clone();
         let settling = async {
             applied.wait_for(|at| revision <= *at).await.ok()?;
-            Some(self.rates.settle().await)
+            let counts = |owner| former.is_none_or(|former| former == owner);
+            Some(self.rates.settle(counts).await)
         };
         match self.fleet.timers.within(JOINED_WAIT, settling).await.flatten() {
             Some(held) => Reply::Joined(held),
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -122,13 +122,13 @@
     }
 
     /// Waits until the calls under way are answered, then gets the time for which this VM may still
-    /// use what it borrowed.
-    pub async fn settle(&self) -> Span {
+    /// use what it borrowed of the owners that `counts` names.
+    pub async fn settle(&self, counts: impl Fn(VmId) -> bool + Copy) -> Span {
         let asked = self.inner.timers.now();
         loop {
             let oldest = self.lock().limiter.oldest_call();
             if oldest.is_none_or(|sent| asked < sent) {
-                return self.lock().limiter.held(self.inner.timers.now());
+                return self.lock().limiter.held(self.inner.timers.now(), counts);
             }
             self.inner.timers.sleep(SETTLE_POLL).await;
         }
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -39,7 +39,12 @@
     Primary(DatabaseId),
     /// A VM that has joined asks the receiver to take that in: to apply the store's changes up to
     /// this revision. The answer waits until it has.
-    Joined(u64),
+    Joined {
+        /// The revision at which the VM joined.
+        revision: u64,
+        /// The VM, if the record of its earlier life still stood: nobody else owned its shares.
+        former: Option<VmId>,
+    },
     /// A VM that has lost the store asks whether the receiver takes callers.
     Ready,
     /// A proxy asks another about rate limits.
--- a/oleander-proxy/src/peers.rs
+++ b/oleander-proxy/src/peers.rs
@@ -33,7 +33,7 @@
             }
             Request::Home(_)
             | Request::Primary(_)
-            | Request::Joined(_)
+            | Request::Joined { .. }
             | Request::Ready
             | Request::Member(_)
             | Request::Failover(_)
