--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -18,6 +18,7 @@
 use oleander_peer::messages::Request;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
+use oleander_runtime::metrics::Metrics;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use smallvec::SmallVec;
@@ -49,6 +50,8 @@
     pub peers: PeerClient,
     /// Records retries.
     pub journal: Journal,
+    /// Counts retries.
+    pub metrics: Metrics,
     /// Counts requests.
     pub serial: AtomicU64,
 }
@@ -198,6 +201,7 @@
             Field::text("detail", &refusal.detail),
         ];
         self.journal.record(Event::RequestRetried, &fields);
+        self.metrics.count("request.retried", 1);
     }
 
     /// Makes the refusal of a statement that no instance ran.
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -257,6 +257,14 @@
         suspects.get(&vm).is_none_or(|until| *until <= self.now())
     }
 
+    /// Gets the databases with the instances that lead them, by name.
+    pub fn primaries(&self) -> Vec<(String, String)> {
+        let view = self.view.load();
+        let leader = |kept: &Kept| view.instances.get(&kept.primary?);
+        let leaders = view.keepers.values().filter_map(leader);
+        leaders.map(|it| (it.entry.database.clone(), it.entry.instance.clone())).collect()
+    }
+
     /// Gets the address of a VM.
     pub fn address(&self, vm: VmId) -> Option<SocketAddr> {
         self.view.load().roster.member(vm).map(|member| member.peers)
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -178,6 +178,7 @@
                 homes: homes.clone(),
                 peers: peer_client.clone(),
                 journal: journal.clone(),
+                metrics: metrics.clone(),
                 serial: AtomicU64::new(0),
             },
             journal: journal.clone(),
@@ -265,6 +266,28 @@
         &self.journal
     }
 
+    /// Gets counters, latencies and beliefs as text, a line each.
+    pub fn metrics_text(&self) -> String {
+        let status = self.status();
+        let NodeStatus { configuration, store, age_ms, vms, instances, transactions, .. } = status;
+        let beliefs = [
+            ("configuration_version", configuration),
+            ("store_revision", store),
+            ("store_age_ms", age_ms),
+            ("current", u64::from(status.current)),
+            ("shares_in_use", u64::from(status.shares)),
+            ("draining", u64::from(status.draining)),
+            ("vms", vms as u64),
+            ("instances", instances as u64),
+            ("resting_transactions", transactions as u64),
+        ];
+        let lines = beliefs.map(|(name, value)| format!("{name} {value}\n"));
+        let primaries = self.fleet.primaries().into_iter().map(|(database, primary)| {
+            format!("primary{{database=\"{database}\",instance=\"{primary}\"}} 1\n")
+        });
+        lines.into_iter().chain(primaries).collect::<String>() + &self.metrics.text()
+    }
+
     /// Gets the state for operators.
     pub fn status(&self) -> NodeStatus {
         node_status(&self.fleet, &self.homes)
--- a/oleander-runtime/src/lib.rs
+++ b/oleander-runtime/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod errors;
 pub mod logs;
 pub mod metrics;
+pub mod output;
 pub mod settings;
 pub mod shutdown;
 pub mod timer;
--- a/oleander-runtime/src/logs.rs
+++ b/oleander-runtime/src/logs.rs
@@ -16,8 +16,6 @@
 use log::LevelFilter;
 use log::Record;
 use log::kv::Value;
-use logforth::append::Stdout;
-use logforth::layout::JsonLayout;
 use oleander_core::events::Event;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -27,6 +25,7 @@
 use crate::clock::Clock;
 use crate::errors::Result;
 use crate::errors::setup_error;
+use crate::output::BoundedOutput;
 
 /// The number of recent events that a journal keeps.
 pub const RING_LENGTH: usize = 1_024;
@@ -100,7 +99,7 @@
     static DONE: Mutex<bool> = Mutex::new(false);
     let mut done = DONE.lock().unwrap_or_else(PoisonError::into_inner);
     if !*done {
-        let append = Stdout::default().with_layout(JsonLayout::default());
+        let append = BoundedOutput::new(std::io::stdout());
         let builder = logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(append));
         if builder.try_apply().is_err() {
             return setup_error("another logger has been set up");
--- a/oleander-runtime/src/metrics.rs
+++ b/oleander-runtime/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics: counters and timings over StatsD, and a latency histogram for each workspace and kind.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
@@ -27,6 +28,9 @@
 /// The number of histograms that are kept; what comes after is counted together.
 pub const MAX_HISTOGRAMS: usize = 1_024;
 
+/// The number of counters that are kept by name; what comes after is counted together.
+pub const MAX_COUNTERS: usize = 4_096;
+
 /// The longest latency that a histogram tells apart.
 pub const MAX_LATENCY: Span = Span::from_secs(60);
 
@@ -54,8 +58,12 @@
 pub struct Metrics {
     client: Arc<StatsdClient>,
     histograms: Arc<Mutex<Histograms>>,
+    counters: Arc<Mutex<Counters>>,
 }
 
+/// The counts by name and labels, as the text form has them.
+type Counters = BTreeMap<String, u64>;
+
 type Histograms = BTreeMap<(String, String), Histogram<u32>>;
 
 /// `LatencySummary` is the state of one histogram.
@@ -85,17 +93,18 @@
             None => StatsdClient::from_sink(&options.prefix, NopMetricSink),
             Some(address) => StatsdClient::from_sink(&options.prefix, sink(address)?),
         };
-        Ok(Self { client: Arc::new(client), histograms: Arc::default() })
+        Ok(Self { client: Arc::new(client), histograms: Arc::default(), counters: Arc::default() })
     }
 
     /// Makes metrics that are sent nowhere; histograms are still kept.
     pub fn local() -> Self {
         let client = StatsdClient::from_sink("", NopMetricSink);
-        Self { client: Arc::new(client), histograms: Arc::default() }
+        Self { client: Arc::new(client), histograms: Arc::default(), counters: Arc::default() }
     }
 
     /// Adds `count` to a counter.
     pub fn count(&self, name: &str, count: u32) {
+        self.add(name.to_owned(), u64::from(count));
         // Metrics are best effort: a full queue loses them.
         let _ = self.client.count(name, u64::from(count));
     }
@@ -139,6 +148,8 @@
     /// Counts a refusal of a request of the workspace and kind.
     pub fn count_refusal(&self, workspace: &str, kind: &str, code: RefusalCode) {
         let code = code.to_string();
+        let labels = [("workspace", workspace), ("kind", kind), ("code", code.as_str())];
+        self.add(labelled("request.refused", &labels), 1);
         self.client
             .count_with_tags("request.refused", 1_u64)
             .with_tag("workspace", workspace)
@@ -147,6 +158,35 @@
             .send();
     }
 
+    /// Gets all counters and latencies as text, a line each: name, labels and value.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, count) in counters.iter() {
+            let _ = writeln!(text, "{} {count}", name.replace('.', "_"));
+        }
+        drop(counters);
+        for summary in self.latencies() {
+            let LatencySummary { workspace, kind, count, p50_ms, p99_ms, max_ms } = summary;
+            let labels = [("workspace", workspace.as_str()), ("kind", kind.as_str())];
+            let mut line = |name: &str, value: f64| {
+                let _ = writeln!(text, "{} {value}", labelled(name, &labels));
+            };
+            line("request_latency_count", count as f64);
+            line("request_latency_p50_ms", p50_ms);
+            line("request_latency_p99_ms", p99_ms);
+            line("request_latency_max_ms", max_ms);
+        }
+        text
+    }
+
+    fn add(&self, name: String, count: u64) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = counters.contains_key(&name) || counters.len() < MAX_COUNTERS;
+        let name = if known { name } else { OTHER.to_owned() };
+        *counters.entry(name).or_default() += count;
+    }
+
     fn record_histogram(&self, workspace: &str, kind: &str, span: Span) {
         let micros = span.0.min(MAX_LATENCY.0);
         let mut histograms = self.lock();
@@ -163,6 +203,12 @@
     }
 }
 
+fn labelled(name: &str, labels: &[(&str, &str)]) -> String {
+    let labels: Vec<String> =
+        labels.iter().map(|(label, value)| format!("{label}=\"{value}\"")).collect();
+    format!("{name}{{{}}}", labels.join(","))
+}
+
 fn sink(address: SocketAddr) -> Result<QueuingMetricSink> {
     let local = if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
     let Ok(socket) = UdpSocket::bind(local) else {
