--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -80,6 +80,8 @@
     TransactionEnded = 502,
     /// A request was served; one of many.
     RequestServed = 503,
+    /// A statement failed at an instance, and no other was tried.
+    StatementFailed = 504,
     /// A connection was closed because it had been silent for too long.
     ConnectionSilent = 600,
     /// A connection was closed because its state is unknown.
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -109,9 +109,11 @@
             };
             let again = refusal.verdict == Verdict::NotRun || (retries && is_transient(&refusal));
             if !again || refusal.code == RefusalCode::BadRequest {
+                self.note(Event::StatementFailed, &request, &refusal);
                 return Err(refusal);
             }
-            self.note_retry(&request, &refusal);
+            self.note(Event::RequestRetried, &request, &refusal);
+            self.metrics.count("request.retried", 1);
             last = Some(refusal);
         }
         Err(self.explain(database, need, last))
@@ -123,7 +125,9 @@
         home: VmId,
         request: HomeRequest,
     ) -> Result<HomeAnswer, Refusal> {
-        self.call(home, request).await
+        let noted = HomeRequest { values: Vec::new(), ..request.clone() };
+        let outcome = self.call(home, request).await;
+        outcome.inspect_err(|refusal| self.note(Event::StatementFailed, &noted, refusal))
     }
 
     /// Gets the instances that may run a statement, the best first.
@@ -191,7 +195,7 @@
         }
     }
 
-    fn note_retry(&self, request: &HomeRequest, refusal: &Refusal) {
+    fn note(&self, event: Event, request: &HomeRequest, refusal: &Refusal) {
         let fields = [
             Field::text("statement", &request.statement),
             Field::text("workspace", &request.workspace),
@@ -200,8 +204,7 @@
             Field::text("verdict", refusal.verdict),
             Field::text("detail", &refusal.detail),
         ];
-        self.journal.record(Event::RequestRetried, &fields);
-        self.metrics.count("request.retried", 1);
+        self.journal.record(event, &fields);
     }
 
     /// Makes the refusal of a statement that no instance ran.
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -119,9 +119,11 @@
         let now = self.fleet.now();
         let view = self.fleet.view();
         let workspace = operation.map_or("", |operation| operation.admitted.name.as_str());
+        let upstream = operation.map_or("", |operation| operation.admitted.route.database.as_str());
         let fields = [
             Field::text("statement", statement),
             Field::text("database", name),
+            Field::text("upstream", upstream),
             Field::text("workspace", workspace),
             Field::text("code", refusal.code),
             Field::text("verdict", refusal.verdict),
