--- /dev/null
+++ b/oleander-failover/src/keeper/messages.rs
@@ -0,0 +1,145 @@
+//! What a keeper is told, what it wants done, and its pace.
+
+use oleander_core::events::Event;
+use oleander_core::ids::InstanceKey;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Term;
+use oleander_core::time::Span;
+use smallvec::SmallVec;
+
+/// The instances of a database that are kept on the stack.
+pub const INLINE_INSTANCES: usize = 4;
+
+/// `KeeperOptions` paces a keeper.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeeperOptions {
+    /// The time between two beats at the primary.
+    pub interval: Span,
+    /// The time between two beats while the primary is in doubt.
+    pub alarm: Span,
+    /// The time for which the primary must have been silent before it is replaced.
+    pub silence: Span,
+    /// The beats in a row that must have failed before the primary is replaced.
+    pub misses: u32,
+    /// The time after which an instance is asked again to stop receiving.
+    pub repeat: Span,
+    /// The time within which all replicas must have stopped receiving.
+    pub stopping: Span,
+    /// The time within which an instance must lead after an accepted order.
+    pub taking: Span,
+    /// The time between a promotion given up and the next one.
+    pub retry: Span,
+    /// The time that a planned change of primary leaves to the one before it, so that no VM goes by
+    /// a record from before both.
+    pub steady: Span,
+    /// The time after which an order to receive again that was not answered cannot take effect.
+    pub doubt: Span,
+}
+
+impl Default for KeeperOptions {
+    fn default() -> Self {
+        Self {
+            interval: Span::from_millis(200),
+            alarm: Span::from_millis(100),
+            // Longer than a round trip between regions with a lost packet.
+            silence: Span::from_millis(700),
+            misses: 2,
+            repeat: Span::from_millis(400),
+            stopping: Span::from_millis(3_000),
+            taking: Span::from_millis(4_000),
+            retry: Span::from_millis(500),
+            // The bound on withdrawn keys, for which a VM may work without the store.
+            steady: Span::from_millis(5_000),
+            // Instances drop a connection after 3 s without a sign of the far side.
+            doubt: Span::from_millis(3_500),
+        }
+    }
+}
+
+/// `Known` is an instance as the directory names it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Known {
+    /// The instance.
+    pub key: InstanceKey,
+    /// `true` while it leaves.
+    pub leaving: bool,
+    /// `true` if it holds itself for the primary.
+    pub primary: bool,
+}
+
+/// `Beat` is what came of a question to an instance whether it leads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Beat {
+    /// It leads, and its log has reached the point.
+    Leads(LogPoint),
+    /// It is a replica.
+    Follows,
+    /// It answered, but not on the question.
+    Busy,
+    /// It did not answer in time.
+    Silent,
+}
+
+/// `Ordered` is what came of a promotion order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ordered {
+    /// The platform accepted it.
+    Accepted,
+    /// The platform refused it; its token is dead.
+    Rejected,
+    /// The platform did nothing.
+    NotRun,
+    /// It is unknown whether or when it is executed.
+    Unknown,
+}
+
+/// `Input` is what a keeper is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// The instances of the database.
+    Instances(SmallVec<[Known; INLINE_INSTANCES]>),
+    /// The answer to `Action::Beat`.
+    Beat(InstanceKey, Beat),
+    /// The answer to `Action::Stop`: what the replica has received; `None` if it did not answer.
+    Stopped(InstanceKey, Option<LogPoint>),
+    /// The answer to `Action::Resume`: `true` if the replica answered, so that no such order is on
+    /// its way any more.
+    Resumed(InstanceKey, bool),
+    /// The answer to `Action::Claim`; `None` if no token could be had.
+    Claimed(Option<u64>),
+    /// The answer to `Action::Order`.
+    Ordered(Ordered),
+}
+
+/// `Action` is what a keeper wants done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Asks an instance whether it leads.
+    Beat(InstanceKey),
+    /// Gets a new fencing token.
+    Claim,
+    /// Stops a replica from receiving, up to the term.
+    Stop(InstanceKey, Term),
+    /// Lets a replica receive again.
+    Resume(InstanceKey),
+    /// Orders the promotion of an instance.
+    Order {
+        /// The instance.
+        instance: InstanceKey,
+        /// The fencing token.
+        token: u64,
+    },
+    /// Writes an event to the log.
+    Record {
+        /// The event.
+        event: Event,
+        /// The instance that it concerns.
+        instance: Option<InstanceKey>,
+        /// The term that it concerns.
+        term: Term,
+        /// Why.
+        reason: &'static str,
+    },
+}
--- a/oleander-node/src/control/mod.rs
+++ b/oleander-node/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod follow;
 pub mod lease;
+pub mod shares;
 
 use oleander_core::time::Span;
 use rand::RngExt as _;
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -12,7 +12,7 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Verdict;
-use oleander_failover::keeper::Beat;
+use oleander_failover::keeper::messages::Beat;
 use oleander_ports::upstream::FailureKind;
 use oleander_ports::upstream::Link;
 use oleander_ports::upstream::LinkError;
--- a/oleander-node/src/lib.rs
+++ b/oleander-node/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod primaries;
 pub mod rates;
 pub mod settings;
+pub mod status;
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -6,10 +6,8 @@
 
 use oleander_core::events::Event;
 use oleander_core::ids::Incarnation;
-use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_limits::rates::limiter::RateLimiter;
-use oleander_limits::rates::tokens::Limit;
 use oleander_peer::client::PeerClient;
 use oleander_peer::connection::ConnectionOptions;
 use oleander_peer::server;
@@ -22,7 +20,6 @@
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
 use oleander_runtime::timer::TimerService;
-use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -31,11 +28,11 @@
 use crate::control::follow::Follower;
 use crate::control::lease::Held;
 use crate::control::lease::Leaseholder;
+use crate::control::shares;
 use crate::entry::forward::Forwarder;
 use crate::entry::session::Entry;
 use crate::entry::shed;
 use crate::fleet::Fleet;
-use crate::fleet::View;
 use crate::home::instance::HomeParts;
 use crate::home::registry::Homes;
 use crate::home::transactions::Transactions;
@@ -45,6 +42,8 @@
 use crate::primaries::Primaries;
 use crate::rates::Rates;
 use crate::settings::NodeSettings;
+use crate::status;
+use crate::status::NodeStatus;
 
 /// The times of connections between VMs: a silent one is given up well within the time limit of
 /// one statement, and several round trips between regions fit.
@@ -59,12 +58,6 @@
 /// second and one VM's loss must leave most of a rate usable.
 const RATE_GROUPS: u32 = 2;
 
-/// The time between two looks at the rates' shares when nothing has changed.
-const SHARES_INTERVAL: Span = Span::from_millis(250);
-
-/// The time between two looks at whether this VM may use its shares yet.
-const START_INTERVAL: Span = Span::from_millis(25);
-
 /// `Ports` are the adapters that a node runs on.
 #[derive(Clone)]
 pub struct Ports {
@@ -97,31 +90,6 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-/// `NodeStatus` is the state of a VM for operators.
-#[derive(Clone, Debug, Serialize)]
-pub struct NodeStatus {
-    /// The name of the VM.
-    pub name: String,
-    /// The revision of the configuration in force.
-    pub configuration: u64,
-    /// The revision of the store that the VM has applied.
-    pub store: u64,
-    /// The time since the view was last known to be complete, in milliseconds.
-    pub age_ms: u64,
-    /// `true` if requests with a key may start.
-    pub current: bool,
-    /// `true` if the VM uses its own shares.
-    pub shares: bool,
-    /// `true` once the VM is stopping.
-    pub draining: bool,
-    /// The VMs whose leases run.
-    pub vms: usize,
-    /// The instances that the directory names.
-    pub instances: usize,
-    /// The open transactions that rest at this VM's homes.
-    pub transactions: usize,
-}
-
 impl Node {
     /// Starts a node.
     ///
@@ -207,7 +175,7 @@
             duties: duties.clone(),
             rates: rates.clone(),
             journal: journal.clone(),
-            status: status_of(fleet.clone(), homes.clone()),
+            status: Box::new(status::json(fleet.clone(), homes.clone())),
         });
         let answer = move |incoming| peers::answer(server.clone(), incoming);
         let (stop, stopped) = watch::channel(false);
@@ -219,7 +187,7 @@
                 drop(stop);
             }),
             tokio::spawn(follower.run()),
-            tokio::spawn(follow_rates(fleet.clone(), rates.clone(), journal.clone(), apply)),
+            tokio::spawn(shares::follow(fleet.clone(), rates.clone(), journal.clone(), apply)),
             spawn_rates(rates.clone()),
             spawn_homes(homes.clone()),
             spawn_duties(duties.clone()),
@@ -268,29 +236,12 @@
 
     /// Gets counters, latencies and beliefs as text, a line each.
     pub fn metrics_text(&self) -> String {
-        let status = self.status();
-        let NodeStatus { configuration, store, age_ms, vms, instances, transactions, .. } = status;
-        let beliefs = [
-            ("configuration_version", configuration),
-            ("store_revision", store),
-            ("store_age_ms", age_ms),
-            ("current", u64::from(status.current)),
-            ("shares_in_use", u64::from(status.shares)),
-            ("draining", u64::from(status.draining)),
-            ("vms", vms as u64),
-            ("instances", instances as u64),
-            ("resting_transactions", transactions as u64),
-        ];
-        let lines = beliefs.map(|(name, value)| format!("{name} {value}\n"));
-        let primaries = self.fleet.primaries().into_iter().map(|(database, primary)| {
-            format!("primary{{database=\"{database}\",instance=\"{primary}\"}} 1\n")
-        });
-        lines.into_iter().chain(primaries).collect::<String>() + &self.metrics.text()
+        status::text(&self.fleet, &self.homes) + &self.metrics.text()
     }
 
     /// Gets the state for operators.
     pub fn status(&self) -> NodeStatus {
-        node_status(&self.fleet, &self.homes)
+        status::of(&self.fleet, &self.homes)
     }
 
     /// Starts the graceful stop: no new sessions, the record in the store says so.
@@ -324,60 +275,6 @@
     }
 }
 
-/// Gives the limiter the shares and limits of each new view.
-async fn follow_rates(
-    fleet: Arc<Fleet>,
-    rates: Rates,
-    journal: Journal,
-    applied: watch::Sender<StoreRevision>,
-) {
-    let mut changes = fleet.changes();
-    let mut former: Option<Arc<View>> = None;
-    let mut owners = Vec::new();
-    let mut started = false;
-    loop {
-        let view = fleet.view();
-        let is_same = |part: fn(&View, &View) -> bool| {
-            former.as_ref().is_some_and(|former| part(former, &view))
-        };
-        if !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster)) {
-            owners = view.roster.owners();
-        }
-        let until = fleet.shares_until();
-        if fleet.now() < until {
-            let from = fleet.active_from();
-            if started {
-                rates.set_shares(&owners, until);
-            } else if from.is_some_and(|from| from <= fleet.now()) {
-                // Whatever earlier owners lent has ended.
-                rates.start_shares(&owners, until);
-                started = true;
-                journal.record(Event::SharesActive, &[]);
-            }
-        }
-        if !is_same(|former, view| Arc::ptr_eq(&former.snapshot, &view.snapshot)) {
-            rates.set_limits(limits_of(&view));
-        }
-        applied.send_replace(view.revision);
-        former = Some(view);
-        tokio::select! {
-            changed = changes.changed() => if changed.is_err() { return },
-            () = fleet.timers.sleep(if started { SHARES_INTERVAL } else { START_INTERVAL }) => {}
-        }
-    }
-}
-
-fn limits_of(view: &View) -> Vec<(WorkspaceId, Limit)> {
-    let workspaces = view.snapshot.workspaces.iter().map(|(_, workspace)| &workspace.name);
-    workspaces
-        .filter_map(|name| {
-            let id = WorkspaceId::from_name(name);
-            let rate = view.snapshot.rate(id)?;
-            Some((id, Limit { rate: rate.rate, burst: rate.burst }))
-        })
-        .collect()
-}
-
 fn spawn_rates(rates: Rates) -> JoinHandle<()> {
     tokio::spawn(async move { rates.run().await })
 }
@@ -399,24 +296,3 @@
     let wanted = move || homes.databases();
     tokio::spawn(primaries.run(peers, wanted, move |database| duties.report(database)))
 }
-
-fn status_of(fleet: Arc<Fleet>, homes: Arc<Homes>) -> Box<dyn Fn() -> String + Send + Sync> {
-    Box::new(move || serde_json::to_string(&node_status(&fleet, &homes)).unwrap_or_default())
-}
-
-fn node_status(fleet: &Fleet, homes: &Homes) -> NodeStatus {
-    let view = fleet.view();
-    let now = fleet.now();
-    NodeStatus {
-        name: fleet.settings.name.clone(),
-        configuration: view.snapshot.revision.0,
-        store: view.revision.0,
-        age_ms: now.since(fleet.proven()).as_millis(),
-        current: fleet.is_current(),
-        shares: now < fleet.shares_until(),
-        draining: fleet.is_draining(),
-        vms: view.roster.present().count(),
-        instances: view.instances.len(),
-        transactions: homes.resting(),
-    }
-}
