Hand duties over at the start of a planned stop, and leave a leaving primary alone in time

Records are now deleted at once, and a primary that was seen to leave gets no new work after the bound less 1.5 s.

--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -191,8 +191,11 @@
                 return;
             }
         };
+        let former = draft.view.instances.get(&key);
+        let leaves = former.and_then(|former| former.leaves).unwrap_or(draft.now);
         let instance = Instance {
             key,
+            leaves: decoded.leaving.then_some(leaves),
             database: DatabaseId::from_name(&decoded.database),
             place: self.settings.place_of(&decoded.zone),
             entry: decoded,
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -135,13 +135,19 @@
         let view = self.fleet.view();
         let primary = self.primaries.primary(database);
         let place = &self.fleet.settings.place;
+        let last_work = self.fleet.settings.last_work();
+        let now = self.fleet.now();
         let mut instances: SmallVec<[Instance; 4]> = view
             .instances_of(database)
             .filter(|instance| match need {
                 Need::Primary => Some(instance.key) == primary,
                 Need::Any => true,
             })
-            .filter(|instance| !instance.entry.leaving || Some(instance.key) == primary)
+            .filter(|instance| match instance.leaves {
+                None => true,
+                // The lead is about to be handed over; after a while the instance is left alone.
+                Some(at) => Some(instance.key) == primary && now.since(at) < last_work,
+            })
             .cloned()
             .collect();
         instances.sort_by_cached_key(|instance| {
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -79,6 +79,8 @@
     pub database: DatabaseId,
     /// Where it stands.
     pub place: Place,
+    /// The time at which it was first seen to leave.
+    pub leaves: Option<Time>,
     /// The entry.
     pub entry: DirectoryEntry,
 }
--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -67,11 +67,13 @@
     pub async fn run(&self) {
         let mut changes = self.fleet.changes();
         let mut held = self.held.clone();
+        let mut draining = self.fleet.draining();
         loop {
             self.review().await;
             tokio::select! {
                 changed = changes.changed() => if changed.is_err() { return },
                 changed = held.changed() => if changed.is_err() { return },
+                changed = draining.changed() => if changed.is_err() { return },
                 () = self.fleet.timers.sleep(REVIEW_INTERVAL) => {}
             }
         }
@@ -87,10 +89,24 @@
         self.lock().clear();
     }
 
+    /// Gives all duties up for others to take at once.
+    fn hand_over(&self) {
+        let running: Vec<Running> = self.lock().drain().map(|(_, running)| running).collect();
+        for duty in running {
+            let watcher = duty.watcher.clone();
+            // The task ends before the record goes.
+            drop(duty);
+            tokio::spawn(async move { watcher.release().await });
+        }
+    }
+
     async fn review(&self) {
         let view = self.fleet.view();
         let held = *self.held.borrow();
-        let Some(lease) = held.filter(|_| !self.fleet.is_draining()) else {
+        if self.fleet.is_draining() {
+            return self.hand_over();
+        }
+        let Some(lease) = held else {
             return self.stop();
         };
         let databases = apply::databases(&view);
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -133,6 +133,20 @@
         None
     }
 
+    /// Gives the duty up, so that another VM can take it at once.
+    pub async fn release(&self) {
+        let written = self.record.lock().await;
+        let key = apply::keeper_key(&self.sources, &self.database);
+        let commit = Commit {
+            expected: vec![Expectation { key: key.clone(), revision: written.revision }],
+            writes: vec![Write::Delete { key }],
+        };
+        if let Err(error) = self.store.commit(&commit, None).await {
+            // The record goes with the lease a little later.
+            self.note_failure(error);
+        }
+    }
+
     /// Watches the primary until dropped.
     pub async fn run(self: Arc<Self>) {
         let database = DatabaseId::from_name(&self.database);
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -13,6 +13,10 @@
 /// is held up between its look at the clock and its answer.
 const CURRENCY_MARGIN: Span = Span::from_millis(300);
 
+/// The part of the bound on leaving instances that is left to the way of the news through the store
+/// and of a statement through a queue.
+const DRAIN_MARGIN: Span = Span::from_millis(1_500);
+
 /// `NodeSettings` describe one VM and the bounds that it has to keep.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -31,6 +35,9 @@
     /// The time between the request to stop and the end of the process.
     #[serde(with = "span")]
     pub grace: Span,
+    /// The time after which an instance that leaves must get no new work.
+    #[serde(with = "span")]
+    pub drain: Span,
     /// The shortest lease that the store grants.
     #[serde(with = "span")]
     pub lease: Span,
@@ -43,6 +50,12 @@
         self.revocation.saturating_sub(CURRENCY_MARGIN)
     }
 
+    /// Gets the time for which an instance that was seen to leave still gets new work if no other
+    /// can do it.
+    pub fn last_work(&self) -> Span {
+        self.drain.saturating_sub(DRAIN_MARGIN)
+    }
+
     /// Gets the place of an availability zone; an unknown zone is in no region.
     pub fn place_of(&self, zone: &str) -> Place {
         let region = self.zones.get(zone).cloned().unwrap_or_default();
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -111,6 +111,7 @@
         peers: "127.0.0.1:1".parse().unwrap(),
         revocation: Span::from_secs(5),
         grace: Span::from_secs(6),
+        drain: Span::from_secs(7),
         lease: Span::from_secs(1),
     };
     let fleet = Arc::new(Fleet::new(Arc::new(settings), timers.clone()));
@@ -125,6 +126,7 @@
         key: InstanceKey(1),
         database: DatabaseId(1),
         place: Place::default(),
+        leaves: None,
         entry: DirectoryEntry {
             instance: "i-1".to_owned(),
             life: 1,
