--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use oleander_config::keys;
+use oleander_config::model::Consistency;
 use oleander_config::model::KeyHash;
 use oleander_core::events::Event;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
+use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -20,6 +22,7 @@
 use oleander_session::dialog::Phase;
 use oleander_session::dialog::Step;
 use oleander_session::work::Freshness;
+use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
 use oleander_session::work::Work;
@@ -233,7 +236,7 @@
         &mut self,
         statement: &str,
         work: &Work,
-    ) -> Result<(Answered, Option<oleander_core::terms::LogPoint>), Refusal> {
+    ) -> Result<(Answered, Option<LogPoint>), Refusal> {
         match &self.operation {
             Some(operation) => self.recheck(operation)?,
             None => self.admit().await?,
@@ -281,7 +284,7 @@
             (None, Phase::Begun { .. }) => Scope::First { read_only },
             (None, _) => Scope::Single,
         };
-        let uses_session = route.consistency == oleander_config::model::Consistency::Session;
+        let uses_session = route.consistency == Consistency::Session;
         let seen = self.dialog.written().filter(|_| uses_session);
         let freshness = Freshness { latest: route::needs_latest(route), age: route.age, seen };
         HomeRequest {
@@ -314,7 +317,7 @@
         &self,
         operation: &Operation,
         request: HomeRequest,
-    ) -> Result<(oleander_session::work::HomeAnswer, VmId, String), Refusal> {
+    ) -> Result<(HomeAnswer, VmId, String), Refusal> {
         let read_only = matches!(request.scope, Scope::First { read_only: true });
         let reads = match request.scope {
             Scope::First { .. } => read_only,
@@ -331,7 +334,7 @@
         &self,
         open: &Open,
         mut request: HomeRequest,
-    ) -> Result<(oleander_session::work::HomeAnswer, VmId, String), Refusal> {
+    ) -> Result<(HomeAnswer, VmId, String), Refusal> {
         request.instance.clone_from(&open.instance);
         let is_commit = request.work == Work::Commit;
         let answer = self.entry.forwarder.run_within(open.home, request).await;
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -1,5 +1,6 @@
 //! What the VM believes of the fleet: one immutable view, replaced as a whole.
 
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -273,7 +274,7 @@
     }
 
     /// Orders the VMs that may be the home of an instance, the first one first.
-    pub fn homes(&self, instance: &Instance) -> smallvec::SmallVec<[VmId; 4]> {
+    pub fn homes(&self, instance: &Instance) -> SmallVec<[VmId; 4]> {
         let roster = &self.view.load().roster;
         roster.homes(instance.key.0, &instance.place, |vm| self.is_up(vm))
     }
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -7,6 +7,7 @@
 
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
+use oleander_core::ids::InstanceKey;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -73,7 +74,7 @@
     parts: Arc<HomeParts>,
     target: Target,
     database: DatabaseId,
-    key: oleander_core::ids::InstanceKey,
+    key: InstanceKey,
     slots: InstanceSlots,
     pool: Mutex<Connections>,
 }
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -1,6 +1,7 @@
 //! The homes of a VM, by instance.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -38,7 +39,7 @@
 struct Entry {
     home: Arc<InstanceHome>,
     life: u64,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 }
 
 impl Homes {
--- a/oleander-node/src/home/slots.rs
+++ b/oleander-node/src/home/slots.rs
@@ -124,11 +124,6 @@
         self.start_next(&mut state);
     }
 
-    /// Gets the number of statements that wait.
-    pub fn waiting(&self) -> usize {
-        self.lock().queue.len()
-    }
-
     /// Hands a permit to each statement that can start now.
     fn start_next(&self, state: &mut State) {
         let now = self.timers.now();
--- a/oleander-node/src/home/transactions.rs
+++ b/oleander-node/src/home/transactions.rs
@@ -11,7 +11,6 @@
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
-use oleander_limits::home::pool::Mark;
 
 use super::backend::Backend;
 use super::instance::InstanceHome;
@@ -51,11 +50,6 @@
     pub fn backend(&mut self) -> Option<&mut Backend> {
         self.backend.as_mut()
     }
-
-    /// Takes the mark of the values that the connection holds.
-    pub fn mark(&self) -> Mark {
-        self.backend.as_ref().map(Backend::mark).unwrap_or_default()
-    }
 }
 
 impl Drop for OpenTransaction {
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::terms::LogPoint;
@@ -269,7 +270,7 @@
 
     fn note_failure(&self, error: StoreError) {
         let fields = [Field::text("database", &self.database), Field::text("reason", error)];
-        self.journal.record(oleander_core::events::Event::StoreUnreachable, &fields);
+        self.journal.record(Event::StoreUnreachable, &fields);
     }
 
     fn note_leader(&self, instance: InstanceKey, point: LogPoint, asked: Time) {
--- a/oleander-node/src/primaries.rs
+++ b/oleander-node/src/primaries.rs
@@ -1,6 +1,7 @@
 //! What this VM knows of the primaries of databases, as their keepers tell.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -101,12 +102,7 @@
         }
     }
 
-    async fn pull(
-        self: Arc<Self>,
-        peers: PeerClient,
-        address: std::net::SocketAddr,
-        database: DatabaseId,
-    ) {
+    async fn pull(self: Arc<Self>, peers: PeerClient, address: SocketAddr, database: DatabaseId) {
         let asked = self.fleet.now();
         let request = Request::Primary(database);
         if let Ok(Reply::Primary(Some(report))) = peers.call(address, &request, PULL_LIMIT).await {
