--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -17,6 +17,7 @@
 use oleander_failover::keeper::messages::Ordered;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rstest::rstest;
 
 const INSTANCES: usize = 3;
 const STEPS: usize = 300;
@@ -390,3 +391,76 @@
     }
     assert_eq!((world.group.primary, world.group.promotions), (1, 1));
 }
+
+/// `Interruption` is what happens at one step of a promotion.
+struct Interruption {
+    /// Finds the step.
+    at: fn(&Action) -> bool,
+    what: Step,
+}
+
+fn claims(action: &Action) -> bool {
+    matches!(action, Action::Claim)
+}
+
+fn stops(action: &Action) -> bool {
+    matches!(action, Action::Stop(..))
+}
+
+fn orders(action: &Action) -> bool {
+    matches!(action, Action::Order { .. })
+}
+
+fn beats(action: &Action) -> bool {
+    matches!(action, Action::Beat(_))
+}
+
+/// A promotion that is interrupted at any step ends with the instance that has received most.
+#[rstest]
+#[case::no_answer_to_the_claim(Interruption { at: claims, what: Step::Delay(0) })]
+#[case::no_answer_to_a_stop(Interruption { at: stops, what: Step::Delay(0) })]
+#[case::no_answer_to_the_order(Interruption { at: orders, what: Step::Delay(0) })]
+#[case::no_answer_to_a_beat(Interruption { at: beats, what: Step::Delay(0) })]
+#[case::replica_lost_at_the_stop(Interruption { at: stops, what: Step::Crash(1) })]
+#[case::replica_lost_at_the_order(Interruption { at: orders, what: Step::Crash(1) })]
+#[case::keeper_lost_at_the_claim(Interruption { at: claims, what: Step::Replace })]
+#[case::keeper_lost_at_a_stop(Interruption { at: stops, what: Step::Replace })]
+#[case::keeper_lost_at_the_order(Interruption { at: orders, what: Step::Replace })]
+fn an_interrupted_promotion_ends_well(#[case] interruption: Interruption) {
+    let mut world = World::new(Span::ZERO);
+    while world.published.is_none() {
+        pass_or_deliver(&mut world);
+    }
+    world.group.members[0].received = 12;
+    world.group.replicate(1);
+    world.group.members[2].received = 11;
+    world.group.members[0].down = true;
+    let mut interrupted = false;
+    for _ in 0..1_000 {
+        let is_here = world.sent.first().is_some_and(interruption.at);
+        if is_here && !std::mem::replace(&mut interrupted, true) {
+            world.perform(&interruption.what).unwrap();
+            continue;
+        }
+        if world.group.members[1].down {
+            // Nobody else has all acknowledged commits.
+            assert_eq!(world.group.promotions, 0);
+        }
+        world.perform(&Step::Restart(1)).unwrap();
+        pass_or_deliver(&mut world);
+        if world.published == Some(1) {
+            break;
+        }
+    }
+    assert!(interrupted);
+    assert_eq!((world.group.primary, world.published), (1, Some(1)));
+    while !world.late.is_empty() {
+        world.perform(&Step::Arrive(0)).unwrap();
+    }
+    assert_eq!(world.group.primary, 1, "a late message changes nothing");
+}
+
+fn pass_or_deliver(world: &mut World) {
+    let step = if world.sent.is_empty() { Step::Pass(60) } else { Step::Deliver(0) };
+    world.perform(&step).unwrap();
+}
