Remove what the serving path computes twice or never reads

- Backend: the statement to prepare is looked up once.
`harmless` is gone: an exchange fails only with `LinkError::Lost`, whose verdict already is that a statement may have run.
The verdict of a failed statement was the maximum of a value and itself or the least verdict.
- Forwarder and Homes take a request by reference, so that a statement for a home on the same VM is not cloned, nor one kept for a failure's log line.
- PrimaryReport and Seen no longer carry the instance, which nobody read: the primary comes from the keeper's record.

--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -125,9 +125,8 @@
         home: VmId,
         request: HomeRequest,
     ) -> Result<HomeAnswer, Refusal> {
-        let noted = HomeRequest { values: Vec::new(), ..request.clone() };
-        let outcome = self.call(home, request).await;
-        outcome.inspect_err(|refusal| self.note(Event::StatementFailed, &noted, refusal))
+        let outcome = self.call(home, &request).await;
+        outcome.inspect_err(|refusal| self.note(Event::StatementFailed, &request, refusal))
     }
 
     /// Gets the instances that may run a statement, the best first.
@@ -160,7 +159,7 @@
     async fn run_at(&self, instance: &Instance, request: &HomeRequest) -> Result<Ran, Refusal> {
         let mut last = None;
         for home in self.fleet.homes(instance).into_iter().take(HOME_ATTEMPTS) {
-            match self.call(home, request.clone()).await {
+            match self.call(home, request).await {
                 Ok(answer) => {
                     let instance = instance.entry.instance.clone();
                     return Ok(Ran { answer, home, instance });
@@ -178,7 +177,7 @@
         Err(last.unwrap_or_else(none))
     }
 
-    async fn call(&self, home: VmId, request: HomeRequest) -> Result<HomeAnswer, Refusal> {
+    async fn call(&self, home: VmId, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         if home == self.fleet.vm {
             return self.homes.run(request).await;
         }
@@ -187,7 +186,8 @@
             return Err(Refusal::not_run(RefusalCode::HomeUnreachable, detail));
         };
         let limit = request.limit + TRAVEL;
-        match self.peers.call(address, &Request::Home(Box::new(request)), limit).await {
+        let request = Request::Home(Box::new(request.clone()));
+        match self.peers.call(address, &request, limit).await {
             Ok(Reply::Home(outcome)) => outcome,
             Ok(_) => Err(Refusal::may_have_run(RefusalCode::Internal, "an answer of another kind")),
             Err(error) => {
--- a/oleander-node/src/home/backend.rs
+++ b/oleander-node/src/home/backend.rs
@@ -117,15 +117,14 @@
         let is_stale = |(name, _): &(String, String)| {
             statement.values.iter().all(|(wanted, _)| wanted != name)
         };
-        let wanted = match statement.work {
-            Work::Execute { prepared, .. } if !self.prepared.contains_key(prepared) => {
-                Some(prepared)
-            }
+        let executed = match statement.work {
+            Work::Execute { prepared, .. } => Some(prepared),
             _ => None,
         };
-        let reset = self.values.iter().any(is_stale)
-            || (wanted.is_some() && MAX_PREPARED <= self.prepared.len());
-        if !reset && wanted.is_none() && self.values == statement.values {
+        let is_missing = executed.is_some_and(|prepared| !self.prepared.contains_key(prepared));
+        let reset =
+            self.values.iter().any(is_stale) || (is_missing && MAX_PREPARED <= self.prepared.len());
+        if !reset && !is_missing && self.values == statement.values {
             return Ok(());
         }
         let held = if reset { Vec::new() } else { std::mem::take(&mut self.values) };
@@ -139,12 +138,7 @@
         let missing = statement.values.iter().filter(|pair| !held.contains(pair));
         messages.extend(missing.map(|(name, value)| Message::own(Order::Set { name, value })));
         let name = format!("s{}", self.serial);
-        let wanted = match statement.work {
-            Work::Execute { prepared, .. } if !self.prepared.contains_key(prepared) => {
-                Some(prepared)
-            }
-            _ => None,
-        };
+        let wanted = executed.filter(|_| reset || is_missing);
         if let Some(Prepared { access, shape }) = wanted {
             let order = Order::Prepare { name: &name, access: *access, shape };
             messages.push(Message::own(order));
@@ -172,9 +166,8 @@
         let name = self.name_of(statement.work);
         let message =
             Message { id: Some(statement.id), after, order: order(statement.work, &name) };
-        let replies = self.exchange(&[message]).await;
-        let reply = replies.map_err(|refusal| harmless(statement.work, refusal))?.remove(0);
-        self.check(statement.work, reply, state)
+        let reply = self.exchange(&[message]).await?.remove(0);
+        self.check(reply, state)
     }
 
     /// Runs a read in the open transaction and rolls that back in the same round trip.
@@ -187,15 +180,10 @@
         self.expect(end.unwrap_or(TransactionState::Failed), TransactionState::Idle)?;
         let reply = replies.remove(0);
         let state = reply.state;
-        self.check(statement.work, reply, state)
+        self.check(reply, state)
     }
 
-    fn check(
-        &mut self,
-        work: &Work,
-        reply: Reply,
-        state: TransactionState,
-    ) -> Result<Reply, Refusal> {
+    fn check(&mut self, reply: Reply, state: TransactionState) -> Result<Reply, Refusal> {
         match &reply.outcome {
             Ok(_) => {
                 self.expect(reply.state, state)?;
@@ -207,9 +195,7 @@
                     self.sound = false;
                 }
                 self.sound &= reply.state == TransactionState::Idle;
-                let verdict =
-                    if work.is_write() { failure.kind.verdict() } else { Verdict::NotRun };
-                Err(refusal(failure, verdict.max(failure.kind.verdict())))
+                Err(refusal(failure, failure.kind.verdict()))
             }
         }
     }
@@ -288,8 +274,3 @@
         LinkError::Lost(_) => Refusal::may_have_run(RefusalCode::UpstreamLost, error.to_string()),
     }
 }
-
-/// Keeps the code of a refusal; a read that may have run has still changed nothing.
-fn harmless(work: &Work, refusal: Refusal) -> Refusal {
-    if work.is_write() { refusal } else { Refusal { verdict: Verdict::MayHaveRun, ..refusal } }
-}
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -49,7 +49,7 @@
     }
 
     /// Runs a statement.
-    pub async fn run(&self, request: HomeRequest) -> Result<HomeAnswer, Refusal> {
+    pub async fn run(&self, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         let now = self.fleet.now();
         let until = now + request.patience;
         if let Scope::Within(id) = request.scope {
@@ -60,13 +60,13 @@
                 ));
             };
             let home = transaction.home.clone();
-            return home.next(transaction, &request, until).await;
+            return home.next(transaction, request, until).await;
         }
-        let home = self.home(&request)?;
+        let home = self.home(request)?;
         let running = async {
             match request.scope {
-                Scope::First { read_only } => home.first(&request, read_only, until).await,
-                _ => home.single(&request, until).await,
+                Scope::First { read_only } => home.first(request, read_only, until).await,
+                _ => home.single(request, until).await,
             }
         };
         match self.fleet.timers.within(request.limit, running).await {
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -81,7 +81,6 @@
 /// `Seen` is the last answer of the primary.
 #[derive(Clone, Copy, Debug)]
 pub struct Seen {
-    instance: InstanceKey,
     point: LogPoint,
     asked: Time,
 }
@@ -90,9 +89,9 @@
     /// Gets what is known of the primary.
     pub fn report(&self) -> Option<PrimaryReport> {
         let seen = *self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let Seen { instance, point, asked } = seen?;
+        let Seen { point, asked } = seen?;
         let age = self.fleet.now().since(asked);
-        Some(PrimaryReport { instance, point, age })
+        Some(PrimaryReport { point, age })
     }
 
     /// Takes the duty, or a new fencing token for it, by writing a record without a primary.
@@ -213,7 +212,7 @@
             Action::Beat(key) => {
                 let (asked, beat) = self.links.beat(key).await;
                 if let Beat::Leads(point) = beat {
-                    self.note_leader(key, point, asked);
+                    self.note_leader(point, asked);
                 }
                 Some(Input::Beat(key, beat))
             }
@@ -273,11 +272,11 @@
         self.journal.record(Event::StoreUnreachable, &fields);
     }
 
-    fn note_leader(&self, instance: InstanceKey, point: LogPoint, asked: Time) {
+    fn note_leader(&self, point: LogPoint, asked: Time) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let is_newer = known.is_none_or(|seen| seen.point.term <= point.term);
         if is_newer {
-            *known = Some(Seen { instance, point, asked });
+            *known = Some(Seen { point, asked });
         }
     }
 
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -51,7 +51,7 @@
             Request::Home(request) => {
                 // The work goes on if the caller's stream breaks, so that its connection is kept.
                 let homes = server.homes.clone();
-                let running = tokio::spawn(async move { homes.run(*request).await });
+                let running = tokio::spawn(async move { homes.run(&request).await });
                 let lost = |_| Err(Refusal::may_have_run(RefusalCode::Internal, "the task failed"));
                 Reply::Home(running.await.unwrap_or_else(lost))
             }
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -2,7 +2,6 @@
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceId;
-use oleander_core::ids::InstanceKey;
 use oleander_core::ids::RequestId;
 use oleander_core::ids::Revision;
 use oleander_core::ids::TransactionId;
@@ -105,8 +104,6 @@
 /// `PrimaryReport` is what the keeper of a database knows of its primary.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PrimaryReport {
-    /// The primary.
-    pub instance: InstanceKey,
     /// A point that the primary's log had reached.
     pub point: LogPoint,
     /// The time since the primary was asked for it.
