Count each served request once for the sampled log line

Cause: the log of served requests takes one in 256 by a serial number that the forwarder also drew for each statement sent to a home. A request that ran at the first attempt took two numbers, and the second, which the log looked at, was always odd: a VM with a plain sequence of statements logged no served request at all. The number sent to homes was read by nobody.

Change: homes no longer get the number; the entry counts served requests.

--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -1,12 +1,9 @@
 //! From a statement to an instance: which instance, by way of which home, and what follows a failure.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
-use oleander_core::ids::RequestId;
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -52,8 +49,6 @@
     pub journal: Journal,
     /// Counts retries.
     pub metrics: Metrics,
-    /// Counts requests.
-    pub serial: AtomicU64,
 }
 
 /// `Ran` is an answer with the home that gave it.
@@ -77,12 +72,6 @@
 }
 
 impl Forwarder {
-    /// Draws the identifier of a request.
-    pub fn next_id(&self) -> RequestId {
-        let serial = self.serial.fetch_add(1, Ordering::Relaxed);
-        RequestId { entry: self.fleet.vm, serial }
-    }
-
     /// Runs a statement that opens no earlier transaction on the best instance.
     ///
     /// A statement that has not run, or that only reads, is tried at further instances until
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -1,6 +1,8 @@
 //! A caller's session: a connection with values, prepared statements and transactions.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use oleander_config::keys;
 use oleander_config::model::Consistency;
@@ -45,7 +47,7 @@
 const ABANDON_LIMIT: Span = Span::from_millis(500);
 
 /// The served requests for each one that is logged.
-const LOG_SAMPLE: u64 = 256;
+pub const LOG_SAMPLE: u64 = 256;
 
 /// `Entry` opens sessions; it holds what they share.
 pub struct Entry {
@@ -55,6 +57,8 @@
     pub rates: Rates,
     /// The way to homes.
     pub forwarder: Forwarder,
+    /// The requests that were served, of which some are logged.
+    pub served: AtomicU64,
     /// Records refusals.
     pub journal: Journal,
     /// Counts and times requests.
@@ -288,7 +292,6 @@
         let seen = self.dialog.written().filter(|_| uses_session);
         let freshness = Freshness { latest: route::needs_latest(route), age: route.age, seen };
         HomeRequest {
-            id: self.entry.forwarder.next_id(),
             statement: statement.to_owned(),
             workspace: operation.admitted.name.clone(),
             instance: String::new(),
@@ -352,7 +355,6 @@
     fn abandon(&mut self) {
         let Some(open) = self.open.take() else { return };
         let request = HomeRequest {
-            id: self.entry.forwarder.next_id(),
             statement: String::new(),
             workspace: String::new(),
             instance: open.instance,
@@ -376,7 +378,7 @@
         let entry = &self.entry;
         let span = now.since(operation.started);
         entry.metrics.record_latency(&operation.admitted.name, &self.name, span);
-        if !entry.forwarder.next_id().serial.is_multiple_of(LOG_SAMPLE) {
+        if !entry.served.fetch_add(1, Ordering::Relaxed).is_multiple_of(LOG_SAMPLE) {
             return;
         }
         let fields = [
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -147,8 +147,8 @@
                 peers: peer_client.clone(),
                 journal: journal.clone(),
                 metrics: metrics.clone(),
-                serial: AtomicU64::new(0),
             },
+            served: AtomicU64::new(0),
             journal: journal.clone(),
             metrics: metrics.clone(),
         });
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -9,7 +9,6 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::Incarnation;
 use oleander_core::ids::InstanceKey;
-use oleander_core::ids::RequestId;
 use oleander_core::ids::VmId;
 use oleander_core::places::Place;
 use oleander_core::time::Span;
@@ -143,7 +142,6 @@
 
 fn write() -> HomeRequest {
     HomeRequest {
-        id: RequestId { entry: VmId(1), serial: 1 },
         statement: "1".to_owned(),
         workspace: "rye".to_owned(),
         instance: "i-1".to_owned(),
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -1,6 +1,5 @@
 //! What an entry VM asks of the home of an instance for a session, and what it gets.
 
-use oleander_core::ids::RequestId;
 use oleander_core::ids::TransactionId;
 use oleander_core::statement::Access;
 use oleander_core::terms::LogPoint;
@@ -81,8 +80,6 @@
 /// `HomeRequest` is a statement on its way to the home of an instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HomeRequest {
-    /// The identifier that the entry VM chose.
-    pub id: RequestId,
     /// The caller's identifier of the statement.
     pub statement: String,
     /// The name of the workspace.
