Wait for the whole hold of loans where others owned a VM's shares

Where: a VM that joins asked the others how long they may use loans of the earlier owners and started its shares then, after about 0.35 s. Which tokens were used twice within that time is not known yet.

Tried first: not to count a record that says that the VM leaves as that of its earlier life.

Change: the short wait is left to VMs whose record still stood, whose shares nobody else owned. All others wait the whole hold.

--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -96,6 +96,11 @@
         self.members.get(&vm).is_some_and(|entry| entry.ended.is_none())
     }
 
+    /// Returns `true` if the VM's lease runs and the VM does not leave, so that it may own shares.
+    pub fn may_own(&self, vm: VmId) -> bool {
+        self.is_present(vm) && self.member(vm).is_some_and(|member| !member.leaving)
+    }
+
     /// Gets the VMs whose leases run.
     pub fn present(&self) -> impl Iterator<Item = &LeasedMember> {
         self.members.values().filter(|entry| entry.ended.is_none()).map(|entry| &entry.member)
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -143,14 +143,15 @@
         }
     }
 
-    /// Gets this VM if the record of its earlier life still stands.
+    /// Gets this VM if its shares are still those of its earlier life: a record that says that the
+    /// VM leaves has passed them on to others, who may have lent them.
     async fn former(&self) -> Option<VmId> {
         let mut changes = self.fleet.changes();
         let viewed = changes.wait_for(|revision| *revision != StoreRevision(0));
         // Without a view nothing is known of an earlier life.
         self.fleet.timers.within(FIRST_VIEW, viewed).await?.ok()?;
         let own = self.fleet.vm;
-        self.fleet.view().roster.is_present(own).then_some(own)
+        self.fleet.view().roster.may_own(own).then_some(own)
     }
 
     /// Starts the use of own shares once every VM that may have owned them knows of this one.
@@ -183,7 +184,9 @@
             lent_until = lent_until.max(until.unwrap_or(Time(u64::MAX)));
         }
         let now = self.fleet.now();
-        self.fleet.set_active(lent_until.min(now + WAIT_OUT));
+        // Others owned the shares until this VM joined; what they lent runs for the whole hold.
+        let longest = now + WAIT_OUT;
+        self.fleet.set_active(if former.is_some() { lent_until.min(longest) } else { longest });
         let fields = [
             Field::number("joined", joined.0),
             Field::millis("waited", now.since(since)),
