Bind free ports in one step where the settings name port 0

A test of the whole path failed once with an address in use: the stand-ins looked a free port up, gave it back and named it in the settings, and another test took it meanwhile. The program now binds port 0 itself and tells the address; VMs publish the peer address that they really bound.

Ruled out: a leftover process (the tests start none).

--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -96,11 +96,13 @@
     /// # Errors
     /// Fails if the address for other VMs cannot be bound.
     pub async fn start(
-        settings: NodeSettings,
+        mut settings: NodeSettings,
         ports: Ports,
         timers: TimerService,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(settings.peers).await?;
+        // Port 0 stands for any free port.
+        settings.peers = listener.local_addr()?;
         let settings = Arc::new(settings);
         let life: u64 = rand::random();
         let journal = Journal::new("oleander-node", timers.clock());
