Count from before its start the time that an instance has been leaving

Each counted the time for last work from its own start, and the new keeper took its start for a change of primary and waited 5 s.

Change: a VM that reads a leaving instance first of all counts half of the time as passed; a keeper that never saw a change does not wait for one.

Ruled out: news of the state arrived within 20 ms everywhere.

--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -32,8 +32,7 @@
     pub confirm: Span,
     /// The time between a promotion given up and the next one.
     pub retry: Span,
-    /// The time that a planned change of primary leaves to the one before it, so that no VM goes by
-    /// a record from before both.
+    /// The time after which no VM goes by a record from before the last change any more.
     pub steady: Span,
     /// The time after which an order to receive again that was not answered cannot take effect.
     pub doubt: Span,
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -58,7 +58,7 @@
     /// The instance whose promotion was ordered last, until it is seen to lead.
     promoted: Option<InstanceKey>,
     /// The time at which another primary was seen than before.
-    changed: Time,
+    changed: Option<Time>,
     /// Orders to receive again that may still take effect, and until when if they were not answered.
     resuming: SmallVec<[(InstanceKey, Option<Time>); INLINE_INSTANCES]>,
 }
@@ -88,7 +88,7 @@
             stopped: true,
             started: false,
             promoted: None,
-            changed: Time(0),
+            changed: None,
             resuming: SmallVec::new(),
         };
         match standing {
@@ -199,7 +199,7 @@
         let former = self.primary.replace(instance);
         let first = !std::mem::replace(&mut self.started, true);
         if former.is_some_and(|former| former != instance) || self.promoted == Some(instance) {
-            self.changed = now;
+            self.changed = Some(now);
             self.promoted = None;
         }
         if first || former != Some(instance) {
@@ -223,7 +223,7 @@
                 && self.options.silence <= now.since(silence.since)
         });
         // Another VM may still go by the record from before the last change of primary.
-        let steady = self.options.steady <= now.since(self.changed);
+        let steady = self.changed.is_none_or(|at| self.options.steady <= now.since(at));
         let leaving = self.primary.and_then(|primary| self.known(primary)).is_some_and(|primary| {
             primary.leaving && self.instances.iter().any(|other| !other.leaving)
         });
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -178,8 +178,11 @@
                 self.give_up(now, "the store did not answer", out);
             }
             Phase::Proposing { instance, .. } if self.known(*instance).is_none() => {
-                self.doubt = self.doubt.map(|doubt| Doubt { refused: true, ..doubt });
-                self.give_up(now, "the directory no longer names the instance", out);
+                let (instance, reason) = (*instance, "the directory no longer names the instance");
+                match self.doubt {
+                    Some(doubt) => self.set_back(now, instance, doubt.mixed, reason, out),
+                    None => self.give_up(now, reason, out),
+                }
             }
             Phase::Proposing { instance, again: Some(at), .. } if *at <= now => {
                 let instance = *instance;
@@ -327,6 +330,9 @@
     ) {
         self.doubt = Some(Doubt { instance, mixed, refused: true });
         self.give_up(now, reason, out);
+        // The next order may name another instance while this one takes effect after all; until then
+        // no VM may go by a record that names it as primary.
+        self.retry = now + self.options.steady;
     }
 
     fn give_up(&mut self, now: Time, reason: &'static str, out: &mut Vec<Action>) {
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -33,7 +33,7 @@
 
     /// Makes a bench whose keeper builds on a record.
     fn on(standing: Standing) -> Self {
-        let now = Time(10_000_000);
+        let now = Time(1_000_000);
         let mut bench = Self { keeper: Keeper::new(KeeperOptions::default(), standing, now), now };
         bench.give(instances(false));
         bench
@@ -228,6 +228,28 @@
     assert!(!later.iter().any(|action| matches!(action, Action::Order { token: 8, .. })));
 }
 
+/// A promotion that came to nothing took effect after another had been ordered, and a VM with an
+/// old record wrote to its instance meanwhile.
+#[test]
+fn another_instance_is_ordered_once_all_vms_know_that_none_leads() {
+    let mut bench = Bench::ordering();
+    bench.give(Input::Ordered(Ordered::Unknown));
+    bench.give(Input::Claimed(Some(9)));
+    bench.give(Input::Ordered(Ordered::Rejected));
+    bench.give(Input::Beat(PRIMARY, Beat::Leads(point(1, 12))));
+    let steady = KeeperOptions::default().steady.as_millis();
+    assert_eq!(claimed(&bench.wait(steady - 1)), None);
+    bench.give(Input::Beat(PRIMARY, Beat::Leads(point(1, 12))));
+    assert_eq!(claimed(&bench.wait(1)), Some(Some(PRIMARY)));
+}
+
+/// A keeper that started while a primary was leaving counted its own start as a change.
+#[test]
+fn a_new_keeper_replaces_a_leaving_primary_at_once() {
+    let mut bench = Bench::on(Standing::Settled(PRIMARY));
+    assert_eq!(claimed(&bench.give(instances(true))), Some(None));
+}
+
 /// A later keeper promoted an instance that an abandoned record named, though others had received
 /// more since.
 #[test]
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -192,7 +192,7 @@
             }
         };
         let former = draft.view.instances.get(&key);
-        let leaves = former.and_then(|former| former.leaves).unwrap_or(draft.now);
+        let leaves = former.and_then(|former| former.leaves).unwrap_or(self.left(draft));
         let instance = Instance {
             key,
             leaves: decoded.leaving.then_some(leaves),
@@ -216,6 +216,14 @@
         Arc::make_mut(&mut draft.view.instances).insert(key, instance);
     }
 
+    /// Gets the time from which an instance leaves that was not known to leave before: for a VM that
+    /// has just started, some of the time for new work has passed.
+    fn left(&self, draft: &Draft) -> Time {
+        let is_first = draft.view.revision == StoreRevision(0);
+        let passed = if is_first { self.settings.last_work().0 / 2 } else { 0 };
+        Time(draft.now.0.saturating_sub(passed))
+    }
+
     fn put_vm(&self, draft: &mut Draft, entry: &Entry) {
         let Ok(member) = serde_json::from_slice::<LeasedMember>(&entry.value) else {
             return self.reject(entry);
--- a/oleander-runtime/src/clock.rs
+++ b/oleander-runtime/src/clock.rs
@@ -1,8 +1,12 @@
 //! The monotonic clock.
 
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 
-/// `Clock` reads monotonic time since the clock was made. Copies share the same start.
+/// The time that a clock shows when it is made, so that what happened before can be expressed.
+const START: Span = Span::from_secs(3_600);
+
+/// `Clock` reads monotonic time. Copies share the same start.
 ///
 /// On Linux the clock also advances while the machine is suspended, so that a
 /// lease runs out during a suspension. The standard library's clock, used on
@@ -18,9 +22,9 @@
         Self { start: source::Start::now() }
     }
 
-    /// Gets the time since the clock was made.
+    /// Gets the time.
     pub fn now(&self) -> Time {
-        Time(self.start.micros())
+        Time(START.0 + self.start.micros())
     }
 }
 
