Wait for the first view and for rates while VMs start, and watch for two seconds

Cause: after a loss of power of all VMs, callers used up their tries within moments: a VM refused sessions until its first view, and operations at once while no VM lent rate tokens yet, with a time to come back of some ms. A VM that joined asked others for up to 400 ms after they were up.

Change: a session that opens waits for the first view, and an operation for rates up to half of its target, while the VM is starting. Joining VMs ask each 50 ms. A watch lasts two seconds; an answer without a change after the whole wait proves the view until then. Ages in logs are left out where there is none.

--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -4,6 +4,8 @@
 
 use oleander_core::events::Event;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_ports::store::Changes;
 use oleander_ports::store::KeyValue;
 use oleander_ports::store::StoreError;
 use oleander_ports::store::StoreRevision;
@@ -14,9 +16,12 @@
 use super::apply::Applier;
 use crate::fleet::Fleet;
 
-/// The longest wait of one watch. Its answer proves the view for the time of its sending, so a
-/// view is proven anew several times within the bound on withdrawn keys.
-const WATCH_WAIT: Span = Span::from_millis(1_000);
+/// The longest wait of one watch: with its time limit well within the bound on withdrawn keys, so
+/// that a connection that fell silent can be replaced in time.
+const WATCH_WAIT: Span = Span::from_millis(2_000);
+
+/// The wait of the watch that follows a failure, which must soon tell whether the view still holds.
+const FIRST_WAIT: Span = Span::from_millis(100);
 
 /// The time for which a VM without a lease still counts for the placement of homes: as long as a
 /// lease, so that all VMs have time to renew theirs after an outage of the store.
@@ -42,8 +47,9 @@
         // The revision up to which the view is complete; `None` before a full read.
         let mut complete = None;
         loop {
+            let wait = if reachable { WATCH_WAIT } else { FIRST_WAIT };
             let outcome = match complete {
-                Some(after) => self.watch(after).await,
+                Some(after) => self.watch(after, wait).await,
                 None => self.read().await,
             };
             if let Err(error) = outcome {
@@ -55,8 +61,9 @@
                     let fields = [
                         Field::text("reason", error),
                         Field::number("at", self.fleet.view().revision.0),
-                        Field::millis("age", self.fleet.now().since(self.fleet.proven())),
                     ];
+                    let age = self.fleet.age().map(|age| Field::millis("age", age));
+                    let fields: Vec<Field> = fields.into_iter().chain(age).collect();
                     self.journal.record(Event::StoreUnreachable, &fields);
                 }
                 self.fleet.timers.sleep(backoff.pause()).await;
@@ -86,10 +93,10 @@
         Ok(revision)
     }
 
-    async fn watch(&self, after: StoreRevision) -> Result<StoreRevision, StoreError> {
+    async fn watch(&self, after: StoreRevision, wait: Span) -> Result<StoreRevision, StoreError> {
         let asked = self.fleet.now();
         let former = self.fleet.view();
-        let changes = self.store.watch(after, WATCH_WAIT).await?;
+        let changes = self.store.watch(after, wait).await?;
         let now = self.fleet.now();
         let revision = changes.revision;
         if revision < after {
@@ -99,7 +106,16 @@
             Arc::make_mut(&mut view.roster).forget(now, ROSTER_GRACE);
             self.fleet.set(view);
         }
-        self.fleet.prove(asked);
+        self.fleet.prove(proven(asked, now, wait, &changes));
         Ok(revision)
     }
 }
+
+/// Gets the time at which the view had all changes, from a watch that was asked at `asked`.
+///
+/// The store answers as soon as there is a change, so that an answer without one after the whole
+/// wait says that there was none until then.
+pub fn proven(asked: Time, now: Time, wait: Span, changes: &Changes) -> Time {
+    let waited = asked + wait;
+    if changes.changes.is_empty() && waited <= now { waited } else { asked }
+}
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -38,6 +38,10 @@
 /// The longest wait for the first view before the VM's record is written without it.
 const FIRST_VIEW: Span = Span::from_millis(500);
 
+/// The pause before another VM is asked again whether it knows of this one: many VMs may be
+/// starting, each within moments.
+const JOINED_PAUSE: Span = Span::from_millis(50);
+
 /// The time within which another VM must say whether it knows of this one.
 const JOINED_LIMIT: Span = Span::from_millis(1_000);
 
@@ -232,7 +236,6 @@
     since: Time,
 ) -> Time {
     let limit = since + fleet.settings.currency();
-    let mut backoff = Backoff::default();
     while fleet.now() < limit {
         let Some(address) = fleet.present_address(vm) else {
             // Its lease has ended, and it counts its lease from before the store does.
@@ -241,7 +244,7 @@
         if let Ok(Reply::Joined(held)) = peers.call(address, &request, JOINED_LIMIT).await {
             return fleet.now() + held;
         }
-        fleet.timers.sleep(backoff.pause()).await;
+        fleet.timers.sleep(JOINED_PAUSE).await;
     }
     fleet.now() + WAIT_OUT
 }
--- a/oleander-node/src/entry/mod.rs
+++ b/oleander-node/src/entry/mod.rs
@@ -4,3 +4,4 @@
 pub mod route;
 pub mod session;
 pub mod shed;
+pub mod start;
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -33,6 +33,7 @@
 use super::forward::Need;
 use super::route;
 use super::route::Admitted;
+use super::start;
 use crate::fleet::Fleet;
 use crate::rates::Rates;
 
@@ -102,7 +103,8 @@
     ///
     /// # Errors
     /// Fails "not run" if the configuration does not allow it.
-    pub fn open(self: &Arc<Self>, name: &str, key: Option<&str>) -> Result<Session, Refusal> {
+    pub async fn open(self: &Arc<Self>, name: &str, key: Option<&str>) -> Result<Session, Refusal> {
+        start::first_view(&self.fleet).await;
         let key = key.map(keys::hash_key);
         route::admit(&self.fleet, name, key.as_ref())
             .inspect_err(|refusal| self.note_refusal("-", name, None, refusal))?;
@@ -123,7 +125,6 @@
         operation: Option<&Operation>,
         refusal: &Refusal,
     ) {
-        let now = self.fleet.now();
         let view = self.fleet.view();
         let workspace = operation.map_or("", |operation| operation.admitted.name.as_str());
         let upstream = operation.map_or("", |operation| operation.admitted.route.database.as_str());
@@ -137,8 +138,9 @@
             Field::text("detail", &refusal.detail),
             Field::millis("retry_after", refusal.retry_after.unwrap_or(Span::ZERO)),
             Field::number("revision", view.snapshot.revision.0),
-            Field::millis("age", now.since(self.fleet.proven())),
         ];
+        let age = self.fleet.age().map(|age| Field::millis("age", age));
+        let fields: Vec<Field> = fields.into_iter().chain(age).collect();
         self.journal.record(Event::RequestRefused, &fields);
         self.metrics.count_refusal(workspace, name, refusal.code);
     }
@@ -206,10 +208,19 @@
         let entry = self.entry.clone();
         let started = entry.fleet.now();
         let admitted = route::admit(&entry.fleet, &self.name, self.key.as_ref())?;
-        let until = started + Span(admitted.route.target.0 / PATIENCE_PART);
+        let target = admitted.route.target;
+        let until = started + Span(target.0 / PATIENCE_PART);
         let (workspace, cost) = (admitted.workspace, admitted.route.cost);
         self.operation = Some(Operation { admitted, started });
-        entry.rates.admit(workspace, cost, until).await
+        loop {
+            let Err(refusal) = entry.rates.admit(workspace, cost, until).await else {
+                return Ok(());
+            };
+            let fleet = &entry.fleet;
+            let again = start::ask_again(&refusal, fleet.now(), fleet.started(), started, target);
+            let Some(again) = again else { return Err(refusal) };
+            fleet.timers.sleep_until(again).await;
+        }
     }
 
     async fn run_work(&mut self, statement: &str, work: Work) -> Result<Answered, Refusal> {
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -124,6 +124,7 @@
     pub settings: Arc<NodeSettings>,
     /// The clock and timers.
     pub timers: TimerService,
+    started: Time,
     view: ArcSwap<View>,
     changed: watch::Sender<StoreRevision>,
     proven: AtomicU64,
@@ -140,6 +141,7 @@
         Self {
             vm: VmId::from_name(&settings.name),
             settings,
+            started: timers.now(),
             timers,
             view: ArcSwap::default(),
             changed: watch::Sender::new(StoreRevision(0)),
@@ -157,6 +159,11 @@
         self.timers.now()
     }
 
+    /// Gets the time at which this VM started.
+    pub fn started(&self) -> Time {
+        self.started
+    }
+
     /// Gets the view.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
@@ -179,6 +186,13 @@
         self.proven.fetch_max(time.0, Ordering::AcqRel);
     }
 
+    /// Gets the time for which the view has not been known to be complete; `None` before the first
+    /// view.
+    pub fn age(&self) -> Option<Span> {
+        let proven = self.proven();
+        (proven != Time(0)).then(|| self.now().since(proven))
+    }
+
     /// Gets the last time at which the view was known to be complete.
     pub fn proven(&self) -> Time {
         Time(self.proven.load(Ordering::Acquire))
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use oleander_core::time::Span;
 use serde::Serialize;
 
 use crate::fleet::Fleet;
@@ -16,8 +17,9 @@
     pub configuration: u64,
     /// The revision of the store that the VM has applied.
     pub store: u64,
-    /// The time since the view was last known to be complete, in milliseconds.
-    pub age_ms: u64,
+    /// The time since the view was last known to be complete, in milliseconds; `None` before the
+    /// first view.
+    pub age_ms: Option<u64>,
     /// `true` if requests with a key may start.
     pub current: bool,
     /// `true` if the VM uses its own shares.
@@ -40,7 +42,7 @@
         name: fleet.settings.name.clone(),
         configuration: view.snapshot.revision.0,
         store: view.revision.0,
-        age_ms: now.since(fleet.proven()).as_millis(),
+        age_ms: fleet.age().map(Span::as_millis),
         current: fleet.is_current(),
         shares: now < fleet.shares_until(),
         draining: fleet.is_draining(),
@@ -62,7 +64,6 @@
     let beliefs = [
         ("configuration_version", configuration),
         ("store_revision", store),
-        ("store_age_ms", age_ms),
         ("current", u64::from(status.current)),
         ("shares_in_use", u64::from(status.shares)),
         ("draining", u64::from(status.draining)),
@@ -74,5 +75,6 @@
     let primaries = fleet.primaries().into_iter().map(|(database, primary)| {
         format!("primary{{database=\"{database}\",instance=\"{primary}\"}} 1\n")
     });
-    lines.into_iter().chain(primaries).collect()
+    let age = age_ms.map(|age| format!("store_age_ms {age}\n"));
+    lines.into_iter().chain(age).chain(primaries).collect()
 }
