--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -56,7 +56,7 @@
 
 /// The shares over which a workspace's rate is spread: a few, since rates are tens of requests a
 /// second and one VM's loss must leave most of a rate usable.
-const RATE_GROUPS: u32 = 2;
+const RATE_GROUPS: u32 = 3;
 
 /// `Ports` are the adapters that a node runs on.
 #[derive(Clone)]
