--- a/oleander-limits/src/home/queue.rs
+++ b/oleander-limits/src/home/queue.rs
@@ -34,7 +34,7 @@
 pub enum Class {
     /// A statement, commit or rollback of an open transaction; it keeps the transaction's connection.
     Transaction,
-    /// A write or the start of a transaction; only the primary serves it.
+    /// A write, a read of the latest data or the start of a transaction; only the primary serves it.
     Write,
     /// A read that one of several instances may serve.
     Read,
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -1,9 +1,13 @@
 //! From a statement to an instance: which instance, by way of which home, and what follows a failure.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
+use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -13,6 +17,7 @@
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
+use oleander_routing::laggards::Laggards;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
@@ -43,6 +48,8 @@
     pub primaries: Arc<Primaries>,
     /// The homes of this VM.
     pub homes: Arc<Homes>,
+    /// The replicas that were found behind.
+    pub laggards: Mutex<Laggards>,
     /// Calls to other VMs.
     pub peers: PeerClient,
     /// Records retries.
@@ -85,14 +92,17 @@
     ) -> Result<Ran, Refusal> {
         let retries = !request.work.is_write();
         let mut last = None;
-        for instance in self.candidates(database, need) {
+        let age = request.freshness.age;
+        for instance in self.candidates(database, need, age) {
             let now = self.fleet.now();
             if until <= now {
                 break;
             }
             request.instance.clone_from(&instance.entry.instance);
             request.patience = until.since(now).min(request.patience);
-            let refusal = match self.run_at(&instance, &request).await {
+            let outcome = self.run_at(&instance, &request).await;
+            self.note_lag(instance.key, &request, &outcome);
+            let refusal = match outcome {
                 Ok(ran) => return Ok(ran),
                 Err(refusal) => refusal,
             };
@@ -119,7 +129,12 @@
     }
 
     /// Gets the instances that may run a statement, the best first.
-    fn candidates(&self, database: DatabaseId, need: Need) -> SmallVec<[Instance; 4]> {
+    fn candidates(
+        &self,
+        database: DatabaseId,
+        need: Need,
+        age: Option<Span>,
+    ) -> SmallVec<[Instance; 4]> {
         let view = self.fleet.view();
         let primary = self.primaries.primary(database);
         let place = &self.fleet.settings.place;
@@ -138,6 +153,10 @@
             })
             .cloned()
             .collect();
+        if let (Some(age), Some(primary)) = (age, primary) {
+            let laggards = self.laggards();
+            instances.retain(|it| it.key == primary || !laggards.is_behind(now, it.key, age));
+        }
         instances.sort_by_cached_key(|instance| {
             let is_primary = Some(instance.key) == primary;
             (instance.entry.leaving, instance.place.distance(place), is_primary, instance.key)
@@ -145,6 +164,23 @@
         instances
     }
 
+    /// Takes in what came of a read whose data may be of some age.
+    fn note_lag(&self, key: InstanceKey, request: &HomeRequest, outcome: &Result<Ran, Refusal>) {
+        // A session's own commit is too young to say anything of other reads.
+        let (Some(age), None) = (request.freshness.age, request.freshness.seen) else { return };
+        match outcome {
+            Ok(_) => self.laggards().note_served(key, age),
+            Err(refusal) if refusal.code == RefusalCode::ReplicaBehind => {
+                self.laggards().note_behind(self.fleet.now(), key, age);
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn laggards(&self) -> MutexGuard<'_, Laggards> {
+        self.laggards.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn run_at(&self, instance: &Instance, request: &HomeRequest) -> Result<Ran, Refusal> {
         let mut last = None;
         for home in self.fleet.homes(instance).into_iter().take(HOME_ATTEMPTS) {
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -139,7 +139,7 @@
         } else {
             self.wrap(&request.freshness)?
         };
-        let permit = self.acquire(request, class_of(&request.work), until).await?;
+        let permit = self.acquire(request, class_of(request), until).await?;
         let mut lease = self.connect(request).await?;
         let reply = lease.backend.single(statement(request), wrap).await;
         drop(lease);
@@ -463,8 +463,9 @@
     matches!(error, LinkError::Refused(failure) if failure.kind == FailureKind::TooManyConnections)
 }
 
-fn class_of(work: &Work) -> Class {
-    if work.is_write() { Class::Write } else { Class::Read }
+/// Gets the class of a statement that stands alone: replicas serve only reads of older data.
+fn class_of(request: &HomeRequest) -> Class {
+    if request.work.is_write() || request.freshness.latest { Class::Write } else { Class::Read }
 }
 
 fn statement(request: &HomeRequest) -> Statement<'_> {
--- a/oleander-routing/src/lib.rs
+++ b/oleander-routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod homes;
 pub mod knowledge;
 pub mod lag;
+pub mod laggards;
 pub mod reads;
 pub mod retry;
 pub mod samples;
