Tell VMs of a promotion directly instead of waiting until they read of it

Change: the keeper tells each VM that the record of a revision names no primary; the VM goes by that at once, store or not. Only VMs that nobody reaches are waited for.

Ruled out: the replica that had to be dropped by the directory (it answered its stop at once).

--- a/oleander-agent/src/server.rs
+++ b/oleander-agent/src/server.rs
@@ -34,7 +34,7 @@
         Request::Home(_)
         | Request::Primary(_)
         | Request::Joined { .. }
-        | Request::Applied(_)
+        | Request::Withdrawn { .. }
         | Request::Ready
         | Request::Work(_)
         | Request::Limit { .. } => Reply::Unsupported,
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -133,6 +133,7 @@
     active: AtomicU64,
     draining: watch::Sender<bool>,
     suspects: Mutex<HashMap<VmId, Time>>,
+    withdrawn: Mutex<HashMap<DatabaseId, StoreRevision>>,
 }
 
 impl Fleet {
@@ -151,6 +152,7 @@
             active: AtomicU64::new(0),
             draining: watch::Sender::new(false),
             suspects: Mutex::default(),
+            withdrawn: Mutex::default(),
         }
     }
 
@@ -288,6 +290,23 @@
         self.draining.subscribe()
     }
 
+    /// Notes that the keeper's record of a database names no primary as of a revision, which this VM
+    /// may not have read yet.
+    pub fn withdraw(&self, database: DatabaseId, revision: StoreRevision) {
+        let mut withdrawn = self.withdrawn.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = withdrawn.entry(database).or_default();
+        *known = revision.max(*known);
+    }
+
+    /// Gets the instance that the keeper's record names as primary of a database.
+    pub fn primary(&self, database: DatabaseId) -> Option<InstanceKey> {
+        let view = self.view.load();
+        let kept = view.keepers.get(&database)?;
+        let withdrawn = self.withdrawn.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_newest = withdrawn.get(&database).is_none_or(|at| *at <= kept.revision);
+        kept.primary.filter(|_| is_newest)
+    }
+
     /// Notes that a VM did not answer, so that others are tried before it. Returns `true` if this
     /// is news.
     pub fn suspect(&self, vm: VmId) -> bool {
--- a/oleander-node/src/keeper/inform.rs
+++ b/oleander-node/src/keeper/inform.rs
@@ -1,8 +1,9 @@
-//! Waiting until no VM goes by an older record of a duty.
+//! Waiting until no VM goes by a record of a duty that still names a primary.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use oleander_core::ids::DatabaseId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_peer::client::PeerClient;
@@ -14,14 +15,21 @@
 use crate::control::Backoff;
 use crate::fleet::Fleet;
 
-/// The time within which another VM must say that it has applied a revision.
+/// The time within which another VM must answer.
 const ANSWER_LIMIT: Span = Span::from_millis(1_000);
 
-/// Returns once no VM goes by the store from before `revision`, which was written just before.
+/// Returns once no VM goes by the record from before `revision`, which was written just before and
+/// names no primary.
 ///
-/// A VM that does not say so stops confirming writes by itself once it has not heard from the store
+/// A VM is told directly, since it may have lost the store. One that does not answer stops confirming writes by itself once it has not heard from the store
 /// for the time of currency; one without a lease, which the roster may not name, confirms none.
-pub async fn all(fleet: &Arc<Fleet>, peers: &PeerClient, revision: StoreRevision) {
+pub async fn all(
+    fleet: &Arc<Fleet>,
+    peers: &PeerClient,
+    database: DatabaseId,
+    revision: StoreRevision,
+) {
+    fleet.withdraw(database, revision);
     let limit = fleet.now() + fleet.settings.currency();
     let asking = async {
         let mut changes = fleet.changes();
@@ -33,7 +41,8 @@
         let mut calls = JoinSet::new();
         for member in fleet.view().roster.members().filter(|member| member.vm() != fleet.vm) {
             let (fleet, peers) = (fleet.clone(), peers.clone());
-            calls.spawn(ask(fleet, peers, member.peers, revision, limit));
+            let request = Request::Withdrawn { database, revision: revision.0 };
+            calls.spawn(tell(fleet, peers, member.peers, request, limit));
         }
         while calls.join_next().await.is_some() {}
     };
@@ -42,15 +51,14 @@
     let _ = fleet.timers.within(left, asking).await;
 }
 
-/// Asks a VM until it has applied the revision.
-async fn ask(
+/// Tells a VM until it answers.
+async fn tell(
     fleet: Arc<Fleet>,
     peers: PeerClient,
     address: SocketAddr,
-    revision: StoreRevision,
+    request: Request,
     limit: Time,
 ) {
-    let request = Request::Applied(revision.0);
     let mut backoff = Backoff::default();
     while fleet.now() < limit {
         if let Ok(Reply::Accepted) = peers.call(address, &request, ANSWER_LIMIT).await {
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -287,7 +287,8 @@
             Action::Resume(key) => Some(Input::Resumed(key, self.links.resume(key).await)),
             Action::Claim { ordered } => Some(Input::Claimed(self.claim(ordered).await)),
             Action::Inform(token) => {
-                inform::all(&self.fleet, &self.peers, StoreRevision(token)).await;
+                let database = DatabaseId::from_name(&self.database);
+                inform::all(&self.fleet, &self.peers, database, StoreRevision(token)).await;
                 Some(Input::Informed(token))
             }
             Action::Order { instance, token } => {
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -21,7 +21,7 @@
 use crate::rates::Rates;
 
 /// The longest wait for a revision of the store to be applied here and for calls under way.
-const APPLIED_WAIT: Span = Span::from_millis(900);
+const JOINED_WAIT: Span = Span::from_millis(900);
 
 /// `PeerServer` answers other VMs.
 pub struct PeerServer {
@@ -59,7 +59,10 @@
             Request::Joined { revision, former } => {
                 server.joined(StoreRevision(revision), former).await
             }
-            Request::Applied(revision) => server.applied(StoreRevision(revision)).await,
+            Request::Withdrawn { database, revision } => {
+                server.fleet.withdraw(database, StoreRevision(revision));
+                Reply::Accepted
+            }
             Request::Ready => Reply::Ready(server.fleet.is_ready()),
             Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
             Request::Status => Reply::Status((server.status)()),
@@ -76,16 +79,6 @@
 }
 
 impl PeerServer {
-    /// Waits until this VM goes by a revision of the store.
-    async fn applied(&self, revision: StoreRevision) -> Reply {
-        let mut changes = self.fleet.changes();
-        let applying = changes.wait_for(|at| revision <= *at);
-        match self.fleet.timers.within(APPLIED_WAIT, applying).await {
-            Some(Ok(_)) => Reply::Accepted,
-            _ => Reply::Unsupported,
-        }
-    }
-
     /// Waits until the limiter knows of a VM that has joined and no earlier loan is on its way.
     async fn joined(&self, revision: StoreRevision, former: Option<VmId>) -> Reply {
         let mut applied = self.applied.clone();
@@ -94,7 +87,7 @@
             let counts = |owner| former.is_none_or(|former| former == owner);
             Some(self.rates.settle(counts).await)
         };
-        match self.fleet.timers.within(APPLIED_WAIT, settling).await.flatten() {
+        match self.fleet.timers.within(JOINED_WAIT, settling).await.flatten() {
             Some(held) => Reply::Joined(held),
             None => Reply::Unsupported,
         }
--- a/oleander-node/src/primaries.rs
+++ b/oleander-node/src/primaries.rs
@@ -59,7 +59,7 @@
     /// Gets the instance that the keeper's record names as primary of a database; `None` while it is
     /// replaced or not known to the keeper yet.
     pub fn primary(&self, database: DatabaseId) -> Option<InstanceKey> {
-        self.fleet.view().keepers.get(&database)?.primary
+        self.fleet.primary(database)
     }
 
     /// Returns `true` if a commit at an instance counts: the record names it as primary, and whoever
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -260,21 +260,24 @@
 
 /// `Trouble` is what a VM has with the store.
 enum Trouble {
+    PrimaryWithdrawn,
     LeaseEnded,
     NotCurrent,
     NotSeenInTheRoster,
 }
 
-/// Whoever replaces a primary does not wait for such a VM.
+/// Whoever replaces a primary does not wait for such a VM, or has told it.
 #[rstest]
+#[case::primary_withdrawn(Trouble::PrimaryWithdrawn)]
 #[case::lease_ended(Trouble::LeaseEnded)]
 #[case::not_current(Trouble::NotCurrent)]
 #[case::not_seen_in_the_roster(Trouble::NotSeenInTheRoster)]
 #[tokio::test]
-async fn a_vm_that_nobody_waits_for_starts_no_write(#[case] trouble: Trouble) {
+async fn a_vm_that_no_promotion_waits_for_starts_no_write(#[case] trouble: Trouble) {
     let fake = Arc::new(Fake::default());
     let (home, timers, fleet) = home_with_fleet(&fake);
     match trouble {
+        Trouble::PrimaryWithdrawn => fleet.withdraw(DatabaseId(1), StoreRevision(2)),
         Trouble::LeaseEnded => fleet.set_leased(timers.now()),
         Trouble::NotCurrent => timers.sleep(Span::from_secs(5)).await,
         Trouble::NotSeenInTheRoster => fleet.set_joined(StoreRevision(2)),
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -44,9 +44,13 @@
         /// The VM, if the record of its earlier life still stood: nobody else owned its shares.
         former: Option<VmId>,
     },
-    /// A keeper asks the receiver to take in the store's changes up to this revision. The answer
-    /// waits until it has.
-    Applied(u64),
+    /// A keeper tells the receiver that it is about to replace the primary of a database.
+    Withdrawn {
+        /// The database.
+        database: DatabaseId,
+        /// The revision of the keeper's record that names no primary any more.
+        revision: u64,
+    },
     /// A VM that has lost the store asks whether the receiver takes callers.
     Ready,
     /// A proxy asks another about rate limits.
--- a/oleander-proxy/src/peers.rs
+++ b/oleander-proxy/src/peers.rs
@@ -35,6 +35,7 @@
             | Request::Primary(_)
             | Request::Joined { .. }
             | Request::Ready
+            | Request::Withdrawn { .. }
             | Request::Member(_)
             | Request::Failover(_)
             | Request::Subscribe(_)
