--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -325,8 +325,8 @@
     /// Gets the databases with the instances that lead them, by name.
     pub fn primaries(&self) -> Vec<(String, String)> {
         let view = self.view.load();
-        let leader = |kept: &Kept| view.instances.get(&kept.primary?);
-        let leaders = view.keepers.values().filter_map(leader);
+        let leader = |database: &DatabaseId| view.instances.get(&self.primary(*database)?);
+        let leaders = view.keepers.keys().filter_map(leader);
         leaders.map(|it| (it.entry.database.clone(), it.entry.instance.clone())).collect()
     }
 
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -1,5 +1,6 @@
 //! The state of a VM as operators see it.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use oleander_core::time::Span;
@@ -32,6 +33,9 @@
     pub instances: usize,
     /// The open transactions that rest at this VM's homes.
     pub transactions: usize,
+    /// The instance that leads each database, by name; a database whose primary is unknown or being
+    /// replaced is left out.
+    pub primaries: BTreeMap<String, String>,
 }
 
 /// Gets the state.
@@ -49,6 +53,7 @@
         vms: view.roster.present().count(),
         instances: view.instances.len(),
         transactions: homes.resting(),
+        primaries: fleet.primaries().into_iter().collect(),
     }
 }
 
@@ -72,7 +77,7 @@
         ("resting_transactions", transactions as u64),
     ];
     let lines = beliefs.map(|(name, value)| format!("{name} {value}\n"));
-    let primaries = fleet.primaries().into_iter().map(|(database, primary)| {
+    let primaries = status.primaries.into_iter().map(|(database, primary)| {
         format!("primary{{database=\"{database}\",instance=\"{primary}\"}} 1\n")
     });
     let age = age_ms.map(|age| format!("store_age_ms {age}\n"));
