Log what a VM is told of a promotion and who did not answer

411 primary-withdrawn at each VM, 412 vms-informed at the keeper, with the revision, the number of silent VMs and the wait.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -72,6 +72,10 @@
     PromotionOrdered = 409,
     /// A VM took over the watch of a database's primary.
     KeeperChanged = 410,
+    /// A keeper has told this VM that the primary of a database is about to be replaced.
+    PrimaryWithdrawn = 411,
+    /// No VM goes by the former primary of a database any more.
+    VmsInformed = 412,
     /// A request was refused.
     RequestRefused = 500,
     /// A request was sent again after a failure.
--- a/oleander-node/src/keeper/inform.rs
+++ b/oleander-node/src/keeper/inform.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::time::Span;
@@ -21,15 +23,19 @@
 /// Returns once no VM goes by the record from before `revision`, which was written just before and
 /// names no primary.
 ///
-/// A VM is told directly, since it may have lost the store. One that does not answer stops confirming writes by itself once it has not heard from the store
-/// for the time of currency; one without a lease, which the roster may not name, confirms none.
+/// A VM is told directly, since it may have lost the store. One that does not answer stops
+/// confirming writes by itself once it has not heard from the store for the time of currency; one
+/// without a lease, which the roster may not name, confirms none.
+///
+/// Gets the number of VMs that did not answer.
 pub async fn all(
     fleet: &Arc<Fleet>,
     peers: &PeerClient,
     database: DatabaseId,
     revision: StoreRevision,
-) {
+) -> usize {
     fleet.withdraw(database, revision);
+    let silent = Arc::new(AtomicUsize::new(0));
     let limit = fleet.now() + fleet.settings.currency();
     let asking = async {
         let mut changes = fleet.changes();
@@ -42,28 +48,37 @@
         for member in fleet.view().roster.members().filter(|member| member.vm() != fleet.vm) {
             let (fleet, peers) = (fleet.clone(), peers.clone());
             let request = Request::Withdrawn { database, revision: revision.0 };
-            calls.spawn(tell(fleet, peers, member.peers, request, limit));
+            let telling = tell(fleet, peers, member.peers, request, limit);
+            silent.fetch_add(1, Ordering::Relaxed);
+            let silent = silent.clone();
+            calls.spawn(async move {
+                if telling.await {
+                    silent.fetch_sub(1, Ordering::Relaxed);
+                }
+            });
         }
         while calls.join_next().await.is_some() {}
     };
     let left = limit.since(fleet.now());
     // What is not known by then holds by time alone.
     let _ = fleet.timers.within(left, asking).await;
+    silent.load(Ordering::Relaxed)
 }
 
-/// Tells a VM until it answers.
+/// Tells a VM until it answers. Returns `false` if it does not by the limit.
 async fn tell(
     fleet: Arc<Fleet>,
     peers: PeerClient,
     address: SocketAddr,
     request: Request,
     limit: Time,
-) {
+) -> bool {
     let mut backoff = Backoff::default();
     while fleet.now() < limit {
         if let Ok(Reply::Accepted) = peers.call(address, &request, ANSWER_LIMIT).await {
-            return;
+            return true;
         }
         fleet.timers.sleep(backoff.pause()).await;
     }
+    false
 }
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -288,7 +288,16 @@
             Action::Claim { ordered } => Some(Input::Claimed(self.claim(ordered).await)),
             Action::Inform(token) => {
                 let database = DatabaseId::from_name(&self.database);
-                inform::all(&self.fleet, &self.peers, database, StoreRevision(token)).await;
+                let asked = self.fleet.now();
+                let revision = StoreRevision(token);
+                let silent = inform::all(&self.fleet, &self.peers, database, revision).await;
+                let fields = [
+                    Field::text("database", &self.database),
+                    Field::number("at", token),
+                    Field::number("silent", silent as u64),
+                    Field::millis("waited", self.fleet.now().since(asked)),
+                ];
+                self.journal.record(Event::VmsInformed, &fields);
                 Some(Input::Informed(token))
             }
             Action::Order { instance, token } => {
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -4,6 +4,8 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use oleander_core::events::Event;
+use oleander_core::ids::DatabaseId;
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
@@ -12,9 +14,11 @@
 use oleander_peer::messages::Request;
 use oleander_peer::server::Incoming;
 use oleander_ports::store::StoreRevision;
+use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use tokio::sync::watch;
 
+use crate::control::apply;
 use crate::fleet::Fleet;
 use crate::home::registry::Homes;
 use crate::keeper::duties::Duties;
@@ -60,7 +64,7 @@
                 server.joined(StoreRevision(revision), former).await
             }
             Request::Withdrawn { database, revision } => {
-                server.fleet.withdraw(database, StoreRevision(revision));
+                server.withdraw(database, StoreRevision(revision));
                 Reply::Accepted
             }
             Request::Ready => Reply::Ready(server.fleet.is_ready()),
@@ -79,6 +83,20 @@
 }
 
 impl PeerServer {
+    /// Takes in that the primary of a database is about to be replaced.
+    fn withdraw(&self, database: DatabaseId, revision: StoreRevision) {
+        let view = self.fleet.view();
+        let name = apply::databases(&view).remove(&database).unwrap_or_default();
+        let known = view.keepers.get(&database).map_or(0, |kept| kept.revision.0);
+        let fields = [
+            Field::text("database", name),
+            Field::number("at", revision.0),
+            Field::number("known", known),
+        ];
+        self.journal.record(Event::PrimaryWithdrawn, &fields);
+        self.fleet.withdraw(database, revision);
+    }
+
     /// Waits until the limiter knows of a VM that has joined and no earlier loan is on its way.
     async fn joined(&self, revision: StoreRevision, former: Option<VmId>) -> Reply {
         let mut applied = self.applied.clone();
