Divide the home of an instance and remove what nothing calls

Connections of a home have a module of their own. The orders STATUS and STEPDOWN, the role and term in an answer about replication, and PeerClient::retain had no caller.

--- a/oleander-node/src/home/mod.rs
+++ b/oleander-node/src/home/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! One VM is the home of an instance, so that one queue knows all of its slots.
 //! `registry` finds or makes the home of an instance, `instance` admits and runs
-//! statements, `transactions` keeps what is open between them, and `backend` is
-//! one connection with the session state that it carries.
+//! statements, `connections` lends connections to them, `transactions` keeps what
+//! is open between them, and `backend` is one connection with the session state
+//! that it carries.
 
 pub mod backend;
+mod connections;
 pub mod instance;
 pub mod registry;
 pub mod slots;
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -76,7 +76,7 @@
             let message = Message::own(Order::StopReceiving(term));
             let reply = self.exchange(key, &[message]).await.ok()?.into_iter().next()?;
             match &reply.outcome {
-                Ok(_) => return self.upstreams.state(&reply).map(|state| state.received),
+                Ok(_) => return self.upstreams.received(&reply),
                 Err(failure) if failure.kind == FailureKind::Busy => {
                     self.fleet.timers.sleep(BUSY_PAUSE).await;
                 }
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -12,6 +12,7 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
 use oleander_core::places::Place;
+use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -34,7 +35,6 @@
 use oleander_ports::upstream::LinkError;
 use oleander_ports::upstream::Message;
 use oleander_ports::upstream::Order;
-use oleander_ports::upstream::ReplicationState;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
 use oleander_ports::upstream::TransactionState;
@@ -65,7 +65,7 @@
 
 #[async_trait]
 impl Upstreams for FakeUpstreams {
-    fn state(&self, _: &Reply) -> Option<ReplicationState> {
+    fn received(&self, _: &Reply) -> Option<LogPoint> {
         None
     }
 
--- a/oleander-peer/src/client.rs
+++ b/oleander-peer/src/client.rs
@@ -52,11 +52,6 @@
         self.connection(address).await?.open_stream(request, None).await
     }
 
-    /// Drops the connections to addresses that `keep` refuses.
-    pub async fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
-        self.connections.lock().await.retain(|address, _| keep(*address));
-    }
-
     async fn call_once(
         &self,
         address: SocketAddr,
--- a/oleander-ports/src/upstream.rs
+++ b/oleander-ports/src/upstream.rs
@@ -61,14 +61,10 @@
     },
     /// Drops all values and prepared statements of the connection's session.
     Reset,
-    /// Asks for the state of replication; takes a slot.
-    Status,
     /// Stops a replica from receiving the log, up to this term.
     StopReceiving(Term),
     /// Lets a replica receive again.
     ResumeReceiving,
-    /// Makes a primary of a lower term a replica.
-    StepDown(Term),
 }
 
 /// `Message` is one order with what goes before it.
@@ -199,23 +195,12 @@
     }
 }
 
-/// `ReplicationState` is what an instance says of its log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ReplicationState {
-    /// `true` if it leads.
-    pub primary: bool,
-    /// The term that it knows of.
-    pub term: Term,
-    /// The last point of the log that it has received.
-    pub received: LogPoint,
-}
-
 /// `Upstreams` opens connections to instances.
 #[async_trait]
 pub trait Upstreams: Send + Sync {
-    /// Gets the state in the answer to `Order::Status` and the orders about receiving; `None` if
-    /// the answer holds none.
-    fn state(&self, reply: &Reply) -> Option<ReplicationState>;
+    /// Gets the last point of the log that an instance has received, from its answer to an order
+    /// about receiving; `None` if the answer does not say.
+    fn received(&self, reply: &Reply) -> Option<LogPoint>;
 
     /// Opens a connection on behalf of a workspace. The caller limits the time.
     async fn open(&self, target: &Target, workspace: &str) -> Result<Box<dyn Link>, LinkError>;
