Replace a primary sooner whose machine says that it does not run

Cause: a crashed primary was waited for as for a slow one, 700 ms of silence, though its machine refuses connections.

Change: such an answer is told apart; after two of them in a row and 300 ms the keeper starts. A primary that is cut off or hangs is waited for as before.

--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -19,6 +19,8 @@
     pub alarm: Span,
     /// The time for which the primary must have been silent before it is replaced.
     pub silence: Span,
+    /// The time for which the primary must have been silent if its machine says that it does not run.
+    pub gone: Span,
     /// The beats in a row that must have failed before the primary is replaced.
     pub misses: u32,
     /// The time after which an instance is asked again to stop receiving.
@@ -43,6 +45,8 @@
             alarm: Span::from_millis(100),
             // Longer than a round trip between regions with a lost packet.
             silence: Span::from_millis(700),
+            // Three beats: a program that starts anew at once is not passed over.
+            gone: Span::from_millis(300),
             misses: 2,
             repeat: Span::from_millis(400),
             stopping: Span::from_millis(3_000),
@@ -90,6 +94,8 @@
     Busy,
     /// It did not answer in time.
     Silent,
+    /// It does not run: its machine answered that nothing listens.
+    Gone,
 }
 
 /// `Ordered` is what came of a promotion order.
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -65,6 +65,8 @@
 struct Silence {
     since: Time,
     misses: u32,
+    /// The last beats in a row that found the primary not running.
+    gone: u32,
 }
 
 impl Keeper {
@@ -149,7 +151,7 @@
         if self.primary.is_some_and(|primary| self.known(primary).is_none()) {
             // The directory no longer names it, so there is nothing to wait for.
             self.primary = None;
-            self.silent.get_or_insert(Silence { since: now, misses: self.options.misses });
+            self.silent.get_or_insert(Silence { since: now, misses: self.options.misses, gone: 0 });
         }
     }
 
@@ -169,10 +171,11 @@
                     self.miss(now);
                 }
             }
-            Beat::Silent => {
+            Beat::Silent | Beat::Gone => {
                 let counts = self.primary.is_none_or(|primary| primary == instance);
                 if counts {
                     self.miss(now);
+                    self.note_gone(beat == Beat::Gone && self.primary == Some(instance));
                 }
             }
         }
@@ -212,8 +215,9 @@
             return;
         }
         let silent = self.silent.is_some_and(|silence| {
-            self.options.misses <= silence.misses
-                && self.options.silence <= now.since(silence.since)
+            let is_gone = self.options.misses <= silence.gone;
+            let least = if is_gone { self.options.gone } else { self.options.silence };
+            self.options.misses <= silence.misses && least <= now.since(silence.since)
         });
         let leaving = self.primary.and_then(|primary| self.known(primary)).is_some_and(|primary| {
             primary.leaving && self.instances.iter().any(|other| !other.leaving)
@@ -253,10 +257,16 @@
     }
 
     fn miss(&mut self, now: Time) {
-        let silence = self.silent.get_or_insert(Silence { since: now, misses: 0 });
+        let silence = self.silent.get_or_insert(Silence { since: now, misses: 0, gone: 0 });
         silence.misses += 1;
     }
 
+    fn note_gone(&mut self, is_gone: bool) {
+        if let Some(silence) = &mut self.silent {
+            silence.gone = if is_gone { silence.gone + 1 } else { 0 };
+        }
+    }
+
     fn replicas(&self) -> impl Iterator<Item = InstanceKey> {
         let primary = self.primary.or_else(|| self.sole_listed());
         self.instances.iter().map(|known| known.key).filter(move |key| primary != Some(*key))
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -150,6 +150,30 @@
     assert_eq!(ordered(&actions), Some((choice.best, 8)));
 }
 
+/// `Lost` is what beats at a lost primary find, and how long it takes until it is replaced.
+struct Lost {
+    beat: Beat,
+    within: u64,
+    not_before: u64,
+}
+
+/// A primary whose machine said that it does not run was waited for as for a slow one.
+#[rstest]
+#[case::dark(Lost { beat: Beat::Silent, within: 900, not_before: 700 })]
+#[case::not_running(Lost { beat: Beat::Gone, within: 500, not_before: 300 })]
+fn a_lost_primary_is_replaced_within(#[case] lost: Lost) {
+    let mut bench = Bench::calm();
+    let mut passed = 0;
+    let mut actions = bench.give(Input::Beat(PRIMARY, lost.beat));
+    while claimed(&actions).is_none() {
+        passed += 100;
+        assert!(passed <= lost.within, "no promotion after {passed} ms");
+        actions = bench.wait(100);
+        actions.extend(bench.give(Input::Beat(PRIMARY, lost.beat)));
+    }
+    assert!(lost.not_before <= passed, "a promotion after {passed} ms");
+}
+
 #[test]
 fn waits_for_a_replica_that_does_not_answer_until_the_directory_drops_it() {
     let mut bench = Bench::calm();
--- a/oleander-node/src/home/backend.rs
+++ b/oleander-node/src/home/backend.rs
@@ -268,7 +268,7 @@
 pub fn lost(error: &LinkError) -> Refusal {
     match error {
         LinkError::Refused(failure) => refusal(failure, Verdict::NotRun),
-        LinkError::Connect(_) | LinkError::Closed => {
+        LinkError::Connect(_) | LinkError::NotListening | LinkError::Closed => {
             Refusal::not_run(RefusalCode::UpstreamUnavailable, error.to_string())
         }
         LinkError::Lost(_) => Refusal::may_have_run(RefusalCode::UpstreamLost, error.to_string()),
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -65,6 +65,7 @@
                 FailureKind::Busy | FailureKind::TooManyConnections => Beat::Busy,
                 _ => Beat::Silent,
             },
+            Err(LinkError::NotListening) => Beat::Gone,
             Err(_) => Beat::Silent,
         };
         (asked, beat)
--- a/oleander-ports/src/upstream.rs
+++ b/oleander-ports/src/upstream.rs
@@ -166,6 +166,8 @@
 pub enum LinkError {
     /// No connection was opened.
     Connect(&'static str),
+    /// The machine answered that nothing listens at the address: the instance does not run.
+    NotListening,
     /// The instance refused the connection.
     Refused(Failure),
     /// The connection had closed before a byte was sent.
@@ -188,6 +190,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             LinkError::Connect(detail) => write!(f, "cannot connect: {detail}"),
+            LinkError::NotListening => f.write_str("cannot connect: nothing listens"),
             LinkError::Refused(failure) => write!(f, "refused: {}", failure.kind),
             LinkError::Closed => f.write_str("the instance had closed the connection"),
             LinkError::Lost(detail) => write!(f, "connection lost: {detail}"),
