Let a leaving primary serve on while a VM does not answer

Change: before a planned change the keeper asks whether all VMs answer, and leaves the primary in place while one does not, for 2.5 s at most. A VM whose lease has ended confirms nothing and is not waited for.

Ruled out: the store, which was back for half a second; the instances, which answered at once.

--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -23,6 +23,8 @@
     pub gone: Span,
     /// The beats in a row that must have failed before the primary is replaced.
     pub misses: u32,
+    /// The time for which a planned change of primary waits for VMs that do not answer.
+    pub handover: Span,
     /// The time after which an instance is asked again to stop receiving.
     pub repeat: Span,
     /// The time within which all replicas must have stopped receiving.
@@ -48,6 +50,8 @@
             // Three beats: a program that starts anew at once is not passed over.
             gone: Span::from_millis(300),
             misses: 2,
+            // With a promotion that waits for a silent VM, well within the time that instances leave.
+            handover: Span::from_millis(2_500),
             repeat: Span::from_millis(400),
             stopping: Span::from_millis(3_000),
             taking: Span::from_millis(4_000),
@@ -125,6 +129,8 @@
     /// The answer to `Action::Resume`: `true` if the replica answered, so that no such order is on
     /// its way any more.
     Resumed(InstanceKey, bool),
+    /// The answer to `Action::Reach`: `true` if all VMs answered.
+    Reached(bool),
     /// The answer to `Action::Claim`; `None` if no token could be had.
     Claimed(Option<u64>),
     /// The answer to `Action::Inform`: no VM goes by an older record any more.
@@ -138,6 +144,8 @@
 pub enum Action {
     /// Asks an instance whether it leads.
     Beat(InstanceKey),
+    /// Asks whether all VMs answer.
+    Reach,
     /// Gets a new fencing token by writing the duty's record without a primary.
     Claim {
         /// The instance that the next order will name, so that a later keeper can repeat it.
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -50,6 +50,8 @@
     turn: usize,
     silent: Option<Silence>,
     retry: Time,
+    /// The time at which the primary was first found leaving.
+    leaving: Option<Time>,
     /// The order that may still take effect.
     doubt: Option<Doubt>,
     /// `true` while the record may name an instance that is to be promoted.
@@ -83,6 +85,7 @@
             turn: 0,
             silent: None,
             retry: now,
+            leaving: None,
             doubt: None,
             named: false,
             stopped: true,
@@ -111,14 +114,18 @@
     /// Returns `true` while the primary is being replaced, or may be by an order on its way: no
     /// write may be sent to it then.
     pub fn is_promoting(&self) -> bool {
-        self.phase != Phase::Watching || self.doubt.is_some() || self.stopped
+        let is_calm = matches!(self.phase, Phase::Watching | Phase::Reaching);
+        !is_calm || self.doubt.is_some() || self.stopped
     }
 
     /// Gets the time at which `Input::Tick` is needed next.
     pub fn next_due(&self) -> Time {
         let beat = if self.asked.is_some() { Time(u64::MAX) } else { self.next_beat };
         match &self.phase {
-            Phase::Watching | Phase::Claiming { .. } | Phase::Informing { .. } => beat,
+            Phase::Watching
+            | Phase::Reaching
+            | Phase::Claiming { .. }
+            | Phase::Informing { .. } => beat,
             Phase::Stopping(stopping) => beat
                 .min(stopping.asked + self.options.repeat)
                 .min(stopping.since + self.options.stopping),
@@ -138,6 +145,7 @@
             Input::Beat(instance, beat) => self.note_beat(now, instance, beat, out),
             Input::Stopped(instance, point) => self.note_stopped(instance, point),
             Input::Resumed(instance, answered) => self.note_resumed(now, instance, answered),
+            Input::Reached(all) => self.note_reached(now, all, out),
             Input::Claimed(token) => self.note_claim(now, token, out),
             Input::Informed(token) => self.note_informed(now, token, out),
             Input::Ordered(outcome) => self.note_order(now, outcome, out),
@@ -222,12 +230,20 @@
         let leaving = self.primary.and_then(|primary| self.known(primary)).is_some_and(|primary| {
             primary.leaving && self.instances.iter().any(|other| !other.leaving)
         });
-        let able = self.instances.iter().any(|known| self.primary != Some(known.key));
-        if able && (silent || leaving) {
-            self.phase = Phase::Claiming { planned: !silent };
-            // A later keeper must know of an order that is still in doubt.
-            let ordered = self.doubt.map(|doubt| doubt.instance());
-            out.push(Action::Claim { ordered });
+        let since = leaving.then(|| self.leaving.unwrap_or(now));
+        self.leaving = since;
+        if !self.instances.iter().any(|known| self.primary != Some(known.key)) {
+            return;
+        }
+        match since {
+            _ if silent => self.claim(false, out),
+            Some(since) if self.options.handover <= now.since(since) => self.claim(true, out),
+            // Writes stop with the claim for as long as a VM does not answer.
+            Some(_) => {
+                self.phase = Phase::Reaching;
+                out.push(Action::Reach);
+            }
+            None => {}
         }
     }
 
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -18,6 +18,8 @@
 pub(super) enum Phase {
     /// Asks the primary whether it leads.
     Watching,
+    /// Waits until it is known whether all VMs answer.
+    Reaching,
     /// Waits for the record that names no primary.
     Claiming { planned: bool },
     /// Waits until no VM goes by an older record.
@@ -105,6 +107,24 @@
         }
     }
 
+    pub(super) fn note_reached(&mut self, now: Time, all: bool, out: &mut Vec<Action>) {
+        if self.phase != Phase::Reaching {
+            return;
+        }
+        if all {
+            return self.claim(true, out);
+        }
+        self.phase = Phase::Watching;
+        self.retry = now + self.options.retry;
+    }
+
+    pub(super) fn claim(&mut self, planned: bool, out: &mut Vec<Action>) {
+        self.phase = Phase::Claiming { planned };
+        // A later keeper must know of an order that is still in doubt.
+        let ordered = self.doubt.map(|doubt| doubt.instance());
+        out.push(Action::Claim { ordered });
+    }
+
     pub(super) fn note_claim(&mut self, now: Time, token: Option<u64>, out: &mut Vec<Action>) {
         match (&mut self.phase, token) {
             (Phase::Claiming { .. }, None) => {
--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -378,6 +378,7 @@
                 self.write(None, ordered);
                 Input::Claimed(Some(self.revision))
             }
+            Action::Reach => Input::Reached(true),
             Action::Inform(token) => {
                 self.former.clear();
                 Input::Informed(token)
@@ -420,6 +421,7 @@
     Some(match action {
         Action::Inform(_) => return None,
         Action::Beat(key) => Input::Beat(key, Beat::Silent),
+        Action::Reach => Input::Reached(false),
         Action::Claim { .. } => Input::Claimed(None),
         Action::Stop(key, _) => Input::Stopped(key, None),
         Action::Resume(key) => Input::Resumed(key, false),
--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -101,11 +101,6 @@
         self.is_present(vm) && self.member(vm).is_some_and(|member| !member.leaving)
     }
 
-    /// Gets the VMs that are here or were a moment ago.
-    pub fn members(&self) -> impl Iterator<Item = &LeasedMember> {
-        self.members.values().map(|entry| &entry.member)
-    }
-
     /// Gets the VMs whose leases run.
     pub fn present(&self) -> impl Iterator<Item = &LeasedMember> {
         self.members.values().filter(|entry| entry.ended.is_none()).map(|entry| &entry.member)
--- a/oleander-node/src/keeper/inform.rs
+++ b/oleander-node/src/keeper/inform.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use oleander_core::ids::DatabaseId;
+use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_peer::client::PeerClient;
@@ -17,6 +18,9 @@
 use crate::control::Backoff;
 use crate::fleet::Fleet;
 
+/// The time within which a VM must show that it answers: a few round trips between regions.
+const REACH_LIMIT: Span = Span::from_millis(300);
+
 /// The time within which another VM must answer.
 const ANSWER_LIMIT: Span = Span::from_millis(1_000);
 
@@ -24,8 +28,8 @@
 /// names no primary.
 ///
 /// A VM is told directly, since it may have lost the store. One that does not answer stops
-/// confirming writes by itself once it has not heard from the store for the time of currency; one
-/// without a lease, which the roster may not name, confirms none.
+/// confirming writes by itself once it has not heard from the store for the time of currency, or
+/// its lease has ended.
 ///
 /// Gets the number of VMs that did not answer.
 pub async fn all(
@@ -45,10 +49,10 @@
             return std::future::pending().await;
         }
         let mut calls = JoinSet::new();
-        for member in fleet.view().roster.members().filter(|member| member.vm() != fleet.vm) {
+        for member in fleet.view().roster.present().filter(|member| member.vm() != fleet.vm) {
             let (fleet, peers) = (fleet.clone(), peers.clone());
             let request = Request::Withdrawn { database, revision: revision.0 };
-            let telling = tell(fleet, peers, member.peers, request, limit);
+            let telling = tell(fleet, peers, member.vm(), member.peers, request, limit);
             silent.fetch_add(1, Ordering::Relaxed);
             let silent = silent.clone();
             calls.spawn(async move {
@@ -65,16 +69,36 @@
     silent.load(Ordering::Relaxed)
 }
 
+/// Returns `true` if all other VMs whose leases run answer.
+pub async fn answer(fleet: &Fleet, peers: &PeerClient) -> bool {
+    let mut calls = JoinSet::new();
+    for member in fleet.view().roster.present().filter(|member| member.vm() != fleet.vm) {
+        let (peers, address) = (peers.clone(), member.peers);
+        calls.spawn(async move { peers.call(address, &Request::Ready, REACH_LIMIT).await.is_ok() });
+    }
+    while let Some(answered) = calls.join_next().await {
+        if !answered.unwrap_or(false) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Tells a VM until it answers. Returns `false` if it does not by the limit.
 async fn tell(
     fleet: Arc<Fleet>,
     peers: PeerClient,
+    vm: VmId,
     address: SocketAddr,
     request: Request,
     limit: Time,
 ) -> bool {
     let mut backoff = Backoff::default();
     while fleet.now() < limit {
+        if !fleet.view().roster.is_present(vm) {
+            // Without a lease it confirms nothing.
+            return true;
+        }
         if let Ok(Reply::Accepted) = peers.call(address, &request, ANSWER_LIMIT).await {
             return true;
         }
