Write the record anew after a write whose answer was lost

Cause, found by reading: a keeper took the record for unchanged after a write that was executed without an answer. If it withdrew a primary that then answered again, the record went on naming nobody, and no write was served until the keeper changed.

Change: after a lost answer the record counts as unknown, so that the next look at the primary writes it.

Test: stand-ins that execute calls without an answer; without the change the primary is not named within 15 s, with it within 3.6 s.

Ruled out: late execution of the lost write; its condition no longer holds once another write has moved the revision.

--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -142,8 +142,26 @@
     }
 
     async fn write(&self, written: &mut Written, record: KeeperRecord) -> Option<StoreRevision> {
+        let former = written.record.take();
+        let mut lost = false;
+        let revision = self.attempt(written, &record, &mut lost).await;
+        written.record = match revision {
+            Some(_) => Some(record),
+            // What stands in the store is not known until the next write.
+            None if lost => None,
+            None => former,
+        };
+        revision
+    }
+
+    async fn attempt(
+        &self,
+        written: &mut Written,
+        record: &KeeperRecord,
+        lost: &mut bool,
+    ) -> Option<StoreRevision> {
         let key = apply::keeper_key(&self.sources, &self.database);
-        let value = serde_json::to_vec(&record).ok()?;
+        let value = serde_json::to_vec(record).ok()?;
         for _ in 0..WRITE_ATTEMPTS {
             if written.released || !self.holds() {
                 return None;
@@ -152,7 +170,9 @@
                 expected: vec![Expectation { key: key.clone(), revision: written.revision }],
                 writes: vec![Write::Put { key: key.clone(), value: value.clone() }],
             };
-            let revision = match self.store.commit(&commit, None).await {
+            let outcome = self.store.commit(&commit, None).await;
+            *lost |= outcome == Err(StoreError::Lost);
+            let revision = match outcome {
                 Ok(CommitOutcome::Committed(revision)) => Some(revision),
                 // An earlier attempt may have taken effect after its answer was lost.
                 Ok(CommitOutcome::Conflict) | Err(StoreError::Lost) => {
@@ -165,7 +185,6 @@
             };
             if let Some(revision) = revision {
                 written.revision = revision;
-                written.record = Some(record);
                 return Some(revision);
             }
         }
