Say the others of a roster once, and count silent VMs without shared state

From a reading of the whole change: four places filtered the own VM out of the roster; the wait for VMs counted answers in an atomic beside its tasks; the name of one database was looked up by naming all; three places worked out the next term; two test files made the same settings. The order of a promotion is logged as following a doubt where it repeats or confirms one, not as chosen for having received most.

No decision changes.

--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -135,7 +135,7 @@
                 let planned = *planned;
                 self.named = self.doubt.is_some();
                 let why = if planned { "the primary leaves" } else { "the primary is silent" };
-                let term = Term(self.term.0 + 1);
+                let term = self.next_term();
                 out.push(record(Event::PromotionStarted, self.primary, term, why));
                 self.phase = Phase::Informing { planned, token };
                 out.push(Action::Inform(token));
@@ -292,8 +292,12 @@
         true
     }
 
+    fn next_term(&self) -> Term {
+        Term(self.term.0 + 1)
+    }
+
     fn start_stopping(&mut self, now: Time, planned: bool, out: &mut Vec<Action>) {
-        let term = Term(self.term.0 + 1);
+        let term = self.next_term();
         let stopped = SmallVec::new();
         let stopping = Stopping { planned, term, since: now, asked: now, stopped };
         self.phase = Phase::Stopping(stopping);
@@ -339,7 +343,9 @@
 
     fn order(&mut self, instance: InstanceKey, token: u64, out: &mut Vec<Action>) {
         self.phase = Phase::Ordering { instance, token, resend: None };
-        out.push(record(Event::PromotionOrdered, Some(instance), self.term, "received most"));
+        let doubtful = "an earlier order is in doubt";
+        let why = if self.doubt.is_some() { doubtful } else { "received most" };
+        out.push(record(Event::PromotionOrdered, Some(instance), self.term, why));
         out.push(Action::Order { instance, token });
     }
 
@@ -404,7 +410,7 @@
 
     fn ask_again(&mut self, now: Time, out: &mut Vec<Action>) {
         self.resuming.retain(|(_, until)| until.is_none_or(|until| now < until));
-        let term = Term(self.term.0 + 1);
+        let term = self.next_term();
         if let Phase::Stopping(stopping) = &mut self.phase {
             stopping.asked = now;
             stopping.term = stopping.term.max(term);
--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -91,6 +91,11 @@
         self.members.get(&vm).map(|entry| &entry.member)
     }
 
+    /// Gets the VMs whose leases run, but for `own`.
+    pub fn others(&self, own: VmId) -> impl Iterator<Item = &LeasedMember> {
+        self.present().filter(move |member| member.vm() != own)
+    }
+
     /// Returns `true` if the VM's lease runs.
     pub fn is_present(&self, vm: VmId) -> bool {
         self.members.get(&vm).is_some_and(|entry| entry.ended.is_none())
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -170,15 +170,8 @@
             return;
         }
         let since = self.fleet.now();
-        let own = self.fleet.vm;
-        let others: Vec<VmId> = self
-            .fleet
-            .view()
-            .roster
-            .present()
-            .map(LeasedMember::vm)
-            .filter(|vm| *vm != own)
-            .collect();
+        let roster = &self.fleet.view().roster;
+        let others: Vec<VmId> = roster.others(self.fleet.vm).map(LeasedMember::vm).collect();
         let mut calls = JoinSet::new();
         let request = Request::Joined { revision: joined.0, former };
         for vm in others {
--- a/oleander-node/src/entry/shed.rs
+++ b/oleander-node/src/entry/shed.rs
@@ -40,8 +40,7 @@
 }
 
 async fn is_other_ready(fleet: &Fleet, peers: &PeerClient) -> bool {
-    let others: Vec<VmId> =
-        fleet.view().roster.present().map(LeasedMember::vm).filter(|vm| *vm != fleet.vm).collect();
+    let others: Vec<VmId> = fleet.view().roster.others(fleet.vm).map(LeasedMember::vm).collect();
     let start = rand::random_range(0..others.len().max(1));
     for vm in others.iter().cycle().skip(start).take(ASKED.min(others.len())) {
         let Some(address) = fleet.address(*vm) else { continue };
--- a/oleander-node/src/keeper/inform.rs
+++ b/oleander-node/src/keeper/inform.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::VmId;
@@ -39,40 +37,25 @@
     revision: StoreRevision,
 ) -> usize {
     fleet.withdraw(database, revision);
-    let silent = Arc::new(AtomicUsize::new(0));
     let limit = fleet.now() + fleet.settings.currency();
-    let asking = async {
-        let mut changes = fleet.changes();
-        // Only then does the roster name all VMs that may have read what stood there before.
-        if changes.wait_for(|at| revision <= *at).await.is_err() {
-            // The node is ending; the limit stands.
-            return std::future::pending().await;
-        }
-        let mut calls = JoinSet::new();
-        for member in fleet.view().roster.present().filter(|member| member.vm() != fleet.vm) {
-            let (fleet, peers) = (fleet.clone(), peers.clone());
-            let request = Request::Withdrawn { database, revision: revision.0 };
-            let telling = tell(fleet, peers, member.vm(), member.peers, request, limit);
-            silent.fetch_add(1, Ordering::Relaxed);
-            let silent = silent.clone();
-            calls.spawn(async move {
-                if telling.await {
-                    silent.fetch_sub(1, Ordering::Relaxed);
-                }
-            });
-        }
-        while calls.join_next().await.is_some() {}
-    };
-    let left = limit.since(fleet.now());
-    // What is not known by then holds by time alone.
-    let _ = fleet.timers.within(left, asking).await;
-    silent.load(Ordering::Relaxed)
+    let mut changes = fleet.changes();
+    // Only then does the roster name all VMs that may have read what stood there before.
+    let viewed = changes.wait_for(|at| revision <= *at);
+    let _ = fleet.timers.within(fleet.settings.currency(), viewed).await;
+    let mut calls = JoinSet::new();
+    for member in fleet.view().roster.others(fleet.vm) {
+        let (fleet, peers) = (fleet.clone(), peers.clone());
+        let request = Request::Withdrawn { database, revision: revision.0 };
+        calls.spawn(tell(fleet, peers, member.vm(), member.peers, request, limit));
+    }
+    let told = calls.join_all().await;
+    told.into_iter().filter(|told| !told).count()
 }
 
 /// Returns `true` if all other VMs whose leases run answer.
-pub async fn answer(fleet: &Fleet, peers: &PeerClient) -> bool {
+pub async fn reach(fleet: &Fleet, peers: &PeerClient) -> bool {
     let mut calls = JoinSet::new();
-    for member in fleet.view().roster.present().filter(|member| member.vm() != fleet.vm) {
+    for member in fleet.view().roster.others(fleet.vm) {
         let (peers, address) = (peers.clone(), member.peers);
         calls.spawn(async move { peers.call(address, &Request::Ready, REACH_LIMIT).await.is_ok() });
     }
@@ -94,15 +77,19 @@
     limit: Time,
 ) -> bool {
     let mut backoff = Backoff::default();
-    while fleet.now() < limit {
+    loop {
+        let left = limit.since(fleet.now());
+        if left == Span::ZERO {
+            // What is not known by then holds by time alone.
+            return false;
+        }
         if !fleet.view().roster.is_present(vm) {
             // Without a lease it confirms nothing.
             return true;
         }
-        if let Ok(Reply::Accepted) = peers.call(address, &request, ANSWER_LIMIT).await {
+        if let Ok(Reply::Accepted) = peers.call(address, &request, ANSWER_LIMIT.min(left)).await {
             return true;
         }
-        fleet.timers.sleep(backoff.pause()).await;
+        fleet.timers.sleep(backoff.pause().min(left)).await;
     }
-    false
 }
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -305,7 +305,7 @@
             Action::Stop(key, term) => Some(Input::Stopped(key, self.links.stop(key, term).await)),
             Action::Resume(key) => Some(Input::Resumed(key, self.links.resume(key).await)),
             Action::Claim { ordered } => Some(Input::Claimed(self.claim(ordered).await)),
-            Action::Reach => Some(Input::Reached(inform::answer(&self.fleet, &self.peers).await)),
+            Action::Reach => Some(Input::Reached(inform::reach(&self.fleet, &self.peers).await)),
             Action::Inform(token) => {
                 let database = DatabaseId::from_name(&self.database);
                 let asked = self.fleet.now();
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -18,7 +18,6 @@
 use oleander_runtime::logs::Journal;
 use tokio::sync::watch;
 
-use crate::control::apply;
 use crate::fleet::Fleet;
 use crate::home::registry::Homes;
 use crate::keeper::duties::Duties;
@@ -86,7 +85,8 @@
     /// Takes in that the primary of a database is about to be replaced.
     fn withdraw(&self, database: DatabaseId, revision: StoreRevision) {
         let view = self.fleet.view();
-        let name = apply::databases(&view).remove(&database).unwrap_or_default();
+        let instance = view.instances_of(database).next();
+        let name = instance.map_or("", |instance| instance.entry.database.as_str());
         let known = view.keepers.get(&database).map_or(0, |kept| kept.revision.0);
         let fields = [
             Field::text("database", name),
--- a/oleander-node/tests/apply.rs
+++ b/oleander-node/tests/apply.rs
@@ -1,15 +1,15 @@
 //! How a reading of the store becomes a view.
 
+mod support;
+
 use std::sync::Arc;
 
 use oleander_config::snapshot::Snapshot;
 use oleander_core::ids::InstanceKey;
-use oleander_core::places::Place;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_node::control::apply::Applier;
 use oleander_node::fleet::View;
-use oleander_node::settings::NodeSettings;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::sources::Sources;
 use oleander_ports::store::Entry;
@@ -21,19 +21,6 @@
 
 const DRAIN: Span = Span::from_secs(7);
 
-fn settings() -> NodeSettings {
-    NodeSettings {
-        name: "vm".to_owned(),
-        place: Place::default(),
-        zones: [].into(),
-        peers: "127.0.0.1:1".parse().unwrap(),
-        revocation: Span::from_secs(5),
-        grace: Span::from_secs(6),
-        drain: DRAIN,
-        lease: Span::from_secs(1),
-    }
-}
-
 fn applier() -> Applier {
     let sources = Sources {
         configuration: "configuration",
@@ -53,7 +40,7 @@
             })
         },
     };
-    Applier::new(sources, Arc::new(settings()), Journal::new("test", Clock::new()))
+    Applier::new(sources, Arc::new(support::settings()), Journal::new("test", Clock::new()))
 }
 
 fn reading(revision: u64, state: &str) -> Reading {
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -1,5 +1,7 @@
 //! The home of an instance against an upstream that refuses connections for a while.
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -26,7 +28,6 @@
 use oleander_node::home::instance::InstanceHome;
 use oleander_node::home::transactions::Transactions;
 use oleander_node::primaries::Primaries;
-use oleander_node::settings::NodeSettings;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::store::StoreRevision;
 use oleander_ports::upstream::Failure;
@@ -133,17 +134,7 @@
 
 fn home_with_fleet(fake: &Arc<Fake>) -> (Arc<InstanceHome>, TimerService, Arc<Fleet>) {
     let timers = TimerService::start(Clock::new());
-    let settings = NodeSettings {
-        name: "vm".to_owned(),
-        place: Place::default(),
-        zones: [].into(),
-        peers: "127.0.0.1:1".parse().unwrap(),
-        revocation: Span::from_secs(5),
-        grace: Span::from_secs(6),
-        drain: Span::from_secs(7),
-        lease: Span::from_secs(1),
-    };
-    let fleet = Arc::new(Fleet::new(Arc::new(settings), timers.clone()));
+    let fleet = Arc::new(Fleet::new(Arc::new(support::settings()), timers.clone()));
     name_primary(&fleet, Some(InstanceKey(1)));
     fleet.prove(timers.now());
     fleet.set_leased(timers.now() + Span::from_secs(60));
--- /dev/null
+++ b/oleander-node/tests/support/mod.rs
@@ -0,0 +1,19 @@
+//! What several tests start from.
+
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_node::settings::NodeSettings;
+
+/// Makes the settings of a VM that stands alone.
+pub fn settings() -> NodeSettings {
+    NodeSettings {
+        name: "vm".to_owned(),
+        place: Place::default(),
+        zones: [].into(),
+        peers: "127.0.0.1:1".parse().unwrap(),
+        revocation: Span::from_secs(5),
+        grace: Span::from_secs(6),
+        drain: Span::from_secs(7),
+        lease: Span::from_secs(1),
+    }
+}
