Stop using the shares of a rate before others may take them

Cause: a VM that leaves tells the store so, and others take its shares of rates over 1.02 s later. Its own limiter went on with them until the end of the time it had been given before, 4 s at most: nobody told it of the end. Its open sessions, and VMs with an older roster, used tokens that the new owners gave out, too. The same held for a VM whose lease had ended.

Ruled out: the number of shares (two break more often than three, both break), loans that outlive their owner (the model with delayed, lost and doubled messages and restarts holds), retries and travel time (44 tokens over the nominal bound, where the allowance for them is 42).

Change: the limiter ends its shares with the stop, before the record is written, and whenever the VM is no longer active; it goes on borrowing with the new table of owners. Events 303 and 307 say so.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -38,7 +38,7 @@
     VmLeft = 301,
     /// A share changed hands.
     ShareMoved = 302,
-    /// This VM stopped using its shares because it was isolated or paused.
+    /// This VM stopped using its shares: it was isolated or paused, lost its lease, or leaves.
     SharesSuspended = 303,
     /// The platform's store cannot be reached.
     StoreUnreachable = 304,
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -265,8 +265,17 @@
         }
     }
 
-    /// Returns all loans and refuses what waits, as before a planned stop.
+    /// Takes in the owners of shares where other VMs may take this one's over: they are no longer
+    /// used here, and start anew once `set_shares` gives them back.
+    pub fn end_shares(&mut self, now: Time, owners: &[Option<VmId>]) {
+        self.shared.ownership.end(now);
+        self.set_shares(now, owners, now);
+    }
+
+    /// Ends the use of own shares, returns all loans and refuses what waits, as before a planned
+    /// stop. Open sessions go on with what other VMs grant.
     pub fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.shared.ownership.end(now);
         for account in self.accounts.values_mut() {
             let mut ctx = self.shared.context(now, out);
             account.return_loans(&mut ctx);
--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -91,6 +91,11 @@
         anew
     }
 
+    /// Ends the use of own shares, which other VMs may take over from now on.
+    pub fn end(&mut self, now: Time) {
+        self.until = self.until.min(now);
+    }
+
     /// Gets this VM.
     pub fn vm(&self) -> VmId {
         self.vm
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -34,6 +34,7 @@
     Cut { vm: usize, millis: u64 },
     Restart(usize),
     HandOver { share: usize, to: usize },
+    Leave(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -46,6 +47,7 @@
         1 => (vm(), 1..4_000u64).prop_map(|(vm, millis)| Step::Cut { vm, millis }),
         2 => vm().prop_map(Step::Restart),
         3 => (0..32usize, vm()).prop_map(|(share, to)| Step::HandOver { share, to }),
+        1 => vm().prop_map(Step::Leave),
     ]
 }
 
@@ -63,6 +65,7 @@
         Step::Cut { vm, millis } => fleet.cut(vm, Span::from_millis(millis)),
         Step::Restart(vm) => fleet.restart(vm),
         Step::HandOver { share, to } => fleet.hand_over(share, to),
+        Step::Leave(vm) => fleet.leave(vm),
     }
 }
 
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -63,6 +63,8 @@
     limiter: RateLimiter,
     paused: Time,
     cut: Time,
+    /// `true` once the VM has handed its shares over to stop.
+    left: bool,
     /// The owners that the VM is told of for good; `None` for the true ones.
     stale: Option<Vec<Option<VmId>>>,
 }
@@ -104,6 +106,7 @@
             limiter: RateLimiter::new(id(at), at as u64),
             paused: Time(0),
             cut: Time(0),
+            left: false,
             stale: None,
         });
         let mut fleet = Self {
@@ -178,11 +181,33 @@
         self.lives += 1;
         self.vms[at].limiter = RateLimiter::new(id(at), self.lives);
         self.vms[at].paused = self.now;
+        self.vms[at].left = false;
         self.start(at);
     }
 
+    /// Lets a VM stop as planned: the next one gets its shares, its open sessions go on.
+    pub fn leave(&mut self, at: usize) {
+        if self.is_away(at) || self.vms[at].left {
+            return;
+        }
+        let Some(heir) = (0..self.vms.len()).find(|vm| *vm != at && !self.vms[*vm].left) else {
+            return;
+        };
+        let (now, mut out) = (self.clock(at), Vec::new());
+        self.vms[at].limiter.stop(now, &mut out);
+        self.vms[at].left = true;
+        self.perform(at, out);
+        for owner in self.owners.iter_mut().filter(|owner| **owner == at) {
+            *owner = heir;
+        }
+        self.views_of_present();
+    }
+
     /// Hands a share over once its owner has stopped using it.
     pub fn hand_over(&mut self, share: usize, to: usize) {
+        if self.vms[to].left {
+            return;
+        }
         let from = self.owners[share];
         if self.fault == Fault::TwoOwners && self.vms[from].stale.is_none() {
             self.vms[from].stale = Some(self.owner_ids());
@@ -285,12 +310,16 @@
         }
     }
 
-    fn views(&mut self) {
+    fn views_of_present(&mut self) {
         for at in 0..self.vms.len() {
-            if !self.is_away(at) {
+            if !self.is_away(at) && !self.vms[at].left {
                 self.view(at);
             }
         }
+    }
+
+    fn views(&mut self) {
+        self.views_of_present();
         self.events.schedule(self.now + VIEW_INTERVAL, Event::Views);
     }
 
--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -7,6 +7,7 @@
 use oleander_core::time::Span;
 use oleander_limits::rates::tokens::Limit;
 use oleander_ports::store::StoreRevision;
+use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use tokio::sync::watch;
 
@@ -28,41 +29,74 @@
     applied: watch::Sender<StoreRevision>,
 ) {
     let mut changes = fleet.changes();
+    let mut activity = fleet.activity();
     let mut former: Option<Arc<View>> = None;
     let mut owners = Vec::new();
-    let mut started = false;
+    let mut shares = Shares::Unused;
     loop {
         let view = fleet.view();
         let is_same = |part: fn(&View, &View) -> bool| {
             former.as_ref().is_some_and(|former| part(former, &view))
         };
-        if !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster)) {
+        let moved = !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster));
+        if moved {
             owners = view.roster.owners();
         }
-        let until = fleet.shares_until();
-        if fleet.now() < until {
-            let from = fleet.active_from();
-            if started {
-                rates.set_shares(&owners, until);
-            } else if from.is_some_and(|from| from <= fleet.now()) {
-                // Whatever earlier owners lent has ended.
+        let (now, until) = (fleet.now(), fleet.shares_until());
+        let may_start = fleet.active_from().is_some_and(|from| from <= now);
+        match shares {
+            // Whatever earlier owners lent has ended.
+            Shares::Unused if now < until && may_start => {
                 rates.start_shares(&owners, until);
-                started = true;
+                shares = Shares::Used;
+                journal.record(Event::SharesActive, &[]);
+            }
+            Shares::Unused => {}
+            Shares::Used if now < until => rates.set_shares(&owners, until),
+            Shares::Ended if now < until => {
+                rates.set_shares(&owners, until);
+                shares = Shares::Used;
                 journal.record(Event::SharesActive, &[]);
             }
+            Shares::Used => {
+                rates.end_shares(&owners);
+                shares = Shares::Ended;
+                let fields = [
+                    Field::text("active", fleet.active_from().is_some()),
+                    Field::text("draining", fleet.is_draining()),
+                    Field::millis("leased", fleet.leased_until().since(now)),
+                    Field::millis("current", fleet.current_until().since(now)),
+                ];
+                journal.record(Event::SharesSuspended, &fields);
+            }
+            Shares::Ended if moved => rates.end_shares(&owners),
+            Shares::Ended => {}
         }
         if !is_same(|former, view| Arc::ptr_eq(&former.snapshot, &view.snapshot)) {
             rates.set_limits(limits_of(&view));
         }
         applied.send_replace(view.revision);
         former = Some(view);
+        let pause = if shares == Shares::Unused { START_INTERVAL } else { SHARES_INTERVAL };
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
-            () = fleet.timers.sleep(if started { SHARES_INTERVAL } else { START_INTERVAL }) => {}
+            changed = activity.changed() => if changed.is_err() { return },
+            () = fleet.timers.sleep(pause) => {}
         }
     }
 }
 
+/// `Shares` says how this VM stands to the shares that the roster gives it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Shares {
+    /// Not used in this life of the process.
+    Unused,
+    /// In use.
+    Used,
+    /// No longer used: others may have them, and have lent of them.
+    Ended,
+}
+
 fn limits_of(view: &View) -> Vec<(WorkspaceId, Limit)> {
     let workspaces = view.snapshot.workspaces.iter().map(|(_, workspace)| &workspace.name);
     workspaces
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -130,7 +130,7 @@
     proven: AtomicU64,
     leased: AtomicU64,
     joined: AtomicU64,
-    active: AtomicU64,
+    active: watch::Sender<Option<Time>>,
     draining: watch::Sender<bool>,
     suspects: Mutex<HashMap<VmId, Time>>,
     withdrawn: Mutex<HashMap<DatabaseId, StoreRevision>>,
@@ -149,7 +149,7 @@
             proven: AtomicU64::new(0),
             leased: AtomicU64::new(0),
             joined: AtomicU64::new(0),
-            active: AtomicU64::new(0),
+            active: watch::Sender::new(None),
             draining: watch::Sender::new(false),
             suspects: Mutex::default(),
             withdrawn: Mutex::default(),
@@ -246,23 +246,27 @@
     /// Notes that all VMs know that this one is here, and until when they may use what earlier
     /// owners of its shares lent to them.
     pub fn set_active(&self, lent: Time) {
-        self.active.store(lent.0.max(1), Ordering::Release);
+        self.active.send_replace(Some(lent));
     }
 
     /// Notes that other VMs may take this one's shares over.
     pub fn set_inactive(&self) {
-        self.active.store(0, Ordering::Release);
+        self.active.send_replace(None);
     }
 
     /// Gets the time from which this VM may use its own shares; `None` if it may not.
     pub fn active_from(&self) -> Option<Time> {
-        let from = self.active.load(Ordering::Acquire);
-        (from != 0).then_some(Time(from))
+        *self.active.borrow()
+    }
+
+    /// Gets a receiver that tells when this VM gets or loses the use of its shares.
+    pub fn activity(&self) -> watch::Receiver<Option<Time>> {
+        self.active.subscribe()
     }
 
     /// Gets the time until which this VM may use its own shares.
     pub fn shares_until(&self) -> Time {
-        if self.active_from().is_some() {
+        if self.active_from().is_some() && !self.is_draining() {
             self.leased_until().min(self.current_until())
         } else {
             Time(0)
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -115,6 +115,12 @@
         self.with(|limiter, _| limiter.start_shares(now, owners, until));
     }
 
+    /// Takes in the owners of shares where other VMs may take this one's over.
+    pub fn end_shares(&self, owners: &[Option<VmId>]) {
+        let now = self.inner.timers.now();
+        self.with(|limiter, _| limiter.end_shares(now, owners));
+    }
+
     /// Takes in the limits of a configuration; workspaces that are not named have none.
     pub fn set_limits(&self, limits: impl IntoIterator<Item = (WorkspaceId, Limit)>) {
         let now = self.inner.timers.now();
