Wait for what was lent when shares of a rate move

Cause: a share that changed hands was unused for the longest hold of a loan (1.02 s), twice for each restart, though most of what is lent are grants of 0.4 s, and mostly less is outstanding. Since VMs that leave end their shares at once this costs the callers of workspaces well below their rate.

Change: the record of a VM that leaves names the time for which what it lent may be in use; the new owners wait for that. A VM that joins waits for the longest time that any VM tells: what it holds, what it lent, what a lapsed lease may have lent, and all from before its own start. A lapsed lease, a VM that does not answer and a time of use that had run out wait as before. A VM that stops ends its shares before it is seen to drain.

The model of the rates gets VMs that come back by asking the others, and a planted fault (nobody waits) that the check finds.

--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -211,6 +211,11 @@
         self.borrower.held_until(counts)
     }
 
+    /// Gets the time until which other VMs may use what this one lent to them.
+    pub fn lent_until(&self) -> Option<Time> {
+        self.owner.lent_until()
+    }
+
     /// Takes in a new limit.
     pub fn set_limit(&mut self, now: Time, limit: Limit) {
         self.owner.set_limit(now, self.limit, limit);
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -252,7 +252,12 @@
 
     /// Takes in who owns each share, and until when this VM may use its own.
     pub fn set_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time) {
-        if self.shared.ownership.set(now, owners, until) {
+        self.take_shares(now, owners, until, WAIT_OUT);
+    }
+
+    /// Takes in the shares as `set_shares` does; all loans of earlier owners end within `wait`.
+    pub fn take_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time, wait: Span) {
+        if self.shared.ownership.set(now, owners, until, wait) {
             self.reset_owners(now);
         }
     }
@@ -297,6 +302,13 @@
         until.unwrap_or_default().since(now)
     }
 
+    /// Gets the time for which other VMs may use what this one, or an earlier owner of its shares,
+    /// has lent.
+    pub fn lent(&self, now: Time) -> Span {
+        let until = self.accounts.values().filter_map(Account::lent_until).max();
+        until.unwrap_or_default().max(self.shared.ownership.usable_from()).since(now)
+    }
+
     /// Gets the time at which the oldest call was sent that has no answer yet.
     pub fn oldest_call(&self) -> Option<Time> {
         self.shared.calls.values().map(|call| call.sent).min()
--- a/oleander-limits/src/rates/owner.rs
+++ b/oleander-limits/src/rates/owner.rs
@@ -123,6 +123,12 @@
         self.pool.level.0 as f64 / limit.capacity(self.home()).0.max(1) as f64
     }
 
+    /// Gets the time until which what was lent or granted may be in use.
+    pub fn lent_until(&self) -> Option<Time> {
+        let lent = self.lent.iter().map(|lent| lent.until);
+        lent.chain(self.granted.iter().map(|granted| granted.until)).max()
+    }
+
     /// Gets the number of fractions that are not lent out.
     pub fn home(&self) -> u32 {
         self.total.saturating_sub(self.lent())
--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -3,6 +3,7 @@
 use oleander_core::hash;
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 use smallvec::SmallVec;
 
@@ -60,10 +61,10 @@
 
     /// Replaces the owners. Own shares may be used until `until`.
     ///
-    /// A share that is newly owned, or was not renewed in time, waits until
-    /// every loan of an earlier owner has ended. Returns `true` if the time of
+    /// A share that is newly owned waits for `wait`, until every loan of an earlier owner has
+    /// ended; one that was not renewed in time waits for the longest hold of a loan. Returns `true` if the time of
     /// the former table had run out, so that all own state has to start anew.
-    pub fn set(&mut self, now: Time, owners: &[Option<VmId>], until: Time) -> bool {
+    pub fn set(&mut self, now: Time, owners: &[Option<VmId>], until: Time, wait: Span) -> bool {
         let lapsed = self.until <= now;
         let resized = owners.len() != self.shares.len();
         let anew = lapsed || resized;
@@ -71,8 +72,11 @@
         self.shares.resize(owners.len(), Share::default());
         for (share, owner) in self.shares.iter_mut().zip(owners) {
             let is_own = *owner == Some(self.vm);
-            if is_own && (anew || share.owner != *owner) {
+            // Without a time of use nothing is taken; the next table with one starts anew.
+            if is_own && anew && now < until {
                 share.usable = now + WAIT_OUT;
+            } else if is_own && share.owner != *owner {
+                share.usable = now + wait.min(WAIT_OUT);
             }
             changed |= share.owner != *owner;
             share.owner = *owner;
@@ -84,7 +88,7 @@
 
     /// Replaces the owners as `set` does, without a wait for own shares.
     pub fn start(&mut self, now: Time, owners: &[Option<VmId>], until: Time) -> bool {
-        let anew = self.set(now, owners, until);
+        let anew = self.set(now, owners, until, WAIT_OUT);
         for share in &mut self.shares {
             share.usable = share.usable.min(now);
         }
@@ -96,6 +100,11 @@
         self.until = self.until.min(now);
     }
 
+    /// Gets the time until which a share that this VM owns or has owned waits or would have waited.
+    pub fn usable_from(&self) -> Time {
+        self.shares.iter().map(|share| share.usable).max().unwrap_or_default()
+    }
+
     /// Gets this VM.
     pub fn vm(&self) -> VmId {
         self.vm
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -35,6 +35,7 @@
     Restart(usize),
     HandOver { share: usize, to: usize },
     Leave(usize),
+    ComeBack(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -47,7 +48,8 @@
         1 => (vm(), 1..4_000u64).prop_map(|(vm, millis)| Step::Cut { vm, millis }),
         2 => vm().prop_map(Step::Restart),
         3 => (0..32usize, vm()).prop_map(|(share, to)| Step::HandOver { share, to }),
-        1 => vm().prop_map(Step::Leave),
+        2 => vm().prop_map(Step::Leave),
+        2 => vm().prop_map(Step::ComeBack),
     ]
 }
 
@@ -66,6 +68,7 @@
         Step::Restart(vm) => fleet.restart(vm),
         Step::HandOver { share, to } => fleet.hand_over(share, to),
         Step::Leave(vm) => fleet.leave(vm),
+        Step::ComeBack(vm) => fleet.come_back(vm),
     }
 }
 
@@ -117,6 +120,7 @@
 #[rstest]
 #[case::restart_without_wait(Fault::NoWait)]
 #[case::two_owners(Fault::TwoOwners)]
+#[case::loans_not_waited_for(Fault::NoLent)]
 fn the_check_finds_a_planted_fault(#[case] fault: Fault) {
     let error = run(fault).unwrap_err();
     assert!(error.contains("too much admitted"), "{error}");
--- a/oleander-limits/tests/start.rs
+++ b/oleander-limits/tests/start.rs
@@ -4,6 +4,7 @@
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_limits::rates::limiter::Action;
 use oleander_limits::rates::limiter::Decision;
 use oleander_limits::rates::limiter::RateLimiter;
 use oleander_limits::rates::limiter::Ticket;
@@ -58,3 +59,17 @@
     let decision = limiter.ask(asked, Ticket(1), workspace, 1, asked, &mut out);
     assert_eq!(decision, Decision::Admit);
 }
+
+/// A VM that joined refused its callers until its own shares had ended their wait.
+#[test]
+fn a_vm_without_own_shares_yet_asks_the_others() {
+    let now = Time(300_000);
+    let workspace = WorkspaceId(1);
+    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut out = Vec::new();
+    limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
+    limiter.end_shares(now, &[Some(VmId(8)); 64]);
+    let decision = limiter.ask(now, Ticket(1), workspace, 1, now + Span::from_secs(1), &mut out);
+    assert_eq!(decision, Decision::Wait);
+    assert!(matches!(&out[..], [Action::Send { to: VmId(8), .. }]), "{out:?}");
+}
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -32,6 +32,8 @@
 const VIEW_INTERVAL: Span = Span::from_millis(400);
 /// The time by which the clocks of two VMs differ.
 const CLOCK_STEP: Span = Span::from_secs(1_000);
+/// The time after which a VM that comes back asks again.
+const RETURN_PAUSE: Span = Span::from_millis(10);
 /// The time after which a caller no longer waits.
 const DEADLINE: Span = Span::from_secs(2);
 
@@ -57,22 +59,51 @@
     NoWait,
     /// A VM that lost a share is not told and goes on using it.
     TwoOwners,
+    /// Nobody waits for what a VM that leaves, or others before it comes back, have lent.
+    NoLent,
 }
 
 struct Vm {
     limiter: RateLimiter,
     paused: Time,
     cut: Time,
-    /// `true` once the VM has handed its shares over to stop.
+    /// `true` while others have the VM's shares: it has stopped, or is coming back.
     left: bool,
+    /// The time at which the VM last heard who owns what.
+    viewed: Time,
+    /// The time at which the VM's process started.
+    born: Time,
+    /// The number of that process.
+    life: u64,
     /// The owners that the VM is told of for good; `None` for the true ones.
     stale: Option<Vec<Option<VmId>>>,
 }
 
 enum Event {
-    Request { from: usize, to: usize, call: CallId, request: LimitRequest },
-    Reply { from: usize, to: usize, call: CallId, reply: LimitReply },
+    Request {
+        from: usize,
+        life: u64,
+        to: usize,
+        call: CallId,
+        request: LimitRequest,
+    },
+    /// An answer to a process; it is lost if a new one has taken its place.
+    Reply {
+        to: usize,
+        life: u64,
+        call: CallId,
+        reply: LimitReply,
+    },
     Views,
+    Return {
+        vm: usize,
+        life: u64,
+        since: Time,
+    },
+    Start {
+        vm: usize,
+        life: u64,
+    },
 }
 
 /// `Fleet` drives the limiters in virtual time and checks every admission.
@@ -107,6 +138,9 @@
             paused: Time(0),
             cut: Time(0),
             left: false,
+            viewed: Time(0),
+            born: Time(0),
+            life: at as u64,
             stale: None,
         });
         let mut fleet = Self {
@@ -182,6 +216,8 @@
         self.vms[at].limiter = RateLimiter::new(id(at), self.lives);
         self.vms[at].paused = self.now;
         self.vms[at].left = false;
+        self.vms[at].born = self.now;
+        self.vms[at].life = self.lives;
         self.start(at);
     }
 
@@ -194,13 +230,78 @@
             return;
         };
         let (now, mut out) = (self.clock(at), Vec::new());
-        self.vms[at].limiter.stop(now, &mut out);
+        let limiter = &mut self.vms[at].limiter;
+        limiter.stop(now, &mut out);
+        let lent = if self.fault == Fault::NoLent { Span::ZERO } else { limiter.lent(now) };
         self.vms[at].left = true;
         self.perform(at, out);
         for owner in self.owners.iter_mut().filter(|owner| **owner == at) {
             *owner = heir;
         }
-        self.views_of_present();
+        self.views_of_present(lent);
+    }
+
+    /// Starts a stopped VM, which gets its shares back and uses them once all know of it and what
+    /// they lent has ended.
+    pub fn come_back(&mut self, at: usize) {
+        if !self.vms[at].left || self.is_away(at) {
+            return;
+        }
+        self.lives += 1;
+        let count = self.vms.len();
+        for (_, owner) in
+            self.owners.iter_mut().enumerate().filter(|(share, _)| share % count == at)
+        {
+            *owner = at;
+        }
+        let (now, limit, owners) = (self.clock(at), self.limit, self.owner_ids());
+        let mut limiter = RateLimiter::new(id(at), self.lives);
+        limiter.set_limits(now, [(WORKSPACE, limit)], &mut Vec::new());
+        limiter.end_shares(now, &owners);
+        let vm = &mut self.vms[at];
+        (vm.limiter, vm.born, vm.life) = (limiter, self.now, self.lives);
+        self.views_of_present(WAIT_OUT);
+        let event = Event::Return { vm: at, life: self.lives, since: self.now };
+        self.events.schedule(self.now, event);
+    }
+
+    /// Asks all VMs what is lent of the shares of one that comes back, until all have told.
+    fn ask_lent(&mut self, vm: usize, life: u64, since: Time) {
+        if self.vms[vm].life != life {
+            return;
+        }
+        let mut lent = Span::ZERO;
+        for at in (0..self.vms.len()).filter(|at| *at != vm) {
+            let now = self.clock(at);
+            let other = &self.vms[at];
+            let heard = other.left || since <= other.viewed;
+            let asked = Time(now.0 - self.now.since(since).0);
+            let settled = other.limiter.oldest_call().is_none_or(|sent| asked < sent);
+            if self.is_away(at) || !heard || !settled {
+                if self.now < since + SHARES_FOR {
+                    let again = self.now + RETURN_PAUSE;
+                    self.events.schedule(again, Event::Return { vm, life, since });
+                    return;
+                }
+                lent = WAIT_OUT;
+            }
+            let unseen = (other.born + WAIT_OUT).since(self.now);
+            lent = lent
+                .max(other.limiter.held(now, |_| true))
+                .max(other.limiter.lent(now))
+                .max(unseen);
+        }
+        let lent = if self.fault == Fault::NoLent { Span::ZERO } else { lent.min(WAIT_OUT) };
+        self.events.schedule(self.now + lent, Event::Start { vm, life });
+    }
+
+    fn start_again(&mut self, at: usize, life: u64) {
+        if self.vms[at].life != life || self.is_away(at) {
+            return;
+        }
+        let (now, owners) = (self.clock(at), self.owner_ids());
+        self.vms[at].left = false;
+        self.vms[at].limiter.start_shares(now, &owners, now + SHARES_FOR);
     }
 
     /// Hands a share over once its owner has stopped using it.
@@ -220,8 +321,8 @@
         }
         self.owners[share] = to;
         for at in [from, to] {
-            if !self.is_away(at) {
-                self.view(at);
+            if !self.is_away(at) && !self.vms[at].left {
+                self.view(at, WAIT_OUT);
             }
         }
     }
@@ -243,10 +344,11 @@
         self.vms[at].limiter.set_shares(began, &owners, now + SHARES_FOR);
     }
 
-    fn view(&mut self, at: usize) {
+    fn view(&mut self, at: usize, wait: Span) {
         let now = self.clock(at);
         let owners = self.vms[at].stale.clone().unwrap_or_else(|| self.owner_ids());
-        self.vms[at].limiter.set_shares(now, &owners, now + SHARES_FOR);
+        self.vms[at].limiter.take_shares(now, &owners, now + SHARES_FOR, wait);
+        self.vms[at].viewed = self.now;
     }
 
     fn owner_ids(&self) -> Vec<Option<VmId>> {
@@ -282,25 +384,29 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Views => self.views(),
-            Event::Request { from, to, call, request } => {
+            Event::Return { vm, life, since } => self.ask_lent(vm, life, since),
+            Event::Start { vm, life } => self.start_again(vm, life),
+            Event::Request { from, life, to, call, request } => {
                 if self.now < self.vms[to].paused {
                     let paused = self.vms[to].paused;
-                    self.events.schedule(paused, Event::Request { from, to, call, request });
+                    let event = Event::Request { from, life, to, call, request };
+                    self.events.schedule(paused, event);
                     return;
                 }
                 let (now, mut out) = (self.clock(to), Vec::new());
                 let reply = self.vms[to].limiter.handle(now, id(from), request, &mut out);
                 for delay in self.fates(from, to) {
                     let reply = reply.clone();
-                    let event = Event::Reply { from: to, to: from, call, reply };
+                    let event = Event::Reply { to: from, life, call, reply };
                     self.events.schedule(self.now + delay, event);
                 }
                 self.perform(to, out);
             }
-            Event::Reply { from, to, call, reply } => {
+            Event::Reply { to, life, .. } if self.vms[to].life != life => {}
+            Event::Reply { to, life, call, reply } => {
                 if self.now < self.vms[to].paused {
                     let paused = self.vms[to].paused;
-                    self.events.schedule(paused, Event::Reply { from, to, call, reply });
+                    self.events.schedule(paused, Event::Reply { to, life, call, reply });
                     return;
                 }
                 let (now, mut out) = (self.clock(to), Vec::new());
@@ -310,16 +416,16 @@
         }
     }
 
-    fn views_of_present(&mut self) {
+    fn views_of_present(&mut self, wait: Span) {
         for at in 0..self.vms.len() {
             if !self.is_away(at) && !self.vms[at].left {
-                self.view(at);
+                self.view(at, wait);
             }
         }
     }
 
     fn views(&mut self) {
-        self.views_of_present();
+        self.views_of_present(WAIT_OUT);
         self.events.schedule(self.now + VIEW_INTERVAL, Event::Views);
     }
 
@@ -336,7 +442,8 @@
     fn send(&mut self, from: usize, to: VmId, call: CallId, request: &LimitRequest) {
         let to = to.0 as usize;
         for delay in self.fates(from, to) {
-            let event = Event::Request { from, to, call, request: request.clone() };
+            let life = self.vms[from].life;
+            let event = Event::Request { from, life, to, call, request: request.clone() };
             self.events.schedule(self.now + delay, event);
         }
     }
--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -31,6 +31,9 @@
     pub life: u64,
     /// `true` once the VM is stopping.
     pub leaving: bool,
+    /// The time from the writing of a leaving VM's record on for which others may use what it, or
+    /// an earlier owner of its shares, has lent.
+    pub lent: Option<Span>,
 }
 
 impl LeasedMember {
@@ -48,6 +51,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LeasedRoster {
     members: BTreeMap<VmId, Entry>,
+    lapsed: Option<Time>,
 }
 
 #[derive(Clone, Debug)]
@@ -69,6 +73,7 @@
             self.members.remove(&vm);
         } else {
             entry.ended.get_or_insert(now);
+            self.lapsed = self.lapsed.max(Some(now));
         }
     }
 
@@ -140,6 +145,20 @@
         hash::rendezvous(key, vms, |vm| vm.0)
     }
 
+    /// Gets the longest time for which loans may still be used of VMs that owned shares in `former`
+    /// and no longer do; `unknown` for a VM that did not say so itself.
+    pub fn handed_over(&self, former: &LeasedRoster, unknown: Span) -> Span {
+        let owned = former.present().filter(|member| !member.leaving).map(LeasedMember::vm);
+        let lost = owned.filter(|vm| !self.may_own(*vm));
+        let lent = lost.map(|vm| self.member(vm)?.lent);
+        lent.map(|lent| lent.unwrap_or(unknown)).max().unwrap_or_default()
+    }
+
+    /// Gets the latest time at which a lease was seen to have ended without a stop.
+    pub fn lapsed(&self) -> Option<Time> {
+        self.lapsed
+    }
+
     /// Gets the owner of each share: the first VM in the rendezvous order of those with a lease.
     pub fn owners(&self) -> Vec<Option<VmId>> {
         (0..SHARES as u64).map(|share| self.candidates(hash::mix(share)).first().copied()).collect()
--- /dev/null
+++ b/oleander-membership/tests/leased.rs
@@ -0,0 +1,80 @@
+//! What a change of the roster says of loans that may still be in use.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use oleander_core::ids::VmId;
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_membership::leased::LeasedMember;
+use oleander_membership::leased::LeasedRoster;
+use rstest::rstest;
+
+const UNKNOWN: Span = Span::from_millis(1_000);
+const SHORT: Span = Span::from_millis(200);
+const LONG: Span = Span::from_millis(400);
+
+/// `Change` is one thing that happened between two rosters.
+#[derive(Clone, Copy)]
+enum Change {
+    Joins(&'static str),
+    Leaves(&'static str, Option<Span>),
+    Lapses(&'static str),
+}
+
+struct Case {
+    changes: &'static [Change],
+    wait: Span,
+}
+
+fn member(name: &str, leaving: bool, lent: Option<Span>) -> LeasedMember {
+    let place = Place { region: "r".into(), zone: "z".into() };
+    let peers = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    LeasedMember { name: name.into(), place, peers, life: 1, leaving, lent }
+}
+
+fn apply(roster: &mut LeasedRoster, change: Change) {
+    match change {
+        Change::Joins(name) => roster.put(member(name, false, None)),
+        Change::Leaves(name, lent) => roster.put(member(name, true, lent)),
+        Change::Lapses(name) => roster.end(VmId::from_name(name), Time(5)),
+    }
+}
+
+#[rstest]
+#[case::nothing(Case { changes: &[], wait: Span::ZERO })]
+#[case::another_joins(Case { changes: &[Change::Joins("c")], wait: Span::ZERO })]
+#[case::one_leaves(Case { changes: &[Change::Leaves("a", Some(SHORT))], wait: SHORT })]
+#[case::one_leaves_without_a_word(Case { changes: &[Change::Leaves("a", None)], wait: UNKNOWN })]
+#[case::a_lease_ends(Case { changes: &[Change::Lapses("a")], wait: UNKNOWN })]
+#[case::the_longest_counts(Case {
+    changes: &[Change::Leaves("a", Some(LONG)), Change::Leaves("b", Some(SHORT))],
+    wait: LONG,
+})]
+#[case::a_lease_ends_beside_one_that_leaves(Case {
+    changes: &[Change::Leaves("a", Some(SHORT)), Change::Lapses("b")],
+    wait: UNKNOWN,
+})]
+#[case::left_and_gone_in_one_step(Case {
+    changes: &[Change::Leaves("a", Some(SHORT)), Change::Lapses("a")],
+    wait: UNKNOWN,
+})]
+fn new_owners_wait_for(#[case] case: Case) {
+    let mut former = LeasedRoster::default();
+    apply(&mut former, Change::Joins("a"));
+    apply(&mut former, Change::Joins("b"));
+    let mut roster = former.clone();
+    case.changes.iter().for_each(|change| apply(&mut roster, *change));
+    assert_eq!(roster.handed_over(&former, UNKNOWN), case.wait);
+}
+
+#[test]
+fn a_lease_that_ended_is_remembered_beyond_its_member() {
+    let mut roster = LeasedRoster::default();
+    apply(&mut roster, Change::Joins("a"));
+    assert_eq!(roster.lapsed(), None);
+    apply(&mut roster, Change::Lapses("a"));
+    apply(&mut roster, Change::Joins("a"));
+    assert_eq!(roster.lapsed(), Some(Time(5)));
+}
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -27,6 +27,7 @@
 use super::Backoff;
 use super::apply;
 use crate::fleet::Fleet;
+use crate::rates::Rates;
 
 /// The time of a lease. Shares are used as long at most without the store, so it is near the time for
 /// which the configuration counts as current; a lost VM is out of the fleet after as long.
@@ -68,6 +69,8 @@
     pub journal: Journal,
     /// The number of this life of the process.
     pub life: u64,
+    /// The rates, of which a VM that leaves says what it has lent.
+    pub rates: Rates,
     /// Told of the present lease.
     pub held: watch::Sender<Option<Held>>,
 }
@@ -102,7 +105,7 @@
         let lease = self.store.grant(time).await?;
         self.fleet.set_leased(asked + time);
         let former = self.former().await;
-        let joined = self.write(false, lease).await?;
+        let joined = self.write(None, lease).await?;
         self.fleet.set_joined(joined);
         self.held.send_replace(Some(Held { lease, joined }));
         let renewing = self.renew(lease, time);
@@ -131,14 +134,17 @@
     }
 
     /// Writes the VM's record, whatever stands there from an earlier life.
-    async fn write(&self, leaving: bool, lease: LeaseId) -> Result<StoreRevision, StoreError> {
+    ///
+    /// A VM that leaves names the time for which others may use what it lent.
+    async fn write(&self, lent: Option<Span>, lease: LeaseId) -> Result<StoreRevision, StoreError> {
         let settings = &self.fleet.settings;
         let member = LeasedMember {
             name: settings.name.clone(),
             place: settings.place.clone(),
             peers: settings.peers,
             life: self.life,
-            leaving,
+            leaving: lent.is_some(),
+            lent,
         };
         let value = serde_json::to_vec(&member).map_err(|_| StoreError::Refused)?;
         let key = apply::vm_key(&self.sources, &settings.name);
@@ -172,6 +178,7 @@
         let since = self.fleet.now();
         let roster = &self.fleet.view().roster;
         let others: Vec<VmId> = roster.others(self.fleet.vm).map(LeasedMember::vm).collect();
+        let count = others.len();
         let mut calls = JoinSet::new();
         let request = Request::Joined { revision: joined.0, former };
         for vm in others {
@@ -183,9 +190,10 @@
             lent_until = lent_until.max(until.unwrap_or(Time(u64::MAX)));
         }
         let now = self.fleet.now();
-        // Others owned the shares until this VM joined; what they lent runs for the whole hold.
         let longest = now + WAIT_OUT;
-        self.fleet.set_active(if former.is_some() { lent_until.min(longest) } else { longest });
+        // Without another VM nobody knows what was lent of the shares before.
+        let is_known = former.is_some() || 0 < count;
+        self.fleet.set_active(if is_known { lent_until.min(longest) } else { longest });
         let fields = [
             Field::number("joined", joined.0),
             Field::millis("waited", now.since(since)),
@@ -197,8 +205,12 @@
     /// Tells the fleet that this VM leaves.
     async fn leave(&self) {
         let Some(held) = *self.held.borrow() else { return };
+        let from = self.fleet.active_from();
         self.fleet.set_inactive();
-        if let Err(error) = self.write(true, held.lease).await {
+        // A VM that has not used its shares yet does not know what earlier owners lent.
+        let was_active = from.is_some_and(|from| from <= self.fleet.now());
+        let lent = if was_active { self.rates.lent() } else { WAIT_OUT };
+        if let Err(error) = self.write(Some(lent), held.lease).await {
             self.journal.record(Event::StoreUnreachable, &[Field::text("reason", error)]);
         }
     }
--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -5,6 +5,7 @@
 use oleander_core::events::Event;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
+use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_limits::rates::tokens::Limit;
 use oleander_ports::store::StoreRevision;
 use oleander_runtime::logs::Field;
@@ -38,6 +39,10 @@
         let is_same = |part: fn(&View, &View) -> bool| {
             former.as_ref().is_some_and(|former| part(former, &view))
         };
+        // Loans of a VM that is gone run for the whole hold; one that leaves knows better.
+        let wait = former
+            .as_ref()
+            .map_or(WAIT_OUT, |former| view.roster.handed_over(&former.roster, WAIT_OUT));
         let moved = !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster));
         if moved {
             owners = view.roster.owners();
@@ -51,13 +56,15 @@
                 shares = Shares::Used;
                 journal.record(Event::SharesActive, &[]);
             }
-            Shares::Unused => {}
-            Shares::Used if now < until => rates.set_shares(&owners, until),
             Shares::Ended if now < until => {
-                rates.set_shares(&owners, until);
+                rates.set_shares(&owners, until, wait);
                 shares = Shares::Used;
                 journal.record(Event::SharesActive, &[]);
             }
+            // What others grant may be used from the first view on.
+            Shares::Unused | Shares::Ended if moved => rates.end_shares(&owners),
+            Shares::Unused | Shares::Ended => {}
+            Shares::Used if now < until => rates.set_shares(&owners, until, wait),
             Shares::Used => {
                 rates.end_shares(&owners);
                 shares = Shares::Ended;
@@ -69,8 +76,6 @@
                 ];
                 journal.record(Event::SharesSuspended, &fields);
             }
-            Shares::Ended if moved => rates.end_shares(&owners),
-            Shares::Ended => {}
         }
         if !is_same(|former, view| Arc::ptr_eq(&former.snapshot, &view.snapshot)) {
             rates.set_limits(limits_of(&view));
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -168,6 +168,7 @@
             sources: ports.sources,
             peers: peer_client.clone(),
             journal: journal.clone(),
+            rates: rates.clone(),
             life,
             held: hold,
         };
@@ -252,8 +253,9 @@
     pub fn start_drain(&self) {
         if !self.fleet.is_draining() {
             self.journal.record(Event::DrainStarted, &[]);
-            self.fleet.drain();
+            // Before the record says that others may take the shares over.
             self.rates.stop();
+            self.fleet.drain();
         }
     }
 
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -10,6 +10,7 @@
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
+use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_peer::server::Incoming;
@@ -103,11 +104,22 @@
         let settling = async {
             applied.wait_for(|at| revision <= *at).await.ok()?;
             let counts = |owner| former.is_none_or(|former| former == owner);
-            Some(self.rates.settle(counts).await)
+            let held = self.rates.settle(counts).await;
+            // Shares that stayed with the VM were lent by nobody else.
+            Some(if former.is_some() { held } else { held.max(self.lent()) })
         };
         match self.fleet.timers.within(JOINED_WAIT, settling).await.flatten() {
             Some(held) => Reply::Joined(held),
             None => Reply::Unsupported,
         }
     }
+
+    /// Gets the time for which loans may be in use that are not held here: what this VM lent, what
+    /// was lent by VMs whose leases ended, and all that was lent before this process started.
+    fn lent(&self) -> Span {
+        let now = self.fleet.now();
+        let lapsed = self.fleet.view().roster.lapsed().unwrap_or_default();
+        let unseen = lapsed.max(self.fleet.started()) + WAIT_OUT;
+        self.rates.lent().max(unseen.since(now))
+    }
 }
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -103,10 +103,11 @@
         self.with(|limiter, out| limiter.handle(now, from, request, out))
     }
 
-    /// Takes in the owners of shares, and until when this VM may use its own.
-    pub fn set_shares(&self, owners: &[Option<VmId>], until: Time) {
+    /// Takes in the owners of shares, until when this VM may use its own, and the time within which
+    /// all loans of earlier owners of new ones end.
+    pub fn set_shares(&self, owners: &[Option<VmId>], until: Time, wait: Span) {
         let now = self.inner.timers.now();
-        self.with(|limiter, _| limiter.set_shares(now, owners, until));
+        self.with(|limiter, _| limiter.take_shares(now, owners, until, wait));
     }
 
     /// Takes in the shares where no loan of an earlier owner can be in use.
@@ -140,7 +141,13 @@
         }
     }
 
-    /// Returns what was borrowed, as before a planned stop.
+    /// Gets the time for which other VMs may use what this one, or an earlier owner of its shares,
+    /// has lent.
+    pub fn lent(&self) -> Span {
+        self.lock().limiter.lent(self.inner.timers.now())
+    }
+
+    /// Ends the use of own shares and returns what was borrowed, as before a planned stop.
     pub fn stop(&self) {
         let now = self.inner.timers.now();
         self.with(|limiter, out| limiter.stop(now, out));
--- a/oleander-proxy/src/proxy.rs
+++ b/oleander-proxy/src/proxy.rs
@@ -18,6 +18,7 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_limits::rates::tokens::Limit;
 use oleander_node::rates::Rates;
 use oleander_peer::client::PeerClient;
@@ -124,7 +125,7 @@
         self.homes.apply(&view);
         let owners: Vec<Option<VmId>> =
             view.shares.owners.iter().map(|owner| owner.map(|owner| owner.vm)).collect();
-        self.rates.set_shares(&owners, view.shares_until);
+        self.rates.set_shares(&owners, view.shares_until, WAIT_OUT);
         if !Arc::ptr_eq(&former.snapshot, &view.snapshot) {
             self.rates.set_limits(limits_of(&view));
         }
