Do not ask a full instance for a connection with each statement

Cause: once an instance has refused a connection, the pool takes what is open then as what the instance accepts, and tries no more for a while. The home told the pool so before it took the refused connection out of the count, so that each later statement tried one more, and held a slot for it.

Ruled out: places that closing connections still take (the reset of the old one arrives a round trip before the opening of the new one).

Change: the connection is taken out of the count first. The test had 5 tries for 5 statements before, 1 after.

--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -75,6 +75,8 @@
                 Ok(Lease::new(self, workspace, Backend::new(link)))
             }
             Err(error) => {
+                // The pool takes what is open now as what the instance accepts.
+                drop(count);
                 if is_full(&error) {
                     self.lock().pool.refuse(self.parts.timers.now());
                 }
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -56,6 +56,8 @@
     full: AtomicBool,
     hangs: AtomicBool,
     open: AtomicUsize,
+    /// The connections that were asked for.
+    tried: AtomicUsize,
     /// What happens while a statement runs.
     meanwhile: Mutex<Option<Box<dyn Fn() + Send>>>,
 }
@@ -71,6 +73,7 @@
     }
 
     async fn open(&self, _: &Target, _: &str) -> Result<Box<dyn Link>, LinkError> {
+        self.0.tried.fetch_add(1, Ordering::AcqRel);
         if self.0.full.load(Ordering::Acquire) {
             let failure = Failure { kind: FailureKind::TooManyConnections, detail: String::new() };
             return Err(LinkError::Refused(failure));
@@ -203,6 +206,20 @@
     assert!(run(&home, &timers).await.is_ok());
 }
 
+/// Each statement tried a connection of its own at an instance that had just refused one, and held
+/// a slot meanwhile.
+#[tokio::test]
+async fn a_full_instance_is_not_asked_by_each_statement() {
+    let fake = Arc::new(Fake::default());
+    let (home, timers) = home(&fake);
+    fake.full.store(true, Ordering::Release);
+    for _ in 0..5 {
+        let refused = run(&home, &timers).await.unwrap_err();
+        assert_eq!(refused.code, RefusalCode::QueueFull);
+    }
+    assert_eq!(fake.tried.load(Ordering::Acquire), 1);
+}
+
 /// Statements that are given up must leave neither slots nor connections in use.
 #[tokio::test]
 async fn statements_that_time_out_leave_nothing_behind() {
