Divide the limiter by duty: actions, context, asking and lending

Cause: rates::limiter, account, peers and waiting imported each other, and so did home::queue and fair; account.rs had 534 lines.

Change: what the limiter tells its caller stands in rates::actions, what an account needs of the others in rates::context, its side towards owners in rates::asking and towards borrowers in rates::lending, what waits for a slot in home::request. No behaviour changes; account.rs has 370 lines.

--- a/oleander-limits/benches/decisions.rs
+++ b/oleander-limits/benches/decisions.rs
@@ -5,16 +5,16 @@
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
-use oleander_limits::home::queue::Class;
 use oleander_limits::home::queue::Connection;
 use oleander_limits::home::queue::HomeQueue;
 use oleander_limits::home::queue::QueueOptions;
-use oleander_limits::home::queue::Ticket as HomeTicket;
-use oleander_limits::home::queue::Waiting;
+use oleander_limits::home::request::Class;
+use oleander_limits::home::request::Ticket as HomeTicket;
+use oleander_limits::home::request::Waiting;
 use oleander_limits::home::slots::Part;
 use oleander_limits::home::slots::Slots;
+use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
-use oleander_limits::rates::limiter::Ticket;
 use oleander_limits::rates::tokens::Limit;
 
 /// VMs and workspaces of today and of the target.
--- a/oleander-limits/src/home/fair.rs
+++ b/oleander-limits/src/home/fair.rs
@@ -13,7 +13,7 @@
 
 use oleander_core::ids::WorkspaceId;
 
-use crate::home::queue::Ticket;
+use crate::home::request::Ticket;
 
 /// The virtual time of one unit of cost at weight 1.
 const UNIT: u64 = 1 << 20;
--- a/oleander-limits/src/home/mod.rs
+++ b/oleander-limits/src/home/mod.rs
@@ -7,5 +7,6 @@
 pub mod fair;
 pub mod pool;
 pub mod queue;
+pub mod request;
 pub mod slots;
 pub mod transactions;
--- a/oleander-limits/src/home/queue.rs
+++ b/oleander-limits/src/home/queue.rs
@@ -14,6 +14,10 @@
 use crate::home::estimate::ServiceEstimate;
 use crate::home::fair::FairQueue;
 use crate::home::fair::Item;
+use crate::home::request::Class;
+use crate::home::request::Start;
+use crate::home::request::Ticket;
+use crate::home::request::Waiting;
 use crate::home::slots::Slots;
 
 /// The turns of which one prefers reads to writes.
@@ -25,21 +29,6 @@
 /// a queue that is as long as its requests can wait serves most of them too late.
 const WAIT_MARGIN: u64 = 2;
 
-/// `Ticket` names one request in a queue; the caller chooses it and never uses it twice.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Ticket(pub u64);
-
-/// `Class` tells apart what can run where; each class has its own fair queue.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EnumCount)]
-pub enum Class {
-    /// A statement, commit or rollback of an open transaction; it keeps the transaction's connection.
-    Transaction,
-    /// A write, a read of the latest data or the start of a transaction; only the primary serves it.
-    Write,
-    /// A read that one of several instances may serve.
-    Read,
-}
-
 /// `QueueOptions` are the bounds of a home queue.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueOptions {
@@ -55,34 +44,6 @@
     }
 }
 
-/// `Waiting` is a request in the queue.
-#[derive(Clone, Copy, Debug)]
-pub struct Waiting {
-    /// The name of the request.
-    pub ticket: Ticket,
-    /// The workspace to which the service is charged.
-    pub workspace: WorkspaceId,
-    /// The workspace's weight in fair queueing, 1 or more.
-    pub weight: u32,
-    /// The cost in queue units, 1 or more.
-    pub cost: u32,
-    /// The time by which the answer is wanted.
-    pub deadline: Time,
-    /// What the request needs.
-    pub class: Class,
-}
-
-/// `Start` tells the caller to run a request now.
-#[derive(Clone, Copy, Debug)]
-pub struct Start {
-    /// The request.
-    pub request: Waiting,
-    /// The ordinal of the instance; its slot is taken until `HomeQueue::finish`.
-    pub ordinal: u8,
-    /// The time spent in the queue.
-    pub queued: Span,
-}
-
 /// `HomeQueue` decides for one database at one home what waits, what starts and what is refused.
 #[derive(Debug)]
 pub struct HomeQueue {
--- a/oleander-limits/src/home/transactions.rs
+++ b/oleander-limits/src/home/transactions.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use strum::Display;
 
-use crate::home::queue::Ticket;
+use crate::home::request::Ticket;
 
 /// `TransactionLimits` are the bounds on open transactions of one home.
 #[derive(Clone, Copy, Debug)]
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -4,26 +4,22 @@
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
-use smallvec::SmallVec;
 
 use crate::messages::Ask;
 use crate::messages::LimitReply;
 use crate::messages::LoanId;
 use crate::messages::Returned;
+use crate::rates::actions::Call;
+use crate::rates::actions::Decision;
+use crate::rates::actions::Ticket;
 use crate::rates::borrower::RateBorrower;
+use crate::rates::context::Context;
 use crate::rates::demand::DemandMeter;
-use crate::rates::limiter::Call;
-use crate::rates::limiter::Context;
-use crate::rates::limiter::Decision;
-use crate::rates::limiter::Ticket;
 use crate::rates::owner::Need;
 use crate::rates::owner::RateOwner;
 use crate::rates::ownership::Ownership;
 use crate::rates::peers;
 use crate::rates::peers::Peer;
-use crate::rates::plan;
-use crate::rates::plan::Offer;
-use crate::rates::plan::Part;
 use crate::rates::tokens::FRACTIONS;
 use crate::rates::tokens::Limit;
 use crate::rates::tokens::Tokens;
@@ -34,40 +30,28 @@
 const MAX_WAIT: Span = Span::from_millis(150);
 /// The interval in which a waiting request looks for owners that may be asked again.
 const REPLAN_INTERVAL: Span = Span::from_millis(20);
-/// The time after which a borrower asks again while the owner recalls a loan.
-const RECALL_WAIT: Span = Span::from_millis(5);
 /// The requests expected in a silence after which all loans are returned.
 const RETURN_SILENCE: f64 = 6.0;
 /// The requests expected in a silence after which a loan is returned if another VM asks.
 const PROBED_SILENCE: f64 = 1.5;
 /// The interval in which an account is looked at, to drop it once it is idle.
 const IDLE_CHECK: Span = Span::from_secs(5);
-/// The time for whose demand a VM keeps tokens in stock: less than the hold of a grant.
-const STOCK: Span = Span::from_millis(300);
-/// The time for whose demand the stock must last, or it is filled up: several round trips.
-const LOW_STOCK: Span = Span::from_millis(150);
-/// The least time between two questions for tokens that nobody waits for.
-const STOCK_INTERVAL: Span = Span::from_millis(100);
-/// The least amount that is worth a message when nobody waits.
-const LEAST_STOCK: Tokens = Tokens::whole(1);
-/// The least time after which a refused caller is asked to come back.
-const MIN_RETRY: Span = Span::from_millis(1);
 
 /// `Account` joins the owner's and the borrower's side of one workspace at one VM.
 #[derive(Clone, Debug)]
 pub struct Account {
-    workspace: WorkspaceId,
-    limit: Limit,
+    pub(super) workspace: WorkspaceId,
+    pub(super) limit: Limit,
     since: Time,
     epoch: u64,
     resync: Option<Time>,
-    owner: RateOwner,
-    borrower: RateBorrower,
-    meter: DemandMeter,
-    peers: Vec<Peer>,
-    queue: WaitQueue,
+    pub(super) owner: RateOwner,
+    pub(super) borrower: RateBorrower,
+    pub(super) meter: DemandMeter,
+    pub(super) peers: Vec<Peer>,
+    pub(super) queue: WaitQueue,
     /// The time before which no tokens are asked for that nobody waits for.
-    restock: Time,
+    pub(super) restock: Time,
     /// The time of the earliest scheduled wake.
     pub wake: Option<Time>,
 }
@@ -264,75 +248,6 @@
         peers::update(&mut self.peers, now, self.limit, others);
     }
 
-    fn lend(&mut self, ctx: &mut Context<'_>, need: Need) -> LimitReply {
-        if !ctx.ownership.is_valid(ctx.now) || !self.owner.owns_any() {
-            return LimitReply::NotOwner;
-        }
-        let need = Need { own: self.meter.per_second(ctx.now), ..need };
-        let Need { from, demand, .. } = need;
-        let loan = self.owner.lend(ctx.now, self.limit, need, ctx.next_loan());
-        let lent = loan.map_or(Tokens::ZERO, |loan| loan.level);
-        let rest = need.tokens.saturating_sub(lent);
-        let stock = need.stock.saturating_sub(lent.saturating_sub(need.tokens));
-        let stock = stock.min(self.owner.plenty(ctx.now, self.limit, rest));
-        let grant = self.owner.grant(ctx.now, self.limit, rest + stock, ctx.next_loan());
-        let granted = grant.map_or(Tokens::ZERO, |grant| grant.amount);
-        let lent = self.owner.lent_beside(from);
-        let short = granted < rest && 0 < lent;
-        if short {
-            self.recall(ctx, from);
-        } else {
-            self.probe(ctx, from, demand);
-        }
-        let left = self.owner.available(ctx.now, self.limit);
-        LimitReply::Lent { grant, loan, left, lent, again: short.then_some(RECALL_WAIT) }
-    }
-
-    fn renew(&mut self, ctx: &Context<'_>, from: VmId, loan: LoanId, demand: Tokens) -> LimitReply {
-        let valid = ctx.ownership.is_valid(ctx.now);
-        if valid && self.owner.renew(ctx.now, self.limit, from, loan, demand) {
-            LimitReply::Renewed
-        } else {
-            LimitReply::Ended
-        }
-    }
-
-    fn recall(&mut self, ctx: &mut Context<'_>, from: VmId) {
-        for recall in self.owner.recalls(ctx.now, from) {
-            ctx.send(recall.to, self.workspace, Ask::Recall { loan: recall.loan });
-        }
-    }
-
-    fn probe(&mut self, ctx: &mut Context<'_>, from: VmId, demand: Tokens) {
-        for probe in self.owner.probes(ctx.now, from) {
-            ctx.send(probe.to, self.workspace, Ask::Probe { loan: probe.loan, demand });
-        }
-    }
-
-    fn note_answer(&mut self, now: Time, at: usize, asked: Tokens, reply: Option<&LimitReply>) {
-        let limit = self.limit;
-        let free = self.free(at);
-        let peer = &mut self.peers[at];
-        match reply {
-            Some(LimitReply::Lent { again: Some(again), .. }) => {
-                peer.recalls(now, limit, free, *again);
-            }
-            Some(LimitReply::Lent { grant, loan: None, .. })
-                if grant.map_or(Tokens::ZERO, |grant| grant.amount).0 < asked.0 / 2 =>
-            {
-                peer.was_empty(now);
-            }
-            Some(LimitReply::Lent { left, lent, .. }) => {
-                // What a recall would bring is not known; half is a fair guess.
-                let recalled = Tokens(limit.capacity(*lent).0 / 2);
-                peer.gave(now, *left + recalled);
-            }
-            // The owner has started lately or knows of a newer owner: either passes within moments.
-            Some(LimitReply::NotOwner) => peer.was_empty(now),
-            _ => peer.failed(now),
-        }
-    }
-
     fn take_in(&mut self, now: Time, call: &Call, reply: Option<LimitReply>) {
         match (reply, &call.ask) {
             (Some(LimitReply::Lent { grant, loan, .. }), Ask::Borrow { .. }) => {
@@ -414,75 +329,7 @@
         self.plan(ctx);
     }
 
-    /// Asks the owners that probably have the most for what the waiting requests need, and for
-    /// what is probably asked for next.
-    fn plan(&mut self, ctx: &mut Context<'_>) {
-        let pending: Tokens = self.peers.iter().map(Peer::pending).sum();
-        let covered = self.available(ctx) + pending;
-        let demand = self.meter.per_second(ctx.now);
-        let need = self.queue.cost().saturating_sub(covered);
-        let wanted = if need != Tokens::ZERO {
-            self.recall(ctx, ctx.ownership.vm());
-            need + part_of(demand, STOCK)
-        } else {
-            let spare = covered.saturating_sub(self.queue.cost());
-            if part_of(demand, LOW_STOCK) <= spare || ctx.now < self.restock {
-                return;
-            }
-            self.restock = ctx.now + STOCK_INTERVAL;
-            part_of(demand, STOCK).saturating_sub(spare).max(LEAST_STOCK)
-        };
-        let mut rest = need;
-        for Part { at, amount } in plan::divide(self.offers(ctx), wanted) {
-            let to = self.peers[at].vm;
-            let settled = self.borrower.take_settled(ctx.now, to);
-            let need = amount.min(rest);
-            rest = rest.saturating_sub(need);
-            let ask = Ask::Borrow { need, stock: amount.saturating_sub(need), demand, settled };
-            let call = ctx.send(to, self.workspace, ask);
-            self.peers[at].asked(ctx.now, call, amount);
-        }
-    }
-
-    /// Gets what the peers that may be asked now are expected to have.
-    fn offers(&mut self, ctx: &Context<'_>) -> SmallVec<[Offer; 8]> {
-        let mut offers = SmallVec::new();
-        for at in 0..self.peers.len() {
-            let free = self.free(at);
-            if self.peers[at].is_ready(ctx.now) && 0 < free {
-                let left = self.peers[at].expected(ctx.now, self.limit, free);
-                offers.push(Offer::new(at, left, self.limit.capacity(free)));
-            }
-        }
-        offers
-    }
-
-    /// Gets the tokens that a request may hope for until `until`.
-    fn prospect(&mut self, ctx: &Context<'_>, until: Time) -> Tokens {
-        let refill = self.limit.refill(self.local_fractions(ctx), until.since(ctx.now));
-        self.available(ctx) + refill + self.remote_prospect(ctx)
-    }
-
-    /// Gets the tokens that owners are expected to give, and those of own loans to be recalled.
-    fn remote_prospect(&mut self, ctx: &Context<'_>) -> Tokens {
-        let mut prospect = self.limit.capacity(self.owner.lent());
-        for at in 0..self.peers.len() {
-            let free = self.free(at);
-            let peer = &mut self.peers[at];
-            prospect += peer.pending();
-            if peer.is_soon_ready(ctx.now) {
-                prospect += peer.expected(ctx.now, self.limit, free);
-            }
-        }
-        prospect
-    }
-
-    fn retry_after(&mut self, ctx: &Context<'_>, cost: Tokens) -> Span {
-        let missing = (self.queue.cost() + cost).saturating_sub(self.available(ctx));
-        self.limit.time_for(FRACTIONS, missing).max(MIN_RETRY)
-    }
-
-    fn available(&mut self, ctx: &Context<'_>) -> Tokens {
+    pub(super) fn available(&mut self, ctx: &Context<'_>) -> Tokens {
         let borrowed = self.borrower.available(ctx.now, self.limit);
         if !ctx.ownership.is_valid(ctx.now) {
             return borrowed;
@@ -508,17 +355,11 @@
         }
     }
 
-    fn local_fractions(&self, ctx: &Context<'_>) -> u32 {
+    pub(super) fn local_fractions(&self, ctx: &Context<'_>) -> u32 {
         let own = if ctx.ownership.is_valid(ctx.now) { self.owner.home() } else { 0 };
         own + self.borrower.fractions()
     }
 
-    /// Gets the fractions of a peer that are not held here.
-    fn free(&self, at: usize) -> u32 {
-        let peer = &self.peers[at];
-        peer.fractions.saturating_sub(self.borrower.fractions_of(peer.vm))
-    }
-
     fn is_idle(&mut self, now: Time) -> bool {
         self.queue.is_empty()
             && self.resync.is_none()
@@ -527,8 +368,3 @@
             && self.owner.is_idle(now, self.limit)
     }
 }
-
-/// Gets the tokens of `demand`, which is a second's, in `span`.
-fn part_of(demand: Tokens, span: Span) -> Tokens {
-    Tokens::from_f64(demand.as_f64() * span.as_secs_f64())
-}
--- /dev/null
+++ b/oleander-limits/src/rates/context.rs
@@ -0,0 +1,80 @@
+//! What an account needs of the others while it handles one event.
+
+use std::collections::HashMap;
+
+use oleander_core::ids::VmId;
+use oleander_core::ids::WorkspaceId;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+
+use crate::messages::Ask;
+use crate::messages::LimitRequest;
+use crate::messages::LoanId;
+use crate::rates::actions::Action;
+use crate::rates::actions::Call;
+use crate::rates::actions::CallId;
+use crate::rates::actions::Ticket;
+use crate::rates::ownership::Ownership;
+
+/// `Shared` is what the accounts of all workspaces share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Who owns which fraction.
+    pub ownership: Ownership,
+    /// The calls under way.
+    pub calls: HashMap<CallId, Call>,
+    life: u64,
+    serial: u64,
+}
+
+/// `Context` is what an account needs while it handles one event.
+pub struct Context<'a> {
+    /// The time of the event.
+    pub now: Time,
+    /// The owners of the shares.
+    pub ownership: &'a Ownership,
+    life: u64,
+    serial: &'a mut u64,
+    calls: &'a mut HashMap<CallId, Call>,
+    out: &'a mut Vec<Action>,
+}
+
+impl Shared {
+    /// Makes the state of a process; `life` tells it apart from all others.
+    pub fn new(ownership: Ownership, life: u64) -> Self {
+        Self { ownership, calls: HashMap::new(), life, serial: 0 }
+    }
+
+    /// Makes the context of one event; its actions go to `out`.
+    pub fn context<'a>(&'a mut self, now: Time, out: &'a mut Vec<Action>) -> Context<'a> {
+        let Self { ownership, life, serial, calls } = self;
+        Context { now, ownership, life: *life, serial, calls, out }
+    }
+}
+
+impl Context<'_> {
+    /// Sends a request and remembers the call.
+    pub fn send(&mut self, to: VmId, workspace: WorkspaceId, ask: Ask) -> CallId {
+        *self.serial += 1;
+        let id = CallId(*self.serial);
+        self.calls.insert(id, Call { id, to, workspace, sent: self.now, ask: ask.clone() });
+        self.out.push(Action::Send { to, call: id, request: LimitRequest { workspace, ask } });
+        id
+    }
+
+    /// Lets a waiting request run.
+    pub fn admit(&mut self, ticket: Ticket) {
+        self.out.push(Action::Admit(ticket));
+    }
+
+    /// Refuses a waiting request.
+    pub fn refuse(&mut self, ticket: Ticket, retry_after: Span) {
+        self.out.push(Action::Refuse { ticket, retry_after });
+    }
+
+    /// Makes the name of a new loan or grant.
+    pub fn next_loan(&mut self) -> LoanId {
+        *self.serial += 1;
+        LoanId { life: self.life, serial: *self.serial }
+    }
+}
--- /dev/null
+++ b/oleander-limits/src/rates/lending.rs
@@ -0,0 +1,68 @@
+//! What one VM gives of a workspace's rate to others, and asks back.
+
+use oleander_core::ids::VmId;
+use oleander_core::time::Span;
+
+use crate::messages::Ask;
+use crate::messages::LimitReply;
+use crate::messages::LoanId;
+use crate::rates::account::Account;
+use crate::rates::context::Context;
+use crate::rates::owner::Need;
+use crate::rates::tokens::Tokens;
+
+/// The time after which a borrower asks again while the owner recalls a loan.
+const RECALL_WAIT: Span = Span::from_millis(5);
+
+impl Account {
+    pub(super) fn lend(&mut self, ctx: &mut Context<'_>, need: Need) -> LimitReply {
+        if !ctx.ownership.is_valid(ctx.now) || !self.owner.owns_any() {
+            return LimitReply::NotOwner;
+        }
+        let need = Need { own: self.meter.per_second(ctx.now), ..need };
+        let Need { from, demand, .. } = need;
+        let loan = self.owner.lend(ctx.now, self.limit, need, ctx.next_loan());
+        let lent = loan.map_or(Tokens::ZERO, |loan| loan.level);
+        let rest = need.tokens.saturating_sub(lent);
+        let stock = need.stock.saturating_sub(lent.saturating_sub(need.tokens));
+        let stock = stock.min(self.owner.plenty(ctx.now, self.limit, rest));
+        let grant = self.owner.grant(ctx.now, self.limit, rest + stock, ctx.next_loan());
+        let granted = grant.map_or(Tokens::ZERO, |grant| grant.amount);
+        let lent = self.owner.lent_beside(from);
+        let short = granted < rest && 0 < lent;
+        if short {
+            self.recall(ctx, from);
+        } else {
+            self.probe(ctx, from, demand);
+        }
+        let left = self.owner.available(ctx.now, self.limit);
+        LimitReply::Lent { grant, loan, left, lent, again: short.then_some(RECALL_WAIT) }
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        ctx: &Context<'_>,
+        from: VmId,
+        loan: LoanId,
+        demand: Tokens,
+    ) -> LimitReply {
+        let valid = ctx.ownership.is_valid(ctx.now);
+        if valid && self.owner.renew(ctx.now, self.limit, from, loan, demand) {
+            LimitReply::Renewed
+        } else {
+            LimitReply::Ended
+        }
+    }
+
+    pub(super) fn recall(&mut self, ctx: &mut Context<'_>, from: VmId) {
+        for recall in self.owner.recalls(ctx.now, from) {
+            ctx.send(recall.to, self.workspace, Ask::Recall { loan: recall.loan });
+        }
+    }
+
+    fn probe(&mut self, ctx: &mut Context<'_>, from: VmId, demand: Tokens) {
+        for probe in self.owner.probes(ctx.now, from) {
+            ctx.send(probe.to, self.workspace, Ask::Probe { loan: probe.loan, demand });
+        }
+    }
+}
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -10,11 +10,15 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
-use crate::messages::Ask;
 use crate::messages::LimitReply;
 use crate::messages::LimitRequest;
-use crate::messages::LoanId;
 use crate::rates::account::Account;
+use crate::rates::actions::Action;
+use crate::rates::actions::CallId;
+use crate::rates::actions::Decision;
+use crate::rates::actions::Ticket;
+use crate::rates::context::Context;
+use crate::rates::context::Shared;
 use crate::rates::owner::WAIT_OUT;
 use crate::rates::ownership::Ownership;
 use crate::rates::tokens::FRACTIONS;
@@ -24,66 +28,6 @@
 /// The time after which a call without an answer is forgotten.
 const CALL_LIFE: Span = Span::from_secs(5);
 
-/// `Ticket` names one request at the limiter; the caller chooses it and never uses it twice.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Ticket(pub u64);
-
-/// `CallId` names one request to another VM until its answer.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct CallId(pub u64);
-
-/// `Decision` is the answer to a request for tokens.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Decision {
-    /// The request may run; its tokens are spent.
-    Admit,
-    /// An `Action::Admit` or `Action::Refuse` follows within a bounded time.
-    Wait,
-    /// The workspace is over its rate.
-    Refuse {
-        /// The time after which the tokens would be there if nobody else took them.
-        retry_after: Span,
-    },
-}
-
-/// `Action` is what the caller does for the limiter.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Sends a request and hands its answer, or `None` if there is none, to `RateLimiter::handle_reply`.
-    Send {
-        /// The receiver.
-        to: VmId,
-        /// The name under which the answer is handed in.
-        call: CallId,
-        /// The request.
-        request: LimitRequest,
-    },
-    /// Lets a waiting request run.
-    Admit(Ticket),
-    /// Refuses a waiting request.
-    Refuse {
-        /// The request.
-        ticket: Ticket,
-        /// The time after which the caller should come back.
-        retry_after: Span,
-    },
-}
-
-/// `Call` is an open request to another VM.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// The name.
-    pub id: CallId,
-    /// The receiver.
-    pub to: VmId,
-    /// The workspace.
-    pub workspace: WorkspaceId,
-    /// The time of sending, from which holds are counted.
-    pub sent: Time,
-    /// What was asked.
-    pub ask: Ask,
-}
-
 /// `RateLimiter` decides for one proxy which requests are within their workspace's rate.
 #[derive(Debug)]
 pub struct RateLimiter {
@@ -96,32 +40,12 @@
     limited: bool,
 }
 
-#[derive(Debug)]
-struct Shared {
-    ownership: Ownership,
-    life: u64,
-    serial: u64,
-    calls: HashMap<CallId, Call>,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Configured {
     limit: Limit,
     since: Time,
 }
 
-/// `Context` is what an account needs while it handles one event.
-pub struct Context<'a> {
-    /// The time of the event.
-    pub now: Time,
-    /// The owners of the shares.
-    pub ownership: &'a Ownership,
-    life: u64,
-    serial: &'a mut u64,
-    calls: &'a mut HashMap<CallId, Call>,
-    out: &'a mut Vec<Action>,
-}
-
 impl RateLimiter {
     /// Makes a limiter without limits and shares.
     ///
@@ -138,7 +62,7 @@
     pub fn with_groups(vm: VmId, life: u64, groups: u32) -> Self {
         let ownership = Ownership::new(vm, groups);
         Self {
-            shared: Shared { ownership, life, serial: 0, calls: HashMap::new() },
+            shared: Shared::new(ownership, life),
             limits: HashMap::new(),
             accounts: HashMap::new(),
             wakes: BinaryHeap::new(),
@@ -359,37 +283,3 @@
         self.shared.calls.retain(|_, call| now.since(call.sent) < CALL_LIFE);
     }
 }
-
-impl Shared {
-    fn context<'a>(&'a mut self, now: Time, out: &'a mut Vec<Action>) -> Context<'a> {
-        let Self { ownership, life, serial, calls } = self;
-        Context { now, ownership, life: *life, serial, calls, out }
-    }
-}
-
-impl Context<'_> {
-    /// Sends a request and remembers the call.
-    pub fn send(&mut self, to: VmId, workspace: WorkspaceId, ask: Ask) -> CallId {
-        *self.serial += 1;
-        let id = CallId(*self.serial);
-        self.calls.insert(id, Call { id, to, workspace, sent: self.now, ask: ask.clone() });
-        self.out.push(Action::Send { to, call: id, request: LimitRequest { workspace, ask } });
-        id
-    }
-
-    /// Lets a waiting request run.
-    pub fn admit(&mut self, ticket: Ticket) {
-        self.out.push(Action::Admit(ticket));
-    }
-
-    /// Refuses a waiting request.
-    pub fn refuse(&mut self, ticket: Ticket, retry_after: Span) {
-        self.out.push(Action::Refuse { ticket, retry_after });
-    }
-
-    /// Makes the name of a new loan or grant.
-    pub fn next_loan(&mut self) -> LoanId {
-        *self.serial += 1;
-        LoanId { life: self.life, serial: *self.serial }
-    }
-}
--- a/oleander-limits/src/rates/mod.rs
+++ b/oleander-limits/src/rates/mod.rs
@@ -8,8 +8,12 @@
 //! admitted cost in any window is at most burst + rate × window.
 
 pub mod account;
+pub mod actions;
+mod asking;
 pub mod borrower;
+pub mod context;
 pub mod demand;
+mod lending;
 pub mod limiter;
 pub mod owner;
 pub mod overflow;
--- a/oleander-limits/src/rates/peers.rs
+++ b/oleander-limits/src/rates/peers.rs
@@ -5,7 +5,7 @@
 use oleander_core::time::Time;
 use smallvec::SmallVec;
 
-use crate::rates::limiter::CallId;
+use crate::rates::actions::CallId;
 use crate::rates::ownership::FractionOwner;
 use crate::rates::tokens::Bucket;
 use crate::rates::tokens::Limit;
--- a/oleander-limits/src/rates/waiting.rs
+++ b/oleander-limits/src/rates/waiting.rs
@@ -4,7 +4,7 @@
 
 use oleander_core::time::Time;
 
-use crate::rates::limiter::Ticket;
+use crate::rates::actions::Ticket;
 use crate::rates::tokens::Tokens;
 
 /// `WaitingRequest` is a request that is expected to get its tokens in time.
--- a/oleander-load/src/capacity/homes.rs
+++ b/oleander-load/src/capacity/homes.rs
@@ -4,12 +4,12 @@
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
-use oleander_limits::home::queue::Class;
 use oleander_limits::home::queue::Connection;
 use oleander_limits::home::queue::HomeQueue;
 use oleander_limits::home::queue::QueueOptions;
-use oleander_limits::home::queue::Ticket;
-use oleander_limits::home::queue::Waiting;
+use oleander_limits::home::request::Class;
+use oleander_limits::home::request::Ticket;
+use oleander_limits::home::request::Waiting;
 use oleander_limits::home::slots::Part;
 use oleander_limits::home::slots::Slots;
 
--- a/oleander-load/src/experiments/fairness/fifo.rs
+++ b/oleander-load/src/experiments/fairness/fifo.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use oleander_core::time::Time;
-use oleander_limits::home::queue::Ticket;
-use oleander_limits::home::queue::Waiting;
+use oleander_limits::home::request::Ticket;
+use oleander_limits::home::request::Waiting;
 
 /// `Fifo` serves requests in order of arrival and drops those past their deadline.
 #[derive(Debug, Default)]
--- a/oleander-load/src/experiments/rates/fleet.rs
+++ b/oleander-load/src/experiments/rates/fleet.rs
@@ -8,11 +8,11 @@
 use oleander_core::timers::TimerQueue;
 use oleander_limits::messages::LimitReply;
 use oleander_limits::messages::LimitRequest;
-use oleander_limits::rates::limiter::Action;
-use oleander_limits::rates::limiter::CallId;
-use oleander_limits::rates::limiter::Decision;
+use oleander_limits::rates::actions::Action;
+use oleander_limits::rates::actions::CallId;
+use oleander_limits::rates::actions::Decision;
+use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
-use oleander_limits::rates::limiter::Ticket;
 use oleander_limits::rates::tokens::FRACTIONS;
 
 use crate::experiments::rates::LATENCY;
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -11,7 +11,7 @@
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
-use oleander_limits::home::queue::Class;
+use oleander_limits::home::request::Class;
 use oleander_limits::home::slots::Part;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::upstream::Reply;
--- a/oleander-proxy/src/home/table.rs
+++ b/oleander-proxy/src/home/table.rs
@@ -9,7 +9,7 @@
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::terms::LogPoint;
-use oleander_limits::home::queue::Ticket;
+use oleander_limits::home::request::Ticket;
 use oleander_limits::home::transactions::TransactionLimits;
 use oleander_limits::home::transactions::Transactions;
 use oleander_upstream::connection::Connection;
