End circles of imports in the homes, the membership and the experiments

Cause: home::instance, connections and transactions imported each other, and so did membership's messages and roster, and parts of three experiments with the modules that hold them.

Change: the connections of an instance are a part of their own that the home, leases and open transactions share; a transaction rolls itself back, and the registry, not the home, keeps it between its statements. Member and its state stand in membership::member; what an experiment's parts share stands beside them. No behaviour changes.

--- a/oleander-agent/src/observer.rs
+++ b/oleander-agent/src/observer.rs
@@ -5,9 +5,9 @@
 use oleander_core::events::Event;
 use oleander_core::ids::VmId;
 use oleander_core::time::Time;
+use oleander_membership::member::Member;
+use oleander_membership::member::MemberState;
 use oleander_membership::node::Node;
-use oleander_membership::roster::Member;
-use oleander_membership::roster::MemberState;
 use oleander_membership::shares::ShareMap;
 use oleander_runtime::logs::Field;
 
--- a/oleander-agent/src/status.rs
+++ b/oleander-agent/src/status.rs
@@ -4,7 +4,7 @@
 use oleander_core::ids::Revision;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
-use oleander_membership::roster::MemberState;
+use oleander_membership::member::MemberState;
 use serde::Serialize;
 
 use crate::shared::Shared;
--- a/oleander-ctl/src/fleet.rs
+++ b/oleander-ctl/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use futures::future::join_all;
 use oleander_core::time::Span;
-use oleander_membership::roster::Member;
+use oleander_membership::member::Member;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
--- a/oleander-load/src/experiments/config_spread/fleet.rs
+++ b/oleander-load/src/experiments/config_spread/fleet.rs
@@ -13,6 +13,8 @@
 use oleander_core::timers::TimerQueue;
 use oleander_membership::head::BodyHash;
 use oleander_membership::head::Head;
+use oleander_membership::member::Member;
+use oleander_membership::member::MemberState;
 use oleander_membership::messages::MemberReply;
 use oleander_membership::messages::MemberRequest;
 use oleander_membership::messages::SectionCopy;
@@ -24,8 +26,6 @@
 use oleander_membership::node::SharePlan;
 use oleander_membership::node::StoreState;
 use oleander_membership::patch::Patch;
-use oleander_membership::roster::Member;
-use oleander_membership::roster::MemberState;
 use oleander_membership::shares::ShareMap;
 use oleander_membership::spread::Candidate;
 use oleander_peer::codec;
@@ -36,9 +36,10 @@
 use rand_chacha::rand_core::SeedableRng as _;
 
 use crate::experiments::config_spread::document;
-use crate::experiments::config_spread::new_histogram;
-use crate::experiments::config_spread::store::Platform;
+use crate::experiments::config_spread::platform::Platform;
+use crate::experiments::config_spread::platform::STORE_TIME;
 use crate::experiments::config_spread::traffic::Traffic;
+use crate::experiments::config_spread::traffic::new_histogram;
 
 /// The regions of the fleet.
 const REGIONS: usize = 3;
@@ -49,9 +50,6 @@
 /// The time of a message between regions, one way.
 const FAR: Span = Span::from_millis(10);
 
-/// The time of a call to the store beside the way there and back.
-pub(super) const STORE_TIME: Span = Span::from_millis(3);
-
 /// The time of the check of a configuration, for each VM of the fleet that the sections serve.
 const CHECK_TIME_PER_VM: Span = Span::from_micros(100);
 
--- a/oleander-load/src/experiments/config_spread/mod.rs
+++ b/oleander-load/src/experiments/config_spread/mod.rs
@@ -6,15 +6,16 @@
 
 mod document;
 mod fleet;
+mod platform;
 mod store;
 mod traffic;
 
-use hdrhistogram::Histogram;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
 use crate::experiments::config_spread::fleet::Fleet;
 use crate::experiments::config_spread::fleet::FleetOptions;
+use crate::experiments::config_spread::traffic::new_histogram;
 use crate::report::Report;
 use crate::report::Table;
 
@@ -251,12 +252,6 @@
     report.tables.push(table);
 }
 
-/// Makes a histogram of times in microseconds.
-fn new_histogram() -> Histogram<u64> {
-    // The bounds are valid, so making the histogram cannot fail.
-    Histogram::new_with_bounds(1, 3_600_000_000, 3).unwrap_or_else(|_| unreachable!("valid bounds"))
-}
-
 fn millis(micros: u64) -> String {
     format!("{:.0}", Time(micros).0 as f64 / 1_000.0)
 }
--- a/oleander-load/src/experiments/config_spread/store.rs
+++ b/oleander-load/src/experiments/config_spread/store.rs
@@ -1,4 +1,4 @@
-//! The fake store of the experiment.
+//! What the VMs of the experiment do at the fake store.
 
 use oleander_core::ids::ChangeId;
 use oleander_core::ids::Revision;
@@ -6,28 +6,16 @@
 use oleander_membership::head::BodyHash;
 use oleander_membership::head::Edit;
 use oleander_membership::head::EditOutcome;
-use oleander_membership::head::Head;
 use oleander_membership::node::Action;
 use oleander_membership::node::SharePlan;
 use oleander_membership::node::StoreState;
-use oleander_membership::shares::ShareMap;
 use rand_chacha::rand_core::Rng as _;
 
 use crate::experiments::config_spread::document;
 use crate::experiments::config_spread::fleet::Event;
 use crate::experiments::config_spread::fleet::Fleet;
-use crate::experiments::config_spread::fleet::STORE_TIME;
-
-/// `Platform` is the fake store.
-pub(super) struct Platform {
-    pub(super) up: bool,
-    pub(super) head: Head,
-    pub(super) texts: Vec<String>,
-    pub(super) shares: ShareMap,
-    pub(super) stored: u64,
-    pub(super) published: Time,
-    pub(super) edits: u64,
-}
+use crate::experiments::config_spread::platform::Platform;
+use crate::experiments::config_spread::platform::STORE_TIME;
 
 impl Fleet {
     pub(super) fn read(&mut self, vm: usize, asked: Time) {
--- a/oleander-load/src/experiments/config_spread/traffic.rs
+++ b/oleander-load/src/experiments/config_spread/traffic.rs
@@ -1,5 +1,6 @@
 //! What control costs: messages, bytes, calls to the store, time spent in decisions.
 
+use hdrhistogram::Histogram;
 use std::time::Duration;
 
 use oleander_core::time::Time;
@@ -96,3 +97,10 @@
         }
     }
 }
+
+/// Makes a histogram of times in microseconds, up to an hour.
+/// Makes a histogram of times in microseconds.
+pub(super) fn new_histogram() -> Histogram<u64> {
+    // The bounds are valid, so making the histogram cannot fail.
+    Histogram::new_with_bounds(1, 3_600_000_000, 3).unwrap_or_else(|_| unreachable!("valid bounds"))
+}
--- a/oleander-load/src/experiments/fairness/bench.rs
+++ b/oleander-load/src/experiments/fairness/bench.rs
@@ -17,8 +17,6 @@
 use rand_chacha::ChaCha8Rng;
 use strum::Display;
 
-use crate::experiments::fairness::NOISY;
-use crate::experiments::fairness::WORKSPACES;
 use crate::experiments::fairness::fifo::Fifo;
 
 /// The instances; the first is the primary.
@@ -40,6 +38,11 @@
 /// The interval in which overdue requests are dropped.
 const EXPIRY_INTERVAL: Span = Span::from_millis(5);
 
+/// The workspaces that share the home.
+pub(super) const WORKSPACES: usize = 8;
+/// The workspace that sends too much in the second half of the comparison.
+pub(super) const NOISY: usize = 0;
+
 /// `Policy` is the order in which requests start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/oleander-load/src/experiments/fairness/mod.rs
+++ b/oleander-load/src/experiments/fairness/mod.rs
@@ -6,15 +6,13 @@
 use oleander_core::time::Span;
 
 use crate::experiments::fairness::bench::Load;
+use crate::experiments::fairness::bench::NOISY;
 use crate::experiments::fairness::bench::Policy;
 use crate::experiments::fairness::bench::Result;
+use crate::experiments::fairness::bench::WORKSPACES;
 use crate::report::Report;
 use crate::report::Table;
 
-/// The workspaces that share the home.
-const WORKSPACES: usize = 8;
-/// The workspace that sends too much in the second half of the comparison.
-const NOISY: usize = 0;
 /// How many times its rate the noisy workspace sends.
 const EXCESS: f64 = 10.0;
 /// The least rate of timely answers, as a part of what the workspace gets alone.
--- a/oleander-load/src/experiments/rates/baselines.rs
+++ b/oleander-load/src/experiments/rates/baselines.rs
@@ -8,11 +8,11 @@
 use oleander_limits::rates::tokens::Limit;
 use oleander_limits::rates::tokens::Tokens;
 
-use crate::experiments::rates::LATENCY;
-use crate::experiments::rates::Outcome;
-use crate::experiments::rates::VMS;
 use crate::experiments::rates::scenarios::Arrival;
 use crate::experiments::rates::scenarios::Scenario;
+use crate::experiments::rates::setup::LATENCY;
+use crate::experiments::rates::setup::Outcome;
+use crate::experiments::rates::setup::VMS;
 
 /// Decides each request on one bucket of `fractions` fractions without any delay.
 pub fn ideal(scenario: &Scenario, fractions: u32, arrivals: &[Arrival]) -> Vec<bool> {
--- a/oleander-load/src/experiments/rates/fleet.rs
+++ b/oleander-load/src/experiments/rates/fleet.rs
@@ -15,12 +15,12 @@
 use oleander_limits::rates::limiter::RateLimiter;
 use oleander_limits::rates::tokens::FRACTIONS;
 
-use crate::experiments::rates::LATENCY;
-use crate::experiments::rates::Outcome;
-use crate::experiments::rates::VMS;
 use crate::experiments::rates::scenarios::Arrival;
 use crate::experiments::rates::scenarios::Scenario;
 use crate::experiments::rates::scenarios::WARM_UP;
+use crate::experiments::rates::setup::LATENCY;
+use crate::experiments::rates::setup::Outcome;
+use crate::experiments::rates::setup::VMS;
 
 /// The shares of the fleet; share `i` belongs to VM `i % VMS`.
 const SHARES: usize = 64;
--- a/oleander-load/src/experiments/rates/mod.rs
+++ b/oleander-load/src/experiments/rates/mod.rs
@@ -6,65 +6,22 @@
 mod baselines;
 mod fleet;
 mod scenarios;
+mod setup;
 
 use oleander_core::time::Span;
 
 use crate::experiments::rates::scenarios::SCENARIOS;
 use crate::experiments::rates::scenarios::Scenario;
 use crate::experiments::rates::scenarios::Target;
+use crate::experiments::rates::setup::LATENCY;
+use crate::experiments::rates::setup::Outcome;
+use crate::experiments::rates::setup::VMS;
 use crate::report::Report;
 use crate::report::Table;
 
-/// The time of a message between two VMs, one way.
-const LATENCY: Span = Span::from_millis(20);
-/// The VMs of the fleet.
-const VMS: usize = 9;
 /// The workspaces of each scenario, which differ in the owners of their fractions.
 const WORKSPACES: u64 = 8;
 
-/// `Outcome` is what became of the requests under one policy.
-#[derive(Clone, Debug, Default)]
-struct Outcome {
-    offered: u64,
-    refused: u64,
-    wrongful: u64,
-    waits: Vec<Span>,
-    messages: u64,
-    admitted: Vec<bool>,
-}
-
-impl Outcome {
-    /// Counts refusals against what the ideal bucket admitted.
-    fn judge(&mut self, ideal: &[bool]) {
-        self.offered = ideal.len() as u64;
-        let pairs = || self.admitted.iter().zip(ideal);
-        self.refused = self.admitted.iter().filter(|admitted| !**admitted).count() as u64;
-        self.wrongful = pairs().filter(|(admitted, ideal)| !**admitted && **ideal).count() as u64;
-    }
-
-    fn add(&mut self, other: Outcome) {
-        self.offered += other.offered;
-        self.refused += other.refused;
-        self.wrongful += other.wrongful;
-        self.messages += other.messages;
-        self.waits.extend(other.waits);
-    }
-
-    fn refused_share(&self) -> f64 {
-        self.refused as f64 / self.offered.max(1) as f64
-    }
-
-    fn wrongful_share(&self) -> f64 {
-        self.wrongful as f64 / self.offered.max(1) as f64
-    }
-
-    fn wait_quantile(&mut self, quantile: f64) -> Span {
-        self.waits.sort_unstable();
-        let at = (self.waits.len() as f64 * quantile) as usize;
-        self.waits.get(at.min(self.waits.len().saturating_sub(1))).copied().unwrap_or_default()
-    }
-}
-
 /// Runs the experiment.
 pub fn run(seed: u64) -> Report {
     let mut report = Report::new("rates over the whole fleet", seed);
--- a/oleander-load/src/experiments/rates/scenarios.rs
+++ b/oleander-load/src/experiments/rates/scenarios.rs
@@ -7,7 +7,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::experiments::rates::VMS;
+use crate::experiments::rates::setup::VMS;
 
 /// The time before the first arrival, in which new owners wait and buckets fill.
 pub const WARM_UP: Span = Span::from_secs(10);
--- /dev/null
+++ b/oleander-load/src/experiments/rates/setup.rs
@@ -0,0 +1,55 @@
+//! The fleet of the experiment, and what became of its requests.
+
+use oleander_core::time::Span;
+
+/// The time of a message between two VMs, one way.
+pub(super) const LATENCY: Span = Span::from_millis(20);
+/// The VMs of the fleet.
+pub(super) const VMS: usize = 9;
+
+/// `Outcome` is what became of the requests under one policy.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Outcome {
+    pub(super) offered: u64,
+    pub(super) refused: u64,
+    pub(super) wrongful: u64,
+    pub(super) waits: Vec<Span>,
+    pub(super) messages: u64,
+    pub(super) admitted: Vec<bool>,
+}
+
+impl Outcome {
+    /// Counts refusals against what the ideal bucket admitted.
+    pub(super) fn judge(&mut self, ideal: &[bool]) {
+        self.offered = ideal.len() as u64;
+        let pairs = || self.admitted.iter().zip(ideal);
+        self.refused = self.admitted.iter().filter(|admitted| !**admitted).count() as u64;
+        self.wrongful = pairs().filter(|(admitted, ideal)| !**admitted && **ideal).count() as u64;
+    }
+
+    /// Adds the counts of another run.
+    pub(super) fn add(&mut self, other: Outcome) {
+        self.offered += other.offered;
+        self.refused += other.refused;
+        self.wrongful += other.wrongful;
+        self.messages += other.messages;
+        self.waits.extend(other.waits);
+    }
+
+    /// Gets the part of the requests that was refused.
+    pub(super) fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.offered.max(1) as f64
+    }
+
+    /// Gets the part of the requests that was refused wrongfully.
+    pub(super) fn wrongful_share(&self) -> f64 {
+        self.wrongful as f64 / self.offered.max(1) as f64
+    }
+
+    /// Gets a quantile of the waits.
+    pub(super) fn wait_quantile(&mut self, quantile: f64) -> Span {
+        self.waits.sort_unstable();
+        let at = (self.waits.len() as f64 * quantile) as usize;
+        self.waits.get(at.min(self.waits.len().saturating_sub(1))).copied().unwrap_or_default()
+    }
+}
--- a/oleander-membership/src/lib.rs
+++ b/oleander-membership/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod head;
 pub mod leased;
 pub mod liveness;
+pub mod member;
 pub mod messages;
 pub mod node;
 pub mod patch;
--- a/oleander-membership/src/messages.rs
+++ b/oleander-membership/src/messages.rs
@@ -12,8 +12,8 @@
 
 use crate::head::BodyHash;
 use crate::head::SectionHead;
+use crate::member::Member;
 use crate::patch::Patch;
-use crate::roster::Member;
 use crate::shares::ShareMap;
 use crate::shares::ShareOwner;
 
--- a/oleander-membership/src/node/gossip.rs
+++ b/oleander-membership/src/node/gossip.rs
@@ -8,12 +8,12 @@
 
 use super::Action;
 use super::Node;
+use crate::member::MemberState;
 use crate::messages::MemberNews;
 use crate::messages::MemberReply;
 use crate::messages::MemberRequest;
 use crate::messages::Pull;
 use crate::messages::Pulled;
-use crate::roster::MemberState;
 use crate::shares::ShareOwner;
 
 /// The time for which rosters may differ before the whole roster is fetched.
--- a/oleander-membership/src/node/ownership.rs
+++ b/oleander-membership/src/node/ownership.rs
@@ -8,12 +8,12 @@
 
 use super::Action;
 use super::Node;
+use crate::member::Member;
+use crate::member::MemberState;
 use crate::messages::MemberRequest;
 use crate::plan;
 use crate::plan::Counts;
 use crate::plan::Parity;
-use crate::roster::Member;
-use crate::roster::MemberState;
 use crate::shares::ShareMap;
 use crate::shares::ShareOwner;
 
--- a/oleander-membership/src/node/platform.rs
+++ b/oleander-membership/src/node/platform.rs
@@ -8,10 +8,10 @@
 use super::Action;
 use super::Node;
 use crate::head::Head;
+use crate::member::Member;
+use crate::member::MemberState;
 use crate::messages::MemberNews;
 use crate::messages::StoreReading;
-use crate::roster::Member;
-use crate::roster::MemberState;
 use crate::shares::ShareMap;
 use crate::shares::ShareOwner;
 
--- a/oleander-membership/tests/world/platform.rs
+++ b/oleander-membership/tests/world/platform.rs
@@ -4,12 +4,12 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::time::Time;
+use oleander_membership::member::Member;
+use oleander_membership::member::MemberState;
 use oleander_membership::node::ListedVm;
 use oleander_membership::node::Node;
 use oleander_membership::node::SharePlan;
 use oleander_membership::node::StoreState;
-use oleander_membership::roster::Member;
-use oleander_membership::roster::MemberState;
 use oleander_membership::shares::ShareMap;
 
 use super::Event;
--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -1,6 +1,7 @@
 //! The connections of an instance at its home: lent to statements, kept, and counted.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
@@ -14,13 +15,15 @@
 use oleander_limits::home::pool::PoolOptions;
 use oleander_ports::upstream::FailureKind;
 use oleander_ports::upstream::LinkError;
+use oleander_ports::upstream::Target;
+use oleander_ports::upstream::Upstreams;
 use oleander_runtime::logs::Field;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::timer::TimerService;
 use oleander_session::work::HomeRequest;
 
 use super::backend;
 use super::backend::Backend;
-use super::instance::InstanceHome;
-use super::transactions::OpenTransaction;
 
 /// The connections of an instance that are left to the keeper and to connections that are closing.
 const RESERVED_CONNECTIONS: u32 = 2;
@@ -28,15 +31,66 @@
 /// The time within which a connection must be open: a few round trips between regions.
 const OPEN_LIMIT: Span = Span::from_millis(600);
 
-/// `Connections` is the pool of an instance.
-#[derive(Default)]
+/// `LinkParts` is what opening a connection to any instance takes.
+#[derive(Clone)]
+pub struct LinkParts {
+    /// Opens connections.
+    pub upstreams: Arc<dyn Upstreams>,
+    /// The clock and timers.
+    pub timers: TimerService,
+    /// Records what happens to connections.
+    pub journal: Journal,
+}
+
+/// `Connections` are the connections of one instance.
 pub(super) struct Connections {
-    pub(super) pool: Pool<Backend>,
+    parts: LinkParts,
+    target: Target,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    pool: Pool<Backend>,
     /// `true` once connections are closed as they come back.
-    pub(super) closed: bool,
+    closed: bool,
 }
 
-impl InstanceHome {
+impl Connections {
+    /// Makes an empty pool.
+    pub(super) fn new(parts: LinkParts, target: Target, options: PoolOptions) -> Self {
+        let mut state = State::default();
+        state.pool.set_options(options);
+        Self { parts, target, state: Mutex::new(state) }
+    }
+
+    /// Changes the bounds of the pool.
+    pub(super) fn set_options(&self, options: PoolOptions) {
+        self.lock().pool.set_options(options);
+    }
+
+    /// Closes the idle connections.
+    pub(super) fn close_idle(&self) {
+        let idle = self.lock().pool.drain();
+        drop(idle);
+    }
+
+    /// Closes connections as they come back from now on.
+    pub(super) fn close(&self) {
+        self.lock().closed = true;
+        self.close_idle();
+    }
+
+    /// Gets the number of connections, in use or idle.
+    pub(super) fn open_count(&self) -> u32 {
+        self.lock().pool.open()
+    }
+
+    /// Gets the clock and timers.
+    pub(super) fn timers(&self) -> &TimerService {
+        &self.parts.timers
+    }
+
     /// Gets a connection of the workspace, an idle one if there is one.
     pub(super) async fn connect(self: &Arc<Self>, request: &HomeRequest) -> Result<Lease, Refusal> {
         let workspace = WorkspaceId::from_name(&request.workspace);
@@ -63,7 +117,7 @@
     }
 
     async fn open(self: &Arc<Self>, workspace: &str) -> Result<Lease, Refusal> {
-        let count = CountGuard { home: self, armed: true };
+        let count = CountGuard { connections: self, armed: true };
         let opening = self.parts.upstreams.open(&self.target, workspace);
         let opened = match self.parts.timers.within(OPEN_LIMIT, opening).await {
             Some(opened) => opened,
@@ -91,34 +145,35 @@
         }
     }
 
+    /// Takes a connection back.
     pub(super) fn put_back(&self, workspace: &str, mut backend: Backend) {
         let sound = backend.is_sound();
         let mark = backend.mark();
-        let mut connections = self.lock();
-        let surplus = if sound && !connections.closed {
+        let mut state = self.lock();
+        let surplus = if sound && !state.closed {
             let now = self.parts.timers.now();
-            connections.pool.put(now, WorkspaceId::from_name(workspace), mark, backend)
+            state.pool.put(now, WorkspaceId::from_name(workspace), mark, backend)
         } else {
-            connections.pool.forget();
+            state.pool.forget();
             Some(backend)
         };
-        drop(connections);
+        drop(state);
         drop(surplus);
     }
 
-    pub(super) fn lock(&self) -> MutexGuard<'_, Connections> {
-        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// `Lease` is a connection in use by one statement; dropping it puts the connection back.
 pub(super) struct Lease {
-    home: Arc<InstanceHome>,
+    connections: Arc<Connections>,
     workspace: String,
     pub(super) backend: LeasedBackend,
 }
 
-/// `LeasedBackend` is taken out of a `Lease` that becomes a transaction.
+/// `LeasedBackend` is taken out of a `Lease` whose connection is kept for longer.
 pub(super) struct LeasedBackend(Option<Backend>);
 
 impl std::ops::Deref for LeasedBackend {
@@ -136,28 +191,37 @@
 }
 
 impl Lease {
-    fn new(home: &Arc<InstanceHome>, workspace: &str, backend: Backend) -> Self {
+    fn new(connections: &Arc<Connections>, workspace: &str, backend: Backend) -> Self {
         let backend = LeasedBackend(Some(backend));
-        Self { home: home.clone(), workspace: workspace.to_owned(), backend }
+        Self { connections: connections.clone(), workspace: workspace.to_owned(), backend }
     }
 
-    pub(super) fn into_transaction(mut self, request: &HomeRequest) -> OpenTransaction {
+    /// Takes the connection out, which is no longer put back by itself.
+    pub(super) fn keep(mut self) -> Kept {
         let backend = self.backend.0.take().expect("a lease holds its backend until it is dropped");
-        OpenTransaction::new(self.home.clone(), self.workspace.clone(), request.rest, backend)
+        let workspace = std::mem::take(&mut self.workspace);
+        Kept { connections: self.connections.clone(), workspace, backend }
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
         if let Some(backend) = self.backend.0.take() {
-            self.home.put_back(&self.workspace, backend);
+            self.connections.put_back(&self.workspace, backend);
         }
     }
 }
 
+/// `Kept` is a connection that was taken out of a lease, with what takes it back.
+pub(super) struct Kept {
+    pub(super) connections: Arc<Connections>,
+    pub(super) workspace: String,
+    pub(super) backend: Backend,
+}
+
 /// `CountGuard` takes a connection out of the count that was not opened.
 struct CountGuard<'a> {
-    home: &'a InstanceHome,
+    connections: &'a Connections,
     armed: bool,
 }
 
@@ -170,7 +234,7 @@
 impl Drop for CountGuard<'_> {
     fn drop(&mut self) {
         if self.armed {
-            self.home.lock().pool.forget();
+            self.connections.lock().pool.forget();
         }
     }
 }
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -1,12 +1,10 @@
 //! One instance at its home: admission and the run of statements.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::WorkspaceId;
-use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -16,54 +14,47 @@
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
-use oleander_ports::upstream::Upstreams;
-use oleander_runtime::logs::Journal;
-use oleander_runtime::timer::TimerService;
 use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
-use oleander_session::work::Scope;
 use oleander_session::work::Work;
 
 use super::backend;
-use super::backend::Backend;
 use super::backend::Statement;
 use super::backend::Wrap;
 use super::connections::Connections;
+use super::connections::LinkParts;
 use super::connections::pool_options;
+use super::open::OpenTransaction;
 use super::slots::InstanceSlots;
 use super::slots::Permit;
 use super::slots::Wanted;
-use super::transactions::OpenTransaction;
-use super::transactions::Transactions;
 use crate::fleet::Instance;
 use crate::primaries::Primaries;
 
-/// The time within which a transaction must be rolled back, or its connection is closed.
-const ROLLBACK_LIMIT: Span = Span::from_millis(500);
-
 /// `HomeParts` is what all homes of a VM share.
 pub struct HomeParts {
-    /// Opens connections.
-    pub upstreams: Arc<dyn Upstreams>,
+    /// What opening a connection takes.
+    pub links: LinkParts,
     /// What is known of primaries.
     pub primaries: Arc<Primaries>,
-    /// The open transactions.
-    pub transactions: Transactions,
-    /// The clock and timers.
-    pub timers: TimerService,
-    /// Records what happens to connections.
-    pub journal: Journal,
+}
+
+/// `Ran` is the answer to a statement of a transaction, with the transaction unless it has ended.
+pub struct Ran {
+    /// The answer.
+    pub answer: HomeAnswer,
+    /// The transaction, which waits for its next statement.
+    pub open: Option<OpenTransaction>,
 }
 
 /// `InstanceHome` runs the statements of one instance.
 pub struct InstanceHome {
-    pub(super) parts: Arc<HomeParts>,
-    pub(super) target: Target,
+    parts: Arc<HomeParts>,
     database: DatabaseId,
     key: InstanceKey,
     slots: InstanceSlots,
-    pub(super) pool: Mutex<Connections>,
+    connections: Arc<Connections>,
 }
 
 impl InstanceHome {
@@ -72,14 +63,12 @@
         let DirectoryEntry { instance: name, database, address, .. } = instance.entry.clone();
         let options = pool_options(connections);
         let part = Part { slots: instance.entry.slots.max(1), connections: options.cap };
-        let mut pool = Connections::default();
-        pool.pool.set_options(options);
+        let target = Target { address, database, instance: name };
         Self {
-            slots: InstanceSlots::new(parts.timers.clone(), part),
-            target: Target { address, database, instance: name },
+            slots: InstanceSlots::new(parts.links.timers.clone(), part),
             database: instance.database,
             key: instance.key,
-            pool: Mutex::new(pool),
+            connections: Arc::new(Connections::new(parts.links.clone(), target, options)),
             parts,
         }
     }
@@ -87,33 +76,27 @@
     /// Changes the number of connections and slots.
     pub fn set_size(&self, slots: u32, connections: u32) {
         let options = pool_options(connections);
-        self.lock().pool.set_options(options);
+        self.connections.set_options(options);
         self.slots.set_part(Part { slots: slots.max(1), connections: options.cap });
     }
 
     /// Closes the idle connections, as when another VM has become the home.
     pub fn close_idle(&self) {
-        let idle = self.lock().pool.drain();
-        drop(idle);
+        self.connections.close_idle();
     }
 
     /// Closes connections as they come back from now on.
     pub fn close(&self) {
-        self.lock().closed = true;
-        self.close_idle();
+        self.connections.close();
     }
 
     /// Gets the number of connections, in use or idle.
     pub fn connections(&self) -> u32 {
-        self.lock().pool.open()
+        self.connections.open_count()
     }
 
     /// Runs a statement that stands alone.
-    pub async fn single(
-        self: &Arc<Self>,
-        request: &HomeRequest,
-        until: Time,
-    ) -> Result<HomeAnswer, Refusal> {
+    pub async fn single(&self, request: &HomeRequest, until: Time) -> Result<HomeAnswer, Refusal> {
         let wrap = if request.work.is_write() {
             self.admit_write()?;
             Wrap::After(None)
@@ -121,7 +104,7 @@
             self.wrap(&request.freshness)?
         };
         let permit = self.acquire(request, class_of(request), until).await?;
-        let mut lease = self.connect(request).await?;
+        let mut lease = self.connections.connect(request).await?;
         let reply = lease.backend.single(statement(request), wrap).await;
         drop(lease);
         let answer = answer(&permit, reply?)?;
@@ -133,11 +116,11 @@
 
     /// Opens a transaction and runs its first statement.
     pub async fn first(
-        self: &Arc<Self>,
+        &self,
         request: &HomeRequest,
         read_only: bool,
         until: Time,
-    ) -> Result<HomeAnswer, Refusal> {
+    ) -> Result<Ran, Refusal> {
         let (read_only, after) = match (read_only, self.wrap(&request.freshness)) {
             (true, Ok(Wrap::After(after))) => (true, after),
             (true, Err(refusal)) => return Err(refusal),
@@ -148,71 +131,43 @@
         };
         let class = if read_only { Class::Read } else { Class::Write };
         let mut permit = self.acquire(request, class, until).await?;
-        let mut lease = self.connect(request).await?;
+        let mut lease = self.connections.connect(request).await?;
         lease.backend.begin(read_only, after).await?;
         // The transaction gives the connection back when it is dropped.
         permit.keep_connection();
-        let mut transaction = lease.into_transaction(request);
-        self.run_within(&mut transaction, request, &permit).await.map(|mut answer| {
-            if !request.work.is_end() {
-                let id = self.parts.transactions.name();
-                self.parts.transactions.rest(id, transaction, self.parts.timers.now());
-                answer.transaction = Some(id);
-            }
-            answer
-        })
+        let mut transaction = OpenTransaction::new(lease, self.slots.clone(), request.rest);
+        let answer = self.run_within(&mut transaction, request, &permit).await?;
+        Ok(Ran { answer, open: (!request.work.is_end()).then_some(transaction) })
     }
 
     /// Runs a further statement of a transaction; a failure ends it.
     pub async fn next(
-        self: &Arc<Self>,
+        &self,
         mut transaction: OpenTransaction,
         request: &HomeRequest,
         until: Time,
-    ) -> Result<HomeAnswer, Refusal> {
-        let Scope::Within(id) = request.scope else {
-            return Err(Refusal::not_run(RefusalCode::Internal, "home: not within a transaction"));
-        };
+    ) -> Result<Ran, Refusal> {
         if request.work == Work::Rollback {
-            self.roll_back(transaction).await;
-            return Ok(HomeAnswer::default());
+            transaction.roll_back().await;
+            return Ok(Ran { answer: HomeAnswer::default(), open: None });
         }
         let permit = match self.acquire(request, Class::Transaction, until).await {
             Ok(permit) => permit,
             Err(refusal) => {
-                self.roll_back(transaction).await;
+                transaction.roll_back().await;
                 return Err(refusal);
             }
         };
         match self.run_within(&mut transaction, request, &permit).await {
-            Ok(mut answer) => {
-                if !request.work.is_end() {
-                    self.parts.transactions.rest(id, transaction, self.parts.timers.now());
-                    answer.transaction = Some(id);
-                }
-                Ok(answer)
-            }
+            Ok(answer) => Ok(Ran { answer, open: (!request.work.is_end()).then_some(transaction) }),
             Err(refusal) => {
                 drop(permit);
-                self.roll_back(transaction).await;
+                transaction.roll_back().await;
                 Err(refusal)
             }
         }
     }
 
-    /// Ends a transaction without its commit.
-    pub async fn roll_back(&self, mut transaction: OpenTransaction) {
-        let Some(backend) = transaction.backend() else { return };
-        // A connection in an unknown state is closed, which rolls back, too.
-        let _ = self.parts.timers.within(ROLLBACK_LIMIT, backend.roll_back()).await;
-    }
-
-    /// Takes the connection of an ended transaction back.
-    pub fn release_transaction(&self, workspace: &str, backend: Backend) {
-        self.put_back(workspace, backend);
-        self.slots.disconnect();
-    }
-
     async fn run_within(
         &self,
         transaction: &mut OpenTransaction,
@@ -226,7 +181,7 @@
             ));
         };
         let running = backend.within(statement(request));
-        let reply = match self.parts.timers.within(request.limit, running).await {
+        let reply = match self.parts.links.timers.within(request.limit, running).await {
             Some(reply) => reply,
             None => Err(Refusal::may_have_run(RefusalCode::Timeout, "no answer in time")),
         };
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -10,6 +10,7 @@
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
+use oleander_core::ids::TransactionId;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -22,6 +23,8 @@
 
 use super::instance::HomeParts;
 use super::instance::InstanceHome;
+use super::instance::Ran;
+use super::transactions::Transactions;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
 use crate::fleet::View;
@@ -33,6 +36,7 @@
 pub struct Homes {
     fleet: Arc<Fleet>,
     parts: Arc<HomeParts>,
+    transactions: Transactions,
     table: Mutex<HashMap<InstanceKey, Entry>>,
 }
 
@@ -44,8 +48,8 @@
 
 impl Homes {
     /// Makes an empty table.
-    pub fn new(fleet: Arc<Fleet>, parts: HomeParts) -> Self {
-        Self { fleet, parts: Arc::new(parts), table: Mutex::default() }
+    pub fn new(fleet: Arc<Fleet>, parts: HomeParts, transactions: Transactions) -> Self {
+        Self { fleet, parts: Arc::new(parts), transactions, table: Mutex::default() }
     }
 
     /// Runs a statement.
@@ -53,19 +57,22 @@
         let now = self.fleet.now();
         let until = now + request.patience;
         if let Scope::Within(id) = request.scope {
-            let Some(transaction) = self.parts.transactions.take(id) else {
+            let Some((home, transaction)) = self.transactions.take(id) else {
                 return Err(Refusal::not_run(
                     RefusalCode::TransactionGone,
                     "the transaction has ended",
                 ));
             };
-            let home = transaction.home.clone();
-            return home.next(transaction, request, until).await;
+            let ran = home.next(transaction, request, until).await?;
+            return Ok(self.rest(&home, ran, || id));
         }
         let home = self.home(request)?;
         let running = async {
             match request.scope {
-                Scope::First { read_only } => home.first(request, read_only, until).await,
+                Scope::First { read_only } => {
+                    let ran = home.first(request, read_only, until).await?;
+                    Ok(self.rest(&home, ran, || self.transactions.name()))
+                }
                 _ => home.single(request, until).await,
             }
         };
@@ -79,6 +86,22 @@
         }
     }
 
+    /// Puts a transaction that has not ended aside under its name.
+    fn rest(
+        &self,
+        home: &Arc<InstanceHome>,
+        ran: Ran,
+        name: impl FnOnce() -> TransactionId,
+    ) -> HomeAnswer {
+        let Ran { mut answer, open } = ran;
+        if let Some(transaction) = open {
+            let id = name();
+            self.transactions.rest(id, home.clone(), transaction, self.fleet.now());
+            answer.transaction = Some(id);
+        }
+        answer
+    }
+
     /// Keeps the table true to the fleet's view and ends transactions that rest, until dropped.
     pub async fn watch(&self) {
         let mut changes = self.fleet.changes();
@@ -112,15 +135,14 @@
 
     /// Gets the number of open transactions that rest.
     pub fn resting(&self) -> usize {
-        self.parts.transactions.len()
+        self.transactions.len()
     }
 
     /// Ends all open transactions and closes all connections, as at the end of the process.
     pub async fn close(&self) {
         let mut ending = JoinSet::new();
-        for transaction in self.parts.transactions.take_all() {
-            let home = transaction.home.clone();
-            ending.spawn(async move { home.roll_back(transaction).await });
+        for transaction in self.transactions.take_all() {
+            ending.spawn(transaction.roll_back());
         }
         while ending.join_next().await.is_some() {}
         for entry in self.lock().values() {
@@ -170,15 +192,14 @@
     }
 
     fn sweep(&self) {
-        for transaction in self.parts.transactions.take_expired(self.fleet.now()) {
+        for transaction in self.transactions.take_expired(self.fleet.now()) {
             let fields = [
                 Field::text("workspace", &transaction.workspace),
                 Field::text("reason", "it rested for too long"),
                 Field::millis("rest", transaction.rest),
             ];
-            self.parts.journal.record(Event::TransactionEnded, &fields);
-            let home = transaction.home.clone();
-            tokio::spawn(async move { home.roll_back(transaction).await });
+            self.parts.links.journal.record(Event::TransactionEnded, &fields);
+            tokio::spawn(transaction.roll_back());
         }
     }
 
--- a/oleander-node/src/home/transactions.rs
+++ b/oleander-node/src/home/transactions.rs
@@ -9,26 +9,10 @@
 use oleander_core::ids::Incarnation;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
-use oleander_core::time::Span;
 use oleander_core::time::Time;
 
-use super::backend::Backend;
 use super::instance::InstanceHome;
-
-/// `OpenTransaction` is a transaction with the connection that it keeps.
-///
-/// Dropping it closes the connection, which rolls the transaction back.
-pub struct OpenTransaction {
-    /// The home of the instance.
-    pub home: Arc<InstanceHome>,
-    /// The workspace.
-    pub workspace: String,
-    /// The time for which the transaction may rest.
-    pub rest: Span,
-    /// `true` once a write has run in it.
-    pub wrote: bool,
-    backend: Option<Backend>,
-}
+use super::open::OpenTransaction;
 
 /// `Transactions` holds the open transactions that are resting.
 pub struct Transactions {
@@ -38,30 +22,11 @@
 }
 
 struct Resting {
+    home: Arc<InstanceHome>,
     transaction: OpenTransaction,
     until: Time,
 }
 
-impl OpenTransaction {
-    /// Makes a transaction that keeps the connection.
-    pub fn new(home: Arc<InstanceHome>, workspace: String, rest: Span, backend: Backend) -> Self {
-        Self { home, workspace, rest, wrote: false, backend: Some(backend) }
-    }
-
-    /// Gets the connection; `None` once it was taken.
-    pub fn backend(&mut self) -> Option<&mut Backend> {
-        self.backend.as_mut()
-    }
-}
-
-impl Drop for OpenTransaction {
-    fn drop(&mut self) {
-        if let Some(backend) = self.backend.take() {
-            self.home.release_transaction(&self.workspace, backend);
-        }
-    }
-}
-
 impl Transactions {
     /// Makes an empty table for this life of the process.
     pub fn new(vm: VmId, incarnation: Incarnation) -> Self {
@@ -73,15 +38,21 @@
         TransactionId { home: self.vm, incarnation: self.incarnation, serial: rand::random() }
     }
 
-    /// Puts a transaction aside until its next statement.
-    pub fn rest(&self, id: TransactionId, transaction: OpenTransaction, now: Time) {
+    /// Puts a transaction of a home aside until its next statement.
+    pub fn rest(
+        &self,
+        id: TransactionId,
+        home: Arc<InstanceHome>,
+        transaction: OpenTransaction,
+        now: Time,
+    ) {
         let until = now + transaction.rest;
-        self.lock().insert(id, Resting { transaction, until });
+        self.lock().insert(id, Resting { home, transaction, until });
     }
 
     /// Takes a transaction for its next statement; `None` if it has ended.
-    pub fn take(&self, id: TransactionId) -> Option<OpenTransaction> {
-        self.lock().remove(&id).map(|resting| resting.transaction)
+    pub fn take(&self, id: TransactionId) -> Option<(Arc<InstanceHome>, OpenTransaction)> {
+        self.lock().remove(&id).map(|resting| (resting.home, resting.transaction))
     }
 
     /// Takes the transactions that have rested for too long.
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -33,6 +33,7 @@
 use crate::entry::session::Entry;
 use crate::entry::shed;
 use crate::fleet::Fleet;
+use crate::home::connections::LinkParts;
 use crate::home::instance::HomeParts;
 use crate::home::registry::Homes;
 use crate::home::transactions::Transactions;
@@ -110,16 +111,14 @@
         let fleet = Arc::new(Fleet::new(settings.clone(), timers.clone()));
         let peer_client = PeerClient::new(PEER_OPTIONS);
         let primaries = Arc::new(Primaries::new(fleet.clone()));
-        let homes = Arc::new(Homes::new(
-            fleet.clone(),
-            HomeParts {
-                upstreams: ports.upstreams.clone(),
-                primaries: primaries.clone(),
-                transactions: Transactions::new(fleet.vm, Incarnation(life)),
-                timers: timers.clone(),
-                journal: journal.clone(),
-            },
-        ));
+        let links = LinkParts {
+            upstreams: ports.upstreams.clone(),
+            timers: timers.clone(),
+            journal: journal.clone(),
+        };
+        let parts = HomeParts { links, primaries: primaries.clone() };
+        let transactions = Transactions::new(fleet.vm, Incarnation(life));
+        let homes = Arc::new(Homes::new(fleet.clone(), parts, transactions));
         let directory = fleet.clone();
         let rates = Rates::new(
             fleet.vm,
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -10,9 +10,7 @@
 
 use async_trait::async_trait;
 use oleander_core::ids::DatabaseId;
-use oleander_core::ids::Incarnation;
 use oleander_core::ids::InstanceKey;
-use oleander_core::ids::VmId;
 use oleander_core::places::Place;
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
@@ -24,9 +22,9 @@
 use oleander_node::fleet::KeeperRecord;
 use oleander_node::fleet::Kept;
 use oleander_node::fleet::View;
+use oleander_node::home::connections::LinkParts;
 use oleander_node::home::instance::HomeParts;
 use oleander_node::home::instance::InstanceHome;
-use oleander_node::home::transactions::Transactions;
 use oleander_node::primaries::Primaries;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::store::StoreRevision;
@@ -142,13 +140,12 @@
     fleet.prove(timers.now());
     fleet.set_leased(timers.now() + Span::from_secs(60));
     fleet.set_joined(StoreRevision(1));
-    let parts = HomeParts {
+    let links = LinkParts {
         upstreams: Arc::new(FakeUpstreams(fake.clone())),
-        primaries: Arc::new(Primaries::new(fleet.clone())),
-        transactions: Transactions::new(VmId(1), Incarnation(1)),
         timers: timers.clone(),
         journal: Journal::new("test", timers.clock()),
     };
+    let parts = HomeParts { links, primaries: Arc::new(Primaries::new(fleet.clone())) };
     let instance = Instance {
         key: InstanceKey(1),
         database: DatabaseId(1),
--- a/oleander-proxy/src/fleet/view.rs
+++ b/oleander-proxy/src/fleet/view.rs
@@ -8,9 +8,9 @@
 use oleander_core::ids::InstanceId;
 use oleander_core::ids::VmId;
 use oleander_core::time::Time;
+use oleander_membership::member::Member;
 use oleander_membership::messages::InstanceReport;
 use oleander_membership::messages::View;
-use oleander_membership::roster::Member;
 use oleander_membership::shares::ShareMap;
 use oleander_routing::homes;
 
--- a/oleander-store/src/registration.rs
+++ b/oleander-store/src/registration.rs
@@ -6,8 +6,8 @@
 use oleander_core::ids::VmId;
 use oleander_core::places::Place;
 use oleander_core::verdict::Verdict;
-use oleander_membership::roster::Member;
-use oleander_membership::roster::MemberState;
+use oleander_membership::member::Member;
+use oleander_membership::member::MemberState;
 use serde::Deserialize;
 use serde::Serialize;
 
