Name stored sections in one place, and refuse unknown ones everywhere

Cause: turning the names of stored sections into checked texts stood four times; the proxy and the load tool passed over a section that the agent and the operator tool refuse.

Change: oleander-config names and reads stored sections, and refuses what this version does not know. Test: three names of sections.

--- a/oleander-config/src/sections.rs
+++ b/oleander-config/src/sections.rs
@@ -78,6 +78,33 @@
     if problems.is_empty() { Ok(drafts.into_document()) } else { Err(bound(problems)) }
 }
 
+/// Takes the names of stored sections in.
+///
+/// # Errors
+/// Fails if a section is not known to this version, which must not pass over what it holds.
+pub fn name_sections<'a>(
+    stored: impl IntoIterator<Item = (&'a str, &'a str)>,
+) -> Result<Vec<SectionText>, Vec<Problem>> {
+    let named = stored.into_iter().map(|(name, text)| match name.parse::<Section>() {
+        Ok(section) => Ok(SectionText::new(section, text)),
+        Err(_) => {
+            let reason = "this version does not know the section".to_owned();
+            Err(vec![Problem { section: None, path: name.to_owned(), line: 0, reason }])
+        }
+    });
+    named.collect()
+}
+
+/// Reads and checks stored sections together, by their names.
+///
+/// # Errors
+/// Fails as `name_sections` and `parse_sections` do.
+pub fn parse_stored<'a>(
+    stored: impl IntoIterator<Item = (&'a str, &'a str)>,
+) -> Result<Document, Vec<Problem>> {
+    parse_sections(&name_sections(stored)?)
+}
+
 /// Splits a whole document into its sections. A section that is absent is left out.
 ///
 /// # Errors
--- a/oleander-config/tests/documents.rs
+++ b/oleander-config/tests/documents.rs
@@ -10,7 +10,9 @@
 use oleander_config::model::KeyHash;
 use oleander_config::model::Section;
 use oleander_config::sections::SectionText;
+use oleander_config::sections::name_sections;
 use oleander_config::sections::parse_sections;
+use oleander_config::sections::parse_stored;
 use oleander_config::sections::section_hash;
 use oleander_config::sections::split_document;
 use oleander_config::snapshot::Snapshot;
@@ -141,3 +143,23 @@
     let result = grant_key(&text, "cedar", "first", &hash_key("k"));
     assert_eq!(result, Err(EditError::DuplicateKey));
 }
+
+/// `Stored` is the name of a stored section and whether this version takes it.
+struct Stored {
+    name: &'static str,
+    taken: bool,
+}
+
+/// Two programs passed over a section that others refused.
+#[rstest]
+#[case::known(Stored { name: "workspaces", taken: true })]
+#[case::of_another_version(Stored { name: "shards", taken: false })]
+#[case::in_capitals(Stored { name: "Workspaces", taken: false })]
+fn a_stored_section_of_another_version_is_refused(#[case] stored: Stored) {
+    let named = name_sections([(stored.name, "")]);
+    assert_eq!(named.is_ok(), stored.taken);
+    if let Err(problems) = named {
+        assert_eq!(problems[0].path, stored.name);
+    }
+    assert_eq!(parse_stored([(stored.name, "[]")]).is_ok(), stored.taken);
+}
--- a/oleander-ctl/src/changes.rs
+++ b/oleander-ctl/src/changes.rs
@@ -5,8 +5,7 @@
 
 use oleander_config::model::Section;
 use oleander_config::problems::Problem;
-use oleander_config::sections::SectionText;
-use oleander_config::sections::parse_sections;
+use oleander_config::sections::parse_stored;
 use oleander_core::ids::ChangeId;
 use oleander_core::ids::Revision;
 use oleander_core::verdict::Verdict;
@@ -97,14 +96,5 @@
 
 /// Checks all sections as they would be in force together.
 fn check(bodies: &[SectionBody]) -> std::result::Result<(), Vec<Problem>> {
-    let mut texts = Vec::with_capacity(bodies.len());
-    for body in bodies {
-        let Ok(section) = body.section.parse::<Section>() else {
-            let reason = "the store holds a section that this version does not know".to_owned();
-            let path = body.section.clone();
-            return Err(vec![Problem { section: None, path, line: 0, reason }]);
-        };
-        texts.push(SectionText::new(section, body.text.clone()));
-    }
-    parse_sections(&texts).map(|_| ())
+    parse_stored(bodies.iter().map(SectionBody::named)).map(|_| ())
 }
--- a/oleander-ctl/src/files.rs
+++ b/oleander-ctl/src/files.rs
@@ -5,6 +5,7 @@
 use oleander_config::model::Document;
 use oleander_config::model::Section;
 use oleander_config::sections::SectionText;
+use oleander_config::sections::name_sections;
 use oleander_config::sections::parse_sections;
 use oleander_config::sections::split_document;
 use oleander_membership::messages::SectionBody;
@@ -34,15 +35,10 @@
 
 /// Reads and checks stored sections, with one of them replaced.
 pub fn parse_bodies(bodies: &[SectionBody], replaced: Option<&SectionText>) -> Result<Document> {
-    let mut texts = Vec::new();
-    for body in bodies {
-        let section = body.section.parse::<Section>();
-        let section = section.map_err(|_| usage("the store holds a section of another version"))?;
-        if replaced.is_none_or(|text| text.section != section) {
-            texts.push(SectionText::new(section, body.text.clone()));
-        }
-    }
-    texts.extend(replaced.cloned());
+    let stored = name_sections(bodies.iter().map(SectionBody::named)).map_err(Error::Invalid)?;
+    let is_kept = |text: &SectionText| replaced.is_none_or(|it| it.section != text.section);
+    let kept = stored.into_iter().filter(is_kept);
+    let texts: Vec<SectionText> = kept.chain(replaced.cloned()).collect();
     parse_sections(&texts).map_err(Error::Invalid)
 }
 
--- a/oleander-limits/tests/start.rs
+++ b/oleander-limits/tests/start.rs
@@ -4,13 +4,21 @@
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_limits::messages::Ask;
+use oleander_limits::messages::LimitReply;
+use oleander_limits::messages::LimitRequest;
+use oleander_limits::messages::Settled;
 use oleander_limits::rates::actions::Action;
 use oleander_limits::rates::actions::Decision;
 use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::owner::GRANT_HOLD;
 use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_limits::rates::tokens::Limit;
+use oleander_limits::rates::tokens::Tokens;
 use rstest::rstest;
+use smallvec::SmallVec;
+use smallvec::smallvec;
 
 const VM: VmId = VmId(7);
 const LIMIT: Limit = Limit { rate: 100, burst: 100 };
@@ -73,3 +81,37 @@
     assert_eq!(decision, Decision::Wait);
     assert!(matches!(&out[..], [Action::Send { to: VmId(8), .. }]), "{out:?}");
 }
+
+/// `Given` is what the owner hears of a grant, and whether others may still use of it.
+struct Given {
+    settled: bool,
+    after: Span,
+    lent: bool,
+}
+
+#[rstest]
+#[case::until_its_hold_has_ended(Given { settled: false, after: GRANT_HOLD, lent: true })]
+#[case::no_longer(Given { settled: false, after: Span(GRANT_HOLD.0 + 10_000), lent: false })]
+#[case::until_it_is_used_up(Given { settled: true, after: Span::from_millis(1), lent: false })]
+fn an_owner_tells_what_others_may_use(#[case] given: Given) {
+    let now = Time(300_000);
+    let workspace = WorkspaceId(1);
+    let borrower = VmId(8);
+    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut out = Vec::new();
+    limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
+    limiter.start_shares(now, &[Some(VM); 64], FOREVER);
+    assert_eq!(limiter.lent(now), Span::ZERO);
+    let later = now + Span::from_secs(1);
+    let need = Tokens::whole(1);
+    let (stock, demand) = (Tokens::ZERO, Tokens::ZERO);
+    let ask = Ask::Borrow { need, stock, demand, settled: SmallVec::new() };
+    let reply = limiter.handle(later, borrower, LimitRequest { workspace, ask }, &mut out);
+    let LimitReply::Lent { grant: Some(grant), .. } = reply else { panic!("{reply:?}") };
+    if given.settled {
+        let settled = Settled { grant: grant.id, unused: need, age: Span::ZERO };
+        let ask = Ask::Settle { settled: smallvec![settled] };
+        limiter.handle(later, borrower, LimitRequest { workspace, ask }, &mut out);
+    }
+    assert_eq!(limiter.lent(later + given.after) != Span::ZERO, given.lent);
+}
--- a/oleander-load/src/cluster/fleet.rs
+++ b/oleander-load/src/cluster/fleet.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use oleander_agent::settings::Times;
-use oleander_config::sections::SectionText;
-use oleander_config::sections::parse_sections;
+use oleander_config::sections::parse_stored;
 use oleander_core::ids::ChangeId;
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
@@ -243,13 +242,8 @@
 }
 
 fn check(bodies: &[SectionBody]) -> std::result::Result<(), String> {
-    let texts = bodies.iter().filter_map(|body| {
-        let section = body.section.parse().ok()?;
-        Some(SectionText::new(section, body.text.clone()))
-    });
-    let texts: Vec<SectionText> = texts.collect();
     let lines = |problems: Vec<oleander_config::problems::Problem>| {
         problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
     };
-    parse_sections(&texts).map(|_| ()).map_err(lines)
+    parse_stored(bodies.iter().map(SectionBody::named)).map(|_| ()).map_err(lines)
 }
--- a/oleander-membership/src/messages.rs
+++ b/oleander-membership/src/messages.rs
@@ -144,6 +144,13 @@
     pub text: String,
 }
 
+impl SectionBody {
+    /// Gets the name and the text.
+    pub fn named(&self) -> (&str, &str) {
+        (&self.section, &self.text)
+    }
+}
+
 /// `InstanceReport` is what an agent last saw of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct InstanceReport {
--- a/oleander-proxy/src/fleet/subscription.rs
+++ b/oleander-proxy/src/fleet/subscription.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use oleander_config::model::Section;
-use oleander_config::sections;
-use oleander_config::sections::SectionText;
+use oleander_config::sections::parse_stored;
 use oleander_config::snapshot::Snapshot;
 use oleander_core::events::Event;
 use oleander_core::ids::Revision;
@@ -105,12 +103,7 @@
 
 /// Compiles the sections of a revision; `None` if this program's check refuses them.
 fn compile(proxy: &Proxy, revision: Revision, bodies: &[SectionBody]) -> Option<Arc<Snapshot>> {
-    let known = bodies.iter().filter_map(|body| {
-        let section: Section = body.section.parse().ok()?;
-        Some(SectionText::new(section, body.text.clone()))
-    });
-    let texts: Vec<SectionText> = known.collect();
-    match sections::parse_sections(&texts) {
+    match parse_stored(bodies.iter().map(SectionBody::named)) {
         Ok(document) => Some(Arc::new(Snapshot::new(revision, document))),
         Err(problems) => {
             let first = problems.first().map(ToString::to_string).unwrap_or_default();
