End the circles of imports in agent and proxy

Cause: the agent's shared state imported the parts that hold it, and the proxy imported the parts that it starts, which import it.

Change: the agent's state takes its own types from leaves (locks, guards); the start and stop of a proxy stand in proxy::running. No behaviour changes.

--- a/oleander-agent/src/agent.rs
+++ b/oleander-agent/src/agent.rs
@@ -23,13 +23,13 @@
 use crate::errors::Result;
 use crate::errors::listen_error;
 use crate::failover;
+use crate::lock::lock;
 use crate::observer::Observer;
 use crate::platform;
 use crate::platform::Departure;
 use crate::server;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::shared::lock;
 
 /// The time between looks at what has become due.
 const TICK: Span = Span::from_millis(50);
--- a/oleander-agent/src/failover/mod.rs
+++ b/oleander-agent/src/failover/mod.rs
@@ -5,11 +5,10 @@
 //! it is down, and two homes that disagree are settled by terms.
 
 mod guard;
+pub mod guards;
 mod reports;
 
-use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 
 use oleander_config::model::Database;
 use oleander_config::snapshot::Snapshot;
@@ -17,54 +16,21 @@
 use oleander_core::ids::InstanceId;
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
-use oleander_core::time::Time;
 use oleander_failover::messages::FailoverReply;
 use oleander_failover::messages::FailoverRequest;
 use oleander_failover::messages::Input;
 use oleander_failover::messages::Rank;
-use oleander_membership::messages::InstanceReport;
 use oleander_routing::homes;
 use oleander_upstream::group::Admin;
 use oleander_upstream::pool::PoolOptions;
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::task::JoinHandle;
 
-use crate::failover::reports::Reports;
+use crate::failover::guards::Guard;
+use crate::lock::lock;
 use crate::shared::Shared;
-use crate::shared::lock;
 
 /// The longest time between two looks at which databases this VM is a home of.
 const REVIEW: Span = Span::from_millis(500);
 
-/// `Guards` are the running guards by database.
-#[derive(Debug, Default)]
-pub struct Guards {
-    running: Mutex<HashMap<DatabaseId, Guard>>,
-    reports: Reports,
-}
-
-impl Guards {
-    /// Gets what was last seen of the watched instances, as it stands at `now`.
-    pub fn reports(&self, now: Time) -> Vec<InstanceReport> {
-        self.reports.list(now)
-    }
-}
-
-/// `Guard` is the task that watches one database.
-#[derive(Debug)]
-struct Guard {
-    database: Database,
-    rank: Rank,
-    inputs: UnboundedSender<Input>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// Keeps a guard running for each database that this VM is a home of.
 pub async fn run(shared: Arc<Shared>) {
     let mut changes = shared.changes.subscribe();
--- a/oleander-agent/src/failover/reports.rs
+++ b/oleander-agent/src/failover/reports.rs
@@ -11,7 +11,7 @@
 use oleander_core::time::Time;
 use oleander_membership::messages::InstanceReport;
 
-use crate::shared::lock;
+use crate::lock::lock;
 
 /// `Reports` holds the last status of each watched instance and when it was asked for.
 #[derive(Debug, Default)]
--- a/oleander-agent/src/lib.rs
+++ b/oleander-agent/src/lib.rs
@@ -10,6 +10,7 @@
 mod actions;
 mod check;
 mod failover;
+mod lock;
 mod observer;
 mod platform;
 mod server;
--- a/oleander-agent/src/platform.rs
+++ b/oleander-agent/src/platform.rs
@@ -30,9 +30,9 @@
 use oleander_store::store::Write;
 use oleander_store::vms::VmState;
 
+use crate::lock::lock;
 use crate::shared::Busy;
 use crate::shared::Shared;
-use crate::shared::lock;
 
 /// The time between two attempts to register.
 const REGISTER_PAUSE: Span = Span::from_millis(250);
@@ -167,13 +167,6 @@
     shared.store.commit(commit).await.map(|_| ())
 }
 
-/// `LastRead` is what the last read of head and shares found.
-#[derive(Clone, Debug, Default)]
-pub struct LastRead {
-    head: u64,
-    state: StoreState,
-}
-
 enum Round {
     Done,
     Again,
--- a/oleander-agent/src/shared.rs
+++ b/oleander-agent/src/shared.rs
@@ -3,8 +3,6 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
@@ -13,6 +11,7 @@
 use oleander_core::events::Event;
 use oleander_core::time::Time;
 use oleander_membership::node::Node;
+use oleander_membership::node::StoreState;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::ProxyReport;
 use oleander_runtime::logs::Field;
@@ -24,10 +23,9 @@
 use oleander_store::vms::VmList;
 use tokio::sync::watch;
 
-use crate::failover::Guards;
-use crate::platform::LastRead;
+use crate::failover::guards::Guards;
+use crate::lock::lock;
 use crate::settings::Settings;
-use crate::views::Echo;
 
 /// `Shared` is what all tasks of an agent hold.
 #[derive(Debug)]
@@ -82,6 +80,25 @@
     pub serial: u64,
 }
 
+/// `Echo` ties a time of the proxy's clock to one of the agent's: what the proxy sent at `sent`
+/// came in at `received`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Echo {
+    /// The proxy's time.
+    pub sent: Time,
+    /// The agent's time.
+    pub received: Time,
+}
+
+/// `LastRead` is what the last read of head and shares found.
+#[derive(Clone, Debug, Default)]
+pub struct LastRead {
+    /// The number of the stored head.
+    pub head: u64,
+    /// What was found.
+    pub state: StoreState,
+}
+
 impl Shared {
     /// Makes the state of an agent that has not registered yet.
     pub fn new(
@@ -144,11 +161,6 @@
     }
 }
 
-/// Locks a mutex; a panic elsewhere does not spread.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// `Busy` marks a piece of work that must not run twice at once; dropping it ends the mark.
 #[derive(Debug)]
 pub struct Busy {
--- a/oleander-agent/src/status.rs
+++ b/oleander-agent/src/status.rs
@@ -7,8 +7,8 @@
 use oleander_membership::member::MemberState;
 use serde::Serialize;
 
+use crate::lock::lock;
 use crate::shared::Shared;
-use crate::shared::lock;
 
 /// `Status` is what `oleanderctl status` shows of an agent.
 #[derive(Clone, Debug, Serialize)]
--- a/oleander-agent/src/views.rs
+++ b/oleander-agent/src/views.rs
@@ -11,9 +11,10 @@
 use oleander_peer::messages::SubscribeRequest;
 use oleander_peer::server::Responder;
 
+use crate::lock::lock;
+use crate::shared::Echo;
 use crate::shared::ProxyState;
 use crate::shared::Shared;
-use crate::shared::lock;
 
 /// The latest views whose numbers are remembered until the proxy obeys them.
 const REMEMBERED_VIEWS: usize = 256;
@@ -21,16 +22,6 @@
 /// The difference between two spans of the clocks of agent and proxy that is put down to delay.
 const ECHO_SLACK: Span = Span::from_secs(1);
 
-/// `Echo` ties a time of the proxy's clock to one of the agent's: what the proxy sent at `sent`
-/// came in at `received`.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Echo {
-    /// The proxy's time.
-    pub sent: Time,
-    /// The agent's time.
-    pub received: Time,
-}
-
 /// Sends views until the proxy goes away: at each change, and at a steady interval.
 pub async fn serve(shared: &Arc<Shared>, request: SubscribeRequest, responder: Responder) {
     let received = shared.now();
--- a/oleander-load/src/capacity/connections.rs
+++ b/oleander-load/src/capacity/connections.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 
 use oleander_core::time::Span;
-use oleander_proxy::proxy::RunningProxy;
+use oleander_proxy::running::RunningProxy;
 use oleander_proxy::settings::ProxySettings;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::metrics::Metrics;
--- a/oleander-load/src/cluster/node.rs
+++ b/oleander-load/src/cluster/node.rs
@@ -10,7 +10,7 @@
 use oleander_core::places::Place;
 use oleander_core::time::Span;
 use oleander_proxy::proxy::Proxy;
-use oleander_proxy::proxy::RunningProxy;
+use oleander_proxy::running::RunningProxy;
 use oleander_proxy::settings::ProxySettings;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::metrics::Metrics;
--- a/oleander-proxy/src/home/registry.rs
+++ b/oleander-proxy/src/home/registry.rs
@@ -7,7 +7,6 @@
 use std::sync::PoisonError;
 
 use oleander_core::ids::DatabaseId;
-use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_peer::messages::Work;
 use oleander_peer::messages::WorkAnswer;
@@ -19,10 +18,6 @@
 use crate::home::admission;
 use crate::home::database::Home;
 use crate::home::database::HomeContext;
-use crate::proxy::Proxy;
-
-/// The time between two looks at the homes for what time alone changes.
-const TICK: Span = Span::from_millis(50);
 
 /// `Homes` holds the homes of this VM, one for each part of a database that it has.
 pub struct Homes {
@@ -211,13 +206,3 @@
         self.homes.values().filter(move |home| home.id == database)
     }
 }
-
-/// Looks after the homes until dropped.
-pub async fn run(proxy: Arc<Proxy>) {
-    let mut ticks = proxy.timers.interval(TICK);
-    loop {
-        ticks.tick().await;
-        proxy.homes.tick();
-        proxy.note_currency();
-    }
-}
--- a/oleander-proxy/src/lib.rs
+++ b/oleander-proxy/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod home;
 pub mod peers;
 pub mod proxy;
+pub mod running;
 pub mod settings;
--- a/oleander-proxy/src/main.rs
+++ b/oleander-proxy/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::Parser;
 use log::LevelFilter;
-use oleander_proxy::proxy::RunningProxy;
+use oleander_proxy::running::RunningProxy;
 use oleander_proxy::settings::ProxySettings;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs;
--- a/oleander-proxy/src/proxy.rs
+++ b/oleander-proxy/src/proxy.rs
@@ -1,6 +1,5 @@
-//! One proxy: its parts, its start and its graceful stop.
+//! One proxy: what its parts share.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,14 +14,12 @@
 use oleander_core::ids::RequestId;
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
-use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::rates::limiter::RateLimiter;
 use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_limits::rates::tokens::Limit;
 use oleander_node::rates::Rates;
 use oleander_peer::client::PeerClient;
-use oleander_peer::server;
 use oleander_routing::budget::RetryBudget;
 use oleander_routing::budget::RetryOptions;
 use oleander_runtime::logs::Field;
@@ -30,23 +27,15 @@
 use oleander_runtime::metrics::Metrics;
 use oleander_runtime::timer::TimerService;
 use serde::Serialize;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
-use crate::callers::http::CallerServer;
 use crate::entry::waits::Waits;
-use crate::fleet::subscription;
 use crate::fleet::view::FleetView;
 use crate::home::database::HomeContext;
 use crate::home::registry::Homes;
-use crate::peers;
 use crate::settings::ProxySettings;
 
-/// The time between two looks at whether the open requests have ended.
-const DRAIN_POLL: Span = Span::from_millis(20);
-
 /// `Proxy` holds the parts of one proxy.
 pub struct Proxy {
     /// The settings of the process.
@@ -76,20 +65,6 @@
     current: AtomicBool,
 }
 
-/// `RunningProxy` is a started proxy.
-pub struct RunningProxy {
-    /// The proxy.
-    pub proxy: Arc<Proxy>,
-    /// The address at which callers are served.
-    pub callers: SocketAddr,
-    /// The address at which peers are served.
-    pub peers: SocketAddr,
-    server: CallerServer,
-    stop_peers: watch::Sender<bool>,
-    peer_task: JoinHandle<()>,
-    tasks: Vec<JoinHandle<()>>,
-}
-
 /// `ProxyStatus` is the state of a proxy as operators see it.
 #[derive(Clone, Debug, Serialize)]
 pub struct ProxyStatus {
@@ -110,6 +85,49 @@
 }
 
 impl Proxy {
+    /// Makes a proxy that knows nothing of its fleet yet.
+    pub fn new(settings: ProxySettings, metrics: Metrics, timers: TimerService) -> Self {
+        let vm = VmId::from_name(&settings.name);
+        let journal = Journal::new("oleander-proxy", timers.clock());
+        let peers = PeerClient::default();
+        let fleet = Arc::<ArcSwap<FleetView>>::default();
+        let incarnation = new_incarnation();
+        let members = fleet.clone();
+        let context = HomeContext {
+            vm,
+            incarnation,
+            place: settings.place(),
+            timers: timers.clone(),
+            journal: journal.clone(),
+            fleet: fleet.clone(),
+        };
+        Self {
+            vm,
+            rates: Rates::new(
+                vm,
+                RateLimiter::new(vm, incarnation.0),
+                timers.clone(),
+                peers.clone(),
+                Box::new(move |vm| members.load().members.get(&vm).map(|member| member.proxy)),
+            ),
+            homes: Homes::new(context),
+            viewed: Notify::new(),
+            waits: Waits::default(),
+            budget: Mutex::new(RetryBudget::new(RetryOptions::default(), timers.now())),
+            peers,
+            journal,
+            metrics,
+            timers,
+            settings,
+            fleet,
+            serial: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            drain: watch::Sender::new(false),
+            current: AtomicBool::new(false),
+        }
+    }
+
     /// Gets what is known of the fleet.
     pub fn fleet(&self) -> Arc<FleetView> {
         self.fleet.load_full()
@@ -220,68 +238,6 @@
     }
 }
 
-impl RunningProxy {
-    /// Starts a proxy and returns once it listens.
-    ///
-    /// Fails if an address cannot be bound.
-    pub async fn start(
-        settings: ProxySettings,
-        metrics: Metrics,
-        timers: TimerService,
-    ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(settings.peers).await?;
-        let peers = listener.local_addr()?;
-        let callers = settings.callers;
-        let threads = settings.threads;
-        let proxy = Arc::new(new_proxy(settings, metrics, timers));
-        let server = CallerServer::start(proxy.clone(), callers, threads)?;
-        let (stop_peers, stopped) = watch::channel(false);
-        let handler = proxy.clone();
-        let answer = move |incoming| peers::answer(handler.clone(), incoming);
-        let peer_task = tokio::spawn(server::serve(listener, stopped, answer));
-        let tasks = vec![
-            tokio::spawn(subscription::follow_views(proxy.clone())),
-            tokio::spawn(subscription::report_state(proxy.clone())),
-            spawn_rates(proxy.rates.clone()),
-            tokio::spawn(crate::home::registry::run(proxy.clone())),
-        ];
-        let fields = [Field::text("callers", server.address), Field::text("peers", peers)];
-        proxy.journal.record(Event::ProcessStarted, &fields);
-        Ok(Self { callers: server.address, peers, proxy, server, stop_peers, peer_task, tasks })
-    }
-
-    /// Ends the proxy at once, as a crash would: all its sockets close.
-    pub fn kill(self) {
-        for task in &self.tasks {
-            task.abort();
-        }
-        self.peer_task.abort();
-        self.proxy.homes.close_all();
-        self.server.kill();
-    }
-
-    /// Stops gracefully: open requests and transactions finish within the drain limit.
-    pub async fn stop(self) {
-        let proxy = &self.proxy;
-        let limit = proxy.timers.now() + proxy.settings.drain;
-        proxy.start_drain();
-        proxy.timers.sleep(proxy.settings.settle).await;
-        while 0 < proxy.open_requests() && proxy.timers.now() < limit {
-            proxy.timers.sleep(DRAIN_POLL).await;
-        }
-        self.server.stop().await;
-        self.stop_peers.send_replace(true);
-        tokio::select! {
-            _ = self.peer_task => {}
-            () = proxy.timers.sleep_until(limit) => {}
-        }
-        proxy.journal.record(Event::DrainFinished, &[Field::number("cut", proxy.open_requests())]);
-        for task in self.tasks {
-            task.abort();
-        }
-    }
-}
-
 /// `OpenGuard` counts a request as open.
 pub struct OpenGuard(Arc<Proxy>);
 
@@ -291,52 +247,6 @@
     }
 }
 
-fn new_proxy(settings: ProxySettings, metrics: Metrics, timers: TimerService) -> Proxy {
-    let vm = VmId::from_name(&settings.name);
-    let journal = Journal::new("oleander-proxy", timers.clock());
-    let peers = PeerClient::default();
-    let fleet = Arc::<ArcSwap<FleetView>>::default();
-    let incarnation = new_incarnation();
-    let members = fleet.clone();
-    let context = HomeContext {
-        vm,
-        incarnation,
-        place: settings.place(),
-        timers: timers.clone(),
-        journal: journal.clone(),
-        fleet: fleet.clone(),
-    };
-    Proxy {
-        vm,
-        rates: Rates::new(
-            vm,
-            RateLimiter::new(vm, incarnation.0),
-            timers.clone(),
-            peers.clone(),
-            Box::new(move |vm| members.load().members.get(&vm).map(|member| member.proxy)),
-        ),
-        homes: Homes::new(context),
-        viewed: Notify::new(),
-        waits: Waits::default(),
-        budget: Mutex::new(RetryBudget::new(RetryOptions::default(), timers.now())),
-        peers,
-        journal,
-        metrics,
-        timers,
-        settings,
-        fleet,
-        serial: AtomicU64::new(0),
-        open: AtomicU64::new(0),
-        draining: AtomicBool::new(false),
-        drain: watch::Sender::new(false),
-        current: AtomicBool::new(false),
-    }
-}
-
-fn spawn_rates(rates: Rates) -> JoinHandle<()> {
-    tokio::spawn(async move { rates.run().await })
-}
-
 fn limits_of(view: &FleetView) -> Vec<(WorkspaceId, Limit)> {
     let limits = view.snapshot.workspaces.iter().filter_map(|(_, workspace)| {
         let id = WorkspaceId::from_name(&workspace.name);
--- /dev/null
+++ b/oleander-proxy/src/running.rs
@@ -0,0 +1,117 @@
+//! The start and the graceful stop of a proxy.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_core::events::Event;
+use oleander_core::time::Span;
+use oleander_node::rates::Rates;
+use oleander_peer::server;
+use oleander_runtime::logs::Field;
+use oleander_runtime::metrics::Metrics;
+use oleander_runtime::timer::TimerService;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::callers::http::CallerServer;
+use crate::fleet::subscription;
+use crate::peers;
+use crate::proxy::Proxy;
+use crate::settings::ProxySettings;
+
+/// The time between two looks at whether the open requests have ended.
+const DRAIN_POLL: Span = Span::from_millis(20);
+
+/// The time between two looks at the homes for what time alone changes.
+const TICK: Span = Span::from_millis(50);
+
+/// `RunningProxy` is a started proxy.
+pub struct RunningProxy {
+    /// The proxy.
+    pub proxy: Arc<Proxy>,
+    /// The address at which callers are served.
+    pub callers: SocketAddr,
+    /// The address at which peers are served.
+    pub peers: SocketAddr,
+    server: CallerServer,
+    stop_peers: watch::Sender<bool>,
+    peer_task: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl RunningProxy {
+    /// Starts a proxy and returns once it listens.
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn start(
+        settings: ProxySettings,
+        metrics: Metrics,
+        timers: TimerService,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(settings.peers).await?;
+        let peers = listener.local_addr()?;
+        let callers = settings.callers;
+        let threads = settings.threads;
+        let proxy = Arc::new(Proxy::new(settings, metrics, timers));
+        let server = CallerServer::start(proxy.clone(), callers, threads)?;
+        let (stop_peers, stopped) = watch::channel(false);
+        let handler = proxy.clone();
+        let answer = move |incoming| peers::answer(handler.clone(), incoming);
+        let peer_task = tokio::spawn(server::serve(listener, stopped, answer));
+        let tasks = vec![
+            tokio::spawn(subscription::follow_views(proxy.clone())),
+            tokio::spawn(subscription::report_state(proxy.clone())),
+            spawn_rates(proxy.rates.clone()),
+            tokio::spawn(watch_homes(proxy.clone())),
+        ];
+        let fields = [Field::text("callers", server.address), Field::text("peers", peers)];
+        proxy.journal.record(Event::ProcessStarted, &fields);
+        Ok(Self { callers: server.address, peers, proxy, server, stop_peers, peer_task, tasks })
+    }
+
+    /// Ends the proxy at once, as a crash would: all its sockets close.
+    pub fn kill(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.peer_task.abort();
+        self.proxy.homes.close_all();
+        self.server.kill();
+    }
+
+    /// Stops gracefully: open requests and transactions finish within the drain limit.
+    pub async fn stop(self) {
+        let proxy = &self.proxy;
+        let limit = proxy.timers.now() + proxy.settings.drain;
+        proxy.start_drain();
+        proxy.timers.sleep(proxy.settings.settle).await;
+        while 0 < proxy.open_requests() && proxy.timers.now() < limit {
+            proxy.timers.sleep(DRAIN_POLL).await;
+        }
+        self.server.stop().await;
+        self.stop_peers.send_replace(true);
+        tokio::select! {
+            _ = self.peer_task => {}
+            () = proxy.timers.sleep_until(limit) => {}
+        }
+        proxy.journal.record(Event::DrainFinished, &[Field::number("cut", proxy.open_requests())]);
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Looks after the homes until dropped.
+async fn watch_homes(proxy: Arc<Proxy>) {
+    let mut ticks = proxy.timers.interval(TICK);
+    loop {
+        ticks.tick().await;
+        proxy.homes.tick();
+        proxy.note_currency();
+    }
+}
+
+fn spawn_rates(rates: Rates) -> JoinHandle<()> {
+    tokio::spawn(async move { rates.run().await })
+}
