End the last circles of imports, and set the steps of a promotion apart

Change: the steps of a promotion stand in keeper::phase, what the connections of a stand-in share in group::shared; polls see a home through a trait. No behaviour changes; no crate has a circle of imports between modules now.

--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -18,6 +18,7 @@
 //! effect is seen; only then does the record name a primary again.
 
 pub mod messages;
+mod phase;
 mod promotion;
 
 use oleander_core::events::Event;
@@ -34,8 +35,8 @@
 use self::messages::KeeperOptions;
 use self::messages::Known;
 use self::messages::Standing;
-use self::promotion::Doubt;
-use self::promotion::Phase;
+use self::phase::Doubt;
+use self::phase::Phase;
 
 /// `Keeper` is the state of one database at the VM that keeps it.
 #[derive(Clone, Debug)]
--- a/oleander-proxy/src/home/database.rs
+++ b/oleander-proxy/src/home/database.rs
@@ -18,6 +18,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::places::Place;
 use oleander_core::statement::Access;
+use oleander_core::terms::InstanceStatus;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -47,6 +48,7 @@
 use crate::home::admission::Admission;
 use crate::home::admission::Entrant;
 use crate::home::polls;
+use crate::home::polls::Polled;
 use crate::home::table::Table;
 
 /// The connections of the home's part that are left to status questions and promotions.
@@ -330,6 +332,24 @@
     }
 }
 
+impl Polled for Home {
+    fn acks(&self) -> &Acks {
+        &self.acks
+    }
+
+    fn admission(&self) -> &Admission {
+        &self.admission
+    }
+
+    fn timers(&self) -> &TimerService {
+        &self.context.timers
+    }
+
+    fn note_status(&self, ordinal: u8, status: InstanceStatus, asked: Time) {
+        self.observe_status(ordinal, status, asked);
+    }
+}
+
 impl Drop for Home {
     fn drop(&mut self) {
         self.driver.abort();
--- a/oleander-proxy/src/home/single.rs
+++ b/oleander-proxy/src/home/single.rs
@@ -181,7 +181,7 @@
     }
 
     /// Takes in a status that a connection brought along.
-    pub(crate) fn note_status(&self, ordinal: u8, status: InstanceStatus, asked: Time) {
+    pub(crate) fn observe_status(&self, ordinal: u8, status: InstanceStatus, asked: Time) {
         self.admission.update(|instances| {
             instances.observe(ordinal, status, asked);
             instances.set_reachable(ordinal, true);
@@ -236,7 +236,7 @@
         if let Some(pool) = self.pool(ordinal) {
             pool.put_back(connection);
         }
-        self.note_status(ordinal, outcome.status, asked);
+        self.observe_status(ordinal, outcome.status, asked);
         let now = self.context.timers.now();
         let need = place.need();
         let id = InstanceId { database: self.id, ordinal };
@@ -287,7 +287,7 @@
                 if let Some(pool) = self.pool(ordinal) {
                     pool.put_back(connection);
                 }
-                self.note_status(ordinal, outcome.status, asked);
+                self.observe_status(ordinal, outcome.status, asked);
                 Ok(outcome)
             }
             Err(error) => Err(self.fault(ordinal, &error, Some(connection), effect)),
--- a/oleander-proxy/src/home/transactions.rs
+++ b/oleander-proxy/src/home/transactions.rs
@@ -201,7 +201,7 @@
             connected.map_err(|error| self.fault(ordinal, &error, None, Effect::Begin))?;
         match connection.begin(&job.workspace, self.instant(job.deadline)).await {
             Ok(status) => {
-                self.note_status(ordinal, status, asked);
+                self.observe_status(ordinal, status, asked);
                 Ok((connection, status))
             }
             Err(error) => Err(self.fault(ordinal, &error, Some(connection), Effect::Begin)),
--- a/oleander-standin/src/group/mod.rs
+++ b/oleander-standin/src/group/mod.rs
@@ -5,8 +5,9 @@
 pub mod replication;
 pub mod server;
 pub mod session;
+mod shared;
 pub mod sql;
 pub mod values;
 
 pub use server::Group;
-pub use server::GroupOptions;
+pub use shared::GroupOptions;
--- a/oleander-standin/src/group/session.rs
+++ b/oleander-standin/src/group/session.rs
@@ -29,7 +29,7 @@
 use crate::group::log::ChangeKind;
 use crate::group::replication::Followed;
 use crate::group::replication::Refused;
-use crate::group::server::Shared;
+use crate::group::shared::Shared;
 use crate::group::sql::Command;
 use crate::group::sql::Parser;
 use crate::group::sql::fatal_error;
