--- a/oleander-failover/src/lib.rs
+++ b/oleander-failover/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod options;
 pub mod promoter;
 pub mod supervisor;
+mod vacancy;
 
 /// Gets the number of instances that make a majority of `size`.
 pub fn majority(size: usize) -> usize {
--- a/oleander-failover/src/supervisor.rs
+++ b/oleander-failover/src/supervisor.rs
@@ -19,7 +19,6 @@
 use crate::messages::Step;
 use crate::messages::StepResult;
 use crate::options::Options;
-use crate::options::Witness;
 use crate::promoter::Progress;
 use crate::promoter::Promoter;
 
@@ -29,25 +28,16 @@
 /// `Supervisor` watches the instances of one database for one of its homes.
 #[derive(Clone, Debug)]
 pub struct Supervisor {
-    options: Options,
-    rank: Rank,
-    instances: SmallVec<[Detector; 3]>,
-    promoter: Option<Promoter>,
-    vacant_since: Option<Time>,
-    stray_since: Option<Time>,
-    retry_at: Time,
-    rejoins: SmallVec<[Option<Time>; 3]>,
-    top: Term,
-    leaving: SmallVec<[u8; 3]>,
-}
-
-/// `Vacancy` is why a promotion may be needed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Vacancy {
-    /// No instance that this home can reach is primary, and some cannot be reached.
-    Unreachable,
-    /// All instances answer and none is primary.
-    Orphaned,
+    pub(crate) options: Options,
+    pub(crate) rank: Rank,
+    pub(crate) instances: SmallVec<[Detector; 3]>,
+    pub(crate) promoter: Option<Promoter>,
+    pub(crate) vacant_since: Option<Time>,
+    pub(crate) stray_since: Option<Time>,
+    pub(crate) retry_at: Time,
+    pub(crate) rejoins: SmallVec<[Option<Time>; 3]>,
+    pub(crate) top: Term,
+    pub(crate) leaving: SmallVec<[u8; 3]>,
 }
 
 impl Supervisor {
@@ -253,86 +243,6 @@
         self.mend_stray(now, primary, out);
     }
 
-    /// Returns `true` if the primary leaves and the instances that stay are a majority.
-    fn may_relieve(&self, now: Time, leader: u8) -> bool {
-        let staying = self.reachable().filter(|(ordinal, _)| !self.leaving.contains(ordinal));
-        // The second home leaves a planned change to the first.
-        self.rank == Rank::First
-            && self.leaving.contains(&leader)
-            && self.retry_at <= now
-            && majority(self.instances.len()) <= staying.count()
-    }
-
-    /// Starts a promotion if this home can show that there is no primary.
-    fn fill_vacancy(&mut self, now: Time, out: &mut Actions) {
-        let Some(vacancy) = self.vacancy() else {
-            self.vacant_since = None;
-            return;
-        };
-        let since = *self.vacant_since.get_or_insert(now);
-        let patience = match vacancy {
-            Vacancy::Unreachable => Span::ZERO,
-            Vacancy::Orphaned => self.options.orphan_limit,
-        };
-        // Opinions are gathered while this home still waits.
-        let confirmed = self.is_confirmed(now, out);
-        let waited = patience + self.stagger() <= now.since(since) && self.retry_at <= now;
-        if confirmed && waited {
-            self.start_promotion(now, "no primary", out);
-        }
-    }
-
-    /// Gets why there may be no primary; `None` while that cannot be told.
-    fn vacancy(&self) -> Option<Vacancy> {
-        let (mut up, mut down) = (0, 0);
-        for detector in &self.instances {
-            match detector.reach(&self.options) {
-                Reach::Unsure => return None,
-                // One that has just missed a ping is not counted on.
-                Reach::Up if detector.is_missing() => {}
-                Reach::Up => up += 1,
-                Reach::Down => down += 1,
-            }
-        }
-        // Without a majority nothing can be promoted from here.
-        if up < majority(self.instances.len()) {
-            return None;
-        }
-        Some(if down == 0 { Vacancy::Orphaned } else { Vacancy::Unreachable })
-    }
-
-    /// Returns `true` if each unreachable instance is confirmed not to be a working primary.
-    fn is_confirmed(&mut self, now: Time, out: &mut Actions) -> bool {
-        if self.options.witness == Witness::Skipped {
-            return true;
-        }
-        let options = self.options;
-        let mut confirmed = true;
-        for ordinal in 0..self.instances.len() {
-            let detector = &self.instances[ordinal];
-            if detector.reach(&options) != Reach::Down || detector.confirmed_down(now, &options) {
-                continue;
-            }
-            let idle = detector.status().is_some_and(|status| !is_primary_at(status, self.top));
-            if detector.reached_by_peer(now, &options) && idle {
-                continue;
-            }
-            confirmed = false;
-            self.ask_opinion(now, ordinal, out);
-        }
-        confirmed
-    }
-
-    fn ask_opinion(&mut self, now: Time, ordinal: usize, out: &mut Actions) {
-        if self.options.witness == Witness::Skipped {
-            return;
-        }
-        if self.instances[ordinal].opinion_due(now, &self.options) {
-            out.push(record(Event::OpinionAsked, Some(ordinal as u8), self.top, ""));
-            out.push(Action::AskOpinion(ordinal as u8));
-        }
-    }
-
     /// Starts a promotion if an instance was left fenced above the primary's term.
     fn mend_stray(&mut self, now: Time, primary: InstanceStatus, out: &mut Actions) {
         let stray = self.reachable().any(|(_, status)| primary.fence < status.fence);
@@ -347,15 +257,7 @@
         }
     }
 
-    fn start_promotion(&mut self, now: Time, reason: &'static str, out: &mut Actions) {
-        let term = Term(self.top.0 + 1);
-        let promoter = Promoter::new(term, self.instances.len(), now);
-        self.promoter = Some(promoter.avoiding(&self.leaving));
-        out.push(record(Event::PromotionStarted, None, term, reason));
-        self.fence_all(term, out);
-    }
-
-    fn fence_all(&self, term: Term, out: &mut Actions) {
+    pub(crate) fn fence_all(&self, term: Term, out: &mut Actions) {
         for ordinal in 0..self.instances.len() as u8 {
             out.push(Action::Run { ordinal, step: Step::Fence, term });
         }
@@ -387,18 +289,11 @@
         self.top = self.top.max(top).max(tried);
     }
 
-    fn stagger(&self) -> Span {
-        match self.rank {
-            Rank::First => Span::ZERO,
-            Rank::Second => self.options.stagger,
-        }
-    }
-
     fn statuses(&self) -> impl Iterator<Item = InstanceStatus> {
         self.instances.iter().filter_map(Detector::status)
     }
 
-    fn reachable(&self) -> impl Iterator<Item = (u8, InstanceStatus)> {
+    pub(crate) fn reachable(&self) -> impl Iterator<Item = (u8, InstanceStatus)> {
         let options = self.options;
         self.instances.iter().enumerate().filter_map(move |(ordinal, detector)| {
             let status = detector.status().filter(|_| detector.reach(&options) == Reach::Up)?;
@@ -407,10 +302,15 @@
     }
 }
 
-fn is_primary_at(status: InstanceStatus, top: Term) -> bool {
+pub(crate) fn is_primary_at(status: InstanceStatus, top: Term) -> bool {
     status.role == Role::Primary && top <= status.fence
 }
 
-fn record(event: Event, ordinal: Option<u8>, term: Term, reason: &'static str) -> Action {
+pub(crate) fn record(
+    event: Event,
+    ordinal: Option<u8>,
+    term: Term,
+    reason: &'static str,
+) -> Action {
     Action::Record(Record { event, ordinal, term, reason })
 }
--- a/oleander-load/src/experiments/failover/scenarios.rs
+++ b/oleander-load/src/experiments/failover/scenarios.rs
@@ -12,10 +12,10 @@
 use strum::EnumIter;
 
 use crate::experiments::failover::network::INSTANCES;
-use crate::experiments::failover::world::Fault;
-use crate::experiments::failover::world::Planted;
 use crate::experiments::failover::world::World;
-use crate::experiments::failover::world::WorldOptions;
+use crate::experiments::failover::world::setup::Fault;
+use crate::experiments::failover::world::setup::Planted;
+use crate::experiments::failover::world::setup::WorldOptions;
 
 /// The time before the fault strikes, so that everyone knows the primary.
 const WARM_UP: Span = Span::from_secs(3);
--- a/oleander-load/src/experiments/failover/world/mod.rs
+++ b/oleander-load/src/experiments/failover/world/mod.rs
@@ -1,12 +1,12 @@
 //! The small fleet: homes with their supervisors, instances, writers and a queue of events.
 
+pub mod setup;
 mod writes;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Instant;
 
-use oleander_config::model::Acknowledge;
 use oleander_core::terms::InstanceStatus;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Role;
@@ -20,10 +20,8 @@
 use oleander_failover::messages::FailoverReply;
 use oleander_failover::messages::Input;
 use oleander_failover::messages::Rank;
-use oleander_failover::messages::Record;
 use oleander_failover::messages::Step;
 use oleander_failover::messages::StepResult;
-use oleander_failover::options::Options;
 use oleander_failover::supervisor::Supervisor;
 use oleander_standin::group::instance::LinkState;
 use oleander_standin::group::replication::GroupState;
@@ -35,82 +33,14 @@
 use crate::experiments::failover::network::Line;
 use crate::experiments::failover::network::Network;
 use crate::experiments::failover::network::VMS;
+use crate::experiments::failover::world::setup::Fault;
+use crate::experiments::failover::world::setup::Logged;
+use crate::experiments::failover::world::setup::WorldOptions;
+use crate::experiments::failover::world::setup::Write;
 
 /// The time that a step of a promotion is given.
 const STEP_LIMIT: Span = Span::from_millis(300);
 
-/// `WorldOptions` says how a run is set up.
-#[derive(Clone, Copy, Debug)]
-pub struct WorldOptions {
-    /// The settings of the supervisors.
-    pub options: Options,
-    /// When a write is acknowledged.
-    pub acknowledge: Acknowledge,
-    /// The lag of the replicas.
-    pub lag: Span,
-    /// The share of messages that are lost.
-    pub loss: f64,
-    /// Whether the acknowledgement counts correctly; a planted fault for the check of the check.
-    pub fault: Planted,
-}
-
-/// `Planted` is a fault that is built in on purpose.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Planted {
-    /// No fault.
-    #[default]
-    None,
-    /// A write is acknowledged without the replicas.
-    EarlyAck,
-    /// A write whose answer was lost is sent again.
-    BlindRetry,
-}
-
-/// `Fault` is a change of the surroundings.
-#[derive(Clone, Copy, Debug)]
-pub enum Fault {
-    /// The primary of the highest term stops or is cut off from everyone.
-    LosePrimary,
-    /// An instance stops or is cut off from everyone.
-    LoseInstance(usize),
-    /// An instance returns with the state that it had.
-    ReturnInstance(usize),
-    /// A VM stops.
-    LoseVm(usize),
-    /// A VM runs again.
-    ReturnVm(usize),
-    /// The link between a VM and an instance breaks.
-    LoseLine(usize, usize),
-    /// The link between a VM and an instance works again.
-    ReturnLine(usize, usize),
-    /// The replica's lag changes.
-    Lag(usize, Span),
-    /// All links and parts work again.
-    HealAll,
-}
-
-/// `Write` is what is known of a write at the end.
-#[derive(Clone, Copy, Debug)]
-pub struct Write {
-    /// The time at which the caller sent it.
-    pub sent: Time,
-    /// The time at which it was acknowledged.
-    pub acknowledged: Option<Time>,
-    /// The times that it was sent to an instance.
-    pub attempts: u32,
-}
-
-/// `Logged` is a record with its time and VM.
-#[derive(Clone, Copy, Debug)]
-pub struct Logged {
-    /// The time.
-    pub at: Time,
-    /// The VM.
-    pub vm: usize,
-    /// The record.
-    pub record: Record,
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Tick(usize),
--- a/oleander-load/src/experiments/failover/world/writes.rs
+++ b/oleander-load/src/experiments/failover/world/writes.rs
@@ -10,9 +10,9 @@
 
 use crate::experiments::failover::network::INSTANCES;
 use crate::experiments::failover::world::Event;
-use crate::experiments::failover::world::Planted;
 use crate::experiments::failover::world::World;
-use crate::experiments::failover::world::Write;
+use crate::experiments::failover::world::setup::Planted;
+use crate::experiments::failover::world::setup::Write;
 
 /// The time between two writes.
 const WRITE_INTERVAL: Span = Span::from_millis(20);
--- a/oleander-load/src/experiments/replica_reads/mod.rs
+++ b/oleander-load/src/experiments/replica_reads/mod.rs
@@ -4,12 +4,13 @@
 //! answers are checked against what each session truly has seen.
 
 mod group;
+mod outcome;
 mod run;
 mod setting;
 
 use strum::IntoEnumIterator as _;
 
-use crate::experiments::replica_reads::run::Outcome;
+use crate::experiments::replica_reads::outcome::Outcome;
 use crate::experiments::replica_reads::setting::Acknowledge;
 use crate::experiments::replica_reads::setting::Policy;
 use crate::experiments::replica_reads::setting::Scene;
--- /dev/null
+++ b/oleander-node/src/entry/records.rs
@@ -0,0 +1,59 @@
+//! What is logged and counted of requests.
+
+use std::sync::atomic::Ordering;
+
+use oleander_core::events::Event;
+use oleander_core::time::Span;
+use oleander_core::verdict::Refusal;
+use oleander_runtime::logs::Field;
+
+use super::route::Admitted;
+use super::session::Entry;
+
+/// The served requests for each one that is logged.
+pub const LOG_SAMPLE: u64 = 256;
+
+impl Entry {
+    /// Counts and logs a refusal; `admitted` is what had been decided about the request by then.
+    pub(super) fn note_refusal(
+        &self,
+        statement: &str,
+        name: &str,
+        admitted: Option<&Admitted>,
+        refusal: &Refusal,
+    ) {
+        let view = self.fleet.view();
+        let workspace = admitted.map_or("", |admitted| admitted.name.as_str());
+        let upstream = admitted.map_or("", |admitted| admitted.route.database.as_str());
+        let fields = [
+            Field::text("statement", statement),
+            Field::text("database", name),
+            Field::text("upstream", upstream),
+            Field::text("workspace", workspace),
+            Field::text("code", refusal.code),
+            Field::text("verdict", refusal.verdict),
+            Field::text("detail", &refusal.detail),
+            Field::millis("retry_after", refusal.retry_after.unwrap_or(Span::ZERO)),
+            Field::number("revision", view.snapshot.revision.0),
+        ];
+        let age = self.fleet.age().map(|age| Field::millis("age", age));
+        let fields: Vec<Field> = fields.into_iter().chain(age).collect();
+        self.journal.record(Event::RequestRefused, &fields);
+        self.metrics.count_refusal(workspace, name, refusal.code);
+    }
+
+    /// Times a served request, and logs one in many.
+    pub(super) fn note_served(&self, statement: &str, name: &str, admitted: &Admitted, span: Span) {
+        self.metrics.record_latency(&admitted.name, name, span);
+        if !self.served.fetch_add(1, Ordering::Relaxed).is_multiple_of(LOG_SAMPLE) {
+            return;
+        }
+        let fields = [
+            Field::text("statement", statement),
+            Field::text("database", name),
+            Field::text("workspace", &admitted.name),
+            Field::millis("latency", span),
+        ];
+        self.journal.record(Event::RequestServed, &fields);
+    }
+}
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -2,12 +2,10 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use oleander_config::keys;
 use oleander_config::model::Consistency;
 use oleander_config::model::KeyHash;
-use oleander_core::events::Event;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
 use oleander_core::terms::LogPoint;
@@ -16,7 +14,6 @@
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
-use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
 use oleander_session::command::Command;
@@ -47,9 +44,6 @@
 /// The time within which a transaction of a caller that has gone must be rolled back.
 const ABANDON_LIMIT: Span = Span::from_millis(500);
 
-/// The served requests for each one that is logged.
-pub const LOG_SAMPLE: u64 = 256;
-
 /// `Entry` opens sessions; it holds what they share.
 pub struct Entry {
     /// What the VM believes.
@@ -117,33 +111,6 @@
             open: None,
         })
     }
-
-    fn note_refusal(
-        &self,
-        statement: &str,
-        name: &str,
-        operation: Option<&Operation>,
-        refusal: &Refusal,
-    ) {
-        let view = self.fleet.view();
-        let workspace = operation.map_or("", |operation| operation.admitted.name.as_str());
-        let upstream = operation.map_or("", |operation| operation.admitted.route.database.as_str());
-        let fields = [
-            Field::text("statement", statement),
-            Field::text("database", name),
-            Field::text("upstream", upstream),
-            Field::text("workspace", workspace),
-            Field::text("code", refusal.code),
-            Field::text("verdict", refusal.verdict),
-            Field::text("detail", &refusal.detail),
-            Field::millis("retry_after", refusal.retry_after.unwrap_or(Span::ZERO)),
-            Field::number("revision", view.snapshot.revision.0),
-        ];
-        let age = self.fleet.age().map(|age| Field::millis("age", age));
-        let fields: Vec<Field> = fields.into_iter().chain(age).collect();
-        self.journal.record(Event::RequestRefused, &fields);
-        self.metrics.count_refusal(workspace, name, refusal.code);
-    }
 }
 
 impl Session {
@@ -162,12 +129,9 @@
         if begins && self.dialog.phase() == Phase::Idle {
             let admitted = self.admit().await;
             if let Err(refusal) = &admitted {
-                self.entry.note_refusal(
-                    statement,
-                    &self.name,
-                    self.operation.take().as_ref(),
-                    refusal,
-                );
+                let operation = self.operation.take();
+                let admitted = operation.as_ref().map(|operation| &operation.admitted);
+                self.entry.note_refusal(statement, &self.name, admitted, refusal);
             }
             admitted?;
         }
@@ -181,8 +145,8 @@
             Step::Run(work) => self.run_work(statement, work).await.map(Some),
         };
         if let Err(refusal) = &outcome {
-            let operation = self.operation.as_ref();
-            self.entry.note_refusal(statement, &self.name, operation, refusal);
+            let admitted = self.operation.as_ref().map(|operation| &operation.admitted);
+            self.entry.note_refusal(statement, &self.name, admitted, refusal);
         }
         if self.dialog.phase() == Phase::Idle {
             self.operation = None;
@@ -229,7 +193,10 @@
         match &outcome {
             Ok((_, point)) => {
                 self.dialog.succeeded(&work, *point);
-                self.note_served(statement, now);
+                if let Some(operation) = &self.operation {
+                    let span = now.since(operation.started);
+                    self.entry.note_served(statement, &self.name, &operation.admitted, span);
+                }
             }
             Err(refusal) => {
                 self.dialog.failed(&work);
@@ -383,23 +350,6 @@
             let _ = entry.forwarder.run_within(open.home, request).await;
         });
     }
-
-    fn note_served(&self, statement: &str, now: Time) {
-        let Some(operation) = &self.operation else { return };
-        let entry = &self.entry;
-        let span = now.since(operation.started);
-        entry.metrics.record_latency(&operation.admitted.name, &self.name, span);
-        if !entry.served.fetch_add(1, Ordering::Relaxed).is_multiple_of(LOG_SAMPLE) {
-            return;
-        }
-        let fields = [
-            Field::text("statement", statement),
-            Field::text("database", &self.name),
-            Field::text("workspace", &operation.admitted.name),
-            Field::millis("latency", span),
-        ];
-        entry.journal.record(Event::RequestServed, &fields);
-    }
 }
 
 impl Drop for Session {
--- a/oleander-upstream/src/connection.rs
+++ b/oleander-upstream/src/connection.rs
@@ -14,15 +14,12 @@
 use tokio::time::Instant;
 use tokio_postgres::Client;
 use tokio_postgres::NoTls;
-use tokio_postgres::types::ToSql;
-use tokio_postgres::types::Type;
 
 use crate::contract;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::errors::protocol_error;
 use crate::guard;
-use crate::values;
 use crate::values::AnswerLimit;
 
 /// The time that a closed connection is given to finish what it had sent.
@@ -67,9 +64,9 @@
     driver: Option<JoinHandle<()>>,
     attached: Vec<Attachment>,
     term: Term,
-    workspace: Option<String>,
+    pub(crate) workspace: Option<String>,
     phase: Phase,
-    limit: AnswerLimit,
+    pub(crate) limit: AnswerLimit,
     used: Instant,
 }
 
@@ -325,41 +322,6 @@
         Ok(())
     }
 
-    /// Sets the workspace if the connection has none.
-    async fn identify(&self, workspace: &str) -> Result<()> {
-        if self.workspace.is_some() {
-            return Ok(());
-        }
-        let parameters = [(&workspace as &(dyn ToSql + Sync), Type::TEXT)];
-        let set = self.client().query_typed(contract::WORKSPACE_SQL, &parameters).await;
-        match set.map_err(Error::from) {
-            Ok(_) => Ok(()),
-            Err(lost @ Error::Lost(_)) => Err(lost),
-            Err(error) => Err(Error::Identity(error.to_string())),
-        }
-    }
-
-    async fn ask_status(&self) -> Result<InstanceStatus> {
-        let parameters: [(values::Parameter<'_>, Type); 0] = [];
-        let stream = self.client().query_typed_raw(contract::STATUS_SQL, parameters).await?;
-        values::status(&values::collect(stream, self.limit).await?)
-    }
-
-    async fn run(&self, statement: &Statement) -> Result<Rows> {
-        let parameters = values::parameters(statement);
-        let stream = self.client().query_typed_raw(&statement.sql, parameters).await?;
-        let mut rows = values::collect(stream, self.limit).await?;
-        if !guard::changes_rows(&statement.sql) {
-            rows.affected = 0;
-        }
-        Ok(rows)
-    }
-
-    async fn control(&self, sql: &'static str) -> Result<()> {
-        self.client().query_typed(sql, &[]).await?;
-        Ok(())
-    }
-
     /// Takes in an answer: an unclean error poisons the connection.
     fn finish<T>(&mut self, answer: Result<T>) -> Result<T> {
         self.phase = match &answer {
@@ -388,7 +350,7 @@
         status.role == Role::Primary && status.fence == self.term && status.point.term == self.term
     }
 
-    fn client(&self) -> &Client {
+    pub(crate) fn client(&self) -> &Client {
         self.client.as_ref().expect("the client is only taken by drop")
     }
 }
--- a/oleander-upstream/src/lib.rs
+++ b/oleander-upstream/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod group;
 pub mod guard;
 pub mod pool;
+mod queries;
 pub mod values;
