--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -121,14 +121,24 @@
 
     async fn renew(&self, lease: LeaseId, time: Span) -> Result<(), StoreError> {
         let pace = Span(time.0 / RENEWALS);
+        let mut failing = false;
         loop {
             self.fleet.timers.sleep(pace).await;
             let asked = self.fleet.now();
             match self.store.renew(lease).await {
-                Ok(()) => self.fleet.set_leased(asked + time),
+                Ok(()) => {
+                    self.fleet.set_leased(asked + time);
+                    failing = false;
+                }
                 Err(StoreError::LeaseEnded) => return Ok(()),
                 // The lease may still run; the next renewal tells.
-                Err(_) => {}
+                Err(error) => {
+                    if !std::mem::replace(&mut failing, true) {
+                        let left = self.fleet.leased_until().since(self.fleet.now());
+                        let fields = [Field::text("reason", error), Field::millis("leased", left)];
+                        self.journal.record(Event::StoreUnreachable, &fields);
+                    }
+                }
             }
         }
     }
