Forget replicas that were behind and are gone

Cause: the table of replicas that lag kept each one until it served a read again; a replaced replica never does.

Change: a replica that nobody asked for 10 s after its rest is forgotten. Test: a hundred replicas found behind, a second after each other; 100 were kept before, 11 at most now.

--- a/oleander-routing/src/laggards.rs
+++ b/oleander-routing/src/laggards.rs
@@ -16,6 +16,10 @@
 /// The longest time for which a replica is left alone: well below the ages that reads accept.
 const LONGEST_REST: Span = Span::from_millis(800);
 
+/// The time after its rest for which a replica that is not asked again is remembered: longer than
+/// any reader stays away from one that is there.
+const MEMORY: Span = Span::from_secs(10);
+
 /// `Laggards` holds the replicas that were found behind lately.
 #[derive(Clone, Debug, Default)]
 pub struct Laggards {
@@ -33,6 +37,8 @@
 impl Laggards {
     /// Takes in that a replica lacked data older than `age`.
     pub fn note_behind(&mut self, now: Time, key: InstanceKey, age: Span) {
+        // A replica that is gone is asked no more.
+        self.known.retain(|_, known| now < known.until + MEMORY);
         let former = self.known.get(&key).copied();
         if former.is_some_and(|former| now < former.until && age <= former.age) {
             // Another request that was on its way; it says nothing new.
@@ -50,6 +56,11 @@
         }
     }
 
+    /// Gets the number of replicas that are remembered.
+    pub fn count(&self) -> usize {
+        self.known.len()
+    }
+
     /// Returns `true` if a read that accepts data of `age` would probably find the replica behind.
     pub fn is_behind(&self, now: Time, key: InstanceKey, age: Span) -> bool {
         self.known.get(&key).is_some_and(|known| age <= known.age && now < known.until)
--- a/oleander-routing/tests/laggards.rs
+++ b/oleander-routing/tests/laggards.rs
@@ -64,3 +64,13 @@
     laggards.note_served(REPLICA, AGE);
     assert!(!laggards.is_behind(START, REPLICA, AGE));
 }
+
+/// Replicas that had been replaced stayed in the table until the process ended.
+#[test]
+fn replicas_that_are_gone_are_forgotten() {
+    let mut laggards = Laggards::default();
+    for key in 0..100 {
+        laggards.note_behind(START + Span::from_secs(key), InstanceKey(key), AGE);
+    }
+    assert!(laggards.count() <= 11, "{} replicas", laggards.count());
+}
