Send writes to homes that can confirm them

Ruled out: refusals for the rate, and promotions (none was ordered then).

For writes, VMs whose leases run come first; where none runs the order is as before.

--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -139,6 +139,19 @@
         ranked.into_iter().map(|(_, _, vm)| vm).collect()
     }
 
+    /// Orders the VMs as `homes` does, but those whose leases run come first: the others cannot
+    /// confirm a write.
+    pub fn write_homes(
+        &self,
+        key: u64,
+        place: &Place,
+        is_up: impl Fn(VmId) -> bool,
+    ) -> SmallVec<[VmId; INLINE_HOMES]> {
+        let mut homes = self.homes(key, place, is_up);
+        homes.sort_by_key(|vm| !self.is_present(*vm));
+        homes
+    }
+
     /// Orders the VMs whose leases run for a duty of the fleet, the first in line first.
     pub fn candidates(&self, key: u64) -> Vec<VmId> {
         let vms = self.present().filter(|member| !member.leaving).map(LeasedMember::vm);
--- a/oleander-membership/tests/leased.rs
+++ b/oleander-membership/tests/leased.rs
@@ -78,3 +78,38 @@
     apply(&mut roster, Change::Joins("a"));
     assert_eq!(roster.lapsed(), Some(Time(5)));
 }
+
+/// `Homes` is what has happened to the VM that is the first home, and whether that still is the
+/// first one for reads and for writes.
+struct Homes {
+    changes: &'static [Change],
+    reads: bool,
+    writes: bool,
+}
+
+/// Writes went to a home that had lost its lease and refused them for three seconds.
+#[rstest]
+#[case::all_here(Homes { changes: &[], reads: true, writes: true })]
+#[case::its_lease_ended(Homes { changes: &[Change::Lapses("a")], reads: true, writes: false })]
+#[case::all_leases_ended(Homes {
+    changes: &[Change::Lapses("a"), Change::Lapses("b")],
+    reads: true,
+    writes: true,
+})]
+#[case::the_others_came_back(Homes {
+    changes: &[Change::Lapses("a"), Change::Lapses("b"), Change::Joins("b")],
+    reads: true,
+    writes: false,
+})]
+fn the_first_home_is(#[case] homes: Homes) {
+    let place = Place { region: "r".into(), zone: "z".into() };
+    let mut roster = LeasedRoster::default();
+    apply(&mut roster, Change::Joins("a"));
+    apply(&mut roster, Change::Joins("b"));
+    let a = VmId::from_name("a");
+    // An instance whose first home is the VM in question.
+    let key = (0..).find(|key| roster.homes(*key, &place, |_| true)[0] == a).unwrap();
+    homes.changes.iter().for_each(|change| apply(&mut roster, *change));
+    assert_eq!(roster.homes(key, &place, |_| true)[0] == a, homes.reads);
+    assert_eq!(roster.write_homes(key, &place, |_| true)[0] == a, homes.writes);
+}
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -23,6 +23,7 @@
 use oleander_runtime::metrics::Metrics;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
+use oleander_session::work::Scope;
 use smallvec::SmallVec;
 
 use crate::fleet::Fleet;
@@ -183,7 +184,13 @@
 
     async fn run_at(&self, instance: &Instance, request: &HomeRequest) -> Result<Ran, Refusal> {
         let mut last = None;
-        for home in self.fleet.homes(instance).into_iter().take(HOME_ATTEMPTS) {
+        let is_write =
+            request.work.is_write() || request.scope == Scope::First { read_only: false };
+        let homes = match is_write {
+            true => self.fleet.write_homes(instance),
+            false => self.fleet.homes(instance),
+        };
+        for home in homes.into_iter().take(HOME_ATTEMPTS) {
             match self.call(home, request).await {
                 Ok(answer) => {
                     let instance = instance.entry.instance.clone();
@@ -195,6 +202,11 @@
                     }
                     last = Some(refusal);
                 }
+                // The home has lost the store; another one may have it.
+                Err(refusal) if refusal.code == RefusalCode::NotCurrent => {
+                    self.note(Event::RequestRetried, request, &refusal);
+                    last = Some(refusal);
+                }
                 Err(refusal) => return Err(refusal),
             }
         }
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -344,4 +344,10 @@
         let roster = &self.view.load().roster;
         roster.homes(instance.key.0, &instance.place, |vm| self.is_up(vm))
     }
+
+    /// Orders the VMs as `homes` does, for a write.
+    pub fn write_homes(&self, instance: &Instance) -> SmallVec<[VmId; 4]> {
+        let roster = &self.view.load().roster;
+        roster.write_homes(instance.key.0, &instance.place, |vm| self.is_up(vm))
+    }
 }
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -214,7 +214,11 @@
         if self.confirms() {
             return Ok(());
         }
-        let detail = "the instance is not known to lead, or this VM could not confirm the write";
+        if self.leads() {
+            let detail = "home: this VM has lost the store and could not confirm the write";
+            return Err(Refusal::not_run(RefusalCode::NotCurrent, detail));
+        }
+        let detail = "the instance is not known to lead";
         Err(Refusal::not_run(RefusalCode::NotPrimary, detail))
     }
 
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -271,14 +271,18 @@
     NotSeenInTheRoster,
 }
 
-/// Whoever replaces a primary does not wait for such a VM, or has told it.
+/// Whoever replaces a primary does not wait for such a VM, or has told it. Where the VM alone is at
+/// fault the code says so, and another home is tried.
 #[rstest]
-#[case::primary_withdrawn(Trouble::PrimaryWithdrawn)]
-#[case::lease_ended(Trouble::LeaseEnded)]
-#[case::not_current(Trouble::NotCurrent)]
-#[case::not_seen_in_the_roster(Trouble::NotSeenInTheRoster)]
+#[case::primary_withdrawn(Trouble::PrimaryWithdrawn, RefusalCode::NotPrimary)]
+#[case::lease_ended(Trouble::LeaseEnded, RefusalCode::NotCurrent)]
+#[case::not_current(Trouble::NotCurrent, RefusalCode::NotCurrent)]
+#[case::not_seen_in_the_roster(Trouble::NotSeenInTheRoster, RefusalCode::NotCurrent)]
 #[tokio::test]
-async fn a_vm_that_no_promotion_waits_for_starts_no_write(#[case] trouble: Trouble) {
+async fn a_vm_that_no_promotion_waits_for_starts_no_write(
+    #[case] trouble: Trouble,
+    #[case] code: RefusalCode,
+) {
     let fake = Arc::new(Fake::default());
     let (home, timers, fleet) = home_with_fleet(&fake);
     match trouble {
@@ -288,5 +292,5 @@
         Trouble::NotSeenInTheRoster => fleet.set_joined(StoreRevision(2)),
     }
     let refused = run(&home, &timers).await.unwrap_err();
-    assert_eq!(refused.verdict, Verdict::NotRun);
+    assert_eq!((refused.verdict, refused.code), (Verdict::NotRun, code));
 }
