Let a start wait for what is lent by VMs that leave meanwhile

Cause, found by reading the change once more: a VM that joins waits for what others tell it that they lent. One that tells and then leaves may lend until it leaves, and the joining VM, which gets its shares, started them without a wait for that.

Ruled out: the same for a lost VM (its lease outlasts its loans).

Change: while a VM starts, each change of the roster that hands shares over moves its start by what is said to be lent.

--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -5,6 +5,7 @@
 use oleander_core::events::Event;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_limits::rates::owner::WAIT_OUT;
 use oleander_limits::rates::tokens::Limit;
 use oleander_ports::store::StoreRevision;
@@ -34,6 +35,8 @@
     let mut former: Option<Arc<View>> = None;
     let mut owners = Vec::new();
     let mut shares = Shares::Unused;
+    // Until then loans run of VMs that handed shares over while this one was starting.
+    let mut lent_until = Time(0);
     loop {
         let view = fleet.view();
         let is_same = |part: fn(&View, &View) -> bool| {
@@ -48,7 +51,10 @@
             owners = view.roster.owners();
         }
         let (now, until) = (fleet.now(), fleet.shares_until());
-        let may_start = fleet.active_from().is_some_and(|from| from <= now);
+        if moved && former.is_some() {
+            lent_until = lent_until.max(now + wait);
+        }
+        let may_start = fleet.active_from().is_some_and(|from| from.max(lent_until) <= now);
         match shares {
             // Whatever earlier owners lent has ended.
             Shares::Unused if now < until && may_start => {
--- /dev/null
+++ b/oleander-node/tests/shares.rs
@@ -0,0 +1,71 @@
+//! The start of a VM's shares while others hand theirs over.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oleander_core::ids::VmId;
+use oleander_core::places::Place;
+use oleander_core::time::Span;
+use oleander_limits::rates::limiter::RateLimiter;
+use oleander_membership::leased::LeasedMember;
+use oleander_membership::leased::LeasedRoster;
+use oleander_node::control::shares;
+use oleander_node::fleet::Fleet;
+use oleander_node::fleet::View;
+use oleander_node::rates::Rates;
+use oleander_peer::client::PeerClient;
+use oleander_ports::store::StoreRevision;
+use oleander_runtime::clock::Clock;
+use oleander_runtime::logs::Journal;
+use oleander_runtime::timer::TimerService;
+use rstest::rstest;
+use tokio::sync::watch;
+
+const LENT: Span = Span::from_millis(400);
+
+fn view(revision: u64, lent: Option<Span>) -> View {
+    let mut roster = LeasedRoster::default();
+    roster.put(LeasedMember {
+        name: "other".to_owned(),
+        place: Place::default(),
+        peers: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        life: 1,
+        leaving: lent.is_some(),
+        lent,
+    });
+    View { revision: StoreRevision(revision), roster: Arc::new(roster), ..View::default() }
+}
+
+/// Shares of a VM that left while another one was starting were used beside what it had lent.
+#[rstest]
+#[case::stays(None)]
+#[case::leaves(Some(LENT))]
+#[tokio::test]
+async fn a_start_waits_for_what_was_lent_meanwhile(#[case] lent: Option<Span>) {
+    let timers = TimerService::start(Clock::new());
+    let fleet = Arc::new(Fleet::new(Arc::new(support::settings()), timers.clone()));
+    let journal = Journal::new("test", timers.clock());
+    let limiter = RateLimiter::new(VmId(1), 1);
+    let address_of = Box::new(|_| None);
+    let rates = Rates::new(VmId(1), limiter, timers.clone(), PeerClient::default(), address_of);
+    fleet.set(view(1, None));
+    fleet.prove(timers.now());
+    fleet.set_leased(timers.now() + Span::from_secs(60));
+    let (apply, mut applied) = watch::channel(StoreRevision(0));
+    let following = tokio::spawn(shares::follow(fleet.clone(), rates, journal.clone(), apply));
+    applied.wait_for(|at| *at == StoreRevision(1)).await.unwrap();
+    let left = timers.now();
+    fleet.set(view(2, lent));
+    applied.wait_for(|at| *at == StoreRevision(2)).await.unwrap();
+    fleet.set_active(timers.now());
+    while !journal.recent().iter().any(|record| record.event == "shares-active") {
+        assert!(timers.now().since(left) < Span::from_secs(5), "shares are not in use");
+        timers.sleep(Span::from_millis(5)).await;
+    }
+    let waited = timers.now().since(left);
+    assert_eq!(LENT <= waited, lent.is_some(), "shares are in use after {waited:?}");
+    following.abort();
+}
