Work out the wait for loans only when the roster has changed

From the re-read: the wait for what former owners lent was worked out with every look at the shares, changed roster or not, and the two places that need it asked twice whether there was a former view. Also a comment that was too long for its line, and a match on a truth value.

--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -61,9 +61,10 @@
 
     /// Replaces the owners. Own shares may be used until `until`.
     ///
-    /// A share that is newly owned waits for `wait`, until every loan of an earlier owner has
-    /// ended; one that was not renewed in time waits for the longest hold of a loan. Returns `true` if the time of
-    /// the former table had run out, so that all own state has to start anew.
+    /// A share that is newly owned waits for `wait`, until every loan of an
+    /// earlier owner has ended; one that was not renewed in time waits for the
+    /// longest hold of a loan. Returns `true` if the time of the former table
+    /// had run out, so that all own state has to start anew.
     pub fn set(&mut self, now: Time, owners: &[Option<VmId>], until: Time, wait: Span) -> bool {
         let lapsed = self.until <= now;
         let resized = owners.len() != self.shares.len();
--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -42,17 +42,16 @@
         let is_same = |part: fn(&View, &View) -> bool| {
             former.as_ref().is_some_and(|former| part(former, &view))
         };
-        // Loans of a VM that is gone run for the whole hold; one that leaves knows better.
-        let wait = former
-            .as_ref()
-            .map_or(WAIT_OUT, |former| view.roster.handed_over(&former.roster, WAIT_OUT));
+        let (now, until) = (fleet.now(), fleet.shares_until());
         let moved = !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster));
+        let mut wait = WAIT_OUT;
         if moved {
             owners = view.roster.owners();
-        }
-        let (now, until) = (fleet.now(), fleet.shares_until());
-        if moved && former.is_some() {
-            lent_until = lent_until.max(now + wait);
+            if let Some(former) = &former {
+                // Loans of a VM that is gone run for the whole hold; one that leaves knows better.
+                wait = view.roster.handed_over(&former.roster, WAIT_OUT);
+                lent_until = lent_until.max(now + wait);
+            }
         }
         let may_start = fleet.active_from().is_some_and(|from| from.max(lent_until) <= now);
         match shares {
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -186,10 +186,8 @@
         let mut last = None;
         let is_write =
             request.work.is_write() || request.scope == Scope::First { read_only: false };
-        let homes = match is_write {
-            true => self.fleet.write_homes(instance),
-            false => self.fleet.homes(instance),
-        };
+        let homes =
+            if is_write { self.fleet.write_homes(instance) } else { self.fleet.homes(instance) };
         for home in homes.into_iter().take(HOME_ATTEMPTS) {
             match self.call(home, request).await {
                 Ok(answer) => {
