--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -43,6 +43,10 @@
     pub retry_delay: Span,
     /// The time after which an unanswered order to resume replication can no longer take effect.
     pub resume_limit: Span,
+    /// The time after which a promotion order without an answer can no longer take effect. `None`
+    /// if the platform rejects an order whose token is lower than one that it has seen, so that a
+    /// later order ends an earlier one.
+    pub order_expiry: Option<Span>,
 }
 
 impl Default for KeeperOptions {
@@ -66,6 +70,7 @@
             retry_delay: Span::from_millis(500),
             // Instances close a connection after 3 s without a sign of the peer.
             resume_limit: Span::from_millis(3_500),
+            order_expiry: None,
         }
     }
 }
@@ -75,6 +80,8 @@
 pub enum RecordState {
     /// The instance is primary, no order is unresolved and the replicas receive.
     Settled(InstanceKey),
+    /// As `Settled`, but an earlier order for the same instance may still be executed.
+    SettledUnanswered(InstanceKey),
     /// No order is unresolved, but replicas may still be stopped.
     #[default]
     Unsettled,
@@ -136,6 +143,8 @@
     /// The answer to `Action::ResumeReplication`: `true` if the order can no longer take effect
     /// later, because the replica answered or the order was not sent.
     ReplicationResumed(InstanceKey, bool),
+    /// The answer to `Action::StepDown`: `true` if the instance has executed the order.
+    SteppedDown(InstanceKey, bool),
     /// The answer to `Action::CheckVms`: `true` if all VMs answered.
     VmsChecked(bool),
     /// The answer to `Action::AcquireToken`: the fencing token; `None` if the record could not be
@@ -166,6 +175,8 @@
     StopReplication(InstanceKey, Term),
     /// Lets a replica receive the log again.
     ResumeReplication(InstanceKey),
+    /// Makes an instance a replica if it still acts as the primary of a term before this one.
+    StepDown(InstanceKey, Term),
     /// Orders the platform to promote an instance.
     OrderPromotion {
         /// The instance to promote.
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -16,10 +16,17 @@
 //! primary. An unanswered order may be executed later, and an accepted one takes effect with a
 //! delay. The order is therefore repeated for the same instance with a higher token, by this keeper
 //! or the next one, until its effect is seen; only then does the record name a primary again.
+//!
+//! If the platform does not check tokens, a higher one does not end an earlier order. No other
+//! instance is then ordered until an unanswered order has expired (`KeeperOptions::order_expiry`).
+//!
+//! A replaced primary may go on as one until it is told to step down. It is told from its term,
+//! which the record holds as well: an instance that leads a lower term is never the primary.
 
 pub mod messages;
 mod phase;
 mod promotion;
+mod replaced;
 
 use oleander_core::events::Event;
 use oleander_core::ids::InstanceKey;
@@ -36,7 +43,9 @@
 use self::messages::ProbeResult;
 use self::messages::RecordState;
 use self::phase::Phase;
+use self::phase::UnansweredOrder;
 use self::phase::UnresolvedOrder;
+use self::replaced::ReplacedPrimary;
 
 /// `Keeper` decides when to probe and when to replace the primary of one database.
 #[derive(Clone, Debug)]
@@ -60,6 +69,11 @@
     leaving_since: Option<Time>,
     /// The latest order that may still take effect.
     unresolved: Option<UnresolvedOrder>,
+    /// The orders without an answer on a platform that does not check tokens; all of them are for
+    /// one instance.
+    unanswered: Option<UnansweredOrder>,
+    /// Former primaries that have not confirmed that they stepped down.
+    replaced: SmallVec<[ReplacedPrimary; INLINE_INSTANCES]>,
     /// `true` while the record may name an instance to promote.
     record_ordered: bool,
     /// `true` while replicas may be stopped that have not been told to resume.
@@ -97,6 +111,8 @@
             retry_at: now,
             leaving_since: None,
             unresolved: None,
+            unanswered: None,
+            replaced: SmallVec::new(),
             record_ordered: false,
             stopped: true,
             primary_seen: false,
@@ -107,15 +123,38 @@
                 keeper.primary = Some(primary);
                 keeper.stopped = false;
             }
+            RecordState::SettledUnanswered(primary) => {
+                keeper.primary = Some(primary);
+                keeper.stopped = false;
+                keeper.note_unanswered(now, primary);
+            }
             RecordState::Unsettled => {}
             RecordState::Ordered(instance) => {
                 keeper.unresolved = Some(UnresolvedOrder::from_record(instance));
                 keeper.record_ordered = true;
+                keeper.note_unanswered(now, instance);
             }
         }
         keeper
     }
 
+    /// Sets the term of the record that the keeper continues from: an instance that leads an
+    /// earlier term has been replaced.
+    pub fn with_term(self, term: Term) -> Self {
+        Self { term, ..self }
+    }
+
+    /// Returns the highest term seen.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Returns the instance for which an order without an answer may still be executed, on a
+    /// platform that does not check tokens. The record has to name it beside the primary.
+    pub fn unanswered(&self, now: Time) -> Option<InstanceKey> {
+        self.unanswered.filter(|order| now < order.until).map(|order| order.instance)
+    }
+
     /// Returns the instance that was primary at its last answer, or according to the record that
     /// the keeper continues from; `None` while the primary is unknown.
     pub fn primary(&self) -> Option<InstanceKey> {
@@ -132,6 +171,7 @@
     /// Returns the time at which `Input::Tick` is needed next.
     pub fn next_due(&self) -> Time {
         let probe_due = if self.probing.is_some() { Time(u64::MAX) } else { self.next_probe };
+        let probe_due = probe_due.min(self.next_step_down());
         match &self.phase {
             Phase::Watching
             | Phase::CheckingVms
@@ -158,12 +198,14 @@
             Input::Probed(instance, result) => self.handle_probe(now, instance, result, out),
             Input::ReplicationStopped(instance, point) => self.handle_stopped(instance, point),
             Input::ReplicationResumed(instance, done) => self.handle_resumed(now, instance, done),
+            Input::SteppedDown(instance, done) => self.handle_stepped_down(now, instance, done),
             Input::VmsChecked(all) => self.handle_vms_checked(now, all, out),
             Input::TokenAcquired(token) => self.handle_token(now, token, out),
             Input::VmsInformed(token) => self.handle_vms_informed(now, token, out),
             Input::PromotionOrdered(outcome) => self.handle_order_outcome(now, outcome, out),
         }
         self.advance(now, out);
+        self.send_step_downs(now, out);
         self.send_probe(now, out);
     }
 
@@ -196,9 +238,14 @@
             self.probing = None;
         }
         match result {
-            ProbeResult::Primary(point) => self.handle_primary(now, instance, point, out),
+            ProbeResult::Primary(point) if self.term <= point.term => {
+                self.handle_primary(now, instance, point, out);
+            }
             ProbeResult::Inconclusive => {}
-            ProbeResult::Replica => {
+            ProbeResult::Primary(_) | ProbeResult::Replica => {
+                if result != ProbeResult::Replica {
+                    self.note_replaced(now, instance);
+                }
                 if self.primary == Some(instance) {
                     self.primary = None;
                 }
@@ -230,9 +277,6 @@
         point: LogPoint,
         out: &mut Vec<Action>,
     ) {
-        if point.term < self.term {
-            return;
-        }
         self.term = point.term;
         self.silence = None;
         let former = self.primary.replace(instance);
@@ -244,6 +288,7 @@
                 point.term,
                 "answered as primary",
             ));
+            self.note_former_primaries(now, former, instance);
         }
         self.advance_on_primary(now, instance, point.term, out);
     }
@@ -258,6 +303,10 @@
         {
             return;
         }
+        if self.unanswered(now).is_some() {
+            // Any other instance that leads now might lose the lead to the order's.
+            return;
+        }
         let silent = self.silence.is_some_and(|silence| {
             let is_down = self.options.misses <= silence.not_running;
             let limit =
--- a/oleander-failover/src/keeper/phase.rs
+++ b/oleander-failover/src/keeper/phase.rs
@@ -87,3 +87,12 @@
         self.instance
     }
 }
+
+/// `UnansweredOrder` is an order without an answer that the platform may still execute, whatever
+/// orders it has executed since.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct UnansweredOrder {
+    pub(super) instance: InstanceKey,
+    /// The time after which it can no longer take effect.
+    pub(super) until: Time,
+}
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -16,6 +16,7 @@
 use super::phase::Phase;
 use super::phase::StoppingReplicas;
 use super::phase::Takeover;
+use super::phase::UnansweredOrder;
 use super::phase::UnresolvedOrder;
 
 impl Keeper {
@@ -149,6 +150,7 @@
                 self.phase = Phase::OrderingPromotion { instance, token, resend_at };
             }
             OrderOutcome::Unknown => {
+                self.note_unanswered(now, instance);
                 self.unresolved =
                     Some(UnresolvedOrder { instance, has_others, retry_failed: false });
                 self.record_choice(now, instance, out);
@@ -191,6 +193,7 @@
             }
             Phase::Takeover(takeover) if takeover.until <= now => {
                 let Takeover { instance, needs_confirmation, .. } = *takeover;
+                self.note_unanswered(now, instance);
                 self.leave_pending(
                     now,
                     instance,
@@ -230,7 +233,8 @@
             Phase::StoppingReplicas(StoppingReplicas { planned: false, .. })
             | Phase::InformingVms { planned: false, .. } => match self.unresolved {
                 None => self.abandon(now, "the primary answers again", out),
-                Some(_) => self.record_choice(now, instance, out),
+                Some(_) if self.may_order(now, instance) => self.record_choice(now, instance, out),
+                Some(_) => self.abandon(now, "an earlier order may still be executed", out),
             },
             Phase::Watching if self.unresolved.is_none() && self.stopped => self.resume_all(out),
             _ => {}
@@ -244,9 +248,10 @@
             return;
         }
         takeover.seen_replica = true;
-        if takeover.seen_primary {
+        if takeover.seen_primary && self.options.order_expiry.is_none() {
             // An order for another instance, executed just before, has demoted it. No order is left
-            // that can take effect.
+            // that can take effect. Without checked tokens, this may also be a replaced primary
+            // that has stepped down, and its own order has yet to take effect.
             self.complete_promotion();
         }
     }
@@ -265,11 +270,25 @@
         let candidate = (!order.retry_failed && self.listed(order.instance).is_some())
             .then_some(order.instance)
             .or(self.primary.filter(|_| self.silence.is_none()));
+        let candidate = candidate.filter(|instance| self.may_order(now, *instance));
         let Some(instance) = candidate else { return false };
         self.record_choice(now, instance, out);
         true
     }
 
+    /// Records an order that the platform may execute later, if it does not check tokens.
+    pub(super) fn note_unanswered(&mut self, now: Time, instance: InstanceKey) {
+        if let Some(expiry) = self.options.order_expiry {
+            self.unanswered = Some(UnansweredOrder { instance, until: now + expiry });
+        }
+    }
+
+    /// Returns `true` unless an order for another instance may still be executed after one for
+    /// `instance`, whatever their tokens.
+    fn may_order(&self, now: Time, instance: InstanceKey) -> bool {
+        self.unanswered(now).is_none_or(|ordered| ordered == instance)
+    }
+
     fn next_term(&self) -> Term {
         Term(self.term.0 + 1)
     }
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -380,3 +380,101 @@
     let actions = harness.handle(Input::ReplicationStopped(FAR, Some(point(1, 11))));
     assert_eq!(token_request(&actions), Some(Some(NEAR)));
 }
+
+fn step_downs(actions: &[Action]) -> Vec<(InstanceKey, Term)> {
+    let orders = actions.iter().filter_map(|action| match action {
+        Action::StepDown(key, term) => Some((*key, *term)),
+        _ => None,
+    });
+    orders.collect()
+}
+
+/// A primary that is cut off from its successor does not learn that it has been replaced.
+#[test]
+fn a_replaced_primary_is_told_to_step_down_until_it_answers() {
+    let mut harness = Harness::with_order_sent();
+    harness.handle(Input::PromotionOrdered(OrderOutcome::Accepted));
+    let actions = harness.handle(Input::Probed(NEAR, ProbeResult::Primary(point(2, 12))));
+    assert_eq!(step_downs(&actions), [(PRIMARY, Term(2))]);
+    harness.handle(Input::SteppedDown(PRIMARY, false));
+    let pause = KeeperOptions::default().repeat_interval.as_millis();
+    assert_eq!(step_downs(&harness.wait(pause)), [(PRIMARY, Term(2))]);
+    harness.handle(Input::SteppedDown(PRIMARY, true));
+    assert_eq!(step_downs(&harness.wait(pause)), []);
+}
+
+/// Guards against a keeper that takes a replaced primary for the present one, because it has not
+/// seen the present one itself.
+#[test]
+fn an_instance_that_leads_an_earlier_term_than_the_record_is_not_the_primary() {
+    let mut harness = Harness::new();
+    harness.keeper = harness.keeper.with_term(Term(2));
+    harness.handle(Input::Probed(PRIMARY, ProbeResult::Primary(point(1, 90))));
+    assert_eq!(harness.keeper.primary(), None);
+    harness.handle(Input::Probed(NEAR, ProbeResult::Primary(point(2, 12))));
+    assert_eq!(harness.keeper.primary(), Some(NEAR));
+}
+
+/// `LateOrder` is when, after an order stayed without an answer, its instance was lost.
+struct LateOrder {
+    outcome: OrderOutcome,
+    /// The result of later probes of the instance.
+    result: ProbeResult,
+}
+
+/// Where tokens are not checked, an order that is executed late takes the lead from whichever
+/// instance has been promoted since, together with the commits that only that one has.
+#[rstest]
+#[case::never_led(LateOrder { outcome: OrderOutcome::Rejected, result: ProbeResult::NoAnswer })]
+#[case::led_and_was_lost(LateOrder {
+    outcome: OrderOutcome::Accepted,
+    result: ProbeResult::Primary(LogPoint { term: Term(2), position: Position(12) }),
+})]
+fn no_other_instance_is_ordered_while_an_unchecked_order_may_be_executed(#[case] case: LateOrder) {
+    const EXPIRY: Span = Span::from_millis(8_000);
+    let options = KeeperOptions { order_expiry: Some(EXPIRY), ..KeeperOptions::default() };
+    let now = Time(1_000_000);
+    let mut harness = Harness { keeper: Keeper::new(options, RecordState::Ordered(NEAR), now), now };
+    harness.handle(instances(false));
+    harness.handle(Input::Probed(PRIMARY, ProbeResult::NoAnswer));
+    harness.handle(Input::TokenAcquired(Some(9)));
+    harness.handle(Input::PromotionOrdered(case.outcome));
+    harness.handle(Input::Probed(NEAR, case.result));
+    let since = harness.now;
+    let mut token = 9;
+    let mut reached_other = false;
+    while harness.now.since(since) < EXPIRY.times(3) {
+        let mut queue = harness.wait(100);
+        if EXPIRY <= harness.now.since(since) {
+            // Both lost instances leave the directory in the end.
+            let left = ListedInstance { key: FAR, leaving: false, primary: false };
+            queue.extend(harness.handle(Input::Instances([left].into_iter().collect())));
+        }
+        while let Some(action) = queue.pop() {
+            let input = match action {
+                Action::Probe(FAR) => Input::Probed(FAR, ProbeResult::Replica),
+                Action::Probe(key) => Input::Probed(key, ProbeResult::NoAnswer),
+                Action::AcquireToken { .. } => {
+                    token += 1;
+                    Input::TokenAcquired(Some(token))
+                }
+                Action::InformVms(token) => Input::VmsInformed(token),
+                Action::StopReplication(FAR, _) => {
+                    Input::ReplicationStopped(FAR, Some(point(1, 11)))
+                }
+                Action::OrderPromotion { instance: NEAR, .. } => {
+                    Input::PromotionOrdered(OrderOutcome::Rejected)
+                }
+                Action::OrderPromotion { .. } => {
+                    reached_other = true;
+                    let waited = harness.now.since(since);
+                    assert!(EXPIRY <= waited, "another order after {} ms", waited.as_millis());
+                    Input::PromotionOrdered(OrderOutcome::Accepted)
+                }
+                _ => continue,
+            };
+            queue.extend(harness.handle(input));
+        }
+    }
+    assert!(reached_other, "the database must not stay without a primary");
+}
--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -1,6 +1,10 @@
 //! Checks the keeper against a model of a database group whose platform promotes instances.
 //! Whichever messages are lost, delayed or reordered, a promoted instance has every acknowledged
-//! commit. Callers write to the primary that the keeper record names, or named a while ago.
+//! commit. Callers write to the primary that the keeper record names, or named a while ago, and read
+//! the latest data there.
+//!
+//! The group comes in two kinds (`Rules`): a platform that checks tokens and primaries that stop as
+//! they are replaced, or a platform that executes any order and primaries that go on.
 
 use oleander_core::ids::InstanceKey;
 use oleander_core::terms::LogPoint;
@@ -38,6 +42,25 @@
 /// The time for which messages on a connection that the keeper has given up may still arrive.
 const DELAY_LIMIT: Span = Span::from_millis(3_000);
 
+/// `Rules` are how the platform and the instances treat what has been superseded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Rules {
+    /// The platform rejects outdated orders, and a replaced primary stops at once.
+    Checked,
+    /// The platform executes outdated orders, and a replaced primary goes on.
+    Unchecked,
+}
+
+impl Rules {
+    fn options(self) -> KeeperOptions {
+        let order_expiry = match self {
+            Rules::Checked => None,
+            Rules::Unchecked => Some(DELAY_LIMIT + PROMOTION_DELAY),
+        };
+        KeeperOptions { order_expiry, ..KeeperOptions::default() }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// Time passes.
@@ -60,6 +83,12 @@
     Leave,
     /// Another VM takes over as keeper.
     Replace,
+    /// A replica receives what it lacks from a replaced primary.
+    ReplicateReplaced(usize),
+    /// A replaced primary reaches the new one and becomes its replica.
+    Reach,
+    /// A VM reads the latest data.
+    Read,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -75,6 +104,9 @@
         2 => index().prop_map(Step::Restart),
         1 => Just(Step::Leave),
         1 => Just(Step::Replace),
+        4 => index().prop_map(Step::ReplicateReplaced),
+        1 => Just(Step::Reach),
+        4 => Just(Step::Read),
     ]
 }
 
@@ -87,16 +119,21 @@
     term: u64,
     stopped: bool,
     down: bool,
+    /// The term that it leads as it sees itself; 0 for a replica.
+    leads: u64,
 }
 
 /// `Group` is the database group together with the platform that promotes its instances.
 #[derive(Debug)]
 struct Group {
+    rules: Rules,
     members: [Member; INSTANCES],
     primary: usize,
     term: u64,
     /// The number of acknowledged commits.
     acknowledged: u64,
+    /// The term in which the last of them was acknowledged.
+    acknowledged_term: u64,
     /// The highest fencing token that the platform has accepted.
     token: u64,
     promotions: u32,
@@ -105,13 +142,17 @@
 }
 
 impl Group {
-    fn new() -> Self {
+    fn new(rules: Rules) -> Self {
         let member = Member { term: 1, ..Member::default() };
+        let mut members = [member; INSTANCES];
+        members[0].leads = 1;
         Self {
-            members: [member; INSTANCES],
+            rules,
+            members,
             primary: 0,
             term: 1,
             acknowledged: 0,
+            acknowledged_term: 0,
             token: 0,
             promotions: 0,
             pending: Vec::new(),
@@ -123,7 +164,9 @@
     fn replicate(&mut self, index: usize) -> bool {
         let primary = self.members[self.primary];
         let replica = &mut self.members[index];
-        if index == self.primary || primary.down || replica.down || replica.stopped {
+        // A replaced primary that goes on receives nothing.
+        let receives = replica.leads == 0 && !replica.down && !replica.stopped;
+        if index == self.primary || primary.down || !receives {
             return false;
         }
         replica.received = primary.received;
@@ -131,12 +174,52 @@
         true
     }
 
+    /// Sends the log of a replaced primary to a replica that has not heard of the new one. Returns
+    /// the replaced primary if the replica received it.
+    fn replicate_replaced(&mut self, index: usize) -> Option<usize> {
+        let replaced = self.replaced()?;
+        let former = self.members[replaced];
+        let replica = &mut self.members[index];
+        let follows = replica.leads == 0 && replica.term <= former.leads;
+        if former.down || replica.down || replica.stopped || !follows {
+            return None;
+        }
+        replica.received = former.received;
+        Some(replaced)
+    }
+
+    /// Returns an instance that still acts as primary although it has been replaced.
+    fn replaced(&self) -> Option<usize> {
+        (0..INSTANCES).find(|index| *index != self.primary && self.members[*index].leads != 0)
+    }
+
+    /// Makes a replaced primary a replica of the present one.
+    fn step_down(&mut self, index: usize) {
+        let received = self.members[self.primary].received;
+        let member = &mut self.members[index];
+        member.leads = 0;
+        member.received = member.received.min(received);
+    }
+
+    fn acknowledge(&mut self, received: u64, term: u64) {
+        if self.acknowledged <= received {
+            self.acknowledged = received;
+            self.acknowledged_term = term;
+        }
+    }
+
+    /// Returns `true` if the log of an instance has all acknowledged commits.
+    fn is_complete(&self, index: usize) -> bool {
+        let Member { received, term, .. } = self.members[index];
+        self.acknowledged <= received && self.acknowledged_term <= term
+    }
+
     fn probe(&self, index: usize) -> ProbeResult {
         let member = self.members[index];
-        match (member.down, index == self.primary) {
+        match (member.down, member.leads) {
             (true, _) => ProbeResult::NoAnswer,
-            (false, true) => ProbeResult::Primary(self.point(index)),
-            (false, false) => ProbeResult::Replica,
+            (false, 0) => ProbeResult::Replica,
+            (false, _) => ProbeResult::Primary(self.point(index)),
         }
     }
 
@@ -145,12 +228,14 @@
         LogPoint { term: Term(term), position: Position(received) }
     }
 
-    /// Checks the fencing token; an accepted order takes effect after `PROMOTION_DELAY`.
+    /// Accepts an order, which takes effect after `PROMOTION_DELAY`, unless the instance is down or
+    /// the platform checks the token and has seen a higher one.
     fn promote(&mut self, index: usize, token: u64, now: Time) -> OrderOutcome {
-        if token < self.token || self.members[index].down {
+        let is_outdated = self.rules == Rules::Checked && token < self.token;
+        if is_outdated || self.members[index].down {
             return OrderOutcome::Rejected;
         }
-        self.token = token;
+        self.token = self.token.max(token);
         if index != self.primary {
             self.pending.push((index, now + PROMOTION_DELAY));
         }
@@ -176,18 +261,26 @@
         }
         let received = self.members[index].received;
         prop_assert!(
-            self.acknowledged <= received,
-            "{} commits are acknowledged, the promoted instance has {received}",
-            self.acknowledged
+            self.is_complete(index),
+            "{} commits are acknowledged up to term {}, the promoted instance has {:?}",
+            self.acknowledged,
+            self.acknowledged_term,
+            self.members[index]
         );
+        if self.rules == Rules::Checked {
+            self.members[self.primary].leads = 0;
+        }
         self.primary = index;
         self.term += 1;
         self.promotions += 1;
         for member in &mut self.members {
-            member.stopped = false;
-            member.received = member.received.min(received);
+            if member.leads == 0 {
+                member.stopped = false;
+                member.received = member.received.min(received);
+            }
         }
         self.members[index].term = self.term;
+        self.members[index].leads = self.term;
         Ok(())
     }
 }
@@ -225,14 +318,16 @@
     former_primaries: Vec<(usize, Time)>,
     /// The time for which VMs use an older record.
     staleness: Span,
+    /// The term in the keeper record.
+    record_term: Term,
 }
 
 impl World {
-    fn new(staleness: Span) -> Self {
+    fn new(staleness: Span, rules: Rules) -> Self {
         let now = Time(60_000_000);
         let mut world = Self {
-            group: Group::new(),
-            keeper: Keeper::new(KeeperOptions::default(), RecordState::Unsettled, now),
+            group: Group::new(rules),
+            keeper: Keeper::new(rules.options(), RecordState::Unsettled, now),
             now,
             revision: 0,
             sent: Vec::new(),
@@ -243,6 +338,7 @@
             published: None,
             former_primaries: Vec::new(),
             staleness,
+            record_term: Term(0),
         };
         world.update_directory();
         world
@@ -251,10 +347,11 @@
     fn handle(&mut self, input: Input) {
         let mut out = Vec::new();
         self.keeper.handle(self.now, input, &mut out);
-        if let (false, Some(primary)) = (self.keeper.is_promoting(), self.keeper.primary())
-            && self.published != Some(index_of(primary))
-        {
-            self.write_record(Some(index_of(primary)), None);
+        if let (false, Some(primary)) = (self.keeper.is_promoting(), self.keeper.primary()) {
+            let record = (Some(index_of(primary)), self.keeper.unanswered(self.now));
+            if (self.published, self.ordered) != record {
+                self.write_record(record.0, record.1);
+            }
         }
         self.sent
             .extend(out.into_iter().filter(|action| !matches!(action, Action::LogEvent { .. })));
@@ -263,6 +360,7 @@
     fn write_record(&mut self, primary: Option<usize>, ordered: Option<InstanceKey>) {
         self.revision += 1;
         self.ordered = ordered;
+        self.record_term = self.keeper.term();
         if self.published != primary {
             self.former_primaries.extend(self.published.map(|former| (former, self.now)));
             self.published = primary;
@@ -271,17 +369,22 @@
 
     /// Returns `true` if a VM may send writes to the present primary.
     fn receives_writes(&self) -> bool {
+        self.is_used(self.group.primary)
+    }
+
+    /// Returns `true` if a VM may take an instance for the primary.
+    fn is_used(&self, index: usize) -> bool {
         let is_recent = |(former, changed_at): &(usize, Time)| {
-            *former == self.group.primary && self.now.since(*changed_at) < self.staleness
+            *former == index && self.now.since(*changed_at) < self.staleness
         };
-        self.published == Some(self.group.primary) || self.former_primaries.iter().any(is_recent)
+        self.published == Some(index) || self.former_primaries.iter().any(is_recent)
     }
 
     fn update_directory(&mut self) {
         let known = |index: usize| ListedInstance {
             key: key(index),
             leaving: self.leaving == Some(index),
-            primary: self.group.primary == index,
+            primary: self.group.members[index].leads != 0,
         };
         self.handle(Input::Instances((0..INSTANCES).map(known).collect()));
     }
@@ -304,13 +407,37 @@
                     primary.received += 1;
                     primary.term = self.group.term;
                 }
+                if let Some(replaced) = self.group.replaced().filter(|index| self.is_used(*index)) {
+                    self.group.members[replaced].received += 1;
+                }
+            }
+            Step::ReplicateReplaced(index) => {
+                let replaced = self.group.replicate_replaced(index % INSTANCES);
+                prop_assert!(
+                    replaced.is_none_or(|replaced| !self.is_used(replaced)),
+                    "a replaced primary acknowledges a commit"
+                );
+            }
+            Step::Reach => {
+                if let Some(replaced) = self.group.replaced() {
+                    self.group.step_down(replaced);
+                }
+            }
+            Step::Read => {
+                let leads = |index: &usize| {
+                    let member = self.group.members[*index];
+                    !member.down && member.leads != 0 && self.is_used(*index)
+                };
+                for index in (0..INSTANCES).filter(leads) {
+                    prop_assert!(self.group.is_complete(index), "{index} lacks commits");
+                }
             }
             Step::Replicate(index) => {
                 // A home passes an acknowledgement on only while the record that it uses names the
                 // instance.
                 if self.group.replicate(index % INSTANCES) && self.receives_writes() {
                     let received = self.group.members[index % INSTANCES].received;
-                    self.group.acknowledged = self.group.acknowledged.max(received);
+                    self.group.acknowledge(received, self.group.term);
                 }
             }
             Step::Deliver(index) => {
@@ -337,7 +464,14 @@
                     }
                 }
             }
-            Step::Crash(index) => self.group.members[index % INSTANCES].down = true,
+            Step::Crash(index) => {
+                let index = index % INSTANCES;
+                self.group.members[index].down = true;
+                if index != self.group.primary {
+                    // A replaced primary comes back as a replica.
+                    self.group.step_down(index);
+                }
+            }
             Step::Restart(index) => {
                 let member = &mut self.group.members[index % INSTANCES];
                 // A replica that restarts receives again.
@@ -363,11 +497,13 @@
             self.delay(order);
         }
         let record = match (self.published, self.ordered) {
-            (Some(primary), _) => RecordState::Settled(key(primary)),
+            (Some(primary), None) => RecordState::Settled(key(primary)),
+            (Some(primary), Some(_)) => RecordState::SettledUnanswered(key(primary)),
             (None, Some(ordered)) => RecordState::Ordered(ordered),
             (None, None) => RecordState::Unsettled,
         };
-        self.keeper = Keeper::new(KeeperOptions::default(), record, self.now);
+        let options = self.group.rules.options();
+        self.keeper = Keeper::new(options, record, self.now).with_term(self.record_term);
         self.informed_at = None;
         // The new keeper first writes the record, so that tokens of the former keeper are lower.
         self.revision += 1;
@@ -404,7 +540,7 @@
                     return Ok(Input::ReplicationStopped(key, None));
                 }
                 // The present primary ignores an order to stop.
-                member.stopped |= index_of(key) != self.group.primary;
+                member.stopped |= member.leads == 0;
                 Input::ReplicationStopped(key, Some(self.group.point(index_of(key))))
             }
             Action::ResumeReplication(key) => {
@@ -415,6 +551,13 @@
                 member.stopped = false;
                 Input::ReplicationResumed(key, true)
             }
+            Action::StepDown(key, term) => {
+                let Member { down, leads, .. } = self.group.members[index_of(key)];
+                if !down && leads != 0 && Term(leads) < term {
+                    self.group.step_down(index_of(key));
+                }
+                Input::SteppedDown(key, !down)
+            }
             Action::OrderPromotion { instance, token } => {
                 Input::PromotionOrdered(self.group.promote(index_of(instance), token, self.now))
             }
@@ -440,6 +583,7 @@
         Action::AcquireToken { .. } => Input::TokenAcquired(None),
         Action::StopReplication(key, _) => Input::ReplicationStopped(key, None),
         Action::ResumeReplication(key) => Input::ReplicationResumed(key, false),
+        Action::StepDown(key, _) => Input::SteppedDown(key, false),
         Action::OrderPromotion { .. } => Input::PromotionOrdered(OrderOutcome::Unknown),
         Action::LogEvent { .. } => Input::Tick,
     })
@@ -455,8 +599,8 @@
     }
 }
 
-fn check(staleness: Span, steps: &[Step]) -> Result<(), TestCaseError> {
-    let mut world = World::new(staleness);
+fn check(staleness: Span, rules: Rules, steps: &[Step]) -> Result<(), TestCaseError> {
+    let mut world = World::new(staleness, rules);
     steps.iter().try_for_each(|step| world.perform(step))
 }
 
@@ -467,21 +611,35 @@
     fn a_promoted_instance_has_every_acknowledged_commit(
         steps in prop::collection::vec(step(), STEPS)
     ) {
-        check(Span::ZERO, &steps)?;
+        check(Span::ZERO, Rules::Checked, &steps)?;
     }
 
     #[test]
     fn a_promoted_instance_has_every_commit_of_vms_with_old_records(
         steps in prop::collection::vec(step(), STEPS)
     ) {
-        check(STALENESS, &steps)?;
+        check(STALENESS, Rules::Checked, &steps)?;
+    }
+
+    #[test]
+    fn without_checked_tokens_a_promoted_instance_has_every_acknowledged_commit(
+        steps in prop::collection::vec(step(), STEPS)
+    ) {
+        check(Span::ZERO, Rules::Unchecked, &steps)?;
+    }
+
+    #[test]
+    fn without_checked_tokens_a_promoted_instance_has_every_commit_of_vms_with_old_records(
+        steps in prop::collection::vec(step(), STEPS)
+    ) {
+        check(STALENESS, Rules::Unchecked, &steps)?;
     }
 }
 
 /// Guards against a model in which the properties hold because nothing is ever promoted.
 #[test]
 fn the_model_promotes_a_replica() {
-    let mut world = World::new(Span::ZERO);
+    let mut world = World::new(Span::ZERO, Rules::Checked);
     world.group.members[0].received = 5;
     world.group.replicate(1);
     for _ in 0..400 {
@@ -529,7 +687,7 @@
 #[case::keeper_lost_at_a_stop(Interruption { step: stops_replica, event: Step::Replace })]
 #[case::keeper_lost_at_the_order(Interruption { step: orders_promotion, event: Step::Replace })]
 fn an_interrupted_promotion_ends_with_the_right_primary(#[case] interruption: Interruption) {
-    let mut world = World::new(Span::ZERO);
+    let mut world = World::new(Span::ZERO, Rules::Checked);
     while world.published.is_none() {
         pass_or_deliver(&mut world);
     }
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -204,10 +204,14 @@
         request: &HomeRequest,
     ) -> Result<ForwardResult, Refusal> {
         let mut last = None;
-        let is_write =
-            request.work.is_write() || request.scope == Scope::First { read_only: false };
-        let homes =
-            if is_write { self.fleet.write_homes(instance) } else { self.fleet.homes(instance) };
+        let needs_primary = request.work.is_write()
+            || request.scope == Scope::First { read_only: false }
+            || request.freshness.latest;
+        let homes = if needs_primary {
+            self.fleet.write_homes(instance)
+        } else {
+            self.fleet.homes(instance)
+        };
         for home in homes.into_iter().take(MAX_HOME_ATTEMPTS) {
             match self.call(home, request).await {
                 Ok(answer) => {
@@ -292,6 +296,9 @@
 fn is_transient(refusal: &Refusal) -> bool {
     matches!(
         refusal.code,
-        RefusalCode::UpstreamLost | RefusalCode::HomeUnreachable | RefusalCode::Timeout
+        RefusalCode::UpstreamLost
+            | RefusalCode::HomeUnreachable
+            | RefusalCode::Timeout
+            | RefusalCode::NotPrimary
     )
 }
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -48,8 +48,12 @@
     pub duty: u64,
     /// The primary; `None` while it is unknown or being replaced.
     pub primary: Option<String>,
-    /// The instance whose promotion may have been ordered, until it is seen to be the primary.
+    /// The instance whose promotion may have been ordered, until no such order can take effect. It
+    /// is the primary, too, once it has been seen to lead.
     pub ordered: Option<String>,
+    /// The highest term seen; an instance that leads an earlier one has been replaced.
+    #[serde(default)]
+    pub term: u64,
 }
 
 /// `KeeperEntry` is a decoded keeper record with the revision at which it was written.
@@ -104,7 +108,8 @@
     /// Returns the state of the record, from which a new keeper of the database starts.
     pub fn record_state(&self) -> RecordState {
         match (self.primary, self.ordered) {
-            (Some(primary), _) => RecordState::Settled(primary),
+            (Some(primary), None) => RecordState::Settled(primary),
+            (Some(primary), Some(_)) => RecordState::SettledUnanswered(primary),
             (None, Some(ordered)) => RecordState::Ordered(ordered),
             (None, None) => RecordState::Unsettled,
         }
@@ -252,6 +257,13 @@
         is_seen && self.is_current() && self.now() < self.leased_until()
     }
 
+    /// Returns `true` if this VM may rely on an instance as the primary, to confirm its commits and
+    /// to read the latest data: the record names it, and a keeper that replaces it waits for this
+    /// VM before it orders the promotion of another.
+    pub fn confirms(&self, database: DatabaseId, instance: InstanceKey) -> bool {
+        self.primary(database) == Some(instance) && self.may_confirm()
+    }
+
     /// Allows the use of own shares from `from` on, once all VMs know that this one has joined:
     /// until then other VMs may use what earlier owners of the shares lent to them.
     pub fn enable_shares(&self, from: Time) {
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -99,25 +99,30 @@
     ///
     /// # Errors
     /// Fails with verdict `NotRun` if the statement is not admitted, and with verdict `Ran` if a
-    /// write ran but the primary was replaced meanwhile.
+    /// write or a read of the latest data ran but the primary was replaced meanwhile.
     pub async fn run_single(
         &self,
         request: &HomeRequest,
         deadline: Time,
     ) -> Result<HomeAnswer, Refusal> {
-        let check = if request.work.is_write() {
-            self.admit_write()?;
+        let is_write = request.work.is_write();
+        let check = if is_write {
             FreshnessCheck::After(None)
         } else {
             self.freshness_check(&request.freshness)?
         };
+        if is_write || check == FreshnessCheck::Primary {
+            self.admit_at_primary()?;
+        }
         let permit = self.acquire(request, class_of(request), deadline).await?;
         let mut pooled = self.pool.acquire(request).await?;
         let reply = pooled.connection.run_single(statement(request), check).await;
         drop(pooled);
         let answer = answer(&permit, reply?)?;
-        if request.work.is_write() {
-            self.check_primary()?;
+        match check {
+            _ if is_write => self.check_commit()?,
+            FreshnessCheck::Primary => self.check_latest()?,
+            FreshnessCheck::After(_) => {}
         }
         Ok(answer)
     }
@@ -136,7 +141,7 @@
             (true, Ok(FreshnessCheck::After(after))) => (true, after),
             (true, Err(refusal)) => return Err(refusal),
             _ => {
-                self.admit_write()?;
+                self.admit_at_primary()?;
                 (false, None)
             }
         };
@@ -148,6 +153,12 @@
         permit.keep_connection();
         let mut transaction = OpenTransaction::new(pooled, self.slots.clone(), request.rest);
         let answer = self.run_in_transaction(&mut transaction, request, &permit).await?;
+        // The reads of the transaction need the commits from before its start, so that one check
+        // after the start suffices for all of them.
+        if !read_only && let Err(refusal) = self.check_latest() {
+            transaction.roll_back().await;
+            return Err(transaction_refusal(request, refusal));
+        }
         Ok(TransactionResult { answer, open: (!request.work.is_end()).then_some(transaction) })
     }
 
@@ -206,7 +217,7 @@
             .and_then(|reply| answer(permit, reply))
             .map_err(|refusal| transaction_refusal(request, refusal))?;
         match request.work {
-            Work::Commit if transaction.wrote => self.check_primary()?,
+            Work::Commit if transaction.wrote => self.check_commit()?,
             _ => transaction.wrote |= request.work.is_write(),
         }
         Ok(answer)
@@ -216,7 +227,7 @@
     ///
     /// While the primary is being replaced, the commit may have been confirmed by a new or
     /// restarted replica that the promotion does not take into account, so that it could be lost.
-    fn check_primary(&self) -> Result<(), Refusal> {
+    fn check_commit(&self) -> Result<(), Refusal> {
         if self.confirms() {
             return Ok(());
         }
@@ -224,19 +235,30 @@
         Err(Refusal::ran(RefusalCode::NotReplicated, detail))
     }
 
+    /// Checks, after a read of the latest data, that no other instance led before it started.
+    ///
+    /// A replaced primary may go on as one and lacks the commits of its successor.
+    fn check_latest(&self) -> Result<(), Refusal> {
+        if self.confirms() {
+            return Ok(());
+        }
+        let detail = "the primary was replaced while the read ran, or may have been";
+        Err(Refusal::ran(RefusalCode::NotPrimary, detail))
+    }
+
     /// Returns `true` if the instance is the recorded primary and a promotion would wait for this
     /// VM.
     fn confirms(&self) -> bool {
         self.context.primaries.confirms(self.database, self.key)
     }
 
-    /// Checks that a write may start at this instance.
-    fn admit_write(&self) -> Result<(), Refusal> {
+    /// Checks that a statement that only the primary can run may start at this instance.
+    fn admit_at_primary(&self) -> Result<(), Refusal> {
         if self.confirms() {
             return Ok(());
         }
         if self.is_primary() {
-            let detail = "home: this VM has lost the store and could not confirm the write";
+            let detail = "home: this VM has lost the store and could not confirm the answer";
             return Err(Refusal::not_run(RefusalCode::NotCurrent, detail));
         }
         let detail = "the instance is not known to lead";
--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::time::Span;
@@ -167,6 +168,7 @@
             duty: rand::random(),
             record: tokio::sync::Mutex::new(WrittenRecord::at(revision)),
             primary_sample: Mutex::default(),
+            term: AtomicU64::new(keeper.map_or(0, |keeper| keeper.record.term)),
         });
         let former = keeper.map(|keeper| keeper.record.as_ref());
         let Some(taken) = watcher.take(former).await else { return };
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -40,22 +40,35 @@
 /// `IdleLinks` are idle connections, each with the `life` of the instance that it was opened to.
 type IdleLinks = HashMap<InstanceKey, (u64, Box<dyn Link>)>;
 
+/// `ProbeAnswer` is the outcome of a probe.
+#[derive(Clone, Copy, Debug)]
+pub struct ProbeAnswer {
+    /// The time before the probe was sent.
+    pub asked: Time,
+    /// The role of the instance; the point of a primary has the term that it leads.
+    pub result: ProbeResult,
+    /// The last point of the log of a primary, as it stood when it answered.
+    pub reached: Option<LogPoint>,
+}
+
 /// `Links` keeps at most one idle connection to each instance of a database.
 pub struct Links {
     fleet: Arc<Fleet>,
     upstreams: Arc<dyn Upstreams>,
     idle: Mutex<IdleLinks>,
+    /// The terms that instances lead, each with the `life` of the instance. Their log positions
+    /// show a new term only from the first commit on.
+    leading: Mutex<HashMap<InstanceKey, (u64, Term)>>,
 }
 
 impl Links {
     /// Creates an empty table; connections are opened on demand.
     pub fn new(fleet: Arc<Fleet>, upstreams: Arc<dyn Upstreams>) -> Self {
-        Self { fleet, upstreams, idle: Mutex::default() }
+        Self { fleet, upstreams, idle: Mutex::default(), leading: Mutex::default() }
     }
 
-    /// Probes an instance: asks whether it is the primary. Returns the time before the probe was
-    /// sent and the result.
-    pub async fn probe(&self, key: InstanceKey) -> (Time, ProbeResult) {
+    /// Probes an instance: asks whether it is the primary, and for its term unless it is known.
+    pub async fn probe(&self, key: InstanceKey) -> ProbeAnswer {
         let asked = self.fleet.now();
         // Only a primary opens a read-write transaction, and opening one takes no slot.
         let messages = [
@@ -71,7 +84,36 @@
             Err(LinkError::NotListening) => ProbeResult::NotRunning,
             Err(_) => ProbeResult::NoAnswer,
         };
-        (asked, result)
+        let ProbeResult::Primary(reached) = result else {
+            if result == ProbeResult::Replica {
+                self.forget_term(key);
+            }
+            return ProbeAnswer { asked, result, reached: None };
+        };
+        let result = match self.leading_term(key).await {
+            Some(term) => ProbeResult::Primary(LogPoint { term, ..reached }),
+            None => ProbeResult::Inconclusive,
+        };
+        ProbeAnswer { asked, result, reached: Some(reached) }
+    }
+
+    /// Forgets the term that an instance leads; called when it is about to lead another one.
+    pub fn forget_term(&self, key: InstanceKey) {
+        self.lock_leading().remove(&key);
+    }
+
+    /// Returns the term that a primary leads; `None` if it does not tell it.
+    async fn leading_term(&self, key: InstanceKey) -> Option<Term> {
+        let life = self.fleet.view().instances.get(&key)?.entry.life;
+        let known = self.lock_leading().get(&key).copied();
+        if let Some((_, term)) = known.filter(|(known, _)| *known == life) {
+            return Some(term);
+        }
+        let message = Message::internal(InstanceCommand::Status);
+        let reply = self.exchange(key, &[message]).await.ok()?.into_iter().next()?;
+        let term = self.upstreams.leading_term(&reply)?;
+        self.lock_leading().insert(key, (life, term));
+        Some(term)
     }
 
     /// Stops a replica from receiving the log up to `term`. Returns the last point that it has
@@ -109,6 +151,14 @@
         true
     }
 
+    /// Tells an instance to step down if it acts as the primary of a term before `term`. Returns
+    /// `true` if it has executed the order.
+    pub async fn step_down(&self, key: InstanceKey, term: Term) -> bool {
+        let message = Message::internal(InstanceCommand::StepDown(term));
+        let Ok(replies) = self.exchange(key, &[message]).await else { return false };
+        replies.first().is_some_and(|reply| reply.outcome.is_ok())
+    }
+
     async fn exchange(
         &self,
         key: InstanceKey,
@@ -145,6 +195,10 @@
         Ok((entry.life, self.upstreams.open(&target, KEEPER_NAME).await?))
     }
 
+    fn lock_leading(&self) -> MutexGuard<'_, HashMap<InstanceKey, (u64, Term)>> {
+        self.leading.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, IdleLinks> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -3,16 +3,18 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::terms::LogPoint;
+use oleander_core::terms::Term;
 use oleander_core::time::Time;
 use oleander_failover::keeper::Keeper;
 use oleander_failover::keeper::messages::Action;
 use oleander_failover::keeper::messages::Input;
-use oleander_failover::keeper::messages::KeeperOptions;
 use oleander_failover::keeper::messages::ListedInstance;
 use oleander_failover::keeper::messages::OrderOutcome;
 use oleander_failover::keeper::messages::ProbeResult;
@@ -35,6 +37,7 @@
 use tokio::sync::mpsc;
 
 use super::links::Links;
+use super::links::ProbeAnswer;
 use super::notify;
 use crate::control::apply;
 use crate::fleet::Fleet;
@@ -70,6 +73,8 @@
     pub record: tokio::sync::Mutex<WrittenRecord>,
     /// The newest answer of the primary; `None` before the first one.
     pub primary_sample: Mutex<Option<PrimarySample>>,
+    /// The highest term that the keeper has seen, which is written into the record.
+    pub term: AtomicU64,
 }
 
 /// `WrittenRecord` is the keeper record as this VM last wrote it, with its revision.
@@ -141,7 +146,8 @@
 
     fn new_record(&self, primary: Option<String>, ordered: Option<String>) -> KeeperRecord {
         let holder = Some(self.fleet.settings.name.clone());
-        KeeperRecord { holder, duty: self.duty, primary, ordered }
+        let term = self.term.load(Ordering::Acquire);
+        KeeperRecord { holder, duty: self.duty, primary, ordered, term }
     }
 
     async fn write(
@@ -234,17 +240,20 @@
     pub async fn run(self: Arc<Self>, record_state: RecordState) {
         let database = DatabaseId::from_name(&self.database);
         let (answers, mut inputs) = mpsc::channel(INPUT_QUEUE);
-        let mut keeper = Keeper::new(KeeperOptions::default(), record_state, self.fleet.now());
+        let options = self.fleet.settings.keeper_options();
+        let term = Term(self.term.load(Ordering::Acquire));
+        let mut keeper = Keeper::new(options, record_state, self.fleet.now()).with_term(term);
         let mut changes = self.fleet.changes();
         let mut input = self.instances_input(database);
         loop {
             let mut actions = Vec::new();
             keeper.handle(self.fleet.now(), input, &mut actions);
+            self.term.store(keeper.term().0, Ordering::Release);
             for action in actions {
                 self.start_action(action, &answers);
             }
             if !keeper.is_promoting() {
-                self.publish_primary(keeper.primary());
+                self.publish_primary(keeper.primary(), keeper.unanswered(self.fleet.now()));
             }
             input = tokio::select! {
                 Some(input) = inputs.recv() => input,
@@ -258,10 +267,17 @@
     }
 
     /// Writes the primary into the record, so that all VMs learn of it, unless the record names it.
-    fn publish_primary(self: &Arc<Self>, primary: Option<InstanceKey>) {
+    ///
+    /// `unanswered` is the instance for which an order may still be executed; it is named as well.
+    fn publish_primary(
+        self: &Arc<Self>,
+        primary: Option<InstanceKey>,
+        unanswered: Option<InstanceKey>,
+    ) {
         let Ok(written) = self.record.try_lock() else { return };
         let Some(primary) = primary.and_then(|key| self.instance_name(key)) else { return };
-        let record = self.new_record(Some(primary), None);
+        let ordered = unanswered.and_then(|key| self.instance_name(key));
+        let record = self.new_record(Some(primary), ordered);
         if written.record.as_ref() == Some(&record) {
             return;
         }
@@ -303,8 +319,13 @@
     async fn run_action(&self, action: Action) -> Option<Input> {
         match action {
             Action::Probe(key) => {
-                let (asked, result) = self.links.probe(key).await;
-                if let ProbeResult::Primary(point) = result {
+                let ProbeAnswer { asked, result, reached } = self.links.probe(key).await;
+                // A primary that has been replaced may go on as one, and its position does not tell
+                // what has been committed since. While this VM may confirm commits there, no other
+                // instance leads.
+                if let (ProbeResult::Primary(_), Some(point)) = (result, reached)
+                    && self.fleet.confirms(DatabaseId::from_name(&self.database), key)
+                {
                     self.update_primary_sample(point, asked);
                 }
                 Some(Input::Probed(key, result))
@@ -323,6 +344,10 @@
             Action::ResumeReplication(key) => {
                 Some(Input::ReplicationResumed(key, self.links.resume_replication(key).await))
             }
+            // A keeper that has lost its duty does no harm: the present primary has a later term.
+            Action::StepDown(key, term) => {
+                Some(Input::SteppedDown(key, self.links.step_down(key, term).await))
+            }
             Action::AcquireToken { ordered } => {
                 Some(Input::TokenAcquired(self.acquire_token(ordered).await))
             }
@@ -362,6 +387,7 @@
             holder: self.fleet.settings.name.clone(),
             token,
         };
+        self.links.forget_term(key);
         match self.promotions.promote(&order).await {
             PromotionOutcome::Accepted => OrderOutcome::Accepted,
             PromotionOutcome::Rejected => OrderOutcome::Rejected,
--- a/oleander-node/src/primaries.rs
+++ b/oleander-node/src/primaries.rs
@@ -65,10 +65,9 @@
         self.fleet.primary(database)
     }
 
-    /// Returns `true` if a commit at an instance may be confirmed: the record names it as the
-    /// primary, and a keeper that replaces it waits for this VM.
+    /// Returns `true` if this VM may rely on the instance as the primary; see `Fleet::confirms`.
     pub fn confirms(&self, database: DatabaseId, instance: InstanceKey) -> bool {
-        self.primary(database) == Some(instance) && self.fleet.may_confirm()
+        self.fleet.confirms(database, instance)
     }
 
     /// Returns `true` while the record names no primary: it is being replaced or not known yet.
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -5,6 +5,7 @@
 
 use oleander_core::places::Place;
 use oleander_core::time::Span;
+use oleander_failover::keeper::messages::KeeperOptions;
 use oleander_runtime::settings::span;
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,6 +18,10 @@
 /// statement to pass a queue.
 const DRAIN_MARGIN: Span = Span::from_millis(1_500);
 
+/// The time after which a promotion order without an answer can no longer take effect. Calls that
+/// lost their answer are executed up to 6 s late, and an order takes up to 1 s to have its effect.
+const ORDER_EXPIRY: Span = Span::from_millis(8_000);
+
 /// `NodeSettings` are the identity of one VM and the time limits that it has to keep.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -41,6 +46,9 @@
     /// The shortest lease TTL that the store grants; a longer one may be requested.
     #[serde(with = "span")]
     pub lease: Span,
+    /// `true` if the platform rejects a promotion order whose token is lower than one that it has
+    /// seen.
+    pub fenced: bool,
 }
 
 impl NodeSettings {
@@ -56,6 +64,12 @@
         self.drain.saturating_sub(DRAIN_MARGIN)
     }
 
+    /// Returns the options of the keepers.
+    pub fn keeper_options(&self) -> KeeperOptions {
+        let order_expiry = (!self.fenced).then_some(ORDER_EXPIRY);
+        KeeperOptions { order_expiry, ..KeeperOptions::default() }
+    }
+
     /// Returns the place of an availability zone; an unknown zone gets an empty region.
     pub fn place_of(&self, zone: &str) -> Place {
         let region = self.zones.get(zone).cloned().unwrap_or_default();
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -14,6 +14,7 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::places::Place;
 use oleander_core::terms::LogPoint;
+use oleander_core::terms::Term;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -63,7 +64,10 @@
 
 struct FakeUpstreams(Arc<FakeInstance>);
 
-struct FakeLink(Arc<FakeInstance>);
+struct FakeLink {
+    instance: Arc<FakeInstance>,
+    state: TransactionState,
+}
 
 #[async_trait]
 impl Upstreams for FakeUpstreams {
@@ -71,6 +75,10 @@
         None
     }
 
+    fn leading_term(&self, _: &Reply) -> Option<Term> {
+        None
+    }
+
     async fn open(&self, _: &Target, _: &str) -> Result<Box<dyn Link>, LinkError> {
         self.0.connect_attempts.fetch_add(1, Ordering::AcqRel);
         if self.0.refuses_connections.load(Ordering::Acquire) {
@@ -78,28 +86,29 @@
             return Err(LinkError::Refused(failure));
         }
         self.0.open.fetch_add(1, Ordering::AcqRel);
-        Ok(Box::new(FakeLink(self.0.clone())))
+        Ok(Box::new(FakeLink { instance: self.0.clone(), state: TransactionState::Idle }))
     }
 }
 
 #[async_trait]
 impl Link for FakeLink {
     async fn exchange(&mut self, messages: &[Message<'_>]) -> Result<Vec<Reply>, LinkError> {
-        if self.0.hangs.load(Ordering::Acquire) {
+        if self.instance.hangs.load(Ordering::Acquire) {
             std::future::pending::<()>().await;
         }
-        if let Some(on_exchange) = &*self.0.on_exchange.lock().unwrap() {
+        if let Some(on_exchange) = &*self.instance.on_exchange.lock().unwrap() {
             on_exchange();
         }
-        let state = |command: &InstanceCommand<'_>| match command {
-            InstanceCommand::Begin { .. } => TransactionState::Open,
-            _ => TransactionState::Idle,
-        };
-        let reply = |message: &Message<'_>| Reply {
-            rows: Vec::new(),
-            outcome: Ok("signature".to_owned()),
-            state: state(&message.command),
-            point: None,
+        let reply = |message: &Message<'_>| {
+            match message.command {
+                InstanceCommand::Begin { .. } => self.state = TransactionState::Open,
+                InstanceCommand::Commit | InstanceCommand::Rollback => {
+                    self.state = TransactionState::Idle;
+                }
+                _ => {}
+            }
+            let outcome = Ok("signature".to_owned());
+            Reply { rows: Vec::new(), outcome, state: self.state, point: None }
         };
         Ok(messages.iter().map(reply).collect())
     }
@@ -111,13 +120,13 @@
 
 impl Drop for FakeLink {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::AcqRel);
+        self.instance.open.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
 /// Sets the primary in the keeper's record.
 fn set_primary(fleet: &Fleet, primary: Option<InstanceKey>) {
-    let record = KeeperRecord { holder: None, duty: 1, primary: None, ordered: None };
+    let record = KeeperRecord { holder: None, duty: 1, primary: None, ordered: None, term: 1 };
     let keeper = KeeperEntry {
         holder: None,
         primary,
@@ -280,6 +289,55 @@
     assert_eq!(refused, recorded.refused);
 }
 
+/// Guards against reads on a primary that was replaced and goes on as one: reads of the latest data
+/// ran there, alone or in a transaction, and lacked commits of its successor.
+#[rstest]
+#[case::this(Recorded { before: THIS, after: THIS, refused: None })]
+#[case::nobody_from_the_start(Recorded {
+    before: None,
+    after: None,
+    refused: Some(Verdict::NotRun),
+})]
+#[case::other_from_the_start(Recorded {
+    before: OTHER,
+    after: OTHER,
+    refused: Some(Verdict::NotRun),
+})]
+#[case::nobody_at_the_end(Recorded { before: THIS, after: None, refused: Some(Verdict::Ran) })]
+#[case::other_at_the_end(Recorded { before: THIS, after: OTHER, refused: Some(Verdict::Ran) })]
+#[tokio::test]
+async fn a_read_of_the_latest_data_counts_only_while_the_record_names_the_instance(
+    #[case] recorded: Recorded,
+    #[values(Scope::Single, Scope::First { read_only: false }, Scope::First { read_only: true })]
+    scope: Scope,
+) {
+    let fake = Arc::new(FakeInstance::default());
+    let (home, timers, fleet) = home_with_fleet(&fake);
+    set_primary(&fleet, recorded.before);
+    let changed = fleet.clone();
+    *fake.on_exchange.lock().unwrap() =
+        Some(Box::new(move || set_primary(&changed, recorded.after)));
+    let request = HomeRequest {
+        work: Work::Read("loaf".to_owned()),
+        freshness: Freshness { latest: true, ..Freshness::default() },
+        scope,
+        ..write()
+    };
+    let deadline = timers.now() + request.patience;
+    let refused = match scope {
+        Scope::First { read_only } => {
+            let ran = home.run_first(&request, read_only, deadline).await;
+            ran.map(drop).err()
+        }
+        _ => home.run_single(&request, deadline).await.err(),
+    };
+    // The transaction is rolled back, so that nothing of it has run.
+    let is_single = scope == Scope::Single;
+    let expected =
+        recorded.refused.map(|verdict| if is_single { verdict } else { Verdict::NotRun });
+    assert_eq!(refused.map(|refusal| refusal.verdict), expected);
+}
+
 /// `StoreFault` is a reason why a VM may not confirm writes.
 enum StoreFault {
     PrimaryWithdrawn,
--- a/oleander-node/tests/support/mod.rs
+++ b/oleander-node/tests/support/mod.rs
@@ -15,5 +15,6 @@
         grace: Span::from_secs(6),
         drain: Span::from_secs(7),
         lease: Span::from_secs(1),
+        fenced: true,
     }
 }
--- a/oleander-ports/src/upstream.rs
+++ b/oleander-ports/src/upstream.rs
@@ -62,10 +62,14 @@
     },
     /// Resets the connection's session: drops all settings and prepared statements.
     Reset,
+    /// Asks for the replication status.
+    Status,
     /// Stops a replica from receiving the log from primaries up to this term.
     StopReceiving(Term),
     /// Lets a replica receive the log again.
     ResumeReceiving,
+    /// Makes the instance a replica if it acts as the primary of a term before this one.
+    StepDown(Term),
 }
 
 /// `Message` is a command with its identifier and precondition.
@@ -210,6 +214,10 @@
     /// reply does not contain it.
     fn received_point(&self, reply: &Reply) -> Option<LogPoint>;
 
+    /// Returns the term that an instance leads, taken from its reply to
+    /// [`InstanceCommand::Status`]; `None` if it is a replica or the reply does not contain it.
+    fn leading_term(&self, reply: &Reply) -> Option<Term>;
+
     /// Opens a connection on behalf of `workspace`. It has no time limit; the caller applies one.
     async fn open(&self, target: &Target, workspace: &str) -> Result<Box<dyn Link>, LinkError>;
 }
