Go on when the store comes back from a copy some seconds old

Cause: nothing knew of Store-Era. A full read with a lower revision was refused as stale, so that no VM would have followed the store again; tokens would have fallen below those that the platform has seen; the copy's configuration, directory and keeper records would have counted as new.

Change: - StoreRevision has the era in its high bits, so that revisions and fencing tokens grow across eras. An earlier version of the configuration is never taken over. - A keeper record of an earlier era names no primary. A keeper that has not written it itself asks all instances which of them leads the latest term, after the time in which a lost order may be executed. - A VM that starts meanwhile waits for shares that are in use under lost leases.

Ruled out: trusting the copy where it is newer than a VM's view (it may lack a promotion), and asking all VMs for their records (the instances know better).

Not covered: a process that starts just after the loss has no memory of a withdrawn key, and a compare-and-swap that meets the very revision that the store has given out again.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -45,6 +45,8 @@
     StoreUnreachable = 304,
     /// The platform's store is reachable again.
     StoreReachable = 305,
+    /// The platform's store was restored from a copy and has lost its latest changes.
+    StoreRestored = 309,
     /// A peer is suspected to be down.
     PeerSuspected = 306,
     /// This VM has started to use its own shares.
--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -87,6 +87,9 @@
     Unsettled,
     /// The promotion of the instance may have been ordered; the outcome is unknown.
     Ordered(InstanceKey),
+    /// The store was restored from a copy. The record may be outdated, and the promotion of any
+    /// instance may have been ordered since.
+    Restored,
 }
 
 /// `ListedInstance` is an instance as the directory lists it.
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -20,6 +20,9 @@
 //! If the platform does not check tokens, a higher one does not end an earlier order. No other
 //! instance is then ordered until an unanswered order has expired (`KeeperOptions::order_expiry`).
 //!
+//! After the store was restored from a copy, the record may lack the latest promotion. A keeper that
+//! has not written it itself then asks all instances which of them leads the latest term.
+//!
 //! A replaced primary may go on as one until it is told to step down. It is told from its term,
 //! which the record holds as well: an instance that leads a lower term is never the primary.
 
@@ -27,6 +30,7 @@
 mod phase;
 mod promotion;
 mod replaced;
+mod scan;
 
 use oleander_core::events::Event;
 use oleander_core::ids::InstanceKey;
@@ -43,6 +47,7 @@
 use self::messages::ProbeResult;
 use self::messages::RecordState;
 use self::phase::Phase;
+use self::phase::Scan;
 use self::phase::UnansweredOrder;
 use self::phase::UnresolvedOrder;
 use self::replaced::ReplacedPrimary;
@@ -134,6 +139,13 @@
                 keeper.record_ordered = true;
                 keeper.note_unanswered(now, instance);
             }
+            RecordState::Restored => {
+                // An order that the platform has accepted takes effect within `confirm_time`.
+                let options = keeper.options;
+                let since = now + options.order_expiry.unwrap_or(options.confirm_time);
+                keeper.unanswered = Some(UnansweredOrder { instance: None, until: since });
+                keeper.phase = Phase::Scanning(Scan { since, answers: SmallVec::new() });
+            }
         }
         keeper
     }
@@ -152,7 +164,7 @@
     /// Returns the instance for which an order without an answer may still be executed, on a
     /// platform that does not check tokens. The record has to name it beside the primary.
     pub fn unanswered(&self, now: Time) -> Option<InstanceKey> {
-        self.unanswered.filter(|order| now < order.until).map(|order| order.instance)
+        self.unanswered.filter(|order| now < order.until).and_then(|order| order.instance)
     }
 
     /// Returns the instance that was primary at its last answer, or according to the record that
@@ -174,6 +186,7 @@
         let probe_due = probe_due.min(self.next_step_down());
         match &self.phase {
             Phase::Watching
+            | Phase::Scanning(_)
             | Phase::CheckingVms
             | Phase::AcquiringToken { .. }
             | Phase::InformingVms { .. } => probe_due,
@@ -237,6 +250,10 @@
         if self.probing == Some(instance) {
             self.probing = None;
         }
+        if matches!(self.phase, Phase::Scanning(_)) {
+            self.next_probe = now + self.options.suspect_interval;
+            return self.handle_scan(now, instance, result);
+        }
         match result {
             ProbeResult::Primary(point) if self.term <= point.term => {
                 self.handle_primary(now, instance, point, out);
@@ -342,6 +359,7 @@
         }
         let target = match &self.phase {
             Phase::Takeover(takeover) => Some(takeover.instance),
+            Phase::Scanning(_) => self.next_candidate(),
             _ => self.primary.or_else(|| self.next_candidate()),
         };
         let Some(target) = target else {
--- a/oleander-failover/src/keeper/phase.rs
+++ b/oleander-failover/src/keeper/phase.rs
@@ -14,6 +14,9 @@
 pub(super) enum Phase {
     /// Probes the primary; no promotion runs.
     Watching,
+    /// Probes all instances to find the one that leads the latest term, as the record may be
+    /// outdated.
+    Scanning(Scan),
     /// Waits for the check whether all VMs answer, before a planned promotion.
     CheckingVms,
     /// Waits for the write of the record without a primary.
@@ -35,6 +38,15 @@
     Takeover(Takeover),
 }
 
+/// `Scan` holds the instances that have answered since `since`, each with the term that it leads.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Scan {
+    /// The time before which answers do not count: an order may still have been executed after
+    /// them.
+    pub(super) since: Time,
+    pub(super) answers: SmallVec<[(InstanceKey, Option<Term>); INLINE_INSTANCES]>,
+}
+
 /// `StoppingReplicas` is the state while the keeper stops replication at all replicas.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct StoppingReplicas {
@@ -92,7 +104,8 @@
 /// orders it has executed since.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct UnansweredOrder {
-    pub(super) instance: InstanceKey,
+    /// The instance; `None` if it is unknown.
+    pub(super) instance: Option<InstanceKey>,
     /// The time after which it can no longer take effect.
     pub(super) until: Time,
 }
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -163,6 +163,7 @@
     pub(super) fn advance(&mut self, now: Time, out: &mut Vec<Action>) {
         match &self.phase {
             Phase::Watching => self.start_if_needed(now, out),
+            Phase::Scanning(_) => self.finish_scan(now, out),
             Phase::StoppingReplicas(stopping) => {
                 if self.all_stopped(stopping) {
                     self.choose_replica(now, out);
@@ -279,7 +280,8 @@
     /// Records an order that the platform may execute later, if it does not check tokens.
     pub(super) fn note_unanswered(&mut self, now: Time, instance: InstanceKey) {
         if let Some(expiry) = self.options.order_expiry {
-            self.unanswered = Some(UnansweredOrder { instance, until: now + expiry });
+            let until = now + expiry;
+            self.unanswered = Some(UnansweredOrder { instance: Some(instance), until });
         }
     }
 
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -479,3 +479,59 @@
     }
     assert!(reached_other, "the database must not stay without a primary");
 }
+
+/// `ScanCase` is what the instances answer after the store was restored from a copy, and the
+/// primary that the keeper goes by; `None` if it waits or replaces a lost one.
+struct ScanCase {
+    answers: [ProbeResult; 3],
+    primary: Option<InstanceKey>,
+}
+
+fn leads(term: u64) -> ProbeResult {
+    ProbeResult::Primary(point(term, 12))
+}
+
+/// The record of the copy may name a primary that has been replaced since and goes on as one.
+#[rstest]
+#[case::one_leads(ScanCase {
+    answers: [ProbeResult::Replica, leads(2), ProbeResult::Replica],
+    primary: Some(NEAR),
+})]
+#[case::a_replaced_one_goes_on(ScanCase {
+    answers: [leads(1), leads(2), ProbeResult::Replica],
+    primary: Some(NEAR),
+})]
+#[case::one_is_silent(ScanCase {
+    answers: [leads(1), ProbeResult::NoAnswer, ProbeResult::Replica],
+    primary: None,
+})]
+#[case::none_leads(ScanCase {
+    answers: [ProbeResult::Replica, ProbeResult::Replica, ProbeResult::Replica],
+    primary: None,
+})]
+fn after_a_restore_the_instance_that_leads_the_latest_term_is_the_primary(
+    #[case] case: ScanCase,
+    #[values(None, Some(Span::from_millis(8_000)))] order_expiry: Option<Span>,
+) {
+    let options = KeeperOptions { order_expiry, ..KeeperOptions::default() };
+    let now = Time(1_000_000);
+    let keeper = Keeper::new(options, RecordState::Restored, now);
+    let mut harness = Harness { keeper, now };
+    let mut queue = harness.handle(instances(false));
+    let mut waited = 0;
+    while waited < 9_500 && harness.keeper.primary().is_none() {
+        for action in std::mem::take(&mut queue) {
+            if let Action::Probe(key) = action {
+                let answer = case.answers[key.0 as usize - 1];
+                queue.extend(harness.handle(Input::Probed(key, answer)));
+            }
+        }
+        assert!(harness.keeper.is_promoting(), "no writes before the primary is known");
+        queue.extend(harness.wait(100));
+        waited += 100;
+    }
+    assert_eq!(harness.keeper.primary(), case.primary);
+    // An order that was sent under the lost record may be executed until then.
+    let expiry = order_expiry.unwrap_or(options.confirm_time).as_millis();
+    assert!(case.primary.is_none() || expiry <= waited);
+}
--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -83,6 +83,9 @@
     Leave,
     /// Another VM takes over as keeper.
     Replace,
+    /// The store is restored from a copy, which lacks what the record said last, and another VM
+    /// takes over as keeper. VMs still go by what they were told of the record.
+    Restore,
     /// A replica receives what it lacks from a replaced primary.
     ReplicateReplaced(usize),
     /// A replaced primary reaches the new one and becomes its replica.
@@ -104,6 +107,7 @@
         2 => index().prop_map(Step::Restart),
         1 => Just(Step::Leave),
         1 => Just(Step::Replace),
+        1 => Just(Step::Restore),
         4 => index().prop_map(Step::ReplicateReplaced),
         1 => Just(Step::Reach),
         4 => Just(Step::Read),
@@ -320,6 +324,8 @@
     staleness: Span,
     /// The term in the keeper record.
     record_term: Term,
+    /// `true` while the record may lack what it said before the store was restored.
+    restored: bool,
 }
 
 impl World {
@@ -339,6 +345,7 @@
             former_primaries: Vec::new(),
             staleness,
             record_term: Term(0),
+            restored: false,
         };
         world.update_directory();
         world
@@ -361,6 +368,7 @@
         self.revision += 1;
         self.ordered = ordered;
         self.record_term = self.keeper.term();
+        self.restored &= primary.is_none() && ordered.is_none();
         if self.published != primary {
             self.former_primaries.extend(self.published.map(|former| (former, self.now)));
             self.published = primary;
@@ -482,28 +490,36 @@
                 self.leaving = Some(self.group.primary);
                 self.update_directory();
             }
-            Step::Replace => self.replace(),
+            Step::Replace => {
+                let record = match (self.published, self.ordered) {
+                    _ if self.restored => RecordState::Restored,
+                    (Some(primary), None) => RecordState::Settled(key(primary)),
+                    (Some(primary), Some(_)) => RecordState::SettledUnanswered(key(primary)),
+                    (None, Some(ordered)) => RecordState::Ordered(ordered),
+                    (None, None) => RecordState::Unsettled,
+                };
+                self.replace(record, self.record_term);
+            }
+            Step::Restore => {
+                self.ordered = None;
+                self.restored = true;
+                self.replace(RecordState::Restored, Term(0));
+            }
         }
         Ok(())
     }
 
-    /// Replaces the keeper. The connections of the former one are reset, except that its orders to
+    /// Replaces the keeper by one that continues from `record`. The connections of the former one are reset, except that its orders to
     /// the platform may still arrive.
-    fn replace(&mut self) {
+    fn replace(&mut self, record: RecordState, term: Term) {
         let orders = std::mem::take(&mut self.sent).into_iter();
         let orders = orders.filter(|action| matches!(action, Action::OrderPromotion { .. }));
         self.delayed.retain(|delayed| matches!(delayed.action, Action::OrderPromotion { .. }));
         for order in orders {
             self.delay(order);
         }
-        let record = match (self.published, self.ordered) {
-            (Some(primary), None) => RecordState::Settled(key(primary)),
-            (Some(primary), Some(_)) => RecordState::SettledUnanswered(key(primary)),
-            (None, Some(ordered)) => RecordState::Ordered(ordered),
-            (None, None) => RecordState::Unsettled,
-        };
         let options = self.group.rules.options();
-        self.keeper = Keeper::new(options, record, self.now).with_term(self.record_term);
+        self.keeper = Keeper::new(options, record, self.now).with_term(term);
         self.informed_at = None;
         // The new keeper first writes the record, so that tokens of the former keeper are lower.
         self.revision += 1;
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -65,7 +65,15 @@
     }
 
     /// Returns the view after a full read. Whatever `former` has and the reading lacks is removed.
+    ///
+    /// The first reading of a new era shows a copy of the store, in which what has been written
+    /// since is missing. What `former` has of instances, VMs and keepers is then kept until the
+    /// next reading, by which time it has been written again. A VM whose lease the store has lost
+    /// uses its shares until the end of the lease as it counts it.
     pub fn apply_reading(&self, former: &View, reading: &ReadResponse, now: Time) -> View {
+        if is_restored(former, reading) {
+            return self.apply_restored(former, reading, now);
+        }
         let mut draft = Draft { view: former.clone(), now };
         let present: HashSet<&str> =
             reading.entries.iter().map(|entry| entry.key.as_str()).collect();
@@ -77,6 +85,25 @@
         draft.view
     }
 
+    fn apply_restored(&self, former: &View, reading: &ReadResponse, now: Time) -> View {
+        let mut draft = Draft { view: former.clone(), now };
+        for keeper in Arc::make_mut(&mut draft.view.keepers).values_mut() {
+            *keeper = keeper.kept(StoreRevision(0));
+        }
+        let directory = self.sources.directory_prefix;
+        for entry in reading.entries.iter().filter(|entry| !entry.key.starts_with(directory)) {
+            self.put(&mut draft, entry);
+        }
+        draft.view.revision = reading.revision;
+        let fields = [
+            Field::number("era", reading.revision.era()),
+            revision_field(reading.revision),
+            Field::number("known", former.revision.0),
+        ];
+        self.journal.record(Event::StoreRestored, &fields);
+        draft.view
+    }
+
     /// Returns the view after `changes`, or `None` if there are none.
     pub fn apply_changes(&self, former: &View, changes: &Changes, now: Time) -> Option<View> {
         if changes.changes.is_empty() {
@@ -115,7 +142,11 @@
             })
             .map(DatabaseId::from_name)
             .collect();
-        Arc::make_mut(&mut view.keepers).retain(|database, _| databases.contains(database));
+        // A record that the store has lost is written again by the next keeper.
+        let is_kept = |database: &DatabaseId, keeper: &KeeperEntry| {
+            databases.contains(database) || keeper.revision == StoreRevision(0)
+        };
+        Arc::make_mut(&mut view.keepers).retain(|database, keeper| is_kept(database, keeper));
     }
 
     fn put(&self, draft: &mut Draft, entry: &Entry) {
@@ -161,6 +192,16 @@
             return;
         }
         match (self.sources.decode_configuration)(&entry.value) {
+            // A store that was restored from a copy may show an earlier version, with keys that
+            // have been withdrawn since.
+            Ok(snapshot) if snapshot.revision < draft.view.snapshot.revision => {
+                let fields = [
+                    Field::text("reason", "an earlier version than the one in force"),
+                    Field::number("revision", snapshot.revision.0),
+                    revision_field(entry.revision),
+                ];
+                self.journal.record(Event::RevisionRejected, &fields);
+            }
             Ok(snapshot) => {
                 self.log_configuration(&snapshot, entry.revision);
                 draft.view.snapshot = Arc::new(snapshot);
@@ -257,14 +298,18 @@
             return self.log_rejected(entry);
         };
         let id = DatabaseId::from_name(database);
-        let keeper = KeeperEntry {
-            holder: record.holder.as_deref().map(VmId::from_name),
-            primary: record.primary.as_deref().map(InstanceKey::from_name),
-            ordered: record.ordered.as_deref().map(InstanceKey::from_name),
-            record: Arc::new(record),
-            revision: entry.revision,
-        };
         let former = draft.view.keepers.get(&id);
+        let keeper = match former {
+            // The content may be kept from before the store was restored.
+            Some(former) if former.revision == entry.revision => return,
+            Some(former)
+                if record.era < entry.revision.era()
+                    && entry.revision.change() <= former.known.change() =>
+            {
+                former.kept(entry.revision)
+            }
+            _ => KeeperEntry::new(record, entry.revision),
+        };
         let record = &keeper.record;
         let content = |keeper: &KeeperEntry| (keeper.holder, keeper.primary, keeper.ordered);
         if former.is_none_or(|former| content(former) != content(&keeper)) {
@@ -290,6 +335,11 @@
     }
 }
 
+/// Returns `true` if a reading is the first one of a new era of the store.
+pub fn is_restored(former: &View, reading: &ReadResponse) -> bool {
+    former.revision != StoreRevision(0) && former.revision.era() < reading.revision.era()
+}
+
 fn revision_field(revision: StoreRevision) -> Field {
     Field::number("at", revision.0)
 }
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -35,6 +35,11 @@
 /// The time for which a VM watches the store itself after no other VM could be followed.
 const DIRECT_TIME: Span = Span::from_millis(3_000);
 
+/// The time from the first reading of a store that was restored from a copy to the next one, which
+/// counts in full. By then all VMs, instances and operators have written again, and the leases that
+/// the store has lost have ended as their holders count them.
+pub const SETTLE_TIME: Span = Span::from_millis(4_500);
+
 /// The wait of the first watch after a failure; short, so that its answer soon shows whether the
 /// view is complete.
 const RECOVERY_WAIT: Span = Span::from_millis(100);
@@ -67,7 +72,11 @@
         let mut complete = None;
         let mut pace = Pace::new(WATCH_INTERVAL, WATCH_BURST);
         let mut direct_until = Time(0);
+        let mut settle_at = None;
         loop {
+            if settle_at.take_if(|at| *at <= self.fleet.now()).is_some() {
+                complete = None;
+            }
             if let Some(after) = complete
                 && direct_until <= self.fleet.now()
             {
@@ -87,7 +96,15 @@
                     self.fleet.timers.sleep_until(pace.next(self.fleet.now())).await;
                     self.watch(after, wait).await
                 }
-                None => self.read().await,
+                None => {
+                    let former = self.fleet.view().revision;
+                    let outcome = self.read().await;
+                    if former != StoreRevision(0) && former.era() < self.fleet.view().revision.era()
+                    {
+                        settle_at = Some(self.fleet.now() + SETTLE_TIME);
+                    }
+                    outcome
+                }
             };
             if let Err(error) = outcome {
                 if error == StoreError::Compacted {
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -27,6 +27,7 @@
 
 use super::Backoff;
 use super::apply;
+use super::follow::SETTLE_TIME;
 use crate::fleet::Fleet;
 use crate::rates::Rates;
 
@@ -215,7 +216,14 @@
             lent_until = lent_until.max(until.unwrap_or(Time(u64::MAX)));
         }
         let now = self.fleet.now();
-        let longest = now + LOAN_EXPIRY_WAIT;
+        let mut longest = now + LOAN_EXPIRY_WAIT;
+        let is_restored = self.fleet.view().keepers.values().any(|keeper| keeper.restored);
+        if former.is_none() && is_restored {
+            // VMs whose leases the store has lost may use their shares until these would have
+            // ended, and this process knows none of them.
+            longest = now + SETTLE_TIME;
+            lent_until = longest;
+        }
         // With no record of an earlier process and no other VM to ask, it is unknown what was lent
         // from the shares before.
         let is_known = former.is_some() || 0 < count;
--- a/oleander-node/src/control/store_copy.rs
+++ b/oleander-node/src/control/store_copy.rs
@@ -32,8 +32,11 @@
     }
 
     /// Replaces the content by a full read. Keys that the reading lacks count as deleted at its
-    /// revision.
+    /// revision; in a new era of the store, nothing is known of what happened before.
     pub fn apply_reading(&mut self, reading: &ReadResponse) {
+        if self.revision.era() < reading.revision.era() {
+            *self = Self::default();
+        }
         let former = std::mem::take(&mut self.entries);
         for entry in &reading.entries {
             self.entries.insert(entry.key.clone(), entry.clone());
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -54,6 +54,13 @@
     /// The highest term seen; an instance that leads an earlier one has been replaced.
     #[serde(default)]
     pub term: u64,
+    /// The era of the store in which the record was written. In a later era it comes from a copy.
+    #[serde(default)]
+    pub era: u64,
+    /// `true` if the holder took the duty over from a record of an earlier era and has not found
+    /// the primary yet.
+    #[serde(default)]
+    pub restored: bool,
 }
 
 /// `KeeperEntry` is a decoded keeper record with the revision at which it was written.
@@ -67,8 +74,14 @@
     pub ordered: Option<InstanceKey>,
     /// The stored record. The directory may no longer have the instances that it names.
     pub record: Arc<KeeperRecord>,
-    /// The revision of the record, which is also the holder's latest fencing token.
+    /// The revision of the record, which is also the holder's latest fencing token; 0 if the store
+    /// was restored from a copy that lacks the record.
     pub revision: StoreRevision,
+    /// The revision at which the content was written: an earlier one than `revision` if the store
+    /// was restored from a copy that is older than the content.
+    pub known: StoreRevision,
+    /// `true` if the store was restored since the content was written, so that it may be outdated.
+    pub restored: bool,
 }
 
 /// `View` is the decoded content of the store, as far as this VM has read it.
@@ -105,9 +118,34 @@
 }
 
 impl KeeperEntry {
+    /// Creates the entry of a record that was written at `revision`.
+    ///
+    /// A record of an earlier era comes from the copy from which the store was restored. Another
+    /// instance may have been promoted since, so that the record does not show the primary.
+    pub fn new(record: KeeperRecord, revision: StoreRevision) -> Self {
+        let is_copied = record.era < revision.era();
+        let primary = record.primary.as_deref().map(InstanceKey::from_name);
+        Self {
+            holder: record.holder.as_deref().map(VmId::from_name),
+            primary: primary.filter(|_| !is_copied),
+            ordered: record.ordered.as_deref().map(InstanceKey::from_name),
+            restored: is_copied || record.restored,
+            record: Arc::new(record),
+            revision,
+            known: revision,
+        }
+    }
+
+    /// Returns this entry as it is after the store was restored: its content is newer than that of
+    /// the store, in which the record has this revision.
+    pub fn kept(&self, revision: StoreRevision) -> Self {
+        Self { revision, restored: true, ..self.clone() }
+    }
+
     /// Returns the state of the record, from which a new keeper of the database starts.
     pub fn record_state(&self) -> RecordState {
         match (self.primary, self.ordered) {
+            _ if self.restored => RecordState::Restored,
             (Some(primary), None) => RecordState::Settled(primary),
             (Some(primary), Some(_)) => RecordState::SettledUnanswered(primary),
             (None, Some(ordered)) => RecordState::Ordered(ordered),
@@ -323,13 +361,24 @@
         *known = revision.max(*known);
     }
 
+    /// Puts a keeper record that this VM has written into the view, unless the view is newer.
+    pub fn note_keeper(&self, database: DatabaseId, keeper: KeeperEntry) {
+        let view = self.view();
+        let is_newer = |known: &KeeperEntry| known.revision < keeper.revision;
+        if view.keepers.get(&database).is_none_or(is_newer) {
+            let mut noted = View::clone(&view);
+            Arc::make_mut(&mut noted.keepers).insert(database, keeper);
+            self.set_view(noted);
+        }
+    }
+
     /// Returns the primary that the keeper's record names; `None` while it is unknown, withdrawn or
     /// being replaced.
     pub fn primary(&self, database: DatabaseId) -> Option<InstanceKey> {
         let view = self.view.load();
         let keeper = view.keepers.get(&database)?;
         let withdrawn = self.withdrawn.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_newest = withdrawn.get(&database).is_none_or(|at| *at <= keeper.revision);
+        let is_newest = withdrawn.get(&database).is_none_or(|at| *at <= keeper.known);
         keeper.primary.filter(|_| is_newest)
     }
 
--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -2,6 +2,7 @@
 //! first VM in the rendezvous order of the database.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -52,6 +53,8 @@
     pub held_lease: watch::Receiver<Option<HeldLease>>,
     /// Logs the decisions of the keepers.
     pub journal: Journal,
+    /// The numbers of all duties that this process has taken, by which it knows its records.
+    pub own: Mutex<HashSet<u64>>,
     /// The duties that this VM has, by database.
     pub running: Mutex<HashMap<DatabaseId, RunningDuty>>,
 }
@@ -155,7 +158,14 @@
     async fn take(&self, view: &View, database: DatabaseId, name: String, lease: HeldLease) {
         let keeper = view.keepers.get(&database);
         let revision = keeper.map_or(StoreRevision(0), |keeper| keeper.revision);
-        let record_state = keeper.map_or(RecordState::Unsettled, KeeperEntry::record_state);
+        // What this process has written itself is not outdated, whatever the store has lost.
+        let is_own = keeper.is_some_and(|keeper| self.is_own(keeper.record.duty));
+        let restored = keeper.is_some_and(|keeper| keeper.restored && !is_own);
+        let record_state = keeper.map_or(RecordState::Unsettled, |keeper| {
+            KeeperEntry { restored, ..keeper.clone() }.record_state()
+        });
+        let duty = rand::random();
+        self.own.lock().unwrap_or_else(PoisonError::into_inner).insert(duty);
         let watcher = Arc::new(Watcher {
             fleet: self.fleet.clone(),
             store: self.store.clone(),
@@ -165,7 +175,8 @@
             links: Links::new(self.fleet.clone(), self.upstreams.clone()),
             journal: self.journal.clone(),
             database: name,
-            duty: rand::random(),
+            duty,
+            restored,
             record: tokio::sync::Mutex::new(WrittenRecord::at(revision)),
             primary_sample: Mutex::default(),
             term: AtomicU64::new(keeper.map_or(0, |keeper| keeper.record.term)),
@@ -176,6 +187,10 @@
         self.lock().insert(database, RunningDuty { watcher, lease, taken, task });
     }
 
+    fn is_own(&self, duty: u64) -> bool {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner).contains(&duty)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<DatabaseId, RunningDuty>> {
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -41,6 +41,7 @@
 use super::notify;
 use crate::control::apply;
 use crate::fleet::Fleet;
+use crate::fleet::KeeperEntry;
 use crate::fleet::KeeperRecord;
 
 /// The capacity of the input queue; each action has one answer, so that few inputs wait.
@@ -69,6 +70,9 @@
     pub database: String,
     /// The random number in `KeeperRecord::duty` by which this VM recognises its own writes.
     pub duty: u64,
+    /// `true` if the duty continues from a record that may be outdated, as the store was restored
+    /// from a copy.
+    pub restored: bool,
     /// The record as last written; locked while it is being written.
     pub record: tokio::sync::Mutex<WrittenRecord>,
     /// The newest answer of the primary; `None` before the first one.
@@ -116,9 +120,12 @@
     /// Returns `None` if another VM has the duty or the store does not answer.
     pub async fn take(&self, former: Option<&KeeperRecord>) -> Option<StoreRevision> {
         let mut written = self.record.lock().await;
+        // An outdated record does not show the primary.
+        let former = former.filter(|_| !self.restored);
         let primary = former.and_then(|former| former.primary.clone());
         let ordered = former.and_then(|former| former.ordered.clone());
-        self.write(&mut written, self.new_record(primary, ordered)).await
+        let record = KeeperRecord { restored: self.restored, ..self.new_record(primary, ordered) };
+        self.write(&mut written, record).await
     }
 
     /// Obtains a new fencing token by writing a record without a primary. Returns `None` if the
@@ -130,7 +137,10 @@
             None => None,
         };
         let mut written = self.record.lock().await;
-        let revision = self.write(&mut written, self.new_record(None, ordered)).await?;
+        let record = self.new_record(None, ordered);
+        // Without an order of its own, the keeper may still have to reckon with lost ones.
+        let restored = self.restored && record.ordered.is_none();
+        let revision = self.write(&mut written, KeeperRecord { restored, ..record }).await?;
         Some(revision.0)
     }
 
@@ -147,7 +157,8 @@
     fn new_record(&self, primary: Option<String>, ordered: Option<String>) -> KeeperRecord {
         let holder = Some(self.fleet.settings.name.clone());
         let term = self.term.load(Ordering::Acquire);
-        KeeperRecord { holder, duty: self.duty, primary, ordered, term }
+        let era = self.fleet.view().revision.era();
+        KeeperRecord { holder, duty: self.duty, primary, ordered, term, era, restored: false }
     }
 
     async fn write(
@@ -158,6 +169,10 @@
         let former = written.record.take();
         let mut answer_lost = false;
         let revision = self.write_with_retries(written, &record, &mut answer_lost).await;
+        if let Some(revision) = revision {
+            let database = DatabaseId::from_name(&self.database);
+            self.fleet.note_keeper(database, KeeperEntry::new(record.clone(), revision));
+        }
         written.record = match revision {
             Some(_) => Some(record),
             // The answer was lost, so the content of the store is unknown until the next write.
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -138,6 +138,7 @@
             promotions: ports.promotions.clone(),
             held_lease: held_lease.clone(),
             journal: journal.clone(),
+            own: Mutex::default(),
             running: Mutex::default(),
         });
         let entry = Arc::new(Entry {
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -126,13 +126,23 @@
 
 /// Sets the primary in the keeper's record.
 fn set_primary(fleet: &Fleet, primary: Option<InstanceKey>) {
-    let record = KeeperRecord { holder: None, duty: 1, primary: None, ordered: None, term: 1 };
+    let record = KeeperRecord {
+        holder: None,
+        duty: 1,
+        primary: None,
+        ordered: None,
+        term: 1,
+        era: 0,
+        restored: false,
+    };
     let keeper = KeeperEntry {
         holder: None,
         primary,
         ordered: None,
         record: Arc::new(record),
         revision: StoreRevision(1),
+        known: StoreRevision(1),
+        restored: false,
     };
     let keepers = Arc::new([(DatabaseId(1), keeper)].into());
     fleet.set_view(View { revision: StoreRevision(1), keepers, ..View::default() });
--- a/oleander-ports/src/store.rs
+++ b/oleander-ports/src/store.rs
@@ -4,11 +4,36 @@
 use oleander_core::time::Span;
 use oleander_core::verdict::Verdict;
 
+/// The number of low bits of a `StoreRevision` that count the changes; the era is above them.
+const CHANGE_BITS: u32 = 40;
+
 /// `StoreRevision` is a revision of the whole store, which grows with each change. An absent key
 /// has revision 0.
+///
+/// A store that was restored from a copy gives revisions out again, in a new era. The era takes the
+/// high bits of the number, so that revisions, and the fencing tokens made from them, grow across
+/// eras as well. A store without eras has era 0.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct StoreRevision(pub u64);
 
+impl StoreRevision {
+    /// Creates the revision of the change `change` in an era; `None` if either is out of range.
+    pub fn new(era: u64, change: u64) -> Option<Self> {
+        let is_valid = change >> CHANGE_BITS == 0 && era >> (u64::BITS - CHANGE_BITS) == 0;
+        is_valid.then_some(Self(era << CHANGE_BITS | change))
+    }
+
+    /// Returns the era of the store in which the revision was given out.
+    pub fn era(self) -> u64 {
+        self.0 >> CHANGE_BITS
+    }
+
+    /// Returns the number by which the store knows the revision within its era.
+    pub fn change(self) -> u64 {
+        self.0 & ((1 << CHANGE_BITS) - 1)
+    }
+}
+
 /// `Entry` is a key with its value and revision.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Entry {
@@ -76,7 +101,12 @@
 
 /// `LeaseId` identifies a lease of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LeaseId(pub i64);
+pub struct LeaseId {
+    /// The number of the lease, which a restored store may give out again.
+    pub number: i64,
+    /// The era of the store in which the lease was granted.
+    pub era: u64,
+}
 
 /// `Change` is one event of a watch.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -111,7 +141,8 @@
     OverRate,
     /// No answer or a malformed one arrived; the call may have been executed or may still be.
     Lost,
-    /// The store has discarded the changes that the watch asked for; all keys must be read again.
+    /// The store has discarded the changes that the watch asked for, or was restored from a copy
+    /// that lacks them; all keys must be read again.
     Compacted,
     /// The lease of the call has expired or was revoked.
     LeaseEnded,
--- a/oleander-store/src/store.rs
+++ b/oleander-store/src/store.rs
@@ -130,19 +130,19 @@
         let ttl = Some(Int64(i64::try_from(seconds).unwrap_or(i64::MAX)));
         let request = LeaseRequest { id: Int64(0), ttl };
         let response: LeaseResponse = self.call("/v3/lease/grant", &request).await?;
-        Ok(LeaseId(response.id.0))
+        Ok(LeaseId { number: response.id.0, era: 0 })
     }
 
     /// Renews a lease. Returns `false` if it has already expired.
     pub async fn renew_lease(&self, lease: LeaseId) -> Result<bool> {
-        let request = LeaseRequest { id: Int64(lease.0), ttl: None };
+        let request = LeaseRequest { id: Int64(lease.number), ttl: None };
         let response: Streamed<LeaseResponse> = self.call("/v3/lease/keepalive", &request).await?;
         Ok(0 < response.result.ttl.0)
     }
 
     /// Ends a lease at once; the store then deletes its keys.
     pub async fn revoke_lease(&self, lease: LeaseId) -> Result<()> {
-        let request = LeaseRequest { id: Int64(lease.0), ttl: None };
+        let request = LeaseRequest { id: Int64(lease.number), ttl: None };
         let _: LeaseResponse = self.call("/v3/lease/revoke", &request).await?;
         Ok(())
     }
