Take the term of a settled primary from the record

Cause: each new keeper asked the primary for its term by STATUS, which takes a slot and may find the instance busy, and had no samples until it answered; in a rolling restart keepers change every two seconds.

--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU64;
 
 use oleander_core::ids::DatabaseId;
+use oleander_core::terms::Term;
 use oleander_core::time::Span;
 use oleander_failover::keeper::messages::RecordState;
 use oleander_peer::client::PeerClient;
@@ -181,6 +182,11 @@
             primary_sample: Mutex::default(),
             term: AtomicU64::new(keeper.map_or(0, |keeper| keeper.record.term)),
         });
+        if let (Some(keeper), RecordState::Settled(primary)) = (keeper, record_state)
+            && keeper.record.term != 0
+        {
+            watcher.links.note_term(primary, Term(keeper.record.term));
+        }
         let former = keeper.map(|keeper| keeper.record.as_ref());
         let Some(taken) = watcher.take(former).await else { return };
         let task = tokio::spawn(watcher.clone().run(record_state));
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -97,6 +97,13 @@
         ProbeAnswer { asked, result, reached: Some(reached) }
     }
 
+    /// Notes the term that the record of a settled primary tells, which need not be asked for.
+    pub fn note_term(&self, key: InstanceKey, term: Term) {
+        let view = self.fleet.view();
+        let Some(instance) = view.instances.get(&key) else { return };
+        self.lock_leading().insert(key, (instance.entry.life, term));
+    }
+
     /// Forgets the term that an instance leads; called when it is about to lead another one.
     pub fn forget_term(&self, key: InstanceKey) {
         self.lock_leading().remove(&key);
