Call the store through another VM while it turns this one away

Followers whose watchers had lost the store lost it as well.

Ruled out: a longer lease, which would keep the databases of a lost keeper waiting for as long.

Change: RelayedStore renews leases, writes and reads records through another VM whose own calls succeed; if the store is down for all, nobody passes calls on. A follower whose watchers have no recent view follows another VM for a while. Such a VM serves the callers that it has, but is not ready for new ones, as before: readiness and the end of idle sessions now go by the store's last answer to the VM itself.

--- a/oleander-agent/src/server.rs
+++ b/oleander-agent/src/server.rs
@@ -35,6 +35,7 @@
         | Request::Primary(_)
         | Request::Joined { .. }
         | Request::Follow { .. }
+        | Request::Store(_)
         | Request::Withdrawn { .. }
         | Request::Ready
         | Request::Work(_)
--- a/oleander-node/src/control/feed.rs
+++ b/oleander-node/src/control/feed.rs
@@ -13,6 +13,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_membership::leased::LeasedMember;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::FollowReply;
 use oleander_peer::messages::Reply;
@@ -22,6 +23,7 @@
 use oleander_ports::store::Changes;
 use oleander_ports::store::Entry;
 use oleander_ports::store::StoreRevision;
+use rand::seq::IteratorRandom as _;
 use smallvec::SmallVec;
 
 use super::store_copy::StoreCopy;
@@ -41,6 +43,12 @@
 /// waits, so that the watcher has probably lost the store.
 const MAX_AGE: Span = Span::from_millis(2_000);
 
+/// The time for which a VM outside the watchers is followed, once these have lost the store.
+const ADOPTION_TIME: Span = Span::from_millis(3_000);
+
+/// The number of VMs that are asked for their view when the watchers and the store do not answer.
+const ADOPTION_ATTEMPTS: usize = 3;
+
 /// The size of the values in one answer, well below the limit of a frame; a follower that lacks
 /// more reads the store.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -50,12 +58,16 @@
     fleet: Arc<Fleet>,
     peers: PeerClient,
     copy: Mutex<StoreCopy>,
+    /// The VM that is followed in place of the watchers, and until when.
+    adopted: Mutex<Option<(VmId, Time)>>,
 }
 
 /// `Followed` is what a watcher has told: the changes, and a time at which a view with them was
 /// complete.
 #[derive(Clone, Debug)]
 pub struct Followed {
+    /// The VM that has answered.
+    pub vm: VmId,
     /// The changes after the revision that was asked for.
     pub changes: Changes,
     /// The latest time at which no other change existed.
@@ -65,7 +77,7 @@
 impl Feed {
     /// Creates a feed with an empty copy.
     pub fn new(fleet: Arc<Fleet>, peers: PeerClient) -> Self {
-        Self { fleet, peers, copy: Mutex::default() }
+        Self { fleet, peers, copy: Mutex::default(), adopted: Mutex::default() }
     }
 
     /// Returns the copy of the store, which the VM's follower keeps up to date.
@@ -76,6 +88,11 @@
     /// Returns the VMs that this one may follow, in order; none if it has to watch the store.
     pub fn sources(&self) -> SmallVec<[VmId; WATCHERS]> {
         let fleet = &self.fleet;
+        if let Some((vm, until)) = *self.lock_adopted()
+            && fleet.now() < until
+        {
+            return SmallVec::from_slice(&[vm]);
+        }
         let watchers: SmallVec<[VmId; WATCHERS]> = fleet
             .view()
             .roster
@@ -89,7 +106,28 @@
     /// Asks the VMs in turn for the changes after a revision. Returns `None` if none of them has a
     /// recent view.
     pub async fn follow(&self, sources: &[VmId], after: StoreRevision) -> Option<Followed> {
-        let mut wait = FOLLOW_WAIT;
+        self.ask(sources, after, FOLLOW_WAIT).await
+    }
+
+    /// Asks some VMs of the whole fleet, when neither the watchers nor the store answer. The one
+    /// that answers is followed for a while.
+    pub async fn follow_any(&self, after: StoreRevision) -> Option<Followed> {
+        let fleet = &self.fleet;
+        let view = fleet.view();
+        let others = view.roster.others(fleet.vm).map(LeasedMember::vm);
+        let chosen =
+            others.filter(|vm| fleet.is_up(*vm)).sample(&mut rand::rng(), ADOPTION_ATTEMPTS);
+        let followed = self.ask(&chosen, after, Span::ZERO).await?;
+        *self.lock_adopted() = Some((followed.vm, fleet.now() + ADOPTION_TIME));
+        Some(followed)
+    }
+
+    async fn ask(
+        &self,
+        sources: &[VmId],
+        after: StoreRevision,
+        mut wait: Span,
+    ) -> Option<Followed> {
         for vm in sources {
             let Some(address) = self.fleet.present_address(*vm) else { continue };
             let request = Request::Follow { after: after.0, wait };
@@ -108,12 +146,16 @@
             let changes = changes(reply.changes, reply.revision);
             let synced = synced_time(asked, reply.held, reply.age);
             if after <= changes.revision && reply.age <= MAX_AGE {
-                return Some(Followed { changes, synced });
+                return Some(Followed { vm: *vm, changes, synced });
             }
         }
         None
     }
 
+    fn lock_adopted(&self) -> MutexGuard<'_, Option<(VmId, Time)>> {
+        self.adopted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Answers a follower once there is a change after `after`, or at the end of its wait. Returns
     /// `None` if this VM cannot tell all changes.
     pub async fn answer(&self, after: StoreRevision, wait: Span) -> Option<FollowReply> {
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -120,6 +120,14 @@
                     let fields: Vec<Field> = fields.into_iter().chain(age).collect();
                     self.journal.record(Event::StoreUnreachable, &fields);
                 }
+                // The store may turn this VM and the watchers of its zone away.
+                if let Some(after) = complete
+                    && let Some(followed) = self.feed.follow_any(after).await
+                {
+                    complete = Some(self.apply(&followed.changes, followed.synced));
+                    direct_until = Time(0);
+                    continue;
+                }
                 self.fleet.timers.sleep(backoff.next_pause()).await;
                 continue;
             }
--- a/oleander-node/src/control/mod.rs
+++ b/oleander-node/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod feed;
 pub mod follow;
 pub mod lease;
+pub mod relay;
 pub mod shares;
 pub mod store_copy;
 
--- a/oleander-node/src/entry/shed.rs
+++ b/oleander-node/src/entry/shed.rs
@@ -1,8 +1,8 @@
 //! Ends idle sessions on a VM that has lost contact with the store.
 //!
-//! Such a VM refuses all requests with a key. The load balancer sends it no new callers, but
-//! callers that are already connected stay until their session ends. Their sessions are ended while
-//! idle if another VM can serve them.
+//! Such a VM depends on others for its view of the store and, without them, refuses all requests
+//! with a key. The load balancer sends it no new callers, but callers that are already connected
+//! stay until their session ends. Their sessions are ended while idle if another VM can serve them.
 
 use std::sync::Arc;
 
@@ -25,13 +25,14 @@
 /// The time within which a VM must answer that it is ready.
 const PROBE_TIMEOUT: Span = Span::from_millis(400);
 
-/// Sets `shed` to `true` while this VM refuses requests with a key and another VM is ready, so that
-/// idle sessions end. Runs until dropped.
+/// Sets `shed` to `true` while the store has not answered this VM for long and another VM is ready,
+/// so that idle sessions end. Runs until dropped.
 pub async fn run(fleet: Arc<Fleet>, peers: PeerClient, shed: watch::Sender<bool>) {
     let mut ticks = fleet.timers.interval(CHECK_INTERVAL);
     loop {
         ticks.tick().await;
-        let is_lost = !fleet.is_current() && fleet.synced_at().0 != 0;
+        let limit = fleet.settings.currency_ttl();
+        let is_lost = fleet.contact_age().is_some_and(|age| limit <= age);
         let is_shedding = is_lost && is_other_ready(&fleet, &peers).await;
         if *shed.borrow() != is_shedding {
             shed.send_replace(is_shedding);
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -175,6 +175,8 @@
     view: ArcSwap<View>,
     changed: watch::Sender<StoreRevision>,
     synced_at: AtomicU64,
+    /// The time of the last answer of the store to this VM itself.
+    contact_at: AtomicU64,
     leased_until: AtomicU64,
     /// The revision at which this VM's record was written; 0 while it has no lease.
     join_revision: AtomicU64,
@@ -196,6 +198,7 @@
             view: ArcSwap::default(),
             changed: watch::Sender::new(StoreRevision(0)),
             synced_at: AtomicU64::new(0),
+            contact_at: AtomicU64::new(0),
             leased_until: AtomicU64::new(0),
             join_revision: AtomicU64::new(0),
             shares_from: watch::Sender::new(None),
@@ -238,6 +241,18 @@
         self.synced_at.fetch_max(time.0, Ordering::AcqRel);
     }
 
+    /// Records that the store has answered this VM itself.
+    pub fn mark_contact(&self, time: Time) {
+        self.contact_at.fetch_max(time.0, Ordering::AcqRel);
+    }
+
+    /// Returns the time since the store last answered this VM itself; `None` before the first
+    /// answer.
+    pub fn contact_age(&self) -> Option<Span> {
+        let contact_at = Time(self.contact_at.load(Ordering::Acquire));
+        (contact_at != Time(0)).then(|| self.now().since(contact_at))
+    }
+
     /// Returns the time since the view was last known to be complete; `None` before the first view.
     pub fn view_age(&self) -> Option<Span> {
         let synced_at = self.synced_at();
@@ -262,11 +277,12 @@
         self.now() < self.current_until()
     }
 
-    /// Returns `true` if callers should be sent to this VM: it has routes, does not drain, and its
-    /// view is recent.
+    /// Returns `true` if callers should be sent to this VM: it has routes, does not drain, its view
+    /// is recent, and the store answers it. A VM that other VMs keep up to date serves the callers
+    /// that it has, but those VMs are the better choice for new ones.
     pub fn is_ready(&self) -> bool {
-        let synced_at = self.synced_at();
-        let is_recent = synced_at.0 != 0 && self.now().since(synced_at) < READY_AGE;
+        let is_recent = |age: Option<Span>| age.is_some_and(|age| age < READY_AGE);
+        let is_recent = is_recent(self.view_age()) && is_recent(self.contact_age());
         is_recent && !self.is_draining() && !self.view.load().snapshot.routes.is_empty()
     }
 
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::control::follow::Follower;
 use crate::control::lease::HeldLease;
 use crate::control::lease::Leaseholder;
+use crate::control::relay::RelayedStore;
 use crate::control::shares;
 use crate::entry::forward::Forwarder;
 use crate::entry::session::Entry;
@@ -111,6 +112,8 @@
         let metrics = Metrics::local();
         let fleet = Arc::new(Fleet::new(settings.clone(), timers.clone()));
         let peer_client = PeerClient::new(PEER_OPTIONS);
+        let store =
+            Arc::new(RelayedStore::new(ports.store.clone(), fleet.clone(), peer_client.clone()));
         let primaries = Arc::new(Primaries::new(fleet.clone()));
         let links = LinkContext {
             upstreams: ports.upstreams.clone(),
@@ -131,7 +134,7 @@
         let (lease_sender, held_lease) = watch::channel(None);
         let duties = Arc::new(Duties {
             fleet: fleet.clone(),
-            store: ports.store.clone(),
+            store: store.clone(),
             sources: ports.sources,
             peers: peer_client.clone(),
             upstreams: ports.upstreams.clone(),
@@ -161,13 +164,13 @@
         let follower = Follower {
             fleet: fleet.clone(),
             feed: feed.clone(),
-            store: ports.store.clone(),
+            store: store.clone(),
             applier: Applier::new(ports.sources, settings.clone(), journal.clone()),
             journal: journal.clone(),
         };
         let leaseholder = Leaseholder {
             fleet: fleet.clone(),
-            store: ports.store.clone(),
+            store: store.clone(),
             sources: ports.sources,
             peers: peer_client.clone(),
             journal: journal.clone(),
@@ -182,6 +185,7 @@
             homes: homes.clone(),
             duties: duties.clone(),
             feed,
+            store: store.clone(),
             rates: rates.clone(),
             journal: journal.clone(),
             status: Box::new(status::json(fleet.clone(), homes.clone())),
@@ -215,7 +219,6 @@
         ];
         journal.record(Event::ProcessStarted, &fields);
         let lease_task = tokio::spawn(leaseholder.run());
-        let store = ports.store;
         Ok(Self {
             entry,
             fleet,
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::control::feed::Feed;
+use crate::control::relay::RelayedStore;
 use crate::fleet::Fleet;
 use crate::home::registry::Homes;
 use crate::keeper::duties::Duties;
@@ -39,6 +40,8 @@
     pub duties: Arc<Duties>,
     /// Answers VMs that follow the store through this one.
     pub feed: Arc<Feed>,
+    /// Passes on calls to the store.
+    pub store: Arc<RelayedStore>,
     /// Answers for the shares of rates that this VM owns.
     pub rates: Rates,
     /// Receives the revision of the view that the limiter has applied.
@@ -80,6 +83,7 @@
                     None => Reply::Unsupported,
                 }
             }
+            Request::Store(call) => Reply::Store(server.store.serve(call).await),
             Request::Status => Reply::Status((server.status)()),
             Request::Events => Reply::Events(server.journal.recent_json()),
             Request::Drain => {
--- a/oleander-node/tests/follow.rs
+++ b/oleander-node/tests/follow.rs
@@ -13,6 +13,7 @@
 use oleander_membership::leased::LeasedRoster;
 use oleander_node::control::Pace;
 use oleander_node::control::feed;
+use oleander_node::control::relay::Path;
 use oleander_node::control::store_copy::StoreCopy;
 use oleander_ports::store::Change;
 use oleander_ports::store::Changes;
@@ -190,3 +191,58 @@
     roster.end_lease(ranked[1], Time(5));
     assert_eq!(roster.watchers(&place(3), |_| true)[1], ranked[2]);
 }
+
+/// `PathCase` is the outcomes of this VM's own calls to the store, each with the milliseconds since
+/// the start, and what holds for its own calls and for those of others at `at`.
+struct PathCase {
+    outcomes: &'static [(u64, bool)],
+    at: u64,
+    is_down: bool,
+    is_sound: bool,
+}
+
+/// The pattern is a store that turns a third of the VMs away: those call it through others. If it is
+/// down for all, nobody passes calls on, so that it is not called more often.
+#[rstest]
+#[case::before_the_first_call(PathCase { outcomes: &[], at: 100, is_down: false, is_sound: false })]
+#[case::reached(PathCase { outcomes: &[(0, true)], at: 1_000, is_down: false, is_sound: true })]
+#[case::not_called_for_long(PathCase {
+    outcomes: &[(0, true)],
+    at: 2_600,
+    is_down: false,
+    is_sound: false,
+})]
+#[case::just_lost(PathCase {
+    outcomes: &[(0, true), (500, false)],
+    at: 600,
+    is_down: true,
+    is_sound: false,
+})]
+#[case::tried_again_later(PathCase {
+    outcomes: &[(0, true), (500, false)],
+    at: 1_500,
+    is_down: false,
+    is_sound: true,
+})]
+#[case::lost_for_long(PathCase {
+    outcomes: &[(0, true), (500, false), (1_500, false), (2_500, false)],
+    at: 3_500,
+    is_down: false,
+    is_sound: false,
+})]
+#[case::reached_again(PathCase {
+    outcomes: &[(0, true), (500, false), (700, true)],
+    at: 800,
+    is_down: false,
+    is_sound: true,
+})]
+fn a_vm_passes_calls_on_only_while_its_own_succeed(#[case] case: PathCase) {
+    let start = Time(60_000_000);
+    let at = |millis| start + Span::from_millis(millis);
+    let mut path = Path::default();
+    for (millis, succeeded) in case.outcomes {
+        path.record(at(*millis), *succeeded);
+    }
+    assert_eq!(path.is_down(at(case.at)), case.is_down);
+    assert_eq!(path.is_sound(at(case.at)), case.is_sound);
+}
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -84,6 +84,53 @@
         /// The longest time for which the receiver may wait for a change.
         wait: Span,
     },
+    /// A VM that does not reach the store asks another to pass a call on.
+    Store(StoreCall),
+}
+
+/// `StoreCall` is a call to the store that a VM passes on. Leases are given by number and era.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum StoreCall {
+    /// Creates a lease.
+    Grant {
+        /// The time after which it ends without renewal.
+        ttl: Span,
+    },
+    /// Renews a lease.
+    Renew {
+        /// The number of the lease.
+        number: i64,
+        /// The era in which it was granted.
+        era: u64,
+    },
+    /// Ends a lease.
+    Revoke {
+        /// The number of the lease.
+        number: i64,
+        /// The era in which it was granted.
+        era: u64,
+    },
+    /// Reads a key.
+    Read {
+        /// The key.
+        key: String,
+    },
+    /// Writes keys if others have the expected revisions.
+    Commit {
+        /// The keys with their revisions; 0 for a key that must be absent.
+        expected: Vec<(String, u64)>,
+        /// The keys with their values.
+        puts: Vec<(String, Vec<u8>)>,
+        /// The lease of the written keys.
+        lease: Option<(i64, u64)>,
+    },
+}
+
+impl StoreCall {
+    /// Returns `true` if a call that may have been executed can be sent once more.
+    pub fn is_repeatable(&self) -> bool {
+        !matches!(self, StoreCall::Commit { .. })
+    }
 }
 
 /// `Reply` is a frame that answers a request.
@@ -118,6 +165,48 @@
     Unsupported,
     /// The reply to `Request::Follow`.
     Followed(FollowReply),
+    /// The reply to `Request::Store`.
+    Store(StoreReply),
+}
+
+/// `StoreReply` is the result of a call that was passed on to the store.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum StoreReply {
+    /// The lease was renewed or ended.
+    Done,
+    /// The lease that was granted.
+    Granted {
+        /// The number of the lease.
+        number: i64,
+        /// The era of the store.
+        era: u64,
+    },
+    /// The result of a read.
+    Read {
+        /// The revision of the store.
+        revision: u64,
+        /// The value with its revision; `None` if the key is absent.
+        entry: Option<(Vec<u8>, u64)>,
+    },
+    /// The keys were written at this revision.
+    Committed(u64),
+    /// A key had another revision than expected.
+    Conflict,
+    /// The call failed.
+    Failed(StoreFailure),
+}
+
+/// `StoreFailure` is the reason why a call that was passed on failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum StoreFailure {
+    /// The call was not executed.
+    NotRun,
+    /// The call may have been executed, or may still be.
+    MayHaveRun,
+    /// The lease has ended.
+    LeaseEnded,
+    /// The store rejected the call.
+    Refused,
 }
 
 /// `FollowReply` holds the store's changes after a revision.
--- a/oleander-proxy/src/peers.rs
+++ b/oleander-proxy/src/peers.rs
@@ -36,6 +36,7 @@
             | Request::Primary(_)
             | Request::Joined { .. }
             | Request::Follow { .. }
+            | Request::Store(_)
             | Request::Ready
             | Request::Withdrawn { .. }
             | Request::Member(_)
