Close idle connections between VMs and back off from a store in trouble

Cause: each VM calls each other one when it joins, so that 195 VMs kept some 38,000 connections open, each with a wake-up every 250 ms and pings.

Ruled out: fewer calls at a join (each answer says what was lent), and pings as the source of bytes between regions, which stay as they were.

Change: a connection without a stream for 8 s is closed, and an idle one has no timer but that of its next ping. After a failed call, a VM that is not one of its zone's watchers calls the store again after 3 s and asks the watchers until then. The follower's loop is divided by what it waits for.

--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -35,6 +35,10 @@
 /// The time for which a VM watches the store itself after no other VM could be followed.
 const DIRECT_TIME: Span = Span::from_millis(3_000);
 
+/// The time after a failed call to the store until a VM that is not one of its zone's watchers calls
+/// it again. Meanwhile it asks the watchers, which call the store more often.
+const RETRY_TIME: Span = Span::from_millis(3_000);
+
 /// The time from the first reading of a store that was restored from a copy to the next one, which
 /// counts in full. By then all VMs, instances and operators have written again, and the leases that
 /// the store has lost have ended as their holders count them.
@@ -62,84 +66,118 @@
     pub journal: Journal,
 }
 
+/// `Progress` is how far a follower has come and when it may try what again.
+struct Progress {
+    /// The revision up to which the view is complete; `None` before a full read.
+    complete: Option<StoreRevision>,
+    /// `false` after a failed call, until the store or another VM has told of changes again.
+    reachable: bool,
+    backoff: Backoff,
+    pace: Pace,
+    /// The time until which the store is watched though there are VMs to follow.
+    direct_until: Time,
+    /// The time before which the store is not called again if there are VMs to follow.
+    retry_at: Time,
+    /// The time of the full reading that ends the first seconds after a restore.
+    settle_at: Option<Time>,
+}
+
 impl Follower {
     /// Follows the store until dropped. A watch that the store can no longer serve is followed by a
     /// new full read.
     pub async fn run(self) {
-        let mut backoff = Backoff::default();
-        let mut reachable = true;
-        // The revision up to which the view is complete; `None` before a full read.
-        let mut complete = None;
-        let mut pace = Pace::new(WATCH_INTERVAL, WATCH_BURST);
-        let mut direct_until = Time(0);
-        let mut settle_at = None;
+        let mut progress = Progress {
+            complete: None,
+            reachable: true,
+            backoff: Backoff::default(),
+            pace: Pace::new(WATCH_INTERVAL, WATCH_BURST),
+            direct_until: Time(0),
+            retry_at: Time(0),
+            settle_at: None,
+        };
         loop {
-            if settle_at.take_if(|at| *at <= self.fleet.now()).is_some() {
-                complete = None;
+            if progress.settle_at.take_if(|at| *at <= self.fleet.now()).is_some() {
+                progress.complete = None;
             }
-            if let Some(after) = complete
-                && direct_until <= self.fleet.now()
-            {
-                let sources = self.feed.sources();
-                if let Some(followed) = self.feed.follow(&sources, after).await {
-                    complete = Some(self.apply(&followed.changes, followed.synced));
-                    reachable = true;
-                    continue;
-                }
-                if !sources.is_empty() {
-                    direct_until = self.fleet.now() + DIRECT_TIME;
-                }
-            }
-            let wait = if reachable { WATCH_WAIT } else { RECOVERY_WAIT };
-            let outcome = match complete {
-                Some(after) => {
-                    self.fleet.timers.sleep_until(pace.next(self.fleet.now())).await;
-                    self.watch(after, wait).await
-                }
-                None => {
-                    let former = self.fleet.view().revision;
-                    let outcome = self.read().await;
-                    if former != StoreRevision(0) && former.era() < self.fleet.view().revision.era()
-                    {
-                        settle_at = Some(self.fleet.now() + SETTLE_TIME);
-                    }
-                    outcome
-                }
-            };
-            if let Err(error) = outcome {
-                if error == StoreError::Compacted {
-                    complete = None;
-                    continue;
-                }
-                if std::mem::replace(&mut reachable, false) {
-                    let fields = [
-                        Field::text("reason", error),
-                        Field::number("at", self.fleet.view().revision.0),
-                    ];
-                    let age = self.fleet.view_age().map(|age| Field::millis("age", age));
-                    let fields: Vec<Field> = fields.into_iter().chain(age).collect();
-                    self.journal.record(Event::StoreUnreachable, &fields);
-                }
-                // The store may turn this VM and the watchers of its zone away.
-                if let Some(after) = complete
-                    && let Some(followed) = self.feed.follow_any(after).await
-                {
-                    complete = Some(self.apply(&followed.changes, followed.synced));
-                    direct_until = Time(0);
-                    continue;
-                }
-                self.fleet.timers.sleep(backoff.next_pause()).await;
+            if self.follow_watchers(&mut progress).await {
                 continue;
             }
-            complete = outcome.ok();
-            backoff = Backoff::default();
-            if !std::mem::replace(&mut reachable, true) {
-                let at = Field::number("at", self.fleet.view().revision.0);
-                self.journal.record(Event::StoreReachable, &[at]);
+            match self.call_store(&mut progress).await {
+                Ok(revision) => self.note_reached(&mut progress, revision),
+                Err(StoreError::Compacted) => progress.complete = None,
+                Err(error) => self.handle_failure(&mut progress, error).await,
             }
         }
     }
 
+    /// Follows the watchers of the zone. Returns `false` if the store has to be called.
+    async fn follow_watchers(&self, progress: &mut Progress) -> bool {
+        let Some(after) = progress.complete else { return false };
+        if self.fleet.now() < progress.direct_until {
+            return false;
+        }
+        let sources = self.feed.sources();
+        if sources.is_empty() {
+            return false;
+        }
+        if let Some(followed) = self.feed.follow(&sources, after).await {
+            let revision = self.apply(&followed.changes, followed.synced);
+            self.note_reached(progress, revision);
+            return true;
+        }
+        if self.fleet.now() < progress.retry_at {
+            self.fleet.timers.sleep(progress.backoff.next_pause()).await;
+            return true;
+        }
+        progress.direct_until = self.fleet.now() + DIRECT_TIME;
+        false
+    }
+
+    async fn call_store(&self, progress: &mut Progress) -> Result<StoreRevision, StoreError> {
+        if let Some(after) = progress.complete {
+            let wait = if progress.reachable { WATCH_WAIT } else { RECOVERY_WAIT };
+            self.fleet.timers.sleep_until(progress.pace.next(self.fleet.now())).await;
+            return self.watch(after, wait).await;
+        }
+        let former = self.fleet.view().revision;
+        let revision = self.read().await?;
+        if former != StoreRevision(0) && former.era() < revision.era() {
+            progress.settle_at = Some(self.fleet.now() + SETTLE_TIME);
+        }
+        Ok(revision)
+    }
+
+    /// Records that the view is complete up to `revision`.
+    fn note_reached(&self, progress: &mut Progress, revision: StoreRevision) {
+        progress.complete = Some(revision);
+        progress.backoff = Backoff::default();
+        if !std::mem::replace(&mut progress.reachable, true) {
+            let at = Field::number("at", self.fleet.view().revision.0);
+            self.journal.record(Event::StoreReachable, &[at]);
+        }
+    }
+
+    /// After a failed call, follows any VM that has a recent view, or waits.
+    async fn handle_failure(&self, progress: &mut Progress, error: StoreError) {
+        if std::mem::replace(&mut progress.reachable, false) {
+            let fields =
+                [Field::text("reason", error), Field::number("at", self.fleet.view().revision.0)];
+            let age = self.fleet.view_age().map(|age| Field::millis("age", age));
+            let fields: Vec<Field> = fields.into_iter().chain(age).collect();
+            self.journal.record(Event::StoreUnreachable, &fields);
+        }
+        progress.direct_until = Time(0);
+        // The store may turn this VM and the watchers of its zone away.
+        if let Some(after) = progress.complete
+            && let Some(followed) = self.feed.follow_any(after).await
+        {
+            let revision = self.apply(&followed.changes, followed.synced);
+            return self.note_reached(progress, revision);
+        }
+        progress.retry_at = self.fleet.now() + RETRY_TIME;
+        self.fleet.timers.sleep(progress.backoff.next_pause()).await;
+    }
+
     async fn read(&self) -> Result<StoreRevision, StoreError> {
         let asked = self.fleet.now();
         let reading = self.store.read_all().await?;
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -54,6 +54,8 @@
     connect_timeout: Span::from_millis(300),
     ping_interval: Span::from_millis(250),
     idle_interval: Span::from_secs(5),
+    // Each VM calls each other one when it joins, and few of them often after that.
+    idle_limit: Span::from_secs(8),
     ping_timeout: Span::from_millis(350),
 };
 
--- a/oleander-peer/src/connection.rs
+++ b/oleander-peer/src/connection.rs
@@ -13,6 +13,7 @@
 use h2::client::SendRequest;
 use oleander_core::time::Span;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::codec;
@@ -44,6 +45,8 @@
     pub ping_interval: Span,
     /// The interval between pings while no stream is open.
     pub idle_interval: Span,
+    /// The time without a stream after which the connection is closed.
+    pub idle_limit: Span,
     /// The time limit for the answer to a ping; without an answer the connection is closed.
     pub ping_timeout: Span,
 }
@@ -54,6 +57,7 @@
             connect_timeout: Span::from_millis(1_000),
             ping_interval: Span::from_millis(500),
             idle_interval: Span::from_secs(10),
+            idle_limit: Span::from_secs(600),
             ping_timeout: Span::from_millis(1_000),
         }
     }
@@ -71,6 +75,8 @@
     closed: AtomicBool,
     /// The number of open streams.
     streams: AtomicU64,
+    /// Wakes the task that pings the peer when a stream is opened.
+    opened: Notify,
 }
 
 impl Connection {
@@ -176,7 +182,8 @@
     state.closed.store(true, Ordering::Release);
 }
 
-/// Pings the peer at the configured intervals and returns when a ping is not answered in time.
+/// Pings the peer at the configured intervals. Returns when a ping is not answered in time, or when
+/// the connection has been idle for `idle_limit` and accepts no more streams.
 async fn ping_until_silent(
     mut pings: PingPong,
     state: &ConnectionState,
@@ -184,12 +191,27 @@
 ) {
     let mut idle = Span::ZERO;
     loop {
-        time::sleep(options.ping_interval.duration()).await;
-        idle = idle + options.ping_interval;
-        if state.streams.load(Ordering::Acquire) == 0 && idle < options.idle_interval {
-            continue;
+        if state.streams.load(Ordering::Acquire) == 0 {
+            // An idle connection is left alone until a stream is opened or a ping is due.
+            let wait = options.idle_interval.min(options.idle_limit.saturating_sub(idle));
+            if time::timeout(wait.duration(), state.opened.notified()).await.is_ok() {
+                idle = Span::ZERO;
+                continue;
+            }
+            idle = idle + wait;
+            if options.idle_limit <= idle {
+                // A call that has just taken this connection opens its stream within one interval.
+                state.closed.store(true, Ordering::Release);
+                time::sleep(options.ping_interval.duration()).await;
+                if state.streams.load(Ordering::Acquire) == 0 {
+                    return;
+                }
+                continue;
+            }
+        } else {
+            idle = Span::ZERO;
+            time::sleep(options.ping_interval.duration()).await;
         }
-        idle = Span::ZERO;
         let answer =
             time::timeout(options.ping_timeout.duration(), pings.ping(Ping::opaque())).await;
         if !matches!(answer, Ok(Ok(_))) {
@@ -223,6 +245,7 @@
 impl StreamGuard {
     fn new(state: Arc<ConnectionState>) -> Self {
         state.streams.fetch_add(1, Ordering::AcqRel);
+        state.opened.notify_one();
         Self { state }
     }
 }
--- a/oleander-peer/tests/calls.rs
+++ b/oleander-peer/tests/calls.rs
@@ -209,3 +209,47 @@
     let reply = client.call(address, &report(2), LIMIT).await;
     assert_eq!(reply, Ok(number(2)));
 }
+
+/// The pattern is a fleet whose VMs all call each other once, when they join: as many connections as
+/// pairs stayed open, each with its pings and wake-ups.
+#[tokio::test]
+async fn an_idle_connection_is_closed_and_the_next_call_opens_another() {
+    let server = start_server().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let (opened, mut count) = watch::channel(0);
+    let (closed, mut ended) = watch::channel(0);
+    let target = server.address;
+    tokio::spawn(async move {
+        while let Ok((mut inbound, _)) = listener.accept().await {
+            opened.send_modify(|opened| *opened += 1);
+            let closed = closed.clone();
+            tokio::spawn(async move {
+                let mut outbound = TcpStream::connect(target).await.expect("the target listens");
+                let _ = tokio::io::copy_bidirectional(&mut inbound, &mut outbound).await;
+                closed.send_modify(|closed| *closed += 1);
+            });
+        }
+    });
+    let options = ConnectionOptions {
+        ping_interval: Span::from_millis(20),
+        idle_limit: Span::from_millis(100),
+        ..ConnectionOptions::default()
+    };
+    let client = PeerClient::new(options);
+    for call in 1..=3 {
+        assert_eq!(client.call(address, &report(call), LIMIT).await, Ok(number(call)));
+    }
+    assert_eq!(*count.borrow_and_update(), 1, "calls share a connection");
+    ended.wait_for(|ended| *ended == 1).await.expect("the idle connection ends");
+    // A call that takes longer than the idle limit keeps its connection.
+    let open = {
+        let client = client.clone();
+        tokio::spawn(async move { client.call(address, &Request::Status, LIMIT).await })
+    };
+    server.entered.notified().await;
+    tokio::time::sleep(Span::from_millis(300).duration()).await;
+    server.release.notify_one();
+    assert_eq!(open.await.expect("the call ends"), Ok(Reply::Status("{}".to_owned())));
+    assert_eq!(*count.borrow_and_update(), 2);
+}
