Try the own way to the store when no other VM passes a call on

Found at the re-read: a VM whose last call had failed did not call the store for a second, even when no other VM could pass calls on. Readiness goes by the store's last answer for as long as the configuration counts as current, since a few lost answers of renewals must not take a VM out of rotation. The numbers of duties are kept only once they are taken.

--- a/oleander-node/src/control/relay.rs
+++ b/oleander-node/src/control/relay.rs
@@ -100,28 +100,42 @@
         if !self.path().is_sound(self.fleet.now()) {
             return StoreReply::Failed(StoreFailure::NotRun);
         }
-        let outcome = self.run(&call).await;
-        self.note(outcome.as_ref().err());
+        let outcome = self.run_noted(&call).await;
         outcome.unwrap_or_else(|error| StoreReply::Failed(failure(error)))
     }
 
-    /// Runs a call by this VM's own way, or through other VMs if that fails without an effect.
+    /// Runs a call by this VM's own way, or through other VMs if that fails without an effect. While
+    /// the own way is down, the other VMs come first.
     async fn call(&self, call: StoreCall) -> Result<StoreReply, StoreError> {
-        let mut failed = StoreError::Unavailable;
-        if !self.path().is_down(self.fleet.now()) {
-            let outcome = self.run(&call).await;
-            self.note(outcome.as_ref().err());
-            match outcome {
-                Err(error) if is_relayed(&call, error) => failed = error,
-                outcome => return outcome,
+        if self.path().is_down(self.fleet.now()) {
+            match self.relay(&call).await {
+                Err(error) if is_relayed(&call, error) => self.run_noted(&call).await,
+                outcome => outcome,
+            }
+        } else {
+            match self.run_noted(&call).await {
+                Err(error) if is_relayed(&call, error) => {
+                    self.relay(&call).await.map_err(|relayed| stronger(error, relayed))
+                }
+                outcome => outcome,
             }
         }
+    }
+
+    async fn run_noted(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        let outcome = self.run(call).await;
+        self.note(outcome.as_ref().err());
+        outcome
+    }
+
+    /// Sends a call through other VMs, one after the other.
+    async fn relay(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         for address in self.relays() {
             let request = Request::Store(call.clone());
             match self.peers.call(address, &request, RELAY_TIMEOUT).await {
                 Ok(Reply::Store(StoreReply::Failed(failure))) => {
                     let error = error(failure);
-                    if !is_relayed(&call, error) {
+                    if !is_relayed(call, error) {
                         return Err(error);
                     }
                 }
@@ -131,7 +145,7 @@
                 Err(_) => return Err(StoreError::Lost),
             }
         }
-        Err(failed)
+        Err(StoreError::Unavailable)
     }
 
     async fn run(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
@@ -291,6 +305,11 @@
     }
 }
 
+/// Returns the error of two attempts: if the first may have been executed, so may the call.
+fn stronger(first: StoreError, second: StoreError) -> StoreError {
+    if first == StoreError::Lost { first } else { second }
+}
+
 fn failure(error: StoreError) -> StoreFailure {
     match error {
         StoreError::Unavailable | StoreError::OverRate => StoreFailure::NotRun,
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -281,8 +281,9 @@
     /// is recent, and the store answers it. A VM that other VMs keep up to date serves the callers
     /// that it has, but those VMs are the better choice for new ones.
     pub fn is_ready(&self) -> bool {
-        let is_recent = |age: Option<Span>| age.is_some_and(|age| age < READY_AGE);
-        let is_recent = is_recent(self.view_age()) && is_recent(self.contact_age());
+        let is_below = |age: Option<Span>, limit| age.is_some_and(|age| age < limit);
+        let is_recent = is_below(self.view_age(), READY_AGE)
+            && is_below(self.contact_age(), self.settings.currency_ttl());
         is_recent && !self.is_draining() && !self.view.load().snapshot.routes.is_empty()
     }
 
--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -166,7 +166,6 @@
             KeeperEntry { restored, ..keeper.clone() }.record_state()
         });
         let duty = rand::random();
-        self.own.lock().unwrap_or_else(PoisonError::into_inner).insert(duty);
         let watcher = Arc::new(Watcher {
             fleet: self.fleet.clone(),
             store: self.store.clone(),
@@ -189,6 +188,7 @@
         }
         let former = keeper.map(|keeper| keeper.record.as_ref());
         let Some(taken) = watcher.take(former).await else { return };
+        self.own.lock().unwrap_or_else(PoisonError::into_inner).insert(duty);
         let task = tokio::spawn(watcher.clone().run(record_state));
         self.lock().insert(database, RunningDuty { watcher, lease, taken, task });
     }
