Keep a keeper record in the view from being replaced by an earlier one

Found at the re-read: a keeper puts its own record into its view at once, and the watch could then put the record before it back for a moment.

Test: oleander-node/tests/restored.rs an_earlier_record_does_not_replace_a_later_ one, which failed first.

--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -300,8 +300,9 @@
         let id = DatabaseId::from_name(database);
         let former = draft.view.keepers.get(&id);
         let keeper = match former {
-            // The content may be kept from before the store was restored.
-            Some(former) if former.revision == entry.revision => return,
+            // This VM has written the record again, or keeps its content from before the store was
+            // restored.
+            Some(former) if entry.revision <= former.revision => return,
             Some(former)
                 if record.era < entry.revision.era()
                     && entry.revision.change() <= former.known.change() =>
--- a/oleander-node/tests/restored.rs
+++ b/oleander-node/tests/restored.rs
@@ -19,6 +19,8 @@
 use oleander_node::fleet::View;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::sources::Sources;
+use oleander_ports::store::Change;
+use oleander_ports::store::Changes;
 use oleander_ports::store::Entry;
 use oleander_ports::store::ReadResponse;
 use oleander_ports::store::StoreRevision;
@@ -178,6 +180,23 @@
     serde_json::to_vec(&record).unwrap()
 }
 
+/// A keeper puts its own record into its view before the watch tells of the records before it.
+#[test]
+fn an_earlier_record_does_not_replace_a_later_one() {
+    let applier = applier();
+    let key = "own/keeper/ledger";
+    let later = reading(ERA, 20, &[(key, &record(Some("a"), ERA))]);
+    let view = applier.apply_reading(&View::default(), &later, NOW);
+    let earlier = reading(ERA, 19, &[(key, &record(None, ERA))]);
+    let changes = Changes {
+        revision: earlier.revision,
+        changes: earlier.entries.into_iter().map(Change::Put).collect(),
+    };
+    let view = applier.apply_changes(&view, &changes, NOW).unwrap();
+    let keeper = &view.keepers[&DatabaseId::from_name("ledger")];
+    assert_eq!(keeper.primary, Some(InstanceKey::from_name("a")));
+}
+
 /// `RecordCase` is the keeper record that a VM knew, the one in the restored store, and what the VM
 /// goes by.
 struct RecordCase {
