--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -45,14 +45,14 @@
     StoreUnreachable = 304,
     /// The platform's store is reachable again.
     StoreReachable = 305,
-    /// The platform's store was restored from a copy and has lost its latest changes.
-    StoreRestored = 309,
     /// A peer is suspected to be down.
     PeerSuspected = 306,
     /// This VM has started to use its own shares.
     SharesActive = 307,
     /// Every other VM has learned that this VM joined, or has not answered in time.
     JoinKnown = 308,
+    /// The platform's store was restored from a copy and has lost its latest changes.
+    StoreRestored = 309,
     /// An instance stopped answering pings.
     InstanceSuspected = 400,
     /// An instance answers pings again.
