--- a/oleander-node/src/control/relay.rs
+++ b/oleander-node/src/control/relay.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Returns the addresses of VMs that may pass a call on: some of the same zone and others.
+    /// Returns the addresses of VMs that may pass a call on, chosen at random.
     fn relays(&self) -> SmallVec<[SocketAddr; RELAYS]> {
         let fleet = &self.fleet;
         let view = fleet.view();
