--- a/oleander-config/src/model.rs
+++ b/oleander-config/src/model.rs
@@ -68,6 +68,10 @@
     pub weight: u32,
     /// The kinds of requests that its routes refer to.
     pub kinds: Vec<Kind>,
+    /// The priority of its requests; 0 is the highest.
+    pub priority: u8,
+    /// The regions in which its requests may run; empty if all are allowed.
+    pub regions: Vec<String>,
 }
 
 /// `Key` is a granted API key. Only its hash is stored.
@@ -132,6 +136,15 @@
     pub leaving: bool,
     /// The instances. An instance's index is its ordinal.
     pub instances: Vec<Instance>,
+    /// The limit on requests to an instance that is warming up; `None` if there is none.
+    pub warmup: Option<Warmup>,
+}
+
+/// `Warmup` limits the requests to an instance that has started recently.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Warmup {
+    /// The maximum number of requests per second to one instance, over all VMs; at least 1.
+    pub rate: u32,
 }
 
 /// `Instance` is one server of a database group.
@@ -174,6 +187,10 @@
     /// The response time after which an answer loses value to the caller. At most the deadline
     /// unless one request takes several statements.
     pub target_latency: Span,
+    /// The priority of its requests; 0 is the highest.
+    pub priority: u8,
+    /// The regions in which its requests may run; empty if all are allowed.
+    pub regions: Vec<String>,
 }
 
 /// `Consistency` states which commits a read of a route must see.
--- a/oleander-config/src/parse/routes.rs
+++ b/oleander-config/src/parse/routes.rs
@@ -104,6 +104,8 @@
         cost,
         consistency: Consistency::default(),
         target_latency: deadline,
+        priority: 0,
+        regions: Vec::new(),
     };
     parsed.routes.push(Located { value, location: fields.location });
 }
--- a/oleander-config/src/parse/upstreams.rs
+++ b/oleander-config/src/parse/upstreams.rs
@@ -62,7 +62,8 @@
         return;
     };
     let name = name.value;
-    let value = Database { name, acknowledge, slots, connections, leaving, instances };
+    let value =
+        Database { name, acknowledge, slots, connections, leaving, instances, warmup: None };
     parsed.upstreams.push(Located { value, location: fields.location });
 }
 
--- a/oleander-config/src/parse/workspaces.rs
+++ b/oleander-config/src/parse/workspaces.rs
@@ -48,7 +48,8 @@
     let (Some(name), Some(weight)) = (name, weight) else {
         return;
     };
-    let value = Workspace { name: name.value, keys, weight, kinds };
+    let value =
+        Workspace { name: name.value, keys, weight, kinds, priority: 0, regions: Vec::new() };
     parsed.workspaces.push(Located { value, location: fields.location });
 }
 
--- a/oleander-core/src/lib.rs
+++ b/oleander-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod events;
 pub mod hash;
 pub mod ids;
+pub mod level;
 pub mod places;
 pub mod statement;
 pub mod terms;
--- a/oleander-node/src/entry/route.rs
+++ b/oleander-node/src/entry/route.rs
@@ -10,6 +10,7 @@
 use oleander_config::snapshot::Snapshot;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -35,6 +36,8 @@
     pub tx_idle: Option<Span>,
     /// `true` if the route is open to all callers, so that no key is checked.
     pub keyless: bool,
+    /// The urgency; the same for all unless `NodeSettings::overload` is set.
+    pub level: Level,
 }
 
 /// Checks an operation of a session against the configuration in force.
@@ -64,9 +67,17 @@
             (workspace, false)
         }
     };
+    let id = WorkspaceId::from_name(&workspace);
+    let level = if fleet.settings.overload {
+        let priority = snapshot.workspace(id).map_or(0, |workspace| workspace.priority);
+        Level::from_priorities(route.priority, priority)
+    } else {
+        Level::default()
+    };
     Ok(Admitted {
         database: DatabaseId::from_name(&route.database),
-        workspace: WorkspaceId::from_name(&workspace),
+        workspace: id,
+        level,
         name: workspace,
         tx_idle: snapshot.tx_idle,
         keyless,
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -8,6 +8,7 @@
 use oleander_config::model::KeyHash;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
+use oleander_core::level::Level;
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -297,6 +298,7 @@
             limit: route.deadline,
             patience: self.patience(operation),
             rest: operation.admitted.tx_idle.unwrap_or(DEFAULT_REST),
+            level: operation.admitted.level,
         }
     }
 
@@ -365,6 +367,7 @@
             limit: ROLLBACK_LIMIT,
             patience: ROLLBACK_LIMIT,
             rest: ROLLBACK_LIMIT,
+            level: Level::default(),
         };
         let entry = self.entry.clone();
         tokio::spawn(async move {
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -99,6 +99,9 @@
     pub roster: Arc<LeasedRoster>,
     /// The keepers of the databases.
     pub keepers: Arc<HashMap<DatabaseId, KeeperEntry>>,
+    /// The availability zones that an operator has asked to evacuate, by name, each with the time at
+    /// which this VM learned of it.
+    pub evacuated: Arc<HashMap<String, Time>>,
 }
 
 /// `Instance` is an entry of the directory with the values derived from it.
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -49,6 +49,23 @@
     /// `true` if the platform rejects a promotion order whose token is lower than one that it has
     /// seen.
     pub fenced: bool,
+    /// `true` if requests are served in the order of their priorities and refusals spread the
+    /// callers' return.
+    #[serde(default)]
+    pub overload: bool,
+    /// `true` if instances that fail or are slow compared with others of their database are set
+    /// aside for a time.
+    #[serde(default)]
+    pub outliers: bool,
+    /// The time within which no instance of an availability zone gets statements any more after an
+    /// operator has requested its evacuation.
+    #[serde(with = "span", default = "default_evacuation")]
+    pub evacuation: Span,
+}
+
+/// Returns the time for an evacuation where the platform states none.
+fn default_evacuation() -> Span {
+    Span::from_secs(5)
 }
 
 impl NodeSettings {
--- a/oleander-node/tests/apply.rs
+++ b/oleander-node/tests/apply.rs
@@ -26,6 +26,7 @@
     let sources = Sources {
         configuration_key: "configuration",
         directory_prefix: "instances/",
+        evacuation_prefix: "evacuations/",
         own_prefix: "own/",
         decode_configuration: |_| Ok(Snapshot::default()),
         decode_entry: |_, value| {
@@ -38,6 +39,7 @@
                 slots: 2,
                 leaving: value == b"leaving",
                 primary: true,
+                warmup: Span::ZERO,
             })
         },
     };
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -12,6 +12,7 @@
 use async_trait::async_trait;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
+use oleander_core::level::Level;
 use oleander_core::places::Place;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
@@ -180,6 +181,7 @@
             slots: 2,
             leaving: false,
             primary: true,
+            warmup: Span::ZERO,
         },
     };
     (Arc::new(InstanceHome::new(Arc::new(home_context), &instance, 16)), timers, fleet)
@@ -197,6 +199,7 @@
         limit: Span::from_millis(300),
         patience: Span::from_millis(300),
         rest: Span::from_secs(1),
+        level: Level::default(),
     }
 }
 
--- a/oleander-node/tests/restored.rs
+++ b/oleander-node/tests/restored.rs
@@ -11,6 +11,7 @@
 use oleander_core::ids::Revision;
 use oleander_core::ids::VmId;
 use oleander_core::places::Place;
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_failover::keeper::messages::RecordState;
 use oleander_membership::leased::LeasedMember;
@@ -38,6 +39,7 @@
     let sources = Sources {
         configuration_key: "configuration",
         directory_prefix: "instances/",
+        evacuation_prefix: "evacuations/",
         own_prefix: "own/",
         decode_configuration: |value| {
             let mut snapshot = Snapshot::default();
@@ -54,6 +56,7 @@
                 slots: 2,
                 leaving: false,
                 primary: true,
+                warmup: Span::ZERO,
             })
         },
     };
--- a/oleander-node/tests/support/mod.rs
+++ b/oleander-node/tests/support/mod.rs
@@ -16,5 +16,8 @@
         drain: Span::from_secs(7),
         lease: Span::from_secs(1),
         fenced: true,
+        overload: false,
+        outliers: false,
+        evacuation: Span::from_secs(5),
     }
 }
--- a/oleander-ports/src/directory.rs
+++ b/oleander-ports/src/directory.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use oleander_core::time::Span;
+
 /// `DirectoryEntry` is the registration of one instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DirectoryEntry {
@@ -23,4 +25,6 @@
     pub leaving: bool,
     /// `true` if the instance reports itself as the primary. The report may be out of date.
     pub primary: bool,
+    /// The time for which the instance still warms up after its start, counted from this report.
+    pub warmup: Span,
 }
--- a/oleander-ports/src/sources.rs
+++ b/oleander-ports/src/sources.rs
@@ -12,6 +12,9 @@
     pub configuration_key: &'static str,
     /// The prefix of the keys under which instances register.
     pub directory_prefix: &'static str,
+    /// The prefix of the keys under which operators request the evacuation of an availability zone;
+    /// the name of the zone follows.
+    pub evacuation_prefix: &'static str,
     /// The prefix of the keys that the proxy itself writes.
     pub own_prefix: &'static str,
     /// Decodes a configuration. The error describes what is wrong.
--- a/oleander-proxy/tests/home.rs
+++ b/oleander-proxy/tests/home.rs
@@ -46,6 +46,7 @@
         connections: 16,
         leaving: false,
         instances: ["a", "b", "c"].map(instance).to_vec(),
+        warmup: None,
     }
 }
 
--- a/oleander-routing/benches/decisions.rs
+++ b/oleander-routing/benches/decisions.rs
@@ -205,6 +205,8 @@
         keys: vec![Key { name: "main".to_owned(), hash: key(at) }],
         weight: 1,
         kinds: Vec::new(),
+        priority: 0,
+        regions: Vec::new(),
     });
     let upstreams = (0..size.databases).map(|at| Database {
         name: format!("database-{at}"),
@@ -213,6 +215,7 @@
         connections: 16,
         leaving: false,
         instances: Vec::new(),
+        warmup: None,
     });
     let routes = (0..size.databases).map(|at| Route {
         name: format!("route-{at}"),
@@ -226,6 +229,8 @@
         cost: 1,
         consistency: Consistency::Session,
         target_latency: Span::from_secs(1),
+        priority: 0,
+        regions: Vec::new(),
     });
     Document {
         workspaces: workspaces.collect(),
--- a/oleander-routing/tests/admit.rs
+++ b/oleander-routing/tests/admit.rs
@@ -25,7 +25,14 @@
 
 fn workspace(name: &str, hash: KeyHash) -> Workspace {
     let keys = vec![Key { name: "main".to_owned(), hash }];
-    Workspace { name: name.to_owned(), keys, weight: 1, kinds: Vec::new() }
+    Workspace {
+        name: name.to_owned(),
+        keys,
+        weight: 1,
+        kinds: Vec::new(),
+        priority: 0,
+        regions: Vec::new(),
+    }
 }
 
 fn route(class: &str, audience: Audience) -> Route {
@@ -41,6 +48,8 @@
         cost: 1,
         consistency: Consistency::Session,
         target_latency: Span::from_secs(1),
+        priority: 0,
+        regions: Vec::new(),
     }
 }
 
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -1,6 +1,7 @@
 //! Requests from an entry VM to the home of an instance for a session, and the answers.
 
 use oleander_core::ids::TransactionId;
+use oleander_core::level::Level;
 use oleander_core::statement::Access;
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
@@ -103,6 +104,8 @@
     pub patience: Span,
     /// The time for which the transaction may be idle between statements.
     pub rest: Span,
+    /// The urgency of the operation that the statement belongs to.
+    pub level: Level,
 }
 
 /// `HomeAnswer` is the result of a statement that succeeded.
