Leave the last tokens of a workspace's rate to its most urgent requests

Cause: a workspace over its rate was refused regardless of urgency.

Change: while tokens are scarce, requests below the most urgent level leave an eighth of an owner's tokens to that level. Waiting requests of the most urgent level go first, and an owner that holds back its last tokens is still asked for urgent requests. With one level, decisions are as before.

The bound on admissions holds in the random sequences, now with levels.

--- a/oleander-config/src/snapshot.rs
+++ b/oleander-config/src/snapshot.rs
@@ -7,6 +7,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::Revision;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 
 use crate::model::Database;
@@ -38,6 +39,8 @@
     /// The time for which an open transaction may be idle before it is ended; `None` leaves
     /// the limit to the home.
     pub tx_idle: Option<Span>,
+    /// The highest priority of a route, and that of a workspace; both 0 if there are none.
+    first_priorities: (u8, u8),
     keys: HashMap<KeyHash, WorkspaceIdx>,
     rates: HashMap<WorkspaceId, Rate>,
     workspace_ids: HashMap<WorkspaceId, WorkspaceIdx>,
@@ -48,7 +51,11 @@
 impl Snapshot {
     /// Compiles a validated document.
     pub fn new(revision: Revision, document: Document) -> Self {
-        let mut snapshot = Self { revision, tx_idle: document.tx_idle, ..Self::default() };
+        let routes = document.routes.iter().map(|route| route.priority);
+        let workspaces = document.workspaces.iter().map(|workspace| workspace.priority);
+        let first_priorities = (routes.min().unwrap_or(0), workspaces.min().unwrap_or(0));
+        let tx_idle = document.tx_idle;
+        let mut snapshot = Self { revision, tx_idle, first_priorities, ..Self::default() };
         for workspace in document.workspaces {
             snapshot.add_workspace(workspace);
         }
@@ -93,6 +100,17 @@
         self.matchers.get(matcher).map(|idx| &self.routes[*idx])
     }
 
+    /// Returns the urgency of requests on a route by a workspace, relative to the most urgent ones
+    /// of the configuration.
+    pub fn level(&self, route: &Route, workspace: WorkspaceId) -> Level {
+        let (first_route, first_workspace) = self.first_priorities;
+        let priority = self.workspace(workspace).map_or(0, |workspace| workspace.priority);
+        Level::from_priorities(
+            route.priority.saturating_sub(first_route),
+            priority.saturating_sub(first_workspace),
+        )
+    }
+
     fn add_workspace(&mut self, workspace: Workspace) {
         let id = WorkspaceId::from_name(&workspace.name);
         let hashes: Vec<KeyHash> = workspace.keys.iter().map(|key| key.hash).collect();
--- a/oleander-core/src/level.rs
+++ b/oleander-core/src/level.rs
@@ -13,6 +13,9 @@
     /// The number of levels.
     pub const COUNT: usize = 8;
 
+    /// The most urgent level.
+    pub const FIRST: Level = Level(0);
+
     /// The least urgent level.
     pub const LAST: Level = Level(Self::COUNT as u8 - 1);
 
--- a/oleander-limits/src/messages.rs
+++ b/oleander-limits/src/messages.rs
@@ -36,6 +36,8 @@
     Borrow {
         /// The tokens needed by waiting requests.
         need: Tokens,
+        /// The part of `need` for requests of the most urgent level.
+        urgent: Tokens,
         /// Additional tokens for future requests, granted only if the owner has a surplus.
         stock: Tokens,
         /// The demand of the sender's callers in tokens per second.
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
@@ -10,6 +11,7 @@
 use crate::messages::LoanId;
 use crate::messages::Returned;
 use crate::rates::actions::Call;
+use crate::rates::actions::Charge;
 use crate::rates::actions::Decision;
 use crate::rates::actions::Ticket;
 use crate::rates::borrower::RateBorrower;
@@ -92,23 +94,27 @@
         &mut self,
         ctx: &mut Context<'_>,
         ticket: Ticket,
-        cost: Tokens,
+        charge: Charge,
         deadline: Time,
     ) -> Decision {
+        let Charge { cost, level } = charge;
+        let cost = Tokens::whole(cost);
         self.sync(ctx);
         self.meter.record(ctx.now, cost);
-        if self.queue.is_empty() && cost <= self.available(ctx) {
+        let ahead = self.queue.cost_ahead(level);
+        if ahead == Tokens::ZERO && cost <= self.available_at(ctx, level) {
             self.take(ctx, cost);
             self.request_tokens(ctx);
             return Decision::Admit;
         }
         let until = deadline.min(ctx.now + MAX_WAIT);
         if self.limit.capacity(FRACTIONS) < cost
-            || self.expected_tokens(ctx, until) < self.queue.cost() + cost
+            || self.expected_tokens(ctx, level, until) < ahead + cost
         {
-            return Decision::Refuse { retry_after: self.retry_after(ctx, cost) };
+            self.owner.note_scarcity(ctx.now);
+            return Decision::Refuse { retry_after: self.retry_after(ctx, level, cost) };
         }
-        self.queue.push(WaitingRequest { ticket, cost, until });
+        self.queue.push(WaitingRequest { ticket, cost, until, level });
         self.request_tokens(ctx);
         Decision::Wait
     }
@@ -122,12 +128,12 @@
     pub fn handle_request(&mut self, ctx: &mut Context<'_>, from: VmId, ask: Ask) -> LimitReply {
         self.sync(ctx);
         match ask {
-            Ask::Borrow { need, stock, demand, settled } => {
+            Ask::Borrow { need, urgent, stock, demand, settled } => {
                 self.owner.end_grants(ctx.now, self.limit, &settled);
-                self.lend(
-                    ctx,
-                    BorrowRequest { from, tokens: need, stock, demand, own_demand: Tokens::ZERO },
-                )
+                let own_demand = Tokens::ZERO;
+                let request =
+                    BorrowRequest { from, tokens: need, urgent, stock, demand, own_demand };
+                self.lend(ctx, request)
             }
             Ask::Settle { settled } => {
                 self.owner.end_grants(ctx.now, self.limit, &settled);
@@ -155,10 +161,10 @@
         self.sync(ctx);
         let peer = self.peers.iter().position(|peer| peer.vm == call.to);
         if let Some(index) = peer
-            && let Ask::Borrow { need, .. } = call.ask
+            && let Ask::Borrow { need, urgent, .. } = call.ask
             && self.peers[index].close_call(call.id)
         {
-            self.update_peer(ctx.now, index, need, reply.as_ref());
+            self.update_peer(ctx.now, index, need, urgent, reply.as_ref());
         }
         self.apply_reply(ctx.now, call, reply);
         self.serve(ctx);
@@ -237,7 +243,7 @@
 
     /// Refuses all waiting requests, because the workspace has lost its limit or the VM stops.
     pub fn refuse_all(&mut self, ctx: &mut Context<'_>) {
-        let retry_after = self.retry_after(ctx, Tokens::ZERO);
+        let retry_after = self.retry_after(ctx, Level::LAST, Tokens::ZERO);
         while let Some(request) = self.queue.pop_unless(|_, _| false) {
             ctx.refuse(request.ticket, retry_after);
         }
@@ -331,20 +337,28 @@
         if self.queue.is_empty() {
             return;
         }
+        let reserve = self.urgent_reserve(ctx);
         let mut local = self.available(ctx);
-        while let Some(request) = self.queue.pop_within(local) {
+        let allowed = |local: Tokens, level| match level {
+            Level::FIRST => local,
+            _ => local.saturating_sub(reserve),
+        };
+        while let Some(request) = self.queue.pop_within(|level| allowed(local, level)) {
             self.take(ctx, request.cost);
             ctx.admit(request.ticket);
             local = local.saturating_sub(request.cost);
         }
-        let remote = self.expected_remote(ctx);
+        let remote = self.expected_remote(ctx, Level::LAST);
+        let urgent_remote = self.expected_remote(ctx, Level::FIRST);
         let (limit, fractions, now) = (self.limit, self.local_fractions(ctx), ctx.now);
         let keep = |request: &WaitingRequest, ahead: Tokens| {
             let refill = limit.refill(fractions, request.until.since(now));
-            now < request.until && ahead <= local + remote + refill
+            let remote = if request.level == Level::FIRST { urgent_remote } else { remote };
+            now < request.until && ahead <= allowed(local, request.level) + remote + refill
         };
         while let Some(request) = self.queue.pop_unless(keep) {
-            let retry_after = self.retry_after(ctx, request.cost);
+            self.owner.note_scarcity(ctx.now);
+            let retry_after = self.retry_after(ctx, request.level, request.cost);
             ctx.refuse(request.ticket, retry_after);
         }
         self.request_tokens(ctx);
@@ -360,6 +374,20 @@
         borrowed + self.owner.available(ctx.now, self.limit)
     }
 
+    /// Returns the tokens that a request of `level` may spend at once.
+    pub(super) fn available_at(&mut self, ctx: &Context<'_>, level: Level) -> Tokens {
+        let available = self.available(ctx);
+        match level {
+            Level::FIRST => available,
+            _ => available.saturating_sub(self.urgent_reserve(ctx)),
+        }
+    }
+
+    /// Returns the local tokens that requests below the most urgent level have to leave.
+    fn urgent_reserve(&self, ctx: &Context<'_>) -> Tokens {
+        self.owner.urgent_reserve(ctx.now, self.limit, self.local_fractions(ctx))
+    }
+
     /// Spends tokens counted by `available`: granted tokens first, then those of the bucket with
     /// the highest fill ratio.
     fn take(&mut self, ctx: &Context<'_>, cost: Tokens) {
--- a/oleander-limits/src/rates/actions.rs
+++ b/oleander-limits/src/rates/actions.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
@@ -16,6 +17,15 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct CallId(pub u64);
 
+/// `Charge` is what a request costs and how urgent it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Charge {
+    /// The cost in tokens.
+    pub cost: u32,
+    /// The urgency. While tokens are scarce, a part of them is left to the most urgent level.
+    pub level: Level,
+}
+
 /// `Decision` is the answer to a request for tokens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decision {
--- a/oleander-limits/src/rates/asking.rs
+++ b/oleander-limits/src/rates/asking.rs
@@ -1,5 +1,6 @@
 //! Requests for tokens to the owners of a workspace's rate, and estimates of what they will give.
 
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use smallvec::SmallVec;
@@ -30,12 +31,14 @@
 
 impl Account {
     /// Updates the estimate and backoff of the peer at `index` after a call that asked it for
-    /// `asked` tokens for waiting requests. `reply` is `None` if the call failed.
+    /// `asked` tokens for waiting requests, of which `urgent` are for the most urgent level.
+    /// `reply` is `None` if the call failed.
     pub(super) fn update_peer(
         &mut self,
         now: Time,
         index: usize,
         asked: Tokens,
+        urgent: Tokens,
         reply: Option<&LimitReply>,
     ) {
         let limit = self.limit;
@@ -45,10 +48,15 @@
             Some(LimitReply::Lent { again: Some(again), .. }) => {
                 peer.record_recall(now, limit, unborrowed, *again);
             }
-            Some(LimitReply::Lent { grant, loan: None, .. })
+            Some(LimitReply::Lent { grant, loan: None, left, .. })
                 if grant.map_or(Tokens::ZERO, |grant| grant.amount).0 < asked.0 / 2 =>
             {
-                peer.record_empty(now);
+                // What the peer holds back is for requests of the most urgent level.
+                if urgent < asked && (*left != Tokens::ZERO || urgent == Tokens::ZERO) {
+                    peer.record_reserved(now, *left);
+                } else {
+                    peer.record_empty(now);
+                }
             }
             Some(LimitReply::Lent { left, lent, .. }) => {
                 // The tokens that a recall will return are unknown; half of the capacity is
@@ -66,9 +74,11 @@
     /// highest estimates.
     pub(super) fn request_tokens(&mut self, ctx: &mut Context<'_>) {
         let pending: Tokens = self.peers.iter().map(Peer::pending_tokens).sum();
-        let covered = self.available(ctx) + pending;
+        let covered = self.available_at(ctx, Level::LAST) + pending;
         let demand = self.meter.per_second(ctx.now);
-        let need = self.queue.cost().saturating_sub(covered);
+        let urgent_covered = self.available(ctx) + pending;
+        let urgent_need = self.queue.cost_ahead(Level::FIRST).saturating_sub(urgent_covered);
+        let need = self.queue.cost().saturating_sub(covered).max(urgent_need);
         let wanted = if need != Tokens::ZERO {
             self.recall(ctx, ctx.ownership.vm());
             need + demand_over(demand, STOCK_TIME)
@@ -80,24 +90,28 @@
             self.next_restock = ctx.now + STOCK_INTERVAL;
             demand_over(demand, STOCK_TIME).saturating_sub(spare).max(MIN_STOCK)
         };
-        let mut rest = need;
-        for Allocation { index, amount } in plan::divide(self.offers(ctx), wanted) {
+        let level = if urgent_need == Tokens::ZERO { Level::LAST } else { Level::FIRST };
+        let (mut rest, mut urgent_rest) = (need, urgent_need);
+        for Allocation { index, amount } in plan::divide(self.offers(ctx, level), wanted) {
             let to = self.peers[index].vm;
             let settled = self.borrower.take_settled(ctx.now, to);
             let need = amount.min(rest);
             rest = rest.saturating_sub(need);
-            let ask = Ask::Borrow { need, stock: amount.saturating_sub(need), demand, settled };
+            let urgent = need.min(urgent_rest);
+            urgent_rest = urgent_rest.saturating_sub(urgent);
+            let stock = amount.saturating_sub(need);
+            let ask = Ask::Borrow { need, urgent, stock, demand, settled };
             let call = ctx.send(to, self.workspace, ask);
             self.peers[index].record_call(ctx.now, call, amount);
         }
     }
 
-    /// Returns the estimated tokens of the peers that may be called now.
-    fn offers(&mut self, ctx: &Context<'_>) -> SmallVec<[Offer; 8]> {
+    /// Returns the estimated tokens of the peers that may be called now for requests of `level`.
+    fn offers(&mut self, ctx: &Context<'_>, level: Level) -> SmallVec<[Offer; 8]> {
         let mut offers = SmallVec::new();
         for index in 0..self.peers.len() {
             let unborrowed = self.unborrowed(index);
-            if self.peers[index].is_ready(ctx.now) && 0 < unborrowed {
+            if self.peers[index].is_ready(ctx.now, level) && 0 < unborrowed {
                 let left = self.peers[index].expected(ctx.now, self.limit, unborrowed);
                 offers.push(Offer::new(index, left, self.limit.capacity(unborrowed)));
             }
@@ -105,31 +119,38 @@
         offers
     }
 
-    /// Returns the tokens that may become available by `until`.
-    pub(super) fn expected_tokens(&mut self, ctx: &Context<'_>, until: Time) -> Tokens {
+    /// Returns the tokens that may become available by `until` to a request of `level`.
+    pub(super) fn expected_tokens(
+        &mut self,
+        ctx: &Context<'_>,
+        level: Level,
+        until: Time,
+    ) -> Tokens {
         let refill = self.limit.refill(self.local_fractions(ctx), until.since(ctx.now));
-        self.available(ctx) + refill + self.expected_remote(ctx)
+        self.available_at(ctx, level) + refill + self.expected_remote(ctx, level)
     }
 
-    /// Returns the tokens expected from other owners and from the recall of loans that this VM
-    /// made. Each lent fraction counts as full.
-    pub(super) fn expected_remote(&mut self, ctx: &Context<'_>) -> Tokens {
+    /// Returns the tokens expected for requests of `level` from other owners and from the recall of
+    /// loans that this VM made. Each lent fraction counts as full.
+    pub(super) fn expected_remote(&mut self, ctx: &Context<'_>, level: Level) -> Tokens {
         let mut expected = self.limit.capacity(self.owner.lent());
         for index in 0..self.peers.len() {
             let unborrowed = self.unborrowed(index);
             let peer = &mut self.peers[index];
             expected += peer.pending_tokens();
-            if peer.is_soon_ready(ctx.now) {
+            if peer.is_soon_ready(ctx.now, level) {
                 expected += peer.expected(ctx.now, self.limit, unborrowed);
             }
         }
         expected
     }
 
-    /// Returns the time in which the whole rate yields the tokens that are missing for the waiting
-    /// requests and another one of `cost`; at least `MIN_RETRY`.
-    pub(super) fn retry_after(&mut self, ctx: &Context<'_>, cost: Tokens) -> Span {
-        let missing = (self.queue.cost() + cost).saturating_sub(self.available(ctx));
+    /// Returns the time in which the whole rate yields the tokens that are missing for the requests
+    /// that are served before another one of `cost` and `level`, and for that one; at least
+    /// `MIN_RETRY`.
+    pub(super) fn retry_after(&mut self, ctx: &Context<'_>, level: Level, cost: Tokens) -> Span {
+        let wanted = self.queue.cost_ahead(level) + cost;
+        let missing = wanted.saturating_sub(self.available_at(ctx, level));
         self.limit.time_for(FRACTIONS, missing).max(MIN_RETRY)
     }
 
--- a/oleander-limits/src/rates/lending.rs
+++ b/oleander-limits/src/rates/lending.rs
@@ -28,8 +28,13 @@
         let rest = request.tokens.saturating_sub(loan_level);
         let stock = request.stock.saturating_sub(loan_level.saturating_sub(request.tokens));
         let stock = stock.min(self.owner.surplus(ctx.now, self.limit, rest));
-        let grant = self.owner.grant(ctx.now, self.limit, rest + stock, ctx.next_loan());
+        let urgent = request.urgent.saturating_sub(loan_level);
+        let need = self.owner.grantable(ctx.now, self.limit, rest, urgent);
+        let grant = self.owner.grant(ctx.now, self.limit, need + stock, ctx.next_loan());
         let granted = grant.map_or(Tokens::ZERO, |grant| grant.amount);
+        if granted < rest {
+            self.owner.note_scarcity(ctx.now);
+        }
         let lent = self.owner.lent_to_others(from);
         let needs_recall = granted < rest && 0 < lent;
         if needs_recall {
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -7,6 +7,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
@@ -15,6 +16,7 @@
 use crate::rates::account::Account;
 use crate::rates::actions::Action;
 use crate::rates::actions::CallId;
+use crate::rates::actions::Charge;
 use crate::rates::actions::Decision;
 use crate::rates::actions::Ticket;
 use crate::rates::context::Context;
@@ -79,7 +81,8 @@
         }
     }
 
-    /// Decides on a request that costs `cost` tokens and has to be answered by `deadline`.
+    /// Decides on a request of the most urgent level that costs `cost` tokens and has to be
+    /// answered by `deadline`.
     ///
     /// A workspace without a limit is always admitted.
     pub fn acquire(
@@ -90,9 +93,23 @@
         cost: u32,
         deadline: Time,
         out: &mut Vec<Action>,
+    ) -> Decision {
+        let charge = Charge { cost, level: Level::FIRST };
+        self.acquire_at(now, ticket, workspace, charge, deadline, out)
+    }
+
+    /// Decides on a request like `acquire`, with the urgency that `charge` states.
+    pub fn acquire_at(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        workspace: WorkspaceId,
+        charge: Charge,
+        deadline: Time,
+        out: &mut Vec<Action>,
     ) -> Decision {
         let decision = self.with_account(now, workspace, out, |account, ctx| {
-            account.acquire(ctx, ticket, Tokens::whole(cost), deadline)
+            account.acquire(ctx, ticket, charge, deadline)
         });
         decision.unwrap_or(Decision::Admit)
     }
--- a/oleander-limits/src/rates/owner.rs
+++ b/oleander-limits/src/rates/owner.rs
@@ -33,6 +33,13 @@
 /// An owner grants no tokens for stock from the last part of its capacity, which is the capacity
 /// divided by this.
 const RESERVE_DIVISOR: u64 = 4;
+/// While tokens are scarce, requests below the most urgent level leave the last part of the
+/// capacity, which is the capacity divided by this, to that level. Its share of the demand is the
+/// smaller one, so that a part that refills within a fraction of a second suffices.
+const URGENT_RESERVE_DIVISOR: u64 = 8;
+/// The time for which tokens count as scarce after a request did not get its tokens: several
+/// round trips between regions, so that the reserve does not come and go between two requests.
+const SCARCITY_TIME: Span = Span::from_millis(1_000);
 /// The interval after which an unanswered recall is sent again.
 const RECALL_INTERVAL: Span = Span::from_millis(100);
 /// The interval after which a borrower is asked again whether it still needs a loan.
@@ -51,6 +58,8 @@
     granted: SmallVec<[OpenGrant; 2]>,
     overflow: Overflow,
     demand_table: DemandTable,
+    /// The time until which tokens count as scarce.
+    scarce_until: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -85,6 +94,8 @@
     pub from: VmId,
     /// The tokens needed by requests waiting at the borrower.
     pub tokens: Tokens,
+    /// The part of `tokens` for requests of the most urgent level.
+    pub urgent: Tokens,
     /// The additional tokens the borrower wants for future requests.
     pub stock: Tokens,
     /// The demand of the borrower's callers in tokens per second.
@@ -220,6 +231,28 @@
         self.bucket.level.saturating_sub(need + kept)
     }
 
+    /// Records that a request did not get its tokens.
+    pub fn note_scarcity(&mut self, now: Time) {
+        self.scarce_until = now + SCARCITY_TIME;
+    }
+
+    /// Returns the tokens of `fractions` fractions that requests below the most urgent level have
+    /// to leave; zero unless tokens are scarce.
+    pub fn urgent_reserve(&self, now: Time, limit: Limit, fractions: u32) -> Tokens {
+        if self.scarce_until <= now {
+            return Tokens::ZERO;
+        }
+        Tokens(limit.capacity(fractions).0 / URGENT_RESERVE_DIVISOR)
+    }
+
+    /// Returns the part of `need` that may be granted, of which `urgent` is for requests of the
+    /// most urgent level.
+    pub fn grantable(&mut self, now: Time, limit: Limit, need: Tokens, urgent: Tokens) -> Tokens {
+        let reserve = self.urgent_reserve(now, limit, self.unlent());
+        let unreserved = self.available(now, limit).saturating_sub(reserve);
+        need.min(urgent.max(unreserved))
+    }
+
     /// Grants up to `amount` tokens, or returns `None` if the bucket is empty.
     pub fn grant(&mut self, now: Time, limit: Limit, amount: Tokens, id: LoanId) -> Option<Grant> {
         self.advance(now, limit);
--- a/oleander-limits/src/rates/peers.rs
+++ b/oleander-limits/src/rates/peers.rs
@@ -1,6 +1,7 @@
 //! The borrower's estimate of the tokens available at the other owners of a workspace.
 
 use oleander_core::ids::VmId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use smallvec::SmallVec;
@@ -18,6 +19,9 @@
 /// The maximum backoff for an owner without tokens: about the time in which a low rate yields one
 /// token.
 const MAX_EMPTY_BACKOFF: Span = Span::from_millis(160);
+/// The time for which an owner that holds back its last tokens is asked only for the most urgent
+/// requests.
+const RESERVED_BACKOFF: Span = Span::from_millis(80);
 /// The maximum backoff for an owner whose calls fail.
 const MAX_FAILED_BACKOFF: Span = Span::from_millis(1_000);
 /// The time after which an unanswered call counts as failed.
@@ -39,6 +43,8 @@
     expected: Bucket,
     /// The end of the backoff.
     retry_at: Time,
+    /// The time until which only requests of the most urgent level call the peer.
+    reserved_until: Time,
     /// The duration of the last backoff; zero after a grant.
     backoff: Span,
     calls: SmallVec<[PendingCall; 1]>,
@@ -59,6 +65,7 @@
             fractions: owner.fractions,
             expected: Bucket::new(limit.capacity(owner.fractions), now),
             retry_at: now,
+            reserved_until: now,
             backoff: Span::ZERO,
             calls: SmallVec::new(),
         }
@@ -70,14 +77,19 @@
         self.expected.level
     }
 
-    /// Returns `true` if a call may be sent to the peer at `now`.
-    pub fn is_ready(&self, now: Time) -> bool {
-        self.calls.len() < MAX_CALLS && self.retry_at <= now
+    /// Returns `true` if a call for requests of `level` may be sent to the peer at `now`.
+    pub fn is_ready(&self, now: Time, level: Level) -> bool {
+        self.calls.len() < MAX_CALLS && self.retry_at(level) <= now
     }
 
-    /// Returns `true` if the peer's backoff ends soon enough for a waiting request.
-    pub fn is_soon_ready(&self, now: Time) -> bool {
-        self.retry_at <= now + SOON_READY
+    /// Returns `true` if the peer's backoff ends soon enough for a waiting request of `level`.
+    pub fn is_soon_ready(&self, now: Time, level: Level) -> bool {
+        self.retry_at(level) <= now + SOON_READY
+    }
+
+    /// Returns the time from which the peer may be called for requests of `level`.
+    fn retry_at(&self, level: Level) -> Time {
+        if level == Level::FIRST { self.retry_at } else { self.retry_at.max(self.reserved_until) }
     }
 
     /// Returns the tokens requested in calls that are not yet answered.
@@ -107,6 +119,12 @@
         self.retry_at = now;
     }
 
+    /// Records that the peer holds its last `left` tokens back for the most urgent level.
+    pub fn record_reserved(&mut self, now: Time, left: Tokens) {
+        self.record_grant(now, left);
+        self.reserved_until = now + RESERVED_BACKOFF;
+    }
+
     /// Records that the peer had no tokens or may not use its fractions yet.
     pub fn record_empty(&mut self, now: Time) {
         self.back_off(now, EMPTY_BACKOFF, MAX_EMPTY_BACKOFF);
--- a/oleander-limits/src/rates/waiting.rs
+++ b/oleander-limits/src/rates/waiting.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use oleander_core::level::Level;
 use oleander_core::time::Time;
 
 use crate::rates::actions::Ticket;
@@ -16,30 +17,42 @@
     pub cost: Tokens,
     /// The time at which the request is refused.
     pub until: Time,
+    /// The urgency; requests of the most urgent level are served before all others.
+    pub level: Level,
 }
 
-/// `WaitQueue` holds the waiting requests of one workspace in order of arrival.
+/// `WaitQueue` holds the waiting requests of one workspace: those of the most urgent level first,
+/// each kind in order of arrival.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
     requests: VecDeque<WaitingRequest>,
+    /// The number of requests of the most urgent level.
+    urgent: usize,
     cost: Tokens,
+    urgent_cost: Tokens,
 }
 
 impl WaitQueue {
-    /// Appends a request.
+    /// Adds a request behind those that are served before it.
     pub fn push(&mut self, request: WaitingRequest) {
         self.cost += request.cost;
-        self.requests.push_back(request);
+        if request.level == Level::FIRST {
+            self.urgent_cost += request.cost;
+            self.requests.insert(self.urgent, request);
+            self.urgent += 1;
+        } else {
+            self.requests.push_back(request);
+        }
     }
 
-    /// Removes and returns the first request if it costs at most `available` tokens.
-    pub fn pop_within(&mut self, available: Tokens) -> Option<WaitingRequest> {
+    /// Removes and returns the first request if it costs at most the tokens that `available`
+    /// returns for its level.
+    pub fn pop_within(&mut self, available: impl Fn(Level) -> Tokens) -> Option<WaitingRequest> {
         let first = self.requests.front().copied()?;
-        if available < first.cost {
+        if available(first.level) < first.cost {
             return None;
         }
-        self.remove_first();
-        Some(first)
+        self.remove_at(0)
     }
 
     /// Removes and returns the first request for which `keep` returns `false`. `keep` is given the
@@ -77,18 +90,23 @@
         self.cost
     }
 
+    /// Returns the cost of the waiting requests that are served before a new one of `level`.
+    pub fn cost_ahead(&self, level: Level) -> Tokens {
+        if level == Level::FIRST { self.urgent_cost } else { self.cost }
+    }
+
     /// Returns `true` if no request waits.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
 
-    fn remove_first(&mut self) {
-        self.remove_at(0);
-    }
-
     fn remove_at(&mut self, index: usize) -> Option<WaitingRequest> {
         let request = self.requests.remove(index)?;
         self.cost = self.cost.saturating_sub(request.cost);
+        if request.level == Level::FIRST {
+            self.urgent -= 1;
+            self.urgent_cost = self.urgent_cost.saturating_sub(request.cost);
+        }
         Some(request)
     }
 }
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -4,9 +4,11 @@
 mod support;
 
 use oleander_core::ids::VmId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::messages::LoanId;
+use oleander_limits::rates::actions::Charge;
 use oleander_limits::rates::owner::BorrowRequest;
 use oleander_limits::rates::owner::RateOwner;
 use oleander_limits::rates::tokens::Limit;
@@ -36,6 +38,7 @@
         vm: usize,
         count: u32,
         cost: u32,
+        level: Level,
     },
     /// Callers send `count` requests of cost 1, `gap` milliseconds apart.
     Load {
@@ -65,7 +68,8 @@
 fn step() -> impl Strategy<Value = Step> {
     let vm = || 0..VMS;
     prop_oneof![
-        4 => (vm(), 1..60u32, 1..3u32).prop_map(|(vm, count, cost)| Step::Ask { vm, count, cost }),
+        4 => (vm(), 1..60u32, 1..3u32, level())
+            .prop_map(|(vm, count, cost, level)| Step::Ask { vm, count, cost, level }),
         6 => (vm(), 10..80u32, 1..40u64).prop_map(|(vm, count, gap)| Step::Load { vm, count, gap }),
         3 => (1..3_000u64).prop_map(Step::Advance),
         1 => (vm(), 1..4_000u64).prop_map(|(vm, millis)| Step::Pause { vm, millis }),
@@ -77,9 +81,15 @@
     ]
 }
 
+fn level() -> impl Strategy<Value = Level> {
+    prop::sample::select(vec![Level::FIRST, Level::LAST])
+}
+
 fn perform(fleet: &mut Fleet, step: &Step) {
     match *step {
-        Step::Ask { vm, count, cost } => (0..count).for_each(|_| fleet.ask(vm, cost)),
+        Step::Ask { vm, count, cost, level } => {
+            (0..count).for_each(|_| fleet.ask_at(vm, Charge { cost, level }));
+        }
         Step::Load { vm, count, gap } => {
             for _ in 0..count {
                 fleet.ask(vm, 1);
@@ -172,6 +182,34 @@
     assert_eq!((fleet.count(), fleet.admitted, fleet.refused), (VMS, 800, 0));
 }
 
+/// Load: a workspace sends three times its rate through some VMs, and every seventh request is
+/// urgent. Guards against urgent requests that are refused as often as the others.
+#[rstest]
+#[case::all_at_one_vm(&[0])]
+#[case::at_two_vms(&[0, 2])]
+#[case::at_every_vm(&[0, 1, 2, 3])]
+fn urgent_requests_are_admitted_while_the_workspace_exceeds_its_rate(#[case] vms: &[usize]) {
+    let delay = Span::from_millis(20);
+    let network = Network { delay, max_delay: delay, loss_percent: 0, duplicate_percent: 0 };
+    let mut fleet = Fleet::new(VMS, Limit { rate: 100, burst: 100 }, network, Fault::None, 1);
+    // The buckets of a fleet that has just started fill up first.
+    fleet.advance(Span::from_secs(1));
+    let (seconds, per_second) = (6, 300);
+    for n in 0..seconds * per_second {
+        // Seven has no common divisor with the number of VMs, so that each gets urgent requests.
+        let level = if n % 7 == 0 { Level::FIRST } else { Level::LAST };
+        fleet.ask_at(vms[n % vms.len()], Charge { cost: 1, level });
+        fleet.advance(Span::from_micros(1_000_000 / per_second as u64));
+    }
+    fleet.advance(Span::from_secs(1));
+    let urgent = (seconds * per_second).div_ceil(7) as u64;
+    assert!(urgent * 95 / 100 <= fleet.urgent, "{} of {urgent} admitted", fleet.urgent);
+    // The rate is used all the same.
+    let allowed = 100 * (seconds as u64 + 1);
+    assert!(allowed * 90 / 100 <= fleet.admitted, "{} of {allowed} admitted", fleet.admitted);
+    assert_eq!(fleet.violation, None);
+}
+
 #[test]
 fn a_cost_beyond_the_burst_is_refused_at_once() {
     let delay = Span::from_millis(20);
@@ -192,6 +230,7 @@
     let need = BorrowRequest {
         from: VmId(1),
         tokens: demand,
+        urgent: demand,
         stock: Tokens::ZERO,
         demand,
         own_demand: Tokens::ZERO,
--- a/oleander-limits/tests/start.rs
+++ b/oleander-limits/tests/start.rs
@@ -122,7 +122,7 @@
     let later = now + Span::from_secs(1);
     let need = Tokens::whole(1);
     let (stock, demand) = (Tokens::ZERO, Tokens::ZERO);
-    let ask = Ask::Borrow { need, stock, demand, settled: SmallVec::new() };
+    let ask = Ask::Borrow { need, urgent: need, stock, demand, settled: SmallVec::new() };
     let reply = limiter.handle_request(later, borrower, LimitRequest { workspace, ask }, &mut out);
     let LimitReply::Lent { grant: Some(grant), .. } = reply else { panic!("{reply:?}") };
     if case.settled {
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::timers::TimerQueue;
@@ -11,6 +12,7 @@
 use oleander_limits::messages::LimitRequest;
 use oleander_limits::rates::actions::Action;
 use oleander_limits::rates::actions::CallId;
+use oleander_limits::rates::actions::Charge;
 use oleander_limits::rates::actions::Decision;
 use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
@@ -113,6 +115,8 @@
     pub limit: Limit,
     /// The number of admitted tokens.
     pub admitted: u64,
+    /// The number of admitted tokens of requests of the most urgent level.
+    pub urgent: u64,
     /// The number of refused requests.
     pub refused: u64,
     /// The first time at which more than burst + rate × window was or could have been admitted.
@@ -124,7 +128,7 @@
     vms: Vec<Vm>,
     owners: Vec<usize>,
     events: TimerQueue<Event>,
-    costs: Vec<u32>,
+    charges: Vec<Charge>,
     rng: ChaCha8Rng,
     level: u64,
     last_refill: Time,
@@ -147,6 +151,7 @@
         let mut fleet = Self {
             limit,
             admitted: 0,
+            urgent: 0,
             refused: 0,
             violation: None,
             now: Time(1_000_000),
@@ -155,7 +160,7 @@
             vms: vms.collect(),
             owners: (0..SHARES).map(|share| share % count).collect(),
             events: TimerQueue::new(),
-            costs: Vec::new(),
+            charges: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             level: u64::from(limit.burst) * 1_000_000,
             last_refill: Time(0),
@@ -169,17 +174,23 @@
         fleet
     }
 
-    /// Sends a caller's request for tokens to a VM; it has no effect while the VM is paused.
+    /// Sends a caller's request of the most urgent level to a VM; it has no effect while the VM is
+    /// paused.
     pub fn ask(&mut self, index: usize, cost: u32) {
+        self.ask_at(index, Charge { cost, level: Level::FIRST });
+    }
+
+    /// Sends a caller's request for tokens to a VM; it has no effect while the VM is paused.
+    pub fn ask_at(&mut self, index: usize, charge: Charge) {
         if self.now < self.vms[index].paused_until {
             return;
         }
         let (now, mut out) = (self.clock(index), Vec::new());
-        self.costs.push(cost);
-        let ticket = Ticket(self.costs.len() as u64 - 1);
+        self.charges.push(charge);
+        let ticket = Ticket(self.charges.len() as u64 - 1);
         let limiter = &mut self.vms[index].limiter;
-        match limiter.acquire(now, ticket, WORKSPACE, cost, now + DEADLINE, &mut out) {
-            Decision::Admit => self.admit(cost),
+        match limiter.acquire_at(now, ticket, WORKSPACE, charge, now + DEADLINE, &mut out) {
+            Decision::Admit => self.admit(charge),
             Decision::Refuse { .. } => self.refused += 1,
             Decision::Wait => {}
         }
@@ -439,7 +450,7 @@
     fn perform(&mut self, index: usize, out: Vec<Action>) {
         for action in out {
             match action {
-                Action::Admit(ticket) => self.admit(self.costs[ticket.0 as usize]),
+                Action::Admit(ticket) => self.admit(self.charges[ticket.0 as usize]),
                 Action::Refuse { .. } => self.refused += 1,
                 Action::Send { to, call, request } => self.send(index, to, call, &request),
             }
@@ -492,14 +503,17 @@
 
     /// Charges an admission to one token bucket for the whole fleet; its bound holds for any
     /// window.
-    fn admit(&mut self, cost: u32) {
+    fn admit(&mut self, charge: Charge) {
         self.refill();
-        let cost = u64::from(cost) * 1_000_000;
+        let cost = u64::from(charge.cost) * 1_000_000;
         if self.level < cost {
             self.violation = self.violation.or(Some(self.now));
         }
         self.level = self.level.saturating_sub(cost);
-        self.admitted += cost / 1_000_000;
+        self.admitted += u64::from(charge.cost);
+        if charge.level == Level::FIRST {
+            self.urgent += u64::from(charge.cost);
+        }
     }
 }
 
--- a/oleander-node/src/entry/route.rs
+++ b/oleander-node/src/entry/route.rs
@@ -68,12 +68,7 @@
         }
     };
     let id = WorkspaceId::from_name(&workspace);
-    let level = if fleet.settings.overload {
-        let priority = snapshot.workspace(id).map_or(0, |workspace| workspace.priority);
-        Level::from_priorities(route.priority, priority)
-    } else {
-        Level::default()
-    };
+    let level = if fleet.settings.overload { snapshot.level(route, id) } else { Level::default() };
     Ok(Admitted {
         database: DatabaseId::from_name(&route.database),
         workspace: id,
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -15,6 +15,7 @@
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
+use oleander_limits::rates::actions::Charge;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
 use oleander_session::command::Command;
@@ -188,10 +189,11 @@
         let admitted = route::admit(&entry.fleet, &self.name, self.key.as_ref())?;
         let target = admitted.route.target_latency;
         let deadline = started + Span(target.0 / RATE_WAIT_DIVISOR);
-        let (workspace, cost) = (admitted.workspace, admitted.route.cost);
+        let workspace = admitted.workspace;
+        let charge = Charge { cost: admitted.route.cost, level: admitted.level };
         self.operation = Some(Operation { admitted, started });
         loop {
-            let Err(refusal) = entry.rates.admit(workspace, cost, deadline).await else {
+            let Err(refusal) = entry.rates.admit(workspace, charge, deadline).await else {
                 return Ok(());
             };
             let fleet = &entry.fleet;
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -18,6 +18,7 @@
 use oleander_limits::messages::LimitRequest;
 use oleander_limits::rates::actions::Action;
 use oleander_limits::rates::actions::CallId;
+use oleander_limits::rates::actions::Charge;
 use oleander_limits::rates::actions::Decision;
 use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
@@ -78,17 +79,17 @@
         Self { inner: Arc::new(inner) }
     }
 
-    /// Waits until a request of `cost` tokens is admitted.
+    /// Waits until a request is admitted.
     ///
     /// # Errors
     /// Fails with `RateLimited` and verdict `NotRun` if the workspace is over its rate.
     pub async fn admit(
         &self,
         workspace: WorkspaceId,
-        cost: u32,
+        charge: Charge,
         deadline: Time,
     ) -> Result<(), Refusal> {
-        let (ticket, waiting) = match self.ask(workspace, cost, deadline) {
+        let (ticket, waiting) = match self.ask(workspace, charge, deadline) {
             AskOutcome::Decided(outcome) => return outcome,
             AskOutcome::Waiting(ticket, waiting) => (ticket, waiting),
         };
@@ -169,14 +170,17 @@
         }
     }
 
-    fn ask(&self, workspace: WorkspaceId, cost: u32, deadline: Time) -> AskOutcome {
+    fn ask(&self, workspace: WorkspaceId, charge: Charge, deadline: Time) -> AskOutcome {
         let now = self.inner.timers.now();
         let mut out = Vec::new();
         let mut state = self.lock();
         state.last_ticket += 1;
         let ticket = Ticket(state.last_ticket);
         let former = state.limiter.next_due();
-        let asked = match state.limiter.acquire(now, ticket, workspace, cost, deadline, &mut out) {
+        let asked = match state
+            .limiter
+            .acquire_at(now, ticket, workspace, charge, deadline, &mut out)
+        {
             Decision::Admit => AskOutcome::Decided(Ok(())),
             Decision::Refuse { retry_after } => AskOutcome::Decided(Err(over_rate(retry_after))),
             Decision::Wait => {
