Compare the urgency of requests for a rate within their workspace

Workspaces have priorities as well, but a rate is shared by the requests of one workspace only, so that its most urgent route has to count as urgent there.

--- a/oleander-config/src/snapshot.rs
+++ b/oleander-config/src/snapshot.rs
@@ -111,6 +111,11 @@
         )
     }
 
+    /// Returns the urgency of requests on a route among those of one workspace.
+    pub fn route_level(&self, route: &Route) -> Level {
+        Level::from_priorities(route.priority.saturating_sub(self.first_priorities.0), 0)
+    }
+
     fn add_workspace(&mut self, workspace: Workspace) {
         let id = WorkspaceId::from_name(&workspace.name);
         let hashes: Vec<KeyHash> = workspace.keys.iter().map(|key| key.hash).collect();
--- a/oleander-node/src/entry/route.rs
+++ b/oleander-node/src/entry/route.rs
@@ -38,6 +38,8 @@
     pub keyless: bool,
     /// The urgency; the same for all unless `NodeSettings::overload` is set.
     pub level: Level,
+    /// The urgency among the requests of the same workspace, which share its rate.
+    pub rate_level: Level,
 }
 
 /// Checks an operation of a session against the configuration in force.
@@ -68,11 +70,16 @@
         }
     };
     let id = WorkspaceId::from_name(&workspace);
-    let level = if fleet.settings.overload { snapshot.level(route, id) } else { Level::default() };
+    let (level, rate_level) = if fleet.settings.overload {
+        (snapshot.level(route, id), snapshot.route_level(route))
+    } else {
+        Default::default()
+    };
     Ok(Admitted {
         database: DatabaseId::from_name(&route.database),
         workspace: id,
         level,
+        rate_level,
         name: workspace,
         tx_idle: snapshot.tx_idle,
         keyless,
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -190,7 +190,7 @@
         let target = admitted.route.target_latency;
         let deadline = started + Span(target.0 / RATE_WAIT_DIVISOR);
         let workspace = admitted.workspace;
-        let charge = Charge { cost: admitted.route.cost, level: admitted.level };
+        let charge = Charge { cost: admitted.route.cost, level: admitted.rate_level };
         self.operation = Some(Operation { admitted, started });
         loop {
             let Err(refusal) = entry.rates.admit(workspace, charge, deadline).await else {
