Order a home's queue by priority levels

Requests of all routes and workspaces waited in one order, so that a crowd of less urgent ones took the slots from the urgent ones. The queue now serves levels strictly in order, counts only what is ahead in the expected wait, keeps service times for each level, and drops the latest request of the last rank from a full queue for one that ranks before it.

--- a/oleander-limits/src/home/mod.rs
+++ b/oleander-limits/src/home/mod.rs
@@ -4,10 +4,13 @@
 //! It has a quota of the slots and connections of each instance, queues the requests and decides
 //! which one starts next.
 
+mod drops;
 pub mod estimate;
 pub mod fair;
+mod levels;
 pub mod pool;
 pub mod queue;
 pub mod request;
 pub mod slots;
 pub mod transactions;
+pub mod urgency;
--- a/oleander-limits/src/home/request.rs
+++ b/oleander-limits/src/home/request.rs
@@ -5,6 +5,8 @@
 use oleander_core::time::Time;
 use strum::EnumCount;
 
+use crate::home::urgency::Urgency;
+
 /// `Ticket` identifies a request in a queue. The caller chooses it and never reuses it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub u64);
@@ -45,6 +47,8 @@
 pub struct StartedRequest {
     /// The request as it was queued.
     pub request: QueuedRequest,
+    /// The urgency it was queued with.
+    pub urgency: Urgency,
     /// The ordinal of the instance to run on; its slot is taken until `HomeQueue::finish`.
     pub ordinal: u8,
     /// The time spent in the queue.
--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -20,6 +20,7 @@
 use oleander_limits::home::request::Ticket;
 use oleander_limits::home::slots::Quota;
 use oleander_limits::home::slots::Slots;
+use oleander_limits::home::urgency::Rank;
 use oleander_routing::reads::Choice;
 use oleander_routing::reads::ReadNeed;
 use oleander_routing::retry;
@@ -183,7 +184,7 @@
             deadline: now,
             class: Class::Write,
         };
-        self.lock().queue.expected_wait(&probe)
+        self.lock().queue.expected_wait(&probe, Rank::default())
     }
 
     /// Waits until the queue is not empty.
