Pass priority levels from the configuration to the slots

The home of an instance takes the level and the target latency of a statement into its queue, answers dropped statements at once, and refuses those that can no longer be answered in time. A statement beyond its target is run as long as its time limit allows. An idle connection of a low level is closed before one of a higher level, and tokens of a workspace's rate go to the highest level that waits. The product's own configuration gets the field priority, which oleander-proxy passes to the same queue.

--- a/oleander-config/src/diff.rs
+++ b/oleander-config/src/diff.rs
@@ -172,7 +172,10 @@
     let key = |item, name: String| ItemKey::new(Section::Workspaces, item, name);
     items.insert(
         key(Item::Workspace, owner.clone()),
-        vec![("weight", workspace.weight.to_string())],
+        vec![
+            ("weight", workspace.weight.to_string()),
+            ("priority", workspace.priority.to_string()),
+        ],
     );
     for granted in &workspace.keys {
         let name = format!("{owner}/{}", granted.name);
@@ -221,6 +224,7 @@
         ("max_age", route.max_age.map_or_else(|| "none".to_owned(), |age| age.to_string())),
         ("deadline", route.deadline.to_string()),
         ("cost", route.cost.to_string()),
+        ("priority", route.priority.to_string()),
     ]
 }
 
--- a/oleander-config/src/fields.rs
+++ b/oleander-config/src/fields.rs
@@ -3,6 +3,7 @@
 
 use std::str::FromStr;
 
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 
 use crate::nodes::Data;
@@ -17,6 +18,9 @@
 /// The maximum length, in characters, of configuration text that is quoted in a problem.
 const MAX_QUOTED_CHARS: usize = 40;
 
+/// The bounds of the priorities of routes and workspaces.
+const PRIORITY_BOUNDS: Bounds = Bounds { min: 0, max: Level::LAST.0 as u32 };
+
 /// `Bounds` is an inclusive range of numbers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
@@ -120,6 +124,12 @@
         }
     }
 
+    /// Reads the optional `priority`; the default is 0, the highest.
+    pub(crate) fn priority(&self, problems: &mut Vec<Problem>) -> Option<u8> {
+        let priority = self.number_or("priority", 0, PRIORITY_BOUNDS, problems)?;
+        u8::try_from(priority).ok()
+    }
+
     /// Reads an optional `true` or `false`; the default is `false`.
     pub(crate) fn flag(&self, name: &str, problems: &mut Vec<Problem>) -> Option<bool> {
         let Some((node, location)) = self.optional(name) else {
--- a/oleander-config/src/parse/routes.rs
+++ b/oleander-config/src/parse/routes.rs
@@ -53,7 +53,7 @@
 ) {
     let allowed = [
         "name", "class", "method", "path", "database", "access", "kind", "audience", "max_age",
-        "deadline", "cost",
+        "deadline", "cost", "priority",
     ];
     let Some(fields) = Fields::from_node(node, location, &allowed, problems) else {
         return;
@@ -82,13 +82,15 @@
     let max_age = read_max_age(&fields, access, problems);
     let deadline = fields.span("deadline", MAX_DEADLINE, problems);
     let cost = fields.number_or("cost", 1, COST_BOUNDS, problems);
+    let priority = fields.priority(problems);
 
     let (Some(name), Some(matcher), Some(database), Some(access)) =
         (name, matcher, database, access)
     else {
         return;
     };
-    let (Some(kind), Some(audience), Some(deadline), Some(cost)) = (kind, audience, deadline, cost)
+    let (Some(kind), Some(audience), Some(deadline), Some(cost), Some(priority)) =
+        (kind, audience, deadline, cost, priority)
     else {
         return;
     };
@@ -104,7 +106,7 @@
         cost,
         consistency: Consistency::default(),
         target_latency: deadline,
-        priority: 0,
+        priority,
         regions: Vec::new(),
     };
     parsed.routes.push(Located { value, location: fields.location });
--- a/oleander-config/src/parse/workspaces.rs
+++ b/oleander-config/src/parse/workspaces.rs
@@ -25,7 +25,7 @@
     names: &mut Names,
     problems: &mut Vec<Problem>,
 ) {
-    let allowed = ["name", "weight", "keys", "kinds"];
+    let allowed = ["name", "weight", "priority", "keys", "kinds"];
     let Some(fields) = Fields::from_node(node, location, &allowed, problems) else {
         return;
     };
@@ -35,6 +35,7 @@
     }
     let owner = name.as_ref().map_or("", |name| name.value.as_str());
     let weight = fields.number_or("weight", 1, WEIGHT_BOUNDS, problems);
+    let priority = fields.priority(problems);
     let keys = fields
         .items("keys", problems)
         .into_iter()
@@ -45,11 +46,10 @@
         .into_iter()
         .filter_map(|(item, location)| read_kind(item, location, owner, names, problems))
         .collect();
-    let (Some(name), Some(weight)) = (name, weight) else {
+    let (Some(name), Some(weight), Some(priority)) = (name, weight, priority) else {
         return;
     };
-    let value =
-        Workspace { name: name.value, keys, weight, kinds, priority: 0, regions: Vec::new() };
+    let value = Workspace { name: name.value, keys, weight, kinds, priority, regions: Vec::new() };
     parsed.workspaces.push(Located { value, location: fields.location });
 }
 
--- a/oleander-config/tests/documents.rs
+++ b/oleander-config/tests/documents.rs
@@ -61,6 +61,11 @@
 #[rstest]
 #[case::rate("rate: 200/s", "rate: 300/s", "rates: rate rosewood: rate 200 -> 300")]
 #[case::weight("    weight: 4", "    weight: 5", "workspaces: workspace rosewood: weight 4 -> 5")]
+#[case::priority(
+    "deadline: 800ms",
+    "deadline: 800ms\n    priority: 2",
+    "routes: route find-order: priority 0 -> 2"
+)]
 #[case::leaving(
     "slots: 2",
     "slots: 2\n    leaving: true",
--- a/oleander-config/tests/refusals.rs
+++ b/oleander-config/tests/refusals.rs
@@ -330,6 +330,22 @@
         2,
         "beyond the burst 100",
     ),
+    case(
+        Section::Routes,
+        "deadline: 2s",
+        "deadline: 2s\n  priority: 8",
+        "routes[0].priority",
+        9,
+        "from 0 to 7",
+    ),
+    case(
+        Section::Workspaces,
+        "- name: south",
+        "- name: south\n  priority: low",
+        "workspaces[1].priority",
+        7,
+        "whole number",
+    ),
     case(
         Section::Routes,
         "deadline: 2s",
--- a/oleander-limits/src/home/pool.rs
+++ b/oleander-limits/src/home/pool.rs
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
@@ -73,6 +74,8 @@
 #[derive(Debug)]
 struct Idle<C> {
     workspace: WorkspaceId,
+    /// The level of the statement that used the connection last.
+    level: Level,
     settings_hash: SettingsHash,
     connection: C,
     idle_since: Time,
@@ -128,23 +131,35 @@
             self.open += 1;
             return Pick::Open { close: None };
         }
-        match self.take_surplus() {
+        match self.take_surplus(now) {
             // The new connection takes the place of the closed one in the count.
             Some(close) => Pick::Open { close: Some(close) },
             None => Pick::Full,
         }
     }
 
+    /// Puts back a connection that a statement of the highest level used, as `put_at_level` does.
+    pub fn put(
+        &mut self,
+        now: Time,
+        workspace: WorkspaceId,
+        settings_hash: SettingsHash,
+        connection: C,
+    ) -> Option<C> {
+        self.put_at_level(now, Level::default(), workspace, settings_hash, connection)
+    }
+
     /// Puts back a connection that is no longer in use. Returns a connection to close if more than
     /// `keep_open` are open and the oldest idle one has been idle for `IDLE_TIME`.
-    pub fn put(
+    pub fn put_at_level(
         &mut self,
         now: Time,
+        level: Level,
         workspace: WorkspaceId,
         settings_hash: SettingsHash,
         connection: C,
     ) -> Option<C> {
-        self.idle.push_back(Idle { workspace, settings_hash, connection, idle_since: now });
+        self.idle.push_back(Idle { workspace, level, settings_hash, connection, idle_since: now });
         if self.open <= self.options.keep_open {
             return None;
         }
@@ -183,12 +198,24 @@
 
     /// Removes and returns the least recently used connection of the workspace with the most idle
     /// ones.
-    fn take_surplus(&mut self) -> Option<C> {
+    ///
+    /// If several levels have idle connections, only those that are little used count, or, if there
+    /// is none, those of the lowest level: to open one again would take a slot from a higher level.
+    fn take_surplus(&mut self, now: Time) -> Option<C> {
+        let lowest = self.idle.iter().map(|idle| idle.level).max()?;
+        let highest = self.idle.iter().map(|idle| idle.level).min()?;
+        let is_old = |idle: &Idle<C>| IDLE_TIME <= now.since(idle.idle_since);
+        let any_old = self.idle.iter().any(is_old);
+        let counts = |idle: &Idle<C>| {
+            lowest == highest || if any_old { is_old(idle) } else { idle.level == lowest }
+        };
         let count = |workspace: WorkspaceId| {
-            self.idle.iter().filter(|idle| idle.workspace == workspace).count()
+            self.idle.iter().filter(|idle| counts(idle) && idle.workspace == workspace).count()
         };
-        let most = self.idle.iter().map(|idle| count(idle.workspace)).max()?;
-        let index = self.idle.iter().position(|idle| count(idle.workspace) == most)?;
+        let counted = || self.idle.iter().filter(|idle| counts(idle));
+        let most = counted().map(|idle| count(idle.workspace)).max()?;
+        let is_surplus = |idle: &Idle<C>| counts(idle) && count(idle.workspace) == most;
+        let index = self.idle.iter().position(is_surplus)?;
         self.idle.remove(index).map(|idle| idle.connection)
     }
 }
--- a/oleander-limits/src/home/queue.rs
+++ b/oleander-limits/src/home/queue.rs
@@ -284,6 +284,11 @@
         wait
     }
 
+    /// Returns the time after which a request of the rank that was refused may be tried again.
+    pub fn retry_after(&self, request: &QueuedRequest, rank: Rank) -> Span {
+        self.expected_wait(request, rank).max(MIN_RETRY)
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -350,10 +355,10 @@
     /// Removes a request in favor of another one and returns it with its refusal.
     fn drop_waiting(&mut self, ticket: Ticket) -> Option<Dropped> {
         let QueueEntry { request, urgency, rank, .. } = self.remove(ticket)?;
-        let wait = self.expected_wait(&request, rank);
+        let retry_after = self.retry_after(&request, rank);
         let detail = "home: the queue is full and serves a more urgent request first";
         let refusal =
-            Refusal::not_run(RefusalCode::QueueFull, detail).with_retry_after(wait.max(MIN_RETRY));
+            Refusal::not_run(RefusalCode::QueueFull, detail).with_retry_after(retry_after);
         Some(Dropped { request, urgency, refusal })
     }
 
--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
@@ -92,23 +93,24 @@
         &mut self,
         ctx: &mut Context<'_>,
         ticket: Ticket,
+        level: Level,
         cost: Tokens,
         deadline: Time,
     ) -> Decision {
         self.sync(ctx);
         self.meter.record(ctx.now, cost);
-        if self.queue.is_empty() && cost <= self.available(ctx) {
+        if !self.queue.has_ahead(level) && cost <= self.available(ctx) {
             self.take(ctx, cost);
             self.request_tokens(ctx);
             return Decision::Admit;
         }
         let until = deadline.min(ctx.now + MAX_WAIT);
         if self.limit.capacity(FRACTIONS) < cost
-            || self.expected_tokens(ctx, until) < self.queue.cost() + cost
+            || self.expected_tokens(ctx, until) < self.queue.cost_ahead(level) + cost
         {
             return Decision::Refuse { retry_after: self.retry_after(ctx, cost) };
         }
-        self.queue.push(WaitingRequest { ticket, cost, until });
+        self.queue.push(WaitingRequest { ticket, level, cost, until });
         self.request_tokens(ctx);
         Decision::Wait
     }
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -7,6 +7,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
@@ -46,6 +47,21 @@
     had_limits: bool,
 }
 
+/// `RateRequest` is a request that needs tokens of its workspace.
+#[derive(Clone, Copy, Debug)]
+pub struct RateRequest {
+    /// The ticket under which the caller is answered.
+    pub ticket: Ticket,
+    /// The workspace charged with the cost.
+    pub workspace: WorkspaceId,
+    /// The priority level.
+    pub level: Level,
+    /// The tokens the request costs.
+    pub cost: u32,
+    /// The time by which the request has to be answered.
+    pub deadline: Time,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ConfiguredLimit {
     limit: Limit,
@@ -79,7 +95,8 @@
         }
     }
 
-    /// Decides on a request that costs `cost` tokens and has to be answered by `deadline`.
+    /// Decides on a request of the highest level that costs `cost` tokens and has to be answered by
+    /// `deadline`.
     ///
     /// A workspace without a limit is always admitted.
     pub fn acquire(
@@ -91,8 +108,22 @@
         deadline: Time,
         out: &mut Vec<Action>,
     ) -> Decision {
+        let request = RateRequest { ticket, workspace, level: Level::default(), cost, deadline };
+        self.acquire_at_level(now, request, out)
+    }
+
+    /// Decides on a request. It waits for tokens before those of lower levels.
+    ///
+    /// A workspace without a limit is always admitted.
+    pub fn acquire_at_level(
+        &mut self,
+        now: Time,
+        request: RateRequest,
+        out: &mut Vec<Action>,
+    ) -> Decision {
+        let RateRequest { ticket, workspace, level, cost, deadline } = request;
         let decision = self.with_account(now, workspace, out, |account, ctx| {
-            account.acquire(ctx, ticket, Tokens::whole(cost), deadline)
+            account.acquire(ctx, ticket, level, Tokens::whole(cost), deadline)
         });
         decision.unwrap_or(Decision::Admit)
     }
--- a/oleander-limits/src/rates/waiting.rs
+++ b/oleander-limits/src/rates/waiting.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use oleander_core::level::Level;
 use oleander_core::time::Time;
 
 use crate::rates::actions::Ticket;
@@ -12,13 +13,16 @@
 pub struct WaitingRequest {
     /// The ticket under which the caller is answered.
     pub ticket: Ticket,
+    /// The priority level of the request.
+    pub level: Level,
     /// The tokens the request costs.
     pub cost: Tokens,
     /// The time at which the request is refused.
     pub until: Time,
 }
 
-/// `WaitQueue` holds the waiting requests of one workspace in order of arrival.
+/// `WaitQueue` holds the waiting requests of one workspace in the order of their levels, and of
+/// their arrival within a level.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
     requests: VecDeque<WaitingRequest>,
@@ -26,10 +30,22 @@
 }
 
 impl WaitQueue {
-    /// Appends a request.
+    /// Adds a request behind the others of its level and of higher ones.
     pub fn push(&mut self, request: WaitingRequest) {
         self.cost += request.cost;
-        self.requests.push_back(request);
+        let index = self.requests.partition_point(|other| other.level <= request.level);
+        self.requests.insert(index, request);
+    }
+
+    /// Returns the total cost of the requests that are served before a new one of the level.
+    pub fn cost_ahead(&self, level: Level) -> Tokens {
+        let ahead = self.requests.iter().take_while(|request| request.level <= level);
+        ahead.fold(Tokens::ZERO, |sum, request| sum + request.cost)
+    }
+
+    /// Returns `true` if a request waits that is served before a new one of the level.
+    pub fn has_ahead(&self, level: Level) -> bool {
+        self.requests.front().is_some_and(|request| request.level <= level)
     }
 
     /// Removes and returns the first request if it costs at most `available` tokens.
--- a/oleander-limits/tests/pool.rs
+++ b/oleander-limits/tests/pool.rs
@@ -1,6 +1,7 @@
 //! Tests of selecting the connection for a statement and the connection to close for a new one.
 
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::home::pool::Pick;
@@ -109,3 +110,24 @@
     assert_eq!(pool.put(NOW + Span::from_millis(1_100), OAT, PLAIN, "c"), Some("a"));
     assert_eq!(pool.open(), 2);
 }
+
+/// Guards against a crowd of a low level whose new connections close those of a high level, which
+/// then has to open them again.
+#[rstest]
+#[case::the_lowest_level(Span::ZERO, "low")]
+#[case::a_little_used_one(Span::from_secs(2), "high")]
+fn an_idle_connection_of_a_low_level_is_closed_first(
+    #[case] since_first: Span,
+    #[case] closed: &'static str,
+) {
+    let mut pool = Pool::default();
+    pool.set_options(PoolOptions { max_open: 3, keep_open: 3 });
+    for _ in 0..3 {
+        assert_eq!(pool.pick(NOW, WorkspaceId(3), PLAIN), Pick::Open { close: None });
+    }
+    let now = NOW + since_first;
+    pool.put_at_level(NOW, Level(0), RYE, PLAIN, "high");
+    pool.put_at_level(now, Level(0), RYE, PLAIN, "high too");
+    pool.put_at_level(now, Level(2), OAT, PLAIN, "low");
+    assert_eq!(pool.pick(now, WorkspaceId(3), PLAIN), Pick::Open { close: Some(closed) });
+}
--- a/oleander-limits/tests/start.rs
+++ b/oleander-limits/tests/start.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::messages::Ask;
@@ -12,6 +13,7 @@
 use oleander_limits::rates::actions::Decision;
 use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::limiter::RateRequest;
 use oleander_limits::rates::owner::GRANT_HOLD;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
 use oleander_limits::rates::tokens::Limit;
@@ -132,3 +134,31 @@
     }
     assert_eq!(limiter.lent(later + case.after) != Span::ZERO, case.lent);
 }
+
+/// Guards against a request of a high level that waits for tokens behind those of lower levels of
+/// its workspace.
+#[test]
+fn tokens_go_to_the_highest_level_that_waits() {
+    let now = Time(300_000);
+    let workspace = WorkspaceId(1);
+    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut out = Vec::new();
+    limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
+    limiter.activate_shares(now, &[Some(VM); 64], FOREVER);
+    let deadline = now + Span::from_secs(1);
+    let mut acquire = |ticket: u64, level| {
+        let level = Level(level);
+        let ticket = Ticket(ticket);
+        let request = RateRequest { ticket, workspace, level, cost: 1, deadline };
+        limiter.acquire_at_level(now, request, &mut out)
+    };
+    while acquire(1, 0) == Decision::Admit {}
+    for (ticket, level) in [(2, 3), (3, 1), (4, 3), (5, 0)] {
+        assert_eq!(acquire(ticket, level), Decision::Wait);
+    }
+    out.clear();
+    for millis in (10..100).step_by(10) {
+        limiter.tick(now + Span::from_millis(millis), &mut out);
+    }
+    assert_eq!(out, [1, 5, 3, 2, 4].map(|ticket| Action::Admit(Ticket(ticket))));
+}
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -96,6 +96,7 @@
     ) -> Result<ForwardResult, Refusal> {
         let is_read = !request.work.is_write();
         let mut last = None;
+        let target = self.fleet.now() + request.patience;
         let age = request.freshness.age;
         for instance in self.candidates(database, role, age) {
             let now = self.fleet.now();
@@ -103,7 +104,10 @@
                 break;
             }
             request.instance.clone_from(&instance.entry.instance);
-            request.patience = deadline.since(now).min(request.patience);
+            request.patience = deadline.min(target).since(now);
+            if self.fleet.settings.overload {
+                request.limit = deadline.since(now);
+            }
             let outcome = self.run_at(&instance, &request).await;
             self.record_lag(instance.key, &request, &outcome);
             let refusal = match outcome {
--- a/oleander-node/src/entry/records.rs
+++ b/oleander-node/src/entry/records.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use oleander_core::events::Event;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_runtime::logs::Field;
@@ -38,9 +39,29 @@
             Field::number("revision", view.snapshot.revision.0),
         ];
         let age = self.fleet.view_age().map(|age| Field::millis("age", age));
-        let fields: Vec<Field> = fields.into_iter().chain(age).collect();
+        let level = admitted.map(|admitted| admitted.level).filter(|_| self.has_levels());
+        let fields: Vec<Field> =
+            fields.into_iter().chain(age).chain(level.map(level_field)).collect();
         self.journal.record(Event::RequestRefused, &fields);
         self.metrics.count_refusal(workspace, name, refusal.code);
+        if let Some(level) = level {
+            self.metrics.count(&format!("level.refused.{level}"), 1);
+        }
+    }
+
+    /// Counts a statement that a home has run, with its wait for a slot.
+    pub(super) fn record_wait(&self, level: Level, queued: Span) {
+        if !self.has_levels() {
+            return;
+        }
+        self.metrics.count(&format!("level.run.{level}"), 1);
+        let millis = u32::try_from(queued.as_millis()).unwrap_or(u32::MAX);
+        self.metrics.count(&format!("level.wait_ms.{level}"), millis);
+    }
+
+    /// Returns `true` if requests are served in the order of their levels.
+    fn has_levels(&self) -> bool {
+        self.fleet.settings.overload
     }
 
     /// Records the latency of a served request and logs one in `LOG_SAMPLE_INTERVAL`.
@@ -61,6 +82,12 @@
             Field::text("workspace", &admitted.name),
             Field::millis("latency", latency),
         ];
+        let level = self.has_levels().then(|| level_field(admitted.level));
+        let fields: Vec<Field> = fields.into_iter().chain(level).collect();
         self.journal.record(Event::RequestServed, &fields);
     }
 }
+
+fn level_field(level: Level) -> Field {
+    Field::number("level", level.0)
+}
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -188,10 +188,10 @@
         let admitted = route::admit(&entry.fleet, &self.name, self.key.as_ref())?;
         let target = admitted.route.target_latency;
         let deadline = started + Span(target.0 / RATE_WAIT_DIVISOR);
-        let (workspace, cost) = (admitted.workspace, admitted.route.cost);
+        let (workspace, level, cost) = (admitted.workspace, admitted.level, admitted.route.cost);
         self.operation = Some(Operation { admitted, started });
         loop {
-            let Err(refusal) = entry.rates.admit(workspace, cost, deadline).await else {
+            let Err(refusal) = entry.rates.admit(workspace, level, cost, deadline).await else {
                 return Ok(());
             };
             let fleet = &entry.fleet;
@@ -248,6 +248,7 @@
             None => self.run_first(operation, request).await,
         };
         let (answer, home, instance) = outcome?;
+        self.entry.record_wait(operation.admitted.level, answer.queued);
         self.transaction = answer.transaction.map(|id| TransactionHandle { home, id, instance });
         let output = CommandOutput { rows: answer.rows, signature: Some(answer.signature) };
         Ok((output, answer.point))
@@ -329,7 +330,10 @@
         } else {
             RequiredRole::Primary
         };
-        let until = self.entry.fleet.now() + request.patience;
+        let fleet = &self.entry.fleet;
+        // With levels, a statement that misses its target is still run if its limit allows it.
+        let wait = if fleet.settings.overload { request.limit } else { request.patience };
+        let until = fleet.now() + wait;
         let database = operation.admitted.database;
         let ran = self.entry.forwarder.run(database, role, request, until).await?;
         Ok((ran.answer, ran.home, ran.instance))
--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -7,6 +7,7 @@
 
 use oleander_core::events::Event;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -108,13 +109,13 @@
             match pick {
                 Pick::Reuse(mut connection) => {
                     if connection.is_reusable() {
-                        return Ok(PooledConnection::new(self, &request.workspace, connection));
+                        return Ok(PooledConnection::new(self, request, connection));
                     }
                     self.lock().pool.record_closed();
                 }
                 Pick::Open { close } => {
                     drop(close);
-                    return self.open(&request.workspace).await;
+                    return self.open(request).await;
                 }
                 Pick::Full => {
                     let detail = "all connections of the instance are in use";
@@ -124,9 +125,9 @@
         }
     }
 
-    async fn open(self: &Arc<Self>, workspace: &str) -> Result<PooledConnection, Refusal> {
+    async fn open(self: &Arc<Self>, request: &HomeRequest) -> Result<PooledConnection, Refusal> {
         let count = CountGuard { pool: self, armed: true };
-        let opening = self.context.upstreams.open(&self.target, workspace);
+        let opening = self.context.upstreams.open(&self.target, &request.workspace);
         let opened = match self.context.timers.within(OPEN_LIMIT, opening).await {
             Some(opened) => opened,
             None => Err(LinkError::Connect("the instance did not answer in time")),
@@ -134,7 +135,7 @@
         match opened {
             Ok(link) => {
                 count.disarm();
-                Ok(PooledConnection::new(self, workspace, UpstreamConnection::new(link)))
+                Ok(PooledConnection::new(self, request, UpstreamConnection::new(link)))
             }
             Err(error) => {
                 // Uncounts the connection before `record_refusal`, which takes the number of open
@@ -154,14 +155,21 @@
         }
     }
 
-    /// Returns a connection to the pool, which closes it if it is not reusable.
-    pub(super) fn put_back(&self, workspace: &str, mut connection: UpstreamConnection) {
+    /// Returns a connection, last used at `level`, to the pool, which closes it if it is not
+    /// reusable.
+    pub(super) fn put_back(
+        &self,
+        workspace: &str,
+        level: Level,
+        mut connection: UpstreamConnection,
+    ) {
         let reusable = connection.is_reusable();
         let settings_hash = connection.settings_hash();
         let mut state = self.lock();
         let surplus = if reusable && !state.closed {
             let now = self.context.timers.now();
-            state.pool.put(now, WorkspaceId::from_name(workspace), settings_hash, connection)
+            let workspace = WorkspaceId::from_name(workspace);
+            state.pool.put_at_level(now, level, workspace, settings_hash, connection)
         } else {
             state.pool.record_closed();
             Some(connection)
@@ -179,6 +187,7 @@
 pub(super) struct PooledConnection {
     pool: Arc<ConnectionPool>,
     workspace: String,
+    level: Level,
     pub(super) connection: CheckedOut,
 }
 
@@ -200,9 +209,14 @@
 }
 
 impl PooledConnection {
-    fn new(pool: &Arc<ConnectionPool>, workspace: &str, connection: UpstreamConnection) -> Self {
+    fn new(
+        pool: &Arc<ConnectionPool>,
+        request: &HomeRequest,
+        connection: UpstreamConnection,
+    ) -> Self {
         let connection = CheckedOut(Some(connection));
-        Self { pool: pool.clone(), workspace: workspace.to_owned(), connection }
+        let workspace = request.workspace.clone();
+        Self { pool: pool.clone(), workspace, level: request.level, connection }
     }
 
     /// Takes the connection out, so that it is no longer returned to the pool on drop.
@@ -210,14 +224,14 @@
         let connection =
             self.connection.0.take().expect("a pooled connection is held until it is dropped");
         let workspace = std::mem::take(&mut self.workspace);
-        DetachedConnection { pool: self.pool.clone(), workspace, connection }
+        DetachedConnection { pool: self.pool.clone(), workspace, level: self.level, connection }
     }
 }
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         if let Some(connection) = self.connection.0.take() {
-            self.pool.put_back(&self.workspace, connection);
+            self.pool.put_back(&self.workspace, self.level, connection);
         }
     }
 }
@@ -226,6 +240,7 @@
 pub(super) struct DetachedConnection {
     pub(super) pool: Arc<ConnectionPool>,
     pub(super) workspace: String,
+    pub(super) level: Level,
     pub(super) connection: UpstreamConnection,
 }
 
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -11,6 +11,7 @@
 use oleander_core::verdict::Verdict;
 use oleander_limits::home::request::Class;
 use oleander_limits::home::slots::Quota;
+use oleander_limits::home::urgency::Urgency;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
@@ -23,6 +24,7 @@
 use super::connections::LinkContext;
 use super::connections::pool_options;
 use super::open::OpenTransaction;
+use super::slots::Expiry;
 use super::slots::InstanceSlots;
 use super::slots::Permit;
 use super::slots::SlotRequest;
@@ -54,18 +56,37 @@
     database: DatabaseId,
     key: InstanceKey,
     slots: InstanceSlots,
+    /// `LatestStart` if statements are served in the order of their urgency.
+    expiry: Expiry,
     pool: Arc<ConnectionPool>,
 }
 
 impl InstanceHome {
-    /// Creates the home of an instance that accepts `connections` in all.
+    /// Creates the home of an instance that accepts `connections` in all. It serves all statements
+    /// alike.
     pub fn new(context: Arc<HomeContext>, instance: &Instance, connections: u32) -> Self {
+        Self::with_expiry(context, instance, connections, Expiry::Deadline)
+    }
+
+    /// Creates a home like `new` that serves statements in the order of their urgency and refuses
+    /// those that can no longer be answered in time.
+    pub fn with_levels(context: Arc<HomeContext>, instance: &Instance, connections: u32) -> Self {
+        Self::with_expiry(context, instance, connections, Expiry::LatestStart)
+    }
+
+    fn with_expiry(
+        context: Arc<HomeContext>,
+        instance: &Instance,
+        connections: u32,
+        expiry: Expiry,
+    ) -> Self {
         let DirectoryEntry { instance: name, database, address, .. } = instance.entry.clone();
         let options = pool_options(connections);
         let quota = Quota { slots: instance.entry.slots.max(1), connections: options.max_open };
         let target = Target { address, database, instance: name };
         Self {
-            slots: InstanceSlots::new(context.links.timers.clone(), quota),
+            slots: InstanceSlots::new(context.links.timers.clone(), quota, expiry),
+            expiry,
             database: instance.database,
             key: instance.key,
             pool: Arc::new(ConnectionPool::new(context.links.clone(), target, options)),
@@ -276,7 +297,14 @@
         deadline: Time,
     ) -> Result<Permit, Refusal> {
         let workspace = WorkspaceId::from_name(&request.workspace);
-        self.slots.acquire(SlotRequest { workspace, weight: 1, class, deadline }).await
+        let urgency = match self.expiry {
+            Expiry::Deadline => Urgency::default(),
+            Expiry::LatestStart => {
+                let target = self.context.links.timers.now() + request.patience;
+                Urgency { level: request.level, target: Some(target) }
+            }
+        };
+        self.slots.acquire(SlotRequest { workspace, weight: 1, class, deadline, urgency }).await
     }
 
     /// Returns the condition under which the instance may run a read.
--- a/oleander-node/src/home/open.rs
+++ b/oleander-node/src/home/open.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 
 use super::connections::ConnectionPool;
@@ -24,6 +25,7 @@
     pub rest: Span,
     /// `true` once a write has run in the transaction.
     pub wrote: bool,
+    level: Level,
     pool: Arc<ConnectionPool>,
     slots: InstanceSlots,
     connection: Option<UpstreamConnection>,
@@ -32,8 +34,8 @@
 impl OpenTransaction {
     /// Reserves the connection for a transaction; it counts in `slots` until the drop.
     pub(super) fn new(pooled: PooledConnection, slots: InstanceSlots, rest: Span) -> Self {
-        let DetachedConnection { pool, workspace, connection } = pooled.detach();
-        Self { workspace, rest, wrote: false, pool, slots, connection: Some(connection) }
+        let DetachedConnection { pool, workspace, level, connection } = pooled.detach();
+        Self { workspace, rest, wrote: false, level, pool, slots, connection: Some(connection) }
     }
 
     /// Returns the connection; `None` only during the drop.
@@ -53,7 +55,7 @@
 impl Drop for OpenTransaction {
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.pool.put_back(&self.workspace, connection);
+            self.pool.put_back(&self.workspace, self.level, connection);
             self.slots.release_connection();
         }
     }
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -59,7 +59,9 @@
     /// Fails with a refusal that says whether the statement may have run.
     pub async fn run(&self, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         let now = self.fleet.now();
-        let deadline = now + request.patience;
+        // With levels, `patience` is only the time after which the answer is late.
+        let wait = if self.fleet.settings.overload { request.limit } else { request.patience };
+        let deadline = now + wait;
         if let Scope::Within(id) = request.scope {
             let Some((home, transaction)) = self.transactions.take(id) else {
                 return Err(Refusal::not_run(
@@ -175,7 +177,12 @@
 
     fn create_home(&self, view: &View, instance: &Instance) -> HomeEntry {
         let connections = max_connections(view, instance);
-        let home = Arc::new(InstanceHome::new(self.context.clone(), instance, connections));
+        let create = if self.fleet.settings.overload {
+            InstanceHome::with_levels
+        } else {
+            InstanceHome::new
+        };
+        let home = Arc::new(create(self.context.clone(), instance, connections));
         HomeEntry { home, life: instance.entry.life, address: instance.entry.address }
     }
 
--- a/oleander-node/src/home/slots.rs
+++ b/oleander-node/src/home/slots.rs
@@ -19,6 +19,9 @@
 use oleander_limits::home::request::Ticket;
 use oleander_limits::home::slots::Quota;
 use oleander_limits::home::slots::Slots;
+use oleander_limits::home::urgency::Rank;
+use oleander_limits::home::urgency::Standing;
+use oleander_limits::home::urgency::Urgency;
 use oleander_runtime::timer::TimerService;
 use tokio::sync::oneshot;
 
@@ -29,13 +32,23 @@
 #[derive(Clone)]
 pub struct InstanceSlots {
     timers: TimerService,
+    expiry: Expiry,
     state: Arc<Mutex<State>>,
 }
 
+/// `Expiry` is the time at which a waiting statement is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expiry {
+    /// It is refused at its deadline.
+    Deadline,
+    /// It is refused once it can no longer be answered by its deadline.
+    LatestStart,
+}
+
 struct State {
     queue: HomeQueue,
-    /// Wakes the caller of each queued statement with its permit.
-    waiting: HashMap<Ticket, oneshot::Sender<Permit>>,
+    /// Wakes the caller of each queued statement with its permit or refusal.
+    waiting: HashMap<Ticket, oneshot::Sender<Result<Permit, Refusal>>>,
     /// The number of the last ticket.
     serial: u64,
 }
@@ -51,6 +64,8 @@
     pub class: Class,
     /// The time after which the statement must not start.
     pub deadline: Time,
+    /// The place of the statement among the waiting ones.
+    pub urgency: Urgency,
 }
 
 /// `Permit` holds a slot and a connection of the quota; dropping it frees the slot, and the
@@ -67,12 +82,12 @@
 
 impl InstanceSlots {
     /// Creates an empty queue for an instance with this home's quota of its slots and connections.
-    pub fn new(timers: TimerService, quota: Quota) -> Self {
+    pub fn new(timers: TimerService, quota: Quota, expiry: Expiry) -> Self {
         let mut slots = Slots::default();
         slots.set_quotas([quota], Time(0));
         let queue = HomeQueue::new(QueueOptions::default(), slots);
         let state = State { queue, waiting: HashMap::new(), serial: 0 };
-        Self { timers, state: Arc::new(Mutex::new(state)) }
+        Self { timers, expiry, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Replaces the quota and starts what it newly allows.
@@ -87,39 +102,35 @@
     /// Waits for a slot. If the future is dropped, the statement leaves the queue.
     ///
     /// # Errors
-    /// Fails with verdict `NotRun` if the queue is full or the statement cannot start by its
-    /// deadline.
+    /// Fails with verdict `NotRun` if the queue is full, the statement cannot start by its deadline
+    /// or a more urgent one takes its place in a full queue.
     pub async fn acquire(&self, request: SlotRequest) -> Result<Permit, Refusal> {
         let now = self.timers.now();
-        let (ticket, waiting) = {
+        let SlotRequest { workspace, weight, class, deadline, urgency } = request;
+        let (queued, until, waiting) = {
             let mut state = self.lock();
             state.serial += 1;
             let ticket = Ticket(state.serial);
-            state.queue.push(
-                now,
-                QueuedRequest {
-                    ticket,
-                    workspace: request.workspace,
-                    weight: request.weight,
-                    cost: 1,
-                    deadline: request.deadline,
-                    class: request.class,
-                },
-            )?;
+            let queued = QueuedRequest { ticket, workspace, weight, cost: 1, deadline, class };
+            let added = state.queue.push_urgent(now, queued, urgency)?;
+            if let Some(dropped) = added.dropped {
+                state.refuse(dropped.request.ticket, dropped.refusal);
+            }
+            let until = match self.expiry {
+                Expiry::Deadline => deadline,
+                Expiry::LatestStart => added.latest_start,
+            };
             let (sender, receiver) = oneshot::channel();
             state.waiting.insert(ticket, sender);
             self.start_next(&mut state);
-            (ticket, receiver)
+            (queued, until, receiver)
         };
-        let guard = QueueGuard { slots: self, ticket };
-        let admitted = self.timers.within(request.deadline.since(now), waiting).await;
+        let guard = QueueGuard { slots: self, ticket: queued.ticket };
+        let admitted = self.timers.within(until.since(now), waiting).await;
         drop(guard);
         match admitted {
-            Some(Ok(permit)) => Ok(permit),
-            _ => {
-                let detail = "the statement waited too long for a slot";
-                Err(Refusal::not_run(RefusalCode::DeadlineExceeded, detail))
-            }
+            Some(Ok(outcome)) => outcome,
+            _ => Err(self.expired(&queued, urgency)),
         }
     }
 
@@ -130,9 +141,28 @@
         self.start_next(&mut state);
     }
 
+    /// Returns the refusal of a statement that waited for too long.
+    fn expired(&self, queued: &QueuedRequest, urgency: Urgency) -> Refusal {
+        let detail = "the statement waited too long for a slot";
+        let refusal = Refusal::not_run(RefusalCode::DeadlineExceeded, detail);
+        match self.expiry {
+            Expiry::Deadline => refusal,
+            Expiry::LatestStart => {
+                let rank = Rank { level: urgency.level, standing: Standing::InTime };
+                refusal.with_retry_after(self.lock().queue.retry_after(queued, rank))
+            }
+        }
+    }
+
     /// Sends a permit to each statement that can start now.
     fn start_next(&self, state: &mut State) {
         let now = self.timers.now();
+        if self.expiry == Expiry::LatestStart {
+            // Without its sender, the caller of an expired statement refuses it.
+            for ticket in state.queue.expire(now) {
+                state.waiting.remove(&ticket);
+            }
+        }
         let place = |waiting: &QueuedRequest, slots: &Slots| {
             let is_free = match waiting.class {
                 Class::Transaction => slots.has_slot(now, ORDINAL),
@@ -151,10 +181,10 @@
                 keep,
             };
             let undelivered = match state.waiting.remove(&ticket) {
-                Some(sender) => sender.send(permit).err(),
-                None => Some(permit),
+                Some(sender) => sender.send(Ok(permit)).err(),
+                None => Some(Ok(permit)),
             };
-            if let Some(permit) = undelivered {
+            if let Some(Ok(permit)) = undelivered {
                 // The caller has gone. Dropping the permit would lock `state` again, which is held
                 // here.
                 state.queue.finish(ticket, Span::ZERO, connection(permit.keep));
@@ -168,6 +198,16 @@
     }
 }
 
+impl State {
+    /// Refuses a statement that has left the queue.
+    fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
+        if let Some(sender) = self.waiting.remove(&ticket) {
+            // If this fails, the caller has gone.
+            let _ = sender.send(Err(refusal));
+        }
+    }
+}
+
 impl Permit {
     /// Leaves the connection in use, for a transaction, when the permit is dropped.
     pub fn keep_connection(&mut self) {
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -10,6 +10,7 @@
 
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -21,6 +22,7 @@
 use oleander_limits::rates::actions::Decision;
 use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::limiter::RateRequest;
 use oleander_limits::rates::tokens::Limit;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
@@ -85,10 +87,11 @@
     pub async fn admit(
         &self,
         workspace: WorkspaceId,
+        level: Level,
         cost: u32,
         deadline: Time,
     ) -> Result<(), Refusal> {
-        let (ticket, waiting) = match self.ask(workspace, cost, deadline) {
+        let (ticket, waiting) = match self.ask(workspace, level, cost, deadline) {
             AskOutcome::Decided(outcome) => return outcome,
             AskOutcome::Waiting(ticket, waiting) => (ticket, waiting),
         };
@@ -169,14 +172,15 @@
         }
     }
 
-    fn ask(&self, workspace: WorkspaceId, cost: u32, deadline: Time) -> AskOutcome {
+    fn ask(&self, workspace: WorkspaceId, level: Level, cost: u32, deadline: Time) -> AskOutcome {
         let now = self.inner.timers.now();
         let mut out = Vec::new();
         let mut state = self.lock();
         state.last_ticket += 1;
         let ticket = Ticket(state.last_ticket);
         let former = state.limiter.next_due();
-        let asked = match state.limiter.acquire(now, ticket, workspace, cost, deadline, &mut out) {
+        let request = RateRequest { ticket, workspace, level, cost, deadline };
+        let asked = match state.limiter.acquire_at_level(now, request, &mut out) {
             Decision::Admit => AskOutcome::Decided(Ok(())),
             Decision::Refuse { retry_after } => AskOutcome::Decided(Err(over_rate(retry_after))),
             Decision::Wait => {
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -7,6 +7,7 @@
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::statement::Access;
 use oleander_core::statement::Rows;
 use oleander_core::statement::Statement;
@@ -258,6 +259,8 @@
     pub database: DatabaseId,
     /// The cost of the request in the home's fair queue.
     pub cost: u32,
+    /// The priority level of the request in the home's queue.
+    pub level: Level,
     /// The time until the caller's deadline when the request was forwarded.
     pub remaining: Span,
     /// The work to run.
--- a/oleander-proxy/src/entry/handle.rs
+++ b/oleander-proxy/src/entry/handle.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use oleander_config::snapshot::Snapshot;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -74,7 +76,9 @@
             started + call.deadline.unwrap_or(admitted.route.deadline).min(admitted.route.deadline);
         let prepared = self.prepare(view, admitted, call, &token, deadline)?;
         if is_charged(&prepared.request.work) {
-            self.rates.admit(admitted.workspace, admitted.route.cost, deadline).await?;
+            let level = prepared.request.level;
+            let cost = admitted.route.cost;
+            self.rates.admit(admitted.workspace, level, cost, deadline).await?;
         }
         let answer = self.send(prepared).await?;
         build_answer(&mut token, admitted.database, answer)
@@ -126,6 +130,7 @@
             key: call.key.map(|key| key.0),
             database: admitted.database,
             cost: route.cost,
+            level: level_of(&view.snapshot, admitted),
             remaining: deadline.since(self.timers.now()),
             work,
         };
@@ -157,6 +162,13 @@
     }
 }
 
+/// Returns the priority level of a request.
+fn level_of(snapshot: &Snapshot, admitted: &Admitted<'_>) -> Level {
+    let workspace = snapshot.workspace(admitted.workspace);
+    let priority = workspace.map_or(0, |workspace| workspace.priority);
+    Level::from_priorities(admitted.route.priority, priority)
+}
+
 /// Returns `true` if the request counts towards the workspace's rate limit. The end of a
 /// transaction does not count.
 fn is_charged(work: &Work) -> bool {
--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -21,6 +22,7 @@
 use oleander_limits::home::slots::Quota;
 use oleander_limits::home::slots::Slots;
 use oleander_limits::home::urgency::Rank;
+use oleander_limits::home::urgency::Urgency;
 use oleander_routing::reads::Choice;
 use oleander_routing::reads::ReadNeed;
 use oleander_routing::retry;
@@ -81,6 +83,8 @@
     pub weight: u32,
     /// The cost in queue units.
     pub cost: u32,
+    /// The priority level.
+    pub level: Level,
     /// The time by which the answer is needed.
     pub deadline: Time,
     /// Where the request may run.
@@ -236,11 +240,15 @@
             Target::Instance(_) => Class::Transaction,
             Target::Read(_) => Class::Read,
         };
-        let AdmissionRequest { workspace, weight, cost, deadline, target } = request;
-        state.queue.push(
+        let AdmissionRequest { workspace, weight, cost, level, deadline, target } = request;
+        let queued = state.queue.push_urgent(
             self.timers.now(),
             QueuedRequest { ticket, workspace, weight, cost, deadline, class },
+            Urgency { level, target: None },
         )?;
+        if let Some(dropped) = queued.dropped {
+            state.refuse(dropped.request.ticket, dropped.refusal);
+        }
         state.pending.insert(ticket, PendingRequest { target, sender });
         Ok(ticket)
     }
--- a/oleander-proxy/src/home/database.rs
+++ b/oleander-proxy/src/home/database.rs
@@ -264,6 +264,7 @@
             workspace: job.request.workspace,
             weight: job.weight,
             cost: job.request.cost,
+            level: job.request.level,
             deadline: job.deadline,
             target,
         }
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -100,7 +100,9 @@
     pub freshness: Freshness,
     /// The time within which the statement must be answered.
     pub limit: Span,
-    /// The time within which the statement must start; it is refused after that.
+    /// The time within which the statement must start; it is refused after that. A home that
+    /// serves levels takes it as the time after which the answer is late: it puts the statement
+    /// behind the others of its level and refuses it only if it cannot be answered within `limit`.
     pub patience: Span,
     /// The time for which the transaction may be idle between statements.
     pub rest: Span,
