--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -296,13 +296,26 @@
             work: work.clone(),
             scope,
             freshness,
-            limit: route.deadline,
+            limit: self.limit(operation, scope),
             patience: self.patience(operation),
             rest: operation.admitted.tx_idle.unwrap_or(DEFAULT_REST),
             level: operation.admitted.level,
         }
     }
 
+    /// Returns the time within which a statement must be answered. With levels, a statement may wait
+    /// until then, so that the time it has waited for the rate limiter counts. The time of a
+    /// transaction's earlier statements does not.
+    fn limit(&self, operation: &Operation, scope: Scope) -> Span {
+        let fleet = &self.entry.fleet;
+        let deadline = operation.admitted.route.deadline;
+        if fleet.settings.overload && scope == Scope::Single {
+            deadline.saturating_sub(fleet.now().since(operation.started))
+        } else {
+            deadline
+        }
+    }
+
     /// Returns the time for which a statement may wait for a slot: the rest of the target latency,
     /// after which the answer would be late. Statements of an open transaction may wait for as long
     /// as they may run.
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -32,6 +32,10 @@
 /// The interval at which transactions that were idle for too long are ended.
 const EXPIRY_CHECK_INTERVAL: Span = Span::from_millis(500);
 
+/// The part of a statement's limit left for its way to the home and the answer's way back: 20 ms
+/// each between regions and 3 ms each between entry VM and caller.
+const TRANSIT_MARGIN: Span = Span::from_millis(46);
+
 /// `Homes` holds the homes of this VM and runs the statements that entry VMs forward to them.
 pub struct Homes {
     fleet: Arc<Fleet>,
@@ -59,9 +63,7 @@
     /// Fails with a refusal that says whether the statement may have run.
     pub async fn run(&self, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         let now = self.fleet.now();
-        // With levels, `patience` is only the time after which the answer is late.
-        let wait = if self.fleet.settings.overload { request.limit } else { request.patience };
-        let deadline = now + wait;
+        let deadline = now + self.max_wait(request);
         if let Scope::Within(id) = request.scope {
             let Some((home, transaction)) = self.transactions.take(id) else {
                 return Err(Refusal::not_run(
@@ -92,6 +94,16 @@
         }
     }
 
+    /// Returns the time within which a statement must start. With levels, `patience` is only the
+    /// time after which the answer is late.
+    fn max_wait(&self, request: &HomeRequest) -> Span {
+        if self.fleet.settings.overload {
+            request.limit.saturating_sub(TRANSIT_MARGIN)
+        } else {
+            request.patience
+        }
+    }
+
     /// Stores the transaction under its identifier until its next statement, unless it has ended.
     fn store_open(
         &self,
