--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -11,7 +11,6 @@
 use crate::messages::LoanId;
 use crate::messages::Returned;
 use crate::rates::actions::Call;
-use crate::rates::actions::Charge;
 use crate::rates::actions::Decision;
 use crate::rates::actions::Ticket;
 use crate::rates::borrower::RateBorrower;
@@ -94,11 +93,10 @@
         &mut self,
         ctx: &mut Context<'_>,
         ticket: Ticket,
-        charge: Charge,
+        level: Level,
+        cost: Tokens,
         deadline: Time,
     ) -> Decision {
-        let Charge { cost, level } = charge;
-        let cost = Tokens::whole(cost);
         self.sync(ctx);
         self.meter.record(ctx.now, cost);
         let ahead = self.queue.cost_ahead(level);
@@ -114,7 +112,7 @@
             self.owner.note_scarcity(ctx.now);
             return Decision::Refuse { retry_after: self.retry_after(ctx, level, cost) };
         }
-        self.queue.push(WaitingRequest { ticket, cost, until, level });
+        self.queue.push(WaitingRequest { ticket, level, cost, until });
         self.request_tokens(ctx);
         Decision::Wait
     }
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -16,7 +16,6 @@
 use crate::rates::account::Account;
 use crate::rates::actions::Action;
 use crate::rates::actions::CallId;
-use crate::rates::actions::Charge;
 use crate::rates::actions::Decision;
 use crate::rates::actions::Ticket;
 use crate::rates::context::Context;
@@ -48,6 +47,21 @@
     had_limits: bool,
 }
 
+/// `RateRequest` is a request that needs tokens of its workspace.
+#[derive(Clone, Copy, Debug)]
+pub struct RateRequest {
+    /// The ticket under which the caller is answered.
+    pub ticket: Ticket,
+    /// The workspace charged with the cost.
+    pub workspace: WorkspaceId,
+    /// The priority level.
+    pub level: Level,
+    /// The tokens the request costs.
+    pub cost: u32,
+    /// The time by which the request has to be answered.
+    pub deadline: Time,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ConfiguredLimit {
     limit: Limit,
@@ -81,8 +95,8 @@
         }
     }
 
-    /// Decides on a request of the most urgent level that costs `cost` tokens and has to be
-    /// answered by `deadline`.
+    /// Decides on a request of the highest level that costs `cost` tokens and has to be answered by
+    /// `deadline`.
     ///
     /// A workspace without a limit is always admitted.
     pub fn acquire(
@@ -94,22 +108,23 @@
         deadline: Time,
         out: &mut Vec<Action>,
     ) -> Decision {
-        let charge = Charge { cost, level: Level::FIRST };
-        self.acquire_at(now, ticket, workspace, charge, deadline, out)
+        let request = RateRequest { ticket, workspace, level: Level::default(), cost, deadline };
+        self.acquire_at_level(now, request, out)
     }
 
-    /// Decides on a request like `acquire`, with the urgency that `charge` states.
-    pub fn acquire_at(
+    /// Decides on a request. It waits for tokens before those of lower levels, and while tokens are
+    /// scarce, a part of them is left to the most urgent level.
+    ///
+    /// A workspace without a limit is always admitted.
+    pub fn acquire_at_level(
         &mut self,
         now: Time,
-        ticket: Ticket,
-        workspace: WorkspaceId,
-        charge: Charge,
-        deadline: Time,
+        request: RateRequest,
         out: &mut Vec<Action>,
     ) -> Decision {
+        let RateRequest { ticket, workspace, level, cost, deadline } = request;
         let decision = self.with_account(now, workspace, out, |account, ctx| {
-            account.acquire(ctx, ticket, charge, deadline)
+            account.acquire(ctx, ticket, level, Tokens::whole(cost), deadline)
         });
         decision.unwrap_or(Decision::Admit)
     }
--- a/oleander-limits/src/rates/waiting.rs
+++ b/oleander-limits/src/rates/waiting.rs
@@ -13,36 +13,34 @@
 pub struct WaitingRequest {
     /// The ticket under which the caller is answered.
     pub ticket: Ticket,
+    /// The priority level of the request.
+    pub level: Level,
     /// The tokens the request costs.
     pub cost: Tokens,
     /// The time at which the request is refused.
     pub until: Time,
-    /// The urgency; requests of the most urgent level are served before all others.
-    pub level: Level,
 }
 
-/// `WaitQueue` holds the waiting requests of one workspace: those of the most urgent level first,
-/// each kind in order of arrival.
+/// `WaitQueue` holds the waiting requests of one workspace in the order of their levels, and of
+/// their arrival within a level.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
     requests: VecDeque<WaitingRequest>,
-    /// The number of requests of the most urgent level.
-    urgent: usize,
     cost: Tokens,
-    urgent_cost: Tokens,
 }
 
 impl WaitQueue {
-    /// Adds a request behind those that are served before it.
+    /// Adds a request behind the others of its level and of higher ones.
     pub fn push(&mut self, request: WaitingRequest) {
         self.cost += request.cost;
-        if request.level == Level::FIRST {
-            self.urgent_cost += request.cost;
-            self.requests.insert(self.urgent, request);
-            self.urgent += 1;
-        } else {
-            self.requests.push_back(request);
-        }
+        let index = self.requests.partition_point(|other| other.level <= request.level);
+        self.requests.insert(index, request);
+    }
+
+    /// Returns the total cost of the requests that are served before a new one of the level.
+    pub fn cost_ahead(&self, level: Level) -> Tokens {
+        let ahead = self.requests.iter().take_while(|request| request.level <= level);
+        ahead.fold(Tokens::ZERO, |sum, request| sum + request.cost)
     }
 
     /// Removes and returns the first request if it costs at most the tokens that `available`
@@ -52,7 +50,8 @@
         if available(first.level) < first.cost {
             return None;
         }
-        self.remove_at(0)
+        self.remove_first();
+        Some(first)
     }
 
     /// Removes and returns the first request for which `keep` returns `false`. `keep` is given the
@@ -90,23 +89,18 @@
         self.cost
     }
 
-    /// Returns the cost of the waiting requests that are served before a new one of `level`.
-    pub fn cost_ahead(&self, level: Level) -> Tokens {
-        if level == Level::FIRST { self.urgent_cost } else { self.cost }
-    }
-
     /// Returns `true` if no request waits.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
 
+    fn remove_first(&mut self) {
+        self.remove_at(0);
+    }
+
     fn remove_at(&mut self, index: usize) -> Option<WaitingRequest> {
         let request = self.requests.remove(index)?;
         self.cost = self.cost.saturating_sub(request.cost);
-        if request.level == Level::FIRST {
-            self.urgent -= 1;
-            self.urgent_cost = self.urgent_cost.saturating_sub(request.cost);
-        }
         Some(request)
     }
 }
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -8,7 +8,6 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::messages::LoanId;
-use oleander_limits::rates::actions::Charge;
 use oleander_limits::rates::owner::BorrowRequest;
 use oleander_limits::rates::owner::RateOwner;
 use oleander_limits::rates::tokens::Limit;
@@ -88,7 +87,7 @@
 fn perform(fleet: &mut Fleet, step: &Step) {
     match *step {
         Step::Ask { vm, count, cost, level } => {
-            (0..count).for_each(|_| fleet.ask_at(vm, Charge { cost, level }));
+            (0..count).for_each(|_| fleet.ask_at(vm, level, cost));
         }
         Step::Load { vm, count, gap } => {
             for _ in 0..count {
@@ -198,7 +197,7 @@
     for n in 0..seconds * per_second {
         // Seven has no common divisor with the number of VMs, so that each gets urgent requests.
         let level = if n % 7 == 0 { Level::FIRST } else { Level::LAST };
-        fleet.ask_at(vms[n % vms.len()], Charge { cost: 1, level });
+        fleet.ask_at(vms[n % vms.len()], level, 1);
         fleet.advance(Span::from_micros(1_000_000 / per_second as u64));
     }
     fleet.advance(Span::from_secs(1));
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -12,10 +12,10 @@
 use oleander_limits::messages::LimitRequest;
 use oleander_limits::rates::actions::Action;
 use oleander_limits::rates::actions::CallId;
-use oleander_limits::rates::actions::Charge;
 use oleander_limits::rates::actions::Decision;
 use oleander_limits::rates::actions::Ticket;
 use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::limiter::RateRequest;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
 use oleander_limits::rates::tokens::FRACTIONS;
 use oleander_limits::rates::tokens::Limit;
@@ -128,7 +128,7 @@
     vms: Vec<Vm>,
     owners: Vec<usize>,
     events: TimerQueue<Event>,
-    charges: Vec<Charge>,
+    requests: Vec<RateRequest>,
     rng: ChaCha8Rng,
     level: u64,
     last_refill: Time,
@@ -160,7 +160,7 @@
             vms: vms.collect(),
             owners: (0..SHARES).map(|share| share % count).collect(),
             events: TimerQueue::new(),
-            charges: Vec::new(),
+            requests: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             level: u64::from(limit.burst) * 1_000_000,
             last_refill: Time(0),
@@ -177,20 +177,22 @@
     /// Sends a caller's request of the most urgent level to a VM; it has no effect while the VM is
     /// paused.
     pub fn ask(&mut self, index: usize, cost: u32) {
-        self.ask_at(index, Charge { cost, level: Level::FIRST });
+        self.ask_at(index, Level::FIRST, cost);
     }
 
     /// Sends a caller's request for tokens to a VM; it has no effect while the VM is paused.
-    pub fn ask_at(&mut self, index: usize, charge: Charge) {
+    pub fn ask_at(&mut self, index: usize, level: Level, cost: u32) {
         if self.now < self.vms[index].paused_until {
             return;
         }
         let (now, mut out) = (self.clock(index), Vec::new());
-        self.charges.push(charge);
-        let ticket = Ticket(self.charges.len() as u64 - 1);
+        let ticket = Ticket(self.requests.len() as u64);
+        let deadline = now + DEADLINE;
+        let request = RateRequest { ticket, workspace: WORKSPACE, level, cost, deadline };
+        self.requests.push(request);
         let limiter = &mut self.vms[index].limiter;
-        match limiter.acquire_at(now, ticket, WORKSPACE, charge, now + DEADLINE, &mut out) {
-            Decision::Admit => self.admit(charge),
+        match limiter.acquire_at_level(now, request, &mut out) {
+            Decision::Admit => self.admit(request),
             Decision::Refuse { .. } => self.refused += 1,
             Decision::Wait => {}
         }
@@ -450,7 +452,7 @@
     fn perform(&mut self, index: usize, out: Vec<Action>) {
         for action in out {
             match action {
-                Action::Admit(ticket) => self.admit(self.charges[ticket.0 as usize]),
+                Action::Admit(ticket) => self.admit(self.requests[ticket.0 as usize]),
                 Action::Refuse { .. } => self.refused += 1,
                 Action::Send { to, call, request } => self.send(index, to, call, &request),
             }
@@ -503,16 +505,16 @@
 
     /// Charges an admission to one token bucket for the whole fleet; its bound holds for any
     /// window.
-    fn admit(&mut self, charge: Charge) {
+    fn admit(&mut self, request: RateRequest) {
         self.refill();
-        let cost = u64::from(charge.cost) * 1_000_000;
+        let cost = u64::from(request.cost) * 1_000_000;
         if self.level < cost {
             self.violation = self.violation.or(Some(self.now));
         }
         self.level = self.level.saturating_sub(cost);
-        self.admitted += u64::from(charge.cost);
-        if charge.level == Level::FIRST {
-            self.urgent += u64::from(charge.cost);
+        self.admitted += u64::from(request.cost);
+        if request.level == Level::FIRST {
+            self.urgent += u64::from(request.cost);
         }
     }
 }
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -15,7 +15,6 @@
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
-use oleander_limits::rates::actions::Charge;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
 use oleander_session::command::Command;
@@ -189,11 +188,11 @@
         let admitted = route::admit(&entry.fleet, &self.name, self.key.as_ref())?;
         let target = admitted.route.target_latency;
         let deadline = started + Span(target.0 / RATE_WAIT_DIVISOR);
-        let workspace = admitted.workspace;
-        let charge = Charge { cost: admitted.route.cost, level: admitted.rate_level };
+        let (workspace, level, cost) =
+            (admitted.workspace, admitted.rate_level, admitted.route.cost);
         self.operation = Some(Operation { admitted, started });
         loop {
-            let Err(refusal) = entry.rates.admit(workspace, charge, deadline).await else {
+            let Err(refusal) = entry.rates.admit(workspace, level, cost, deadline).await else {
                 return Ok(());
             };
             let fleet = &entry.fleet;
@@ -250,6 +249,7 @@
             None => self.run_first(operation, request).await,
         };
         let (answer, home, instance) = outcome?;
+        self.entry.record_wait(operation.admitted.level, answer.queued);
         self.transaction = answer.transaction.map(|id| TransactionHandle { home, id, instance });
         let output = CommandOutput { rows: answer.rows, signature: Some(answer.signature) };
         Ok((output, answer.point))
@@ -297,13 +297,26 @@
             work: work.clone(),
             scope,
             freshness,
-            limit: route.deadline,
+            limit: self.limit(operation, scope),
             patience: self.patience(operation),
             rest: operation.admitted.tx_idle.unwrap_or(DEFAULT_REST),
             level: operation.admitted.level,
         }
     }
 
+    /// Returns the time within which a statement must be answered. With levels, a statement may wait
+    /// until then, so that the time it has waited for the rate limiter counts. The time of a
+    /// transaction's earlier statements does not.
+    fn limit(&self, operation: &Operation, scope: Scope) -> Span {
+        let fleet = &self.entry.fleet;
+        let deadline = operation.admitted.route.deadline;
+        if fleet.settings.overload && scope == Scope::Single {
+            deadline.saturating_sub(fleet.now().since(operation.started))
+        } else {
+            deadline
+        }
+    }
+
     /// Returns the time for which a statement may wait for a slot: the rest of the target latency,
     /// after which the answer would be late. Statements of an open transaction may wait for as long
     /// as they may run.
@@ -331,7 +344,10 @@
         } else {
             RequiredRole::Primary
         };
-        let until = self.entry.fleet.now() + request.patience;
+        let fleet = &self.entry.fleet;
+        // With levels, a statement that misses its target is still run if its limit allows it.
+        let wait = if fleet.settings.overload { request.limit } else { request.patience };
+        let until = fleet.now() + wait;
         let database = operation.admitted.database;
         let ran = self.entry.forwarder.run(database, role, request, until).await?;
         Ok((ran.answer, ran.home, ran.instance))
