Keep requests in their allowed regions and limit those to cold instances

Routes and workspaces may name the regions in which their requests run. The entry VM leaves out instances elsewhere and sends a request only to homes in these regions or to itself; the home checks the instance again. A promotion prefers an allowed region among replicas that have received equally much.

An instance that warms up is a party of its own at the rate limiter, from which its home takes a token for each statement. A home whose view may be older than the process that its connections lead to takes one as well.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -33,6 +33,10 @@
     EntryRejected = 204,
     /// An instance was added to the directory, changed or removed.
     InstanceChanged = 205,
+    /// An instance has started and warms up.
+    InstanceCold = 210,
+    /// This VM, as the home of an instance, refused a statement that may not run in its region.
+    RegionRefused = 211,
     /// A VM joined the roster.
     VmJoined = 300,
     /// A VM left the roster or was removed from it.
--- a/oleander-core/src/places.rs
+++ b/oleander-core/src/places.rs
@@ -39,3 +39,24 @@
         }
     }
 }
+
+/// `Regions` is the set of regions in which a request may run.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Regions {
+    /// All regions.
+    #[default]
+    All,
+    /// Only these regions; none if the list is empty.
+    Only(Vec<String>),
+}
+
+impl Regions {
+    /// Returns `true` if requests may run in `region`. The empty name stands for an unknown region,
+    /// which no list allows.
+    pub fn allows(&self, region: &str) -> bool {
+        match self {
+            Regions::All => true,
+            Regions::Only(names) => !region.is_empty() && names.iter().any(|name| name == region),
+        }
+    }
+}
--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -101,6 +101,8 @@
     pub leaving: bool,
     /// `true` if the instance reports itself as primary.
     pub primary: bool,
+    /// The number of routes that need the primary and allow it to be in the instance's region.
+    pub allowing_routes: u32,
 }
 
 /// `ProbeResult` is the outcome of asking an instance whether it is primary.
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -411,6 +411,10 @@
         self.instances.iter().copied().find(|listed| listed.key == key)
     }
 
+    fn allowing_routes(&self, key: InstanceKey) -> u32 {
+        self.listed(key).map_or(0, |listed| listed.allowing_routes)
+    }
+
     fn is_leaving(&self, key: InstanceKey) -> bool {
         self.listed(key).is_some_and(|listed| listed.leaving)
     }
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -321,7 +321,9 @@
         let Phase::StoppingReplicas(stopping) = &self.phase else { return };
         let planned = stopping.planned;
         let listed = stopping.stopped.iter().filter(|(key, _)| self.listed(*key).is_some());
-        let best = listed.max_by_key(|(key, point)| (*point, !self.is_leaving(*key)));
+        let best = listed.max_by_key(|(key, point)| {
+            (*point, !self.is_leaving(*key), self.allowing_routes(*key))
+        });
         let Some((instance, _)) = best.copied() else {
             return self.abandon(now, "no replica is left", out);
         };
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -83,7 +83,8 @@
 }
 
 fn instances(leaving: bool) -> Input {
-    let known = |key, leaving, primary| ListedInstance { key, leaving, primary };
+    let known =
+        |key, leaving, primary| ListedInstance { key, leaving, primary, allowing_routes: 0 };
     Input::Instances(
         [known(PRIMARY, leaving, true), known(NEAR, false, false), known(FAR, false, false)]
             .into_iter()
@@ -151,6 +152,38 @@
     assert_eq!(sent_order(&actions), Some((case.best, 8)));
 }
 
+/// `AllowedRoutes` is the number of routes that allow each of two replicas to be the primary, what
+/// they have received, and which one is promoted.
+struct AllowedRoutes {
+    near: (u32, LogPoint),
+    far: (u32, LogPoint),
+    best: InstanceKey,
+}
+
+/// Guards against a primary outside the regions of the routes that need it, whose requests are then
+/// all refused, and against the loss of a commit for the sake of a region.
+#[rstest]
+#[case::near_is_allowed(AllowedRoutes { near: (1, point(1, 12)), far: (0, point(1, 12)), best: NEAR })]
+#[case::far_is_allowed(AllowedRoutes { near: (0, point(1, 12)), far: (1, point(1, 12)), best: FAR })]
+#[case::more_routes(AllowedRoutes { near: (2, point(1, 12)), far: (1, point(1, 12)), best: NEAR })]
+#[case::near_is_ahead(AllowedRoutes { near: (0, point(1, 12)), far: (1, point(1, 11)), best: NEAR })]
+fn an_allowed_region_decides_only_among_equally_advanced_replicas(#[case] case: AllowedRoutes) {
+    let mut harness = Harness::settled();
+    let known = |key, allowing_routes| ListedInstance {
+        key,
+        leaving: false,
+        primary: key == PRIMARY,
+        allowing_routes,
+    };
+    let listed = [known(PRIMARY, 0), known(NEAR, case.near.0), known(FAR, case.far.0)];
+    harness.handle(Input::Instances(listed.into_iter().collect()));
+    harness.lose_primary();
+    harness.start_promotion(7);
+    harness.handle(Input::ReplicationStopped(NEAR, Some(case.near.1)));
+    let actions = harness.handle(Input::ReplicationStopped(FAR, Some(case.far.1)));
+    assert_eq!(token_request(&actions), Some(Some(case.best)));
+}
+
 /// `LostPrimary` is the result of probes of a lost primary, and the bounds in milliseconds of the
 /// time until its replacement starts.
 struct LostPrimary {
@@ -184,8 +217,12 @@
     harness.handle(Input::ReplicationStopped(NEAR, Some(point(1, 12))));
     let actions = harness.handle(Input::ReplicationStopped(FAR, None));
     assert_eq!(sent_order(&actions), None);
-    let left =
-        [PRIMARY, NEAR].map(|key| ListedInstance { key, leaving: false, primary: key == PRIMARY });
+    let left = [PRIMARY, NEAR].map(|key| ListedInstance {
+        key,
+        leaving: false,
+        primary: key == PRIMARY,
+        allowing_routes: 0,
+    });
     let actions = harness.handle(Input::Instances(left.into_iter().collect()));
     assert_eq!(token_request(&actions), Some(Some(NEAR)));
 }
@@ -448,7 +485,8 @@
         let mut queue = harness.wait(100);
         if EXPIRY <= harness.now.since(since) {
             // Both lost instances leave the directory in the end.
-            let left = ListedInstance { key: FAR, leaving: false, primary: false };
+            let left =
+                ListedInstance { key: FAR, leaving: false, primary: false, allowing_routes: 0 };
             queue.extend(harness.handle(Input::Instances([left].into_iter().collect())));
         }
         while let Some(action) = queue.pop() {
--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -393,6 +393,7 @@
             key: key(index),
             leaving: self.leaving == Some(index),
             primary: self.group.members[index].leads != 0,
+            allowing_routes: 0,
         };
         self.handle(Input::Instances((0..INSTANCES).map(known).collect()));
     }
--- a/oleander-limits/src/home/mod.rs
+++ b/oleander-limits/src/home/mod.rs
@@ -11,3 +11,4 @@
 pub mod request;
 pub mod slots;
 pub mod transactions;
+pub mod warmup;
--- a/oleander-limits/src/home/pool.rs
+++ b/oleander-limits/src/home/pool.rs
@@ -167,6 +167,13 @@
         connections
     }
 
+    /// Removes the idle connections for which `keep` returns `false`.
+    pub fn retain_idle(&mut self, mut keep: impl FnMut(&mut C) -> bool) {
+        let before = self.idle.len();
+        self.idle.retain_mut(|idle| keep(&mut idle.connection));
+        self.open = self.open.saturating_sub((before - self.idle.len()) as u32);
+    }
+
     /// Returns the number of open connections, idle or in use.
     pub fn open(&self) -> u32 {
         self.open
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A simulated fleet of rate limiters on a network that loses, duplicates and delays messages.
 
+#![allow(dead_code, reason = "each test file uses a part of the fleet")]
+
 use std::collections::VecDeque;
 
 use oleander_core::ids::VmId;
@@ -113,6 +115,8 @@
     pub limit: Limit,
     /// The number of admitted tokens.
     pub admitted: u64,
+    /// The time of each admission.
+    pub admissions: Vec<Time>,
     /// The number of refused requests.
     pub refused: u64,
     /// The first time at which more than burst + rate × window was or could have been admitted.
@@ -147,6 +151,7 @@
         let mut fleet = Self {
             limit,
             admitted: 0,
+            admissions: Vec::new(),
             refused: 0,
             violation: None,
             now: Time(1_000_000),
@@ -366,7 +371,8 @@
         self.now + CLOCK_OFFSET.times(index as u64 + 1)
     }
 
-    fn is_unreachable(&self, index: usize) -> bool {
+    /// Returns `true` while a VM is paused or isolated.
+    pub fn is_unreachable(&self, index: usize) -> bool {
         self.now < self.vms[index].paused_until.max(self.vms[index].isolated_until)
     }
 
@@ -500,6 +506,7 @@
         }
         self.level = self.level.saturating_sub(cost);
         self.admitted += cost / 1_000_000;
+        self.admissions.push(self.now);
     }
 }
 
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -10,7 +10,10 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
 use oleander_core::time::Time;
+use oleander_limits::home::warmup;
+use oleander_limits::home::warmup::Registration;
 use oleander_membership::leased::LeasedMember;
+use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::sources::Sources;
 use oleander_ports::store::Change;
 use oleander_ports::store::Changes;
@@ -244,9 +247,11 @@
         let former = draft.view.instances.get(&key);
         let leaving_since =
             former.and_then(|former| former.leaving_since).unwrap_or(self.leaving_start(draft));
+        let known = former.map(|former| (start_of(&former.entry), former.cold_until));
         let instance = Instance {
             key,
             leaving_since: decoded.leaving.then_some(leaving_since),
+            cold_until: warmup::cold_until(draft.now, known, start_of(&decoded)),
             database: DatabaseId::from_name(&decoded.database),
             place: self.settings.place_of(&decoded.zone),
             entry: decoded,
@@ -264,6 +269,16 @@
             revision_field(entry.revision),
         ];
         self.journal.record(Event::InstanceChanged, &fields);
+        let is_known = known.is_some_and(|(start, _)| start.life == instance.entry.life);
+        if instance.cold_until.is_some() && !is_known {
+            let fields = [
+                Field::text("instance", name),
+                Field::number("life", instance.entry.life),
+                Field::millis("warmup", instance.entry.warmup),
+                revision_field(entry.revision),
+            ];
+            self.journal.record(Event::InstanceCold, &fields);
+        }
         Arc::make_mut(&mut draft.view.instances).insert(key, instance);
     }
 
@@ -341,6 +356,11 @@
     former.revision != StoreRevision(0) && former.revision.era() < reading.revision.era()
 }
 
+/// Returns what an entry of the directory says about the start of its instance.
+fn start_of(entry: &DirectoryEntry) -> Registration {
+    Registration { life: entry.life, warmup: entry.warmup }
+}
+
 fn revision_field(revision: StoreRevision) -> Field {
     Field::number("at", revision.0)
 }
--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -18,6 +18,7 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::View;
+use crate::home::warmup::WarmupParties;
 use crate::rates::Rates;
 
 /// The interval at which the shares are extended or ended while the view does not change.
@@ -38,6 +39,7 @@
     let mut changes = fleet.changes();
     let mut share_changes = fleet.share_changes();
     let mut former: Option<Arc<View>> = None;
+    let mut parties = WarmupParties::default();
     let mut owners = Vec::new();
     let mut state = ShareState::Unused;
     // Loans of VMs that handed shares over while this one was starting may be in use until then.
@@ -88,8 +90,12 @@
                 journal.record(Event::SharesSuspended, &fields);
             }
         }
-        if !is_same(|former, view| Arc::ptr_eq(&former.snapshot, &view.snapshot)) {
-            rates.set_limits(limits_of(&view));
+        let new_snapshot = !is_same(|former, view| Arc::ptr_eq(&former.snapshot, &view.snapshot));
+        let new_instances =
+            !is_same(|former, view| Arc::ptr_eq(&former.instances, &view.instances));
+        let new_parties = (new_snapshot || new_instances) && parties.update(&view);
+        if new_snapshot || new_parties {
+            rates.set_limits(limits_of(&view).into_iter().chain(parties.limits()));
         }
         applied.send_replace(view.revision);
         former = Some(view);
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
+use oleander_core::places::Regions;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -26,6 +27,7 @@
 use oleander_session::work::Scope;
 use smallvec::SmallVec;
 
+use super::places;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
 use crate::home::registry::Homes;
@@ -97,7 +99,14 @@
         let is_read = !request.work.is_write();
         let mut last = None;
         let age = request.freshness.age;
-        for instance in self.candidates(database, role, age) {
+        let regions = request.regions.clone();
+        let primary = self.primaries.primary(database);
+        if let Some(refusal) =
+            places::region_refusal(&self.fleet, database, role, primary, &regions)
+        {
+            return Err(refusal);
+        }
+        for instance in self.candidates(database, role, age, &regions) {
             let now = self.fleet.now();
             if deadline <= now {
                 break;
@@ -136,12 +145,13 @@
     }
 
     /// Returns the instances that may run a statement, in order of preference: instances that are
-    /// not leaving first, then by distance, then replicas before the primary.
+    /// not leaving first, then warm ones, then by distance, then replicas before the primary.
     fn candidates(
         &self,
         database: DatabaseId,
         role: RequiredRole,
         age: Option<Span>,
+        regions: &Regions,
     ) -> SmallVec<[Instance; 4]> {
         let view = self.fleet.view();
         let primary = self.primaries.primary(database);
@@ -154,6 +164,7 @@
                 RequiredRole::Primary => Some(instance.key) == primary,
                 RequiredRole::Any => true,
             })
+            .filter(|instance| oleander_routing::places::allows_instance(regions, &instance.place))
             .filter(|instance| match instance.leaving_since {
                 None => true,
                 // A leaving primary serves until its role is handed over, but no longer than the
@@ -170,7 +181,9 @@
         }
         instances.sort_by_cached_key(|instance| {
             let is_primary = Some(instance.key) == primary;
-            (instance.entry.leaving, instance.place.distance(place), is_primary, instance.key)
+            let is_cold = self.fleet.is_cold(instance);
+            let distance = instance.place.distance(place);
+            (instance.entry.leaving, is_cold, distance, is_primary, instance.key)
         });
         instances
     }
@@ -212,6 +225,7 @@
         } else {
             self.fleet.homes(instance)
         };
+        let homes = places::allowed_homes(&self.fleet, &request.regions, homes);
         for home in homes.into_iter().take(MAX_HOME_ATTEMPTS) {
             match self.call(home, request).await {
                 Ok(answer) => {
@@ -240,6 +254,10 @@
         if home == self.fleet.vm {
             return self.homes.run(request).await;
         }
+        if !places::allows_home(&self.fleet, &request.regions, home) {
+            let detail = "the home is not in an allowed region";
+            return Err(Refusal::not_run(RefusalCode::HomeUnreachable, detail));
+        }
         let Some(address) = self.fleet.address(home) else {
             let detail = "the home has left the fleet";
             return Err(Refusal::not_run(RefusalCode::HomeUnreachable, detail));
--- a/oleander-node/src/entry/route.rs
+++ b/oleander-node/src/entry/route.rs
@@ -11,9 +11,11 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
+use oleander_core::places::Regions;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
+use oleander_routing::places;
 
 use crate::fleet::Fleet;
 
@@ -85,6 +87,17 @@
     })
 }
 
+/// Returns the regions in which a statement of an admitted operation may run, by the configuration in
+/// force now: a transaction may have been admitted by an earlier one.
+pub fn regions(fleet: &Fleet, name: &str, admitted: &Admitted) -> Regions {
+    let view = fleet.view();
+    let snapshot = &view.snapshot;
+    let route = snapshot.route(&Matcher::Session(name.to_owned())).unwrap_or(&admitted.route);
+    let workspace = snapshot.workspace(admitted.workspace);
+    let named = workspace.map_or(&[][..], |workspace| &workspace.regions);
+    places::allowed_regions(&route.regions, named)
+}
+
 /// Returns `true` if reads on the route must include all commits, which only the primary has.
 pub fn needs_latest(route: &Route) -> bool {
     route.consistency == Consistency::Primary
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
 use oleander_core::level::Level;
+use oleander_core::places::Regions;
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -299,6 +300,7 @@
             patience: self.patience(operation),
             rest: operation.admitted.tx_idle.unwrap_or(DEFAULT_REST),
             level: operation.admitted.level,
+            regions: route::regions(&self.entry.fleet, &self.name, &operation.admitted),
         }
     }
 
@@ -368,6 +370,8 @@
             patience: ROLLBACK_LIMIT,
             rest: ROLLBACK_LIMIT,
             level: Level::default(),
+            // A rollback carries nothing of the caller's.
+            regions: Regions::All,
         };
         let entry = self.entry.clone();
         tokio::spawn(async move {
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use oleander_config::model::Database;
 use oleander_config::snapshot::Snapshot;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
@@ -116,6 +117,8 @@
     /// The time since which the instance counts as leaving; `None` unless the entry says that it
     /// leaves.
     pub leaving_since: Option<Time>,
+    /// The time until which the instance warms up; `None` if it is warm.
+    pub cold_until: Option<Time>,
     /// The decoded entry.
     pub entry: DirectoryEntry,
 }
@@ -402,6 +405,23 @@
         keeper.primary.filter(|_| is_newest)
     }
 
+    /// Returns `true` if requests to the instance are limited now because it warms up.
+    pub fn is_cold(&self, instance: &Instance) -> bool {
+        let view = self.view.load();
+        let is_limited = |database: &Database| database.warmup.is_some();
+        view.snapshot.database(instance.database).is_some_and(is_limited)
+            && instance.cold_until.is_some_and(|until| self.now() < until)
+    }
+
+    /// Returns the names of the instances to which requests are limited now because they warm up.
+    pub fn cold_instances(&self) -> Vec<String> {
+        let view = self.view.load();
+        let cold = view.instances.values().filter(|instance| self.is_cold(instance));
+        let mut names: Vec<String> = cold.map(|cold| cold.entry.instance.clone()).collect();
+        names.sort_unstable();
+        names
+    }
+
     /// Records that a VM did not answer, so that it is not chosen as a home for `SUSPECT_TIME`.
     /// Returns `true` unless it was suspected already.
     pub fn suspect(&self, vm: VmId) -> bool {
--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -8,11 +8,13 @@
 use oleander_core::events::Event;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_limits::home::pool::Pick;
 use oleander_limits::home::pool::Pool;
 use oleander_limits::home::pool::PoolOptions;
+use oleander_limits::home::warmup::ProcessProof;
 use oleander_ports::upstream::FailureKind;
 use oleander_ports::upstream::LinkError;
 use oleander_ports::upstream::Target;
@@ -55,6 +57,18 @@
     pool: Pool<UpstreamConnection>,
     /// `true` once returned connections are closed instead of kept.
     closed: bool,
+    proof: ProcessProof,
+}
+
+impl State {
+    /// Drops idle connections that the instance has closed. Records, unless an idle one is still
+    /// open, that the instance may have been restarted.
+    fn record_lost(&mut self, now: Time) {
+        self.pool.retain_idle(UpstreamConnection::is_open);
+        if self.pool.idle() == 0 {
+            self.proof.record_lost(now);
+        }
+    }
 }
 
 impl ConnectionPool {
@@ -87,6 +101,12 @@
         self.lock().pool.open()
     }
 
+    /// Returns the time from which a view of the directory shows the process of the instance that
+    /// the connections lead to.
+    pub(super) fn view_needed(&self) -> Time {
+        self.lock().proof.view_needed()
+    }
+
     /// Returns the clock and timers.
     pub(super) fn timers(&self) -> &TimerService {
         &self.context.timers
@@ -110,7 +130,11 @@
                     if connection.is_reusable() {
                         return Ok(PooledConnection::new(self, &request.workspace, connection));
                     }
-                    self.lock().pool.record_closed();
+                    let mut state = self.lock();
+                    state.pool.record_closed();
+                    if !connection.is_open() {
+                        state.record_lost(self.context.timers.now());
+                    }
                 }
                 Pick::Open { close } => {
                     drop(close);
@@ -126,6 +150,7 @@
 
     async fn open(self: &Arc<Self>, workspace: &str) -> Result<PooledConnection, Refusal> {
         let count = CountGuard { pool: self, armed: true };
+        self.prepare_opening();
         let opening = self.context.upstreams.open(&self.target, workspace);
         let opened = match self.context.timers.within(OPEN_LIMIT, opening).await {
             Some(opened) => opened,
@@ -134,14 +159,18 @@
         match opened {
             Ok(link) => {
                 count.disarm();
+                self.lock().proof.record_opened(self.context.timers.now());
                 Ok(PooledConnection::new(self, workspace, UpstreamConnection::new(link)))
             }
             Err(error) => {
                 // Uncounts the connection before `record_refusal`, which takes the number of open
                 // connections as the limit that the instance accepts.
                 drop(count);
+                let now = self.context.timers.now();
                 if is_full(&error) {
-                    self.lock().pool.record_refusal(self.context.timers.now());
+                    self.lock().pool.record_refusal(now);
+                } else if !matches!(error, LinkError::Refused(_)) {
+                    self.lock().record_lost(now);
                 }
                 let fields = [
                     Field::text("instance", &self.target.instance),
@@ -154,6 +183,21 @@
         }
     }
 
+    /// Notes what the other connections show of the process of the instance, before one is opened.
+    fn prepare_opening(&self) {
+        let now = self.context.timers.now();
+        let mut state = self.lock();
+        let idle = state.pool.idle();
+        state.pool.retain_idle(UpstreamConnection::is_open);
+        if state.pool.idle() < idle {
+            state.record_lost(now);
+        }
+        // The connection that is being opened counts as open.
+        if state.pool.open() <= 1 {
+            state.proof.record_alone();
+        }
+    }
+
     /// Returns a connection to the pool, which closes it if it is not reusable.
     pub(super) fn put_back(&self, workspace: &str, mut connection: UpstreamConnection) {
         let reusable = connection.is_reusable();
@@ -164,6 +208,9 @@
             state.pool.put(now, WorkspaceId::from_name(workspace), settings_hash, connection)
         } else {
             state.pool.record_closed();
+            if !connection.is_open() {
+                state.record_lost(self.context.timers.now());
+            }
             Some(connection)
         };
         drop(state);
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -29,6 +29,7 @@
 use super::upstream;
 use super::upstream::FreshnessCheck;
 use super::upstream::Statement;
+use super::warmup::WarmupBudget;
 use crate::fleet::Instance;
 use crate::primaries::Primaries;
 
@@ -38,6 +39,8 @@
     pub links: LinkContext,
     /// The primary of each database and its replication progress.
     pub primaries: Arc<Primaries>,
+    /// Limits the statements to instances that warm up.
+    pub warmup: WarmupBudget,
 }
 
 /// `TransactionResult` is the result of a statement of a transaction.
@@ -116,6 +119,7 @@
         }
         let permit = self.acquire(request, class_of(request), deadline).await?;
         let mut pooled = self.pool.acquire(request).await?;
+        self.admit_warmup().await?;
         let reply = pooled.connection.run_single(statement(request), check).await;
         drop(pooled);
         let answer = answer(&permit, reply?)?;
@@ -148,6 +152,7 @@
         let class = if read_only { Class::Read } else { Class::Write };
         let mut permit = self.acquire(request, class, deadline).await?;
         let mut pooled = self.pool.acquire(request).await?;
+        self.admit_warmup().await?;
         pooled.connection.begin(read_only, after).await?;
         // From here on the transaction frees the connection when it is dropped.
         permit.keep_connection();
@@ -176,7 +181,12 @@
             transaction.roll_back().await;
             return Ok(TransactionResult { answer: HomeAnswer::default(), open: None });
         }
-        let permit = match self.acquire(request, Class::Transaction, deadline).await {
+        let admitted = async {
+            let permit = self.acquire(request, Class::Transaction, deadline).await?;
+            self.admit_warmup().await?;
+            Ok(permit)
+        };
+        let permit = match admitted.await {
             Ok(permit) => permit,
             Err(refusal) => {
                 transaction.roll_back().await;
@@ -269,6 +279,11 @@
         self.context.primaries.primary(self.database) == Some(self.key)
     }
 
+    /// Takes a token for a statement if the instance may be warming up.
+    async fn admit_warmup(&self) -> Result<(), Refusal> {
+        self.context.warmup.admit(self.database, self.key, self.pool.view_needed()).await
+    }
+
     async fn acquire(
         &self,
         request: &HomeRequest,
--- a/oleander-node/src/home/mod.rs
+++ b/oleander-node/src/home/mod.rs
@@ -16,3 +16,4 @@
 pub mod slots;
 pub mod transactions;
 pub mod upstream;
+pub mod warmup;
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -14,6 +14,7 @@
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
+use oleander_routing::places;
 use oleander_runtime::logs::Field;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
@@ -67,9 +68,14 @@
                     "the transaction has ended",
                 ));
             };
+            if let Err(refusal) = self.check_region(request) {
+                transaction.roll_back().await;
+                return Err(refusal);
+            }
             let ran = home.run_next(transaction, request, deadline).await?;
             return Ok(self.store_open(&home, ran, || id));
         }
+        self.check_region(request)?;
         let home = self.home(request)?;
         let running = async {
             match request.scope {
@@ -90,6 +96,26 @@
         }
     }
 
+    /// Checks that the request may run in the region of its instance, which the entry VM has checked
+    /// by its own view.
+    fn check_region(&self, request: &HomeRequest) -> Result<(), Refusal> {
+        let view = self.fleet.view();
+        let instance = view.instances.get(&InstanceKey::from_name(&request.instance));
+        let place = instance.map(|instance| instance.place.clone()).unwrap_or_default();
+        if places::allows_instance(&request.regions, &place) {
+            return Ok(());
+        }
+        let fields = [
+            Field::text("statement", &request.statement),
+            Field::text("workspace", &request.workspace),
+            Field::text("instance", &request.instance),
+            Field::text("region", &place.region),
+        ];
+        self.context.links.journal.record(Event::RegionRefused, &fields);
+        let detail = "home: the instance is not in an allowed region";
+        Err(Refusal::not_run(RefusalCode::UpstreamUnavailable, detail))
+    }
+
     /// Stores the transaction under its identifier until its next statement, unless it has ended.
     fn store_open(
         &self,
--- a/oleander-node/src/home/upstream.rs
+++ b/oleander-node/src/home/upstream.rs
@@ -78,6 +78,11 @@
         self.reusable && self.link.is_open()
     }
 
+    /// Returns `true` if the instance has not closed the link.
+    pub fn is_open(&mut self) -> bool {
+        self.link.is_open()
+    }
+
     /// Returns the hash of the session settings that the connection holds.
     pub fn settings_hash(&self) -> SettingsHash {
         hash_settings(&self.settings)
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -32,6 +32,7 @@
 use oleander_ports::store::StoreError;
 use oleander_ports::store::StoreRevision;
 use oleander_ports::store::Write;
+use oleander_routing::places;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use tokio::sync::mpsc;
@@ -435,6 +436,11 @@
             key: instance.key,
             leaving: instance.entry.leaving,
             primary: instance.entry.primary,
+            allowing_routes: places::routes_allowing_primary(
+                view.snapshot.routes.values(),
+                &self.database,
+                &instance.place.region,
+            ),
         });
         Input::Instances(instances.collect())
     }
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -39,6 +39,7 @@
 use crate::home::instance::HomeContext;
 use crate::home::registry::Homes;
 use crate::home::transactions::Transactions;
+use crate::home::warmup::WarmupBudget;
 use crate::keeper::duties::Duties;
 use crate::peers;
 use crate::peers::PeerServer;
@@ -122,9 +123,6 @@
             timers: timers.clone(),
             journal: journal.clone(),
         };
-        let home_context = HomeContext { links, primaries: primaries.clone() };
-        let transactions = Transactions::new(fleet.vm, Incarnation(life));
-        let homes = Arc::new(Homes::new(fleet.clone(), home_context, transactions));
         let address_fleet = fleet.clone();
         let rates = Rates::new(
             fleet.vm,
@@ -133,6 +131,10 @@
             peer_client.clone(),
             Box::new(move |vm| address_fleet.present_address(vm)),
         );
+        let warmup = WarmupBudget { fleet: fleet.clone(), rates: rates.clone() };
+        let home_context = HomeContext { links, primaries: primaries.clone(), warmup };
+        let transactions = Transactions::new(fleet.vm, Incarnation(life));
+        let homes = Arc::new(Homes::new(fleet.clone(), home_context, transactions));
         let (lease_sender, held_lease) = watch::channel(None);
         let duties = Arc::new(Duties {
             fleet: fleet.clone(),
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -96,6 +96,18 @@
         waiting.await.unwrap_or_else(|_| Err(over_rate(IDLE_TICK)))
     }
 
+    /// Waits as `admit` does, but refuses a party whose limit the limiter has not been given.
+    ///
+    /// # Errors
+    /// Fails with `RateLimited` and verdict `NotRun`.
+    pub async fn admit_limited(&self, party: WorkspaceId, deadline: Time) -> Result<(), Refusal> {
+        let now = self.inner.timers.now();
+        if self.lock().limiter.available(now, party).is_none() {
+            return Err(over_rate(IDLE_TICK));
+        }
+        self.admit(party, 1, deadline).await
+    }
+
     /// Answers a request of another VM; a VM without a running lease gets nothing.
     pub fn answer(&self, from: VmId, request: LimitRequest) -> LimitReply {
         if (self.inner.address_of)(from).is_none() {
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -36,6 +36,8 @@
     /// The primary of each database, by name; a database whose primary is unknown or being replaced
     /// is left out.
     pub primaries: BTreeMap<String, String>,
+    /// The names of the instances that this VM takes to be warming up.
+    pub cold: Vec<String>,
 }
 
 /// Returns the current state.
@@ -54,6 +56,7 @@
         instances: view.instances.len(),
         transactions: homes.resting_transactions(),
         primaries: fleet.primaries().into_iter().collect(),
+        cold: fleet.cold_instances(),
     }
 }
 
@@ -74,6 +77,7 @@
         ("draining", u64::from(status.draining)),
         ("vms", vms as u64),
         ("instances", instances as u64),
+        ("cold_instances", status.cold.len() as u64),
         ("resting_transactions", transactions as u64),
     ];
     let lines = gauges.map(|(name, value)| format!("{name} {value}\n"));
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -14,12 +14,14 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::level::Level;
 use oleander_core::places::Place;
+use oleander_core::places::Regions;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
+use oleander_limits::rates::limiter::RateLimiter;
 use oleander_node::fleet::Fleet;
 use oleander_node::fleet::Instance;
 use oleander_node::fleet::KeeperEntry;
@@ -28,7 +30,10 @@
 use oleander_node::home::connections::LinkContext;
 use oleander_node::home::instance::HomeContext;
 use oleander_node::home::instance::InstanceHome;
+use oleander_node::home::warmup::WarmupBudget;
 use oleander_node::primaries::Primaries;
+use oleander_node::rates::Rates;
+use oleander_peer::client::PeerClient;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::store::StoreRevision;
 use oleander_ports::upstream::Failure;
@@ -149,6 +154,13 @@
     fleet.set_view(View { revision: StoreRevision(1), keepers, ..View::default() });
 }
 
+/// Returns a limiter without limits and shares.
+fn rates(fleet: &Arc<Fleet>) -> Rates {
+    let limiter = RateLimiter::new(fleet.vm, 1);
+    let address_of = Box::new(|_| None);
+    Rates::new(fleet.vm, limiter, fleet.timers.clone(), PeerClient::default(), address_of)
+}
+
 fn home(fake: &Arc<FakeInstance>) -> (Arc<InstanceHome>, TimerService) {
     let (home, timers, _) = home_with_fleet(fake);
     (home, timers)
@@ -166,7 +178,11 @@
         timers: timers.clone(),
         journal: Journal::new("test", timers.clock()),
     };
-    let home_context = HomeContext { links, primaries: Arc::new(Primaries::new(fleet.clone())) };
+    let home_context = HomeContext {
+        links,
+        primaries: Arc::new(Primaries::new(fleet.clone())),
+        warmup: WarmupBudget { fleet: fleet.clone(), rates: rates(&fleet) },
+    };
     let instance = Instance {
         key: InstanceKey(1),
         database: DatabaseId(1),
@@ -183,6 +199,7 @@
             primary: true,
             warmup: Span::ZERO,
         },
+        cold_until: None,
     };
     (Arc::new(InstanceHome::new(Arc::new(home_context), &instance, 16)), timers, fleet)
 }
@@ -200,6 +217,7 @@
         patience: Span::from_millis(300),
         rest: Span::from_secs(1),
         level: Level::default(),
+        regions: Regions::All,
     }
 }
 
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::ids::TransactionId;
 use oleander_core::level::Level;
+use oleander_core::places::Regions;
 use oleander_core::statement::Access;
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
@@ -106,6 +107,9 @@
     pub rest: Span,
     /// The urgency of the operation that the statement belongs to.
     pub level: Level,
+    /// The regions in which the statement may run. Besides the entry VM, only VMs in these regions
+    /// may receive it.
+    pub regions: Regions,
 }
 
 /// `HomeAnswer` is the result of a statement that succeeded.
