--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -256,7 +256,7 @@
         }
         if !places::allows_home(&self.fleet, &request.regions, home) {
             let detail = "the home is not in an allowed region";
-            return Err(Refusal::not_run(RefusalCode::HomeUnreachable, detail));
+            return Err(Refusal::not_run(RefusalCode::UpstreamUnavailable, detail));
         }
         let Some(address) = self.fleet.address(home) else {
             let detail = "the home has left the fleet";
