--- a/oleander-limits/src/home/mod.rs
+++ b/oleander-limits/src/home/mod.rs
@@ -14,3 +14,4 @@
 pub mod slots;
 pub mod transactions;
 pub mod urgency;
+pub mod warmup;
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
 use oleander_core::level::Level;
+use oleander_core::places::Regions;
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -217,11 +218,14 @@
             Err(refusal) => {
                 self.state.failed(&work);
                 if let Some(transaction) = self.transaction.take() {
-                    // The home ends a transaction whose statement fails. These two refusals can
-                    // come from this VM before the statement is sent, so the home has to be told.
-                    if refusal.code == RefusalCode::KeyRejected
-                        || refusal.code == RefusalCode::NotCurrent
-                    {
+                    // The home ends a transaction whose statement fails. These refusals can come from
+                    // this VM before the statement is sent, so the home has to be told.
+                    if matches!(
+                        refusal.code,
+                        RefusalCode::KeyRejected
+                            | RefusalCode::NotCurrent
+                            | RefusalCode::UpstreamUnavailable
+                    ) {
                         self.transaction = Some(transaction);
                         self.abandon();
                     }
@@ -301,6 +305,7 @@
             patience: self.patience(operation),
             rest: operation.admitted.tx_idle.unwrap_or(DEFAULT_REST),
             level: operation.admitted.level,
+            regions: route::regions(&self.entry.fleet, &self.name, &operation.admitted),
         }
     }
 
@@ -386,6 +391,8 @@
             patience: ROLLBACK_LIMIT,
             rest: ROLLBACK_LIMIT,
             level: Level::default(),
+            // A rollback carries nothing of the caller's.
+            regions: Regions::All,
         };
         let entry = self.entry.clone();
         tokio::spawn(async move {
--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -9,11 +9,13 @@
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_limits::home::pool::Pick;
 use oleander_limits::home::pool::Pool;
 use oleander_limits::home::pool::PoolOptions;
+use oleander_limits::home::warmup::ProcessProof;
 use oleander_ports::upstream::FailureKind;
 use oleander_ports::upstream::LinkError;
 use oleander_ports::upstream::Target;
@@ -56,6 +58,18 @@
     pool: Pool<UpstreamConnection>,
     /// `true` once returned connections are closed instead of kept.
     closed: bool,
+    proof: ProcessProof,
+}
+
+impl State {
+    /// Drops idle connections that the instance has closed. Records, unless an idle one is still
+    /// open, that the instance may have been restarted.
+    fn record_lost(&mut self, now: Time) {
+        self.pool.retain_idle(UpstreamConnection::is_open);
+        if self.pool.idle() == 0 {
+            self.proof.record_lost(now);
+        }
+    }
 }
 
 impl ConnectionPool {
@@ -88,6 +102,12 @@
         self.lock().pool.open()
     }
 
+    /// Returns the time from which a view of the directory shows the process of the instance that
+    /// the connections lead to.
+    pub(super) fn view_needed(&self) -> Time {
+        self.lock().proof.view_needed()
+    }
+
     /// Returns the clock and timers.
     pub(super) fn timers(&self) -> &TimerService {
         &self.context.timers
@@ -111,7 +131,11 @@
                     if connection.is_reusable() {
                         return Ok(PooledConnection::new(self, request, connection));
                     }
-                    self.lock().pool.record_closed();
+                    let mut state = self.lock();
+                    state.pool.record_closed();
+                    if !connection.is_open() {
+                        state.record_lost(self.context.timers.now());
+                    }
                 }
                 Pick::Open { close } => {
                     drop(close);
@@ -127,6 +151,7 @@
 
     async fn open(self: &Arc<Self>, request: &HomeRequest) -> Result<PooledConnection, Refusal> {
         let count = CountGuard { pool: self, armed: true };
+        self.prepare_opening();
         let opening = self.context.upstreams.open(&self.target, &request.workspace);
         let opened = match self.context.timers.within(OPEN_LIMIT, opening).await {
             Some(opened) => opened,
@@ -135,14 +160,18 @@
         match opened {
             Ok(link) => {
                 count.disarm();
+                self.lock().proof.record_opened(self.context.timers.now());
                 Ok(PooledConnection::new(self, request, UpstreamConnection::new(link)))
             }
             Err(error) => {
                 // Uncounts the connection before `record_refusal`, which takes the number of open
                 // connections as the limit that the instance accepts.
                 drop(count);
+                let now = self.context.timers.now();
                 if is_full(&error) {
-                    self.lock().pool.record_refusal(self.context.timers.now());
+                    self.lock().pool.record_refusal(now);
+                } else if !matches!(error, LinkError::Refused(_)) {
+                    self.lock().record_lost(now);
                 }
                 let fields = [
                     Field::text("instance", &self.target.instance),
@@ -155,6 +184,21 @@
         }
     }
 
+    /// Notes what the other connections show of the process of the instance, before one is opened.
+    fn prepare_opening(&self) {
+        let now = self.context.timers.now();
+        let mut state = self.lock();
+        let idle = state.pool.idle();
+        state.pool.retain_idle(UpstreamConnection::is_open);
+        if state.pool.idle() < idle {
+            state.record_lost(now);
+        }
+        // The connection that is being opened counts as open.
+        if state.pool.open() <= 1 {
+            state.proof.record_alone();
+        }
+    }
+
     /// Returns a connection, last used at `level`, to the pool, which closes it if it is not
     /// reusable.
     pub(super) fn put_back(
@@ -172,6 +216,9 @@
             state.pool.put_at_level(now, level, workspace, settings_hash, connection)
         } else {
             state.pool.record_closed();
+            if !connection.is_open() {
+                state.record_lost(self.context.timers.now());
+            }
             Some(connection)
         };
         drop(state);
