--- a/oleander-config/src/snapshot.rs
+++ b/oleander-config/src/snapshot.rs
@@ -39,8 +39,8 @@
     /// The time for which an open transaction may be idle before it is ended; `None` leaves
     /// the limit to the home.
     pub tx_idle: Option<Span>,
-    /// The highest priority of a route, and that of a workspace; both 0 if there are none.
-    first_priorities: (u8, u8),
+    /// The highest priority of a route; 0 if there is none.
+    first_priority: u8,
     keys: HashMap<KeyHash, WorkspaceIdx>,
     rates: HashMap<WorkspaceId, Rate>,
     workspace_ids: HashMap<WorkspaceId, WorkspaceIdx>,
@@ -51,11 +51,10 @@
 impl Snapshot {
     /// Compiles a validated document.
     pub fn new(revision: Revision, document: Document) -> Self {
-        let routes = document.routes.iter().map(|route| route.priority);
-        let workspaces = document.workspaces.iter().map(|workspace| workspace.priority);
-        let first_priorities = (routes.min().unwrap_or(0), workspaces.min().unwrap_or(0));
+        let priorities = document.routes.iter().map(|route| route.priority);
+        let first_priority = priorities.min().unwrap_or(0);
         let tx_idle = document.tx_idle;
-        let mut snapshot = Self { revision, tx_idle, first_priorities, ..Self::default() };
+        let mut snapshot = Self { revision, tx_idle, first_priority, ..Self::default() };
         for workspace in document.workspaces {
             snapshot.add_workspace(workspace);
         }
@@ -100,20 +99,16 @@
         self.matchers.get(matcher).map(|idx| &self.routes[*idx])
     }
 
-    /// Returns the urgency of requests on a route by a workspace, relative to the most urgent ones
-    /// of the configuration.
+    /// Returns the priority level of requests on a route by a workspace.
     pub fn level(&self, route: &Route, workspace: WorkspaceId) -> Level {
-        let (first_route, first_workspace) = self.first_priorities;
         let priority = self.workspace(workspace).map_or(0, |workspace| workspace.priority);
-        Level::from_priorities(
-            route.priority.saturating_sub(first_route),
-            priority.saturating_sub(first_workspace),
-        )
+        Level::from_priorities(route.priority, priority)
     }
 
-    /// Returns the urgency of requests on a route among those of one workspace.
+    /// Returns the priority level of requests on a route among those of one workspace. The most
+    /// urgent routes of the configuration have the first level.
     pub fn route_level(&self, route: &Route) -> Level {
-        Level::from_priorities(route.priority.saturating_sub(self.first_priorities.0), 0)
+        Level::from_priorities(route.priority.saturating_sub(self.first_priority), 0)
     }
 
     fn add_workspace(&mut self, workspace: Workspace) {
--- a/oleander-proxy/src/entry/handle.rs
+++ b/oleander-proxy/src/entry/handle.rs
@@ -2,11 +2,9 @@
 
 use std::sync::Arc;
 
-use oleander_config::snapshot::Snapshot;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::WorkspaceId;
-use oleander_core::level::Level;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -77,7 +75,7 @@
         let prepared = self.prepare(view, admitted, call, &token, deadline)?;
         if is_charged(&prepared.request.work) {
             // The requests of one workspace share its rate, so that its own priority has no effect.
-            let level = Level::from_priorities(admitted.route.priority, 0);
+            let level = view.snapshot.route_level(admitted.route);
             let cost = admitted.route.cost;
             self.rates.admit(admitted.workspace, level, cost, deadline).await?;
         }
@@ -131,7 +129,7 @@
             key: call.key.map(|key| key.0),
             database: admitted.database,
             cost: route.cost,
-            level: level_of(&view.snapshot, admitted),
+            level: view.snapshot.level(admitted.route, admitted.workspace),
             remaining: deadline.since(self.timers.now()),
             work,
         };
@@ -163,13 +161,6 @@
     }
 }
 
-/// Returns the priority level of a request.
-fn level_of(snapshot: &Snapshot, admitted: &Admitted<'_>) -> Level {
-    let workspace = snapshot.workspace(admitted.workspace);
-    let priority = workspace.map_or(0, |workspace| workspace.priority);
-    Level::from_priorities(admitted.route.priority, priority)
-}
-
 /// Returns `true` if the request counts towards the workspace's rate limit. The end of a
 /// transaction does not count.
 fn is_charged(work: &Work) -> bool {
