--- a/oleander-limits/tests/levels.rs
+++ b/oleander-limits/tests/levels.rs
@@ -106,65 +106,34 @@
     assert_eq!(order, [Ticket(2), Ticket(1)]);
 }
 
-struct FullQueue {
-    options: QueueOptions,
-    /// The workspace, class and urgency of the newcomer; two requests of workspace 1 and one of
-    /// workspace 2 wait, all at level 3.
-    newcomer: (u64, Class, Urgency),
-    dropped: Option<u64>,
-}
-
-/// Guards against urgent requests that are refused because a crowd of others fills the queue.
+/// Guards against urgent requests that are refused because a crowd of others fills the queue, and
+/// against the loss of an open transaction, whose statement would be refused for another. Two
+/// requests of workspace 1 and one of workspace 2 wait, all at level 3.
 #[rstest]
-#[case::drops_the_latest(FullQueue {
-    options: QueueOptions { total: 3, workspace: 9 },
-    newcomer: (1, Class::Read, level(2)),
-    dropped: Some(3),
-})]
-#[case::drops_one_of_the_same_workspace_if_that_is_full(FullQueue {
-    options: QueueOptions { total: 9, workspace: 2 },
-    newcomer: (1, Class::Write, level(0)),
-    dropped: Some(2),
-})]
-#[case::drops_none_of_the_same_level(FullQueue {
-    options: QueueOptions { total: 3, workspace: 9 },
-    newcomer: (3, Class::Transaction, level(3)),
-    dropped: None,
-})]
-#[case::drops_none_for_a_lower_level(FullQueue {
-    options: QueueOptions { total: 9, workspace: 2 },
-    newcomer: (1, Class::Read, level(4)),
-    dropped: None,
-})]
-fn a_full_queue_drops_the_least_urgent(#[case] case: FullQueue) {
-    let mut queue = queue(case.options);
+#[case::the_latest(3, 9, Class::Read, (1, level(2)), Some(3))]
+#[case::one_of_the_same_workspace_if_that_is_full(9, 2, Class::Read, (1, level(0)), Some(2))]
+#[case::none_of_the_same_level(3, 9, Class::Read, (3, level(3)), None)]
+#[case::none_for_a_lower_level(9, 2, Class::Read, (1, level(4)), None)]
+#[case::no_statement_of_a_transaction(3, 9, Class::Transaction, (1, level(0)), None)]
+fn a_full_queue_drops_the_least_urgent(
+    #[case] total: usize,
+    #[case] workspace: usize,
+    #[case] waiting: Class,
+    #[case] newcomer: (u64, Urgency),
+    #[case] expected: Option<u64>,
+) {
+    let mut queue = queue(QueueOptions { total, workspace });
     for (ticket, workspace) in [(1, 1), (2, 1), (3, 2)] {
-        queue.push_urgent(START, request(ticket, workspace, Class::Read), level(3)).unwrap();
+        queue.push_urgent(START, request(ticket, workspace, waiting), level(3)).unwrap();
     }
-    let (workspace, class, urgency) = case.newcomer;
-    let refusal = match queue.push_urgent(START, request(9, workspace, class), urgency) {
-        Ok(queued) => {
-            let dropped = queued.dropped.expect("one leaves the full queue");
-            assert_eq!(Some(dropped.request.ticket.0), case.dropped);
-            assert!(!queue.cancel(dropped.request.ticket));
-            dropped.refusal
-        }
-        Err(refusal) => {
-            assert_eq!(case.dropped, None);
-            refusal
-        }
-    };
+    let (workspace, urgency) = newcomer;
+    let pushed = queue.push_urgent(START, request(9, workspace, Class::Write), urgency);
+    let dropped = pushed.as_ref().ok().and_then(|queued| queued.dropped.clone());
+    assert_eq!(dropped.as_ref().map(|dropped| dropped.request.ticket.0), expected);
+    let refusal = dropped.map(|dropped| dropped.refusal).or(pushed.err()).unwrap();
     assert_eq!((refusal.code, refusal.verdict), (RefusalCode::QueueFull, Verdict::NotRun));
     assert!(refusal.retry_after.is_some());
-    assert_eq!(queue.len(), 3);
-}
-
-/// Guards against the loss of an open transaction, whose statement would be refused for another.
-#[test]
-fn a_statement_of_a_transaction_is_never_dropped() {
-    let mut queue = queue(QueueOptions { total: 1, workspace: 1 });
-    queue.push_urgent(START, request(1, 1, Class::Transaction), level(7)).unwrap();
-    assert!(queue.push(START, request(2, 1, Class::Write)).is_err());
+    assert!(queue.len() == 3 && !expected.is_some_and(|ticket| queue.cancel(Ticket(ticket))));
 }
 
 /// `Kind` is a kind of request with regular arrivals.
@@ -259,7 +228,8 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Push { level: u8, workspace: u64, class: Class, target: u64, deadline: u64 },
+    /// Pushes a request with level, workspace, class, and the times until target and deadline.
+    Push(u8, u64, Class, u64, u64),
     Pop,
     Finish,
     Expire,
@@ -270,16 +240,11 @@
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let class =
         prop_oneof![1 => Just(Class::Transaction), 4 => Just(Class::Write), 4 => Just(Class::Read)];
-    let push = (0..4u8, 0..4u64, class, 1..200u64, 1..400u64);
-    let push = push.prop_map(|(level, workspace, class, target, deadline)| Step::Push {
-        level,
-        workspace,
-        class,
-        target,
-        deadline,
-    });
     let step = prop_oneof![
-        8 => push,
+        8 => (0..4u8, 0..4u64, class, 1..200u64, 1..400u64)
+            .prop_map(|(level, workspace, class, target, limit)| {
+                Step::Push(level, workspace, class, target, limit)
+            }),
         4 => Just(Step::Pop),
         4 => Just(Step::Finish),
         1 => Just(Step::Expire),
@@ -301,9 +266,9 @@
         let mut serial = 0;
         for step in steps {
             match step {
-                Step::Push { level, workspace, class, target, deadline } => {
+                Step::Push(level, workspace, class, target, limit) => {
                     serial += 1;
-                    let deadline = now + Span::from_millis(deadline);
+                    let deadline = now + Span::from_millis(limit);
                     let target = Some(now + Span::from_millis(target));
                     let urgency = Urgency { level: Level(level), target };
                     let request = QueuedRequest { deadline, ..request(serial, workspace, class) };
@@ -322,13 +287,10 @@
                     };
                     let ticket = start.request.ticket;
                     let (level, class) = waiting.remove(&ticket).expect("it waited");
-                    let is_before = |(other, kind): &(u8, Class)| match (*kind, class) {
-                        (Class::Transaction, Class::Transaction) => *other < level,
-                        (Class::Transaction, _) => true,
-                        (_, Class::Transaction) => false,
-                        _ => *other < level,
-                    };
-                    prop_assert!(!waiting.values().any(is_before));
+                    // Statements of open transactions go before all others.
+                    let order = |level, class| (class != Class::Transaction, level);
+                    let first = waiting.values().map(|(level, class)| order(*level, *class)).min();
+                    prop_assert!(first.is_none_or(|first| order(level, class) <= first));
                     running.push(ticket);
                 }
                 Step::Finish => {
