Keep statements from the instances of evacuated zones

An operator asks for the evacuation of an availability zone by a key of the store. Entries leave the instances of the zone out, homes refuse statements for them before and after the queue, and open transactions end after half of the time for an evacuation. The keeper hands the role of a primary in the zone over as for one that leaves, and prefers replicas elsewhere among those that have received equally much.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -33,6 +33,10 @@
     EntryRejected = 204,
     /// An instance was added to the directory, changed or removed.
     InstanceChanged = 205,
+    /// An operator has requested the evacuation of an availability zone.
+    EvacuationStarted = 206,
+    /// The evacuation of an availability zone has ended.
+    EvacuationEnded = 207,
     /// A VM joined the roster.
     VmJoined = 300,
     /// A VM left the roster or was removed from it.
--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -99,10 +99,20 @@
     pub key: InstanceKey,
     /// `true` while the instance is about to shut down.
     pub leaving: bool,
+    /// `true` while the availability zone of the instance is under evacuation.
+    pub evacuated: bool,
     /// `true` if the instance reports itself as primary.
     pub primary: bool,
 }
 
+impl ListedInstance {
+    /// Returns `true` if the instance is to serve as primary for longer: it does not leave, and its
+    /// zone is not evacuated.
+    pub fn stays(&self) -> bool {
+        !self.leaving && !self.evacuated
+    }
+}
+
 /// `ProbeResult` is the outcome of asking an instance whether it is primary.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeResult {
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -70,7 +70,7 @@
     silence: Option<Silence>,
     /// The time before which no promotion starts.
     retry_at: Time,
-    /// The time at which the primary was first seen to be leaving.
+    /// The time at which the primary was first seen to be leaving or in an evacuated zone.
     leaving_since: Option<Time>,
     /// The latest order that may still take effect.
     unresolved: Option<UnresolvedOrder>,
@@ -310,7 +310,8 @@
         self.advance_on_primary(now, instance, point.term, out);
     }
 
-    /// Starts a promotion if the primary is silent or leaves, or an order is unresolved.
+    /// Starts a promotion if the primary is silent, leaves or is in an evacuated zone, or an order is
+    /// unresolved.
     fn start_if_needed(&mut self, now: Time, out: &mut Vec<Action>) {
         if now < self.retry_at {
             return;
@@ -332,7 +333,7 @@
         });
         let leaving =
             self.primary.and_then(|primary| self.listed(primary)).is_some_and(|primary| {
-                primary.leaving && self.instances.iter().any(|other| !other.leaving)
+                !primary.stays() && self.instances.iter().any(ListedInstance::stays)
             });
         let since = leaving.then(|| self.leaving_since.unwrap_or(now));
         self.leaving_since = since;
@@ -342,6 +343,10 @@
         match since {
             _ if silent => self.start(false, out),
             Some(since) if self.options.handover_limit <= now.since(since) => self.start(true, out),
+            // VMs send nothing to an evacuated primary, so that it need not be kept for them.
+            Some(_) if self.primary.is_some_and(|primary| self.is_evacuated(primary)) => {
+                self.start(true, out);
+            }
             // Writes stop from the time at which the record names no primary until all VMs have
             // answered or timed out. A primary that still serves is therefore kept until all VMs
             // answer.
@@ -414,6 +419,14 @@
     fn is_leaving(&self, key: InstanceKey) -> bool {
         self.listed(key).is_some_and(|listed| listed.leaving)
     }
+
+    fn is_evacuated(&self, key: InstanceKey) -> bool {
+        self.listed(key).is_some_and(|listed| listed.evacuated)
+    }
+
+    fn stays(&self, key: InstanceKey) -> bool {
+        self.listed(key).is_some_and(|listed| listed.stays())
+    }
 }
 
 fn log_event(
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -81,7 +81,13 @@
             (Phase::AcquiringToken { planned }, Some(token)) => {
                 let planned = *planned;
                 self.record_ordered = self.unresolved.is_some();
-                let reason = if planned { "the primary leaves" } else { "the primary is silent" };
+                let reason = match self.primary {
+                    _ if !planned => "the primary is silent",
+                    Some(primary) if !self.is_leaving(primary) => {
+                        "the zone of the primary is evacuated"
+                    }
+                    _ => "the primary leaves",
+                };
                 let term = self.next_term();
                 out.push(log_event(Event::PromotionStarted, self.primary, term, reason));
                 self.phase = Phase::InformingVms { planned, token };
@@ -227,6 +233,10 @@
                 let resumes = takeover.needs_confirmation;
                 out.push(log_event(Event::PrimaryPromoted, Some(instance), term, "leads"));
                 self.complete_promotion();
+                if self.is_evacuated(instance) {
+                    // Before it is replaced in turn, the others have to receive what it has.
+                    self.retry_at = now + self.options.retry_delay;
+                }
                 if resumes {
                     self.resume_all(out);
                 }
@@ -316,18 +326,27 @@
         has_replicas
     }
 
-    /// Chooses the replica that has received most; among equals one that does not leave.
+    /// Chooses the replica that has received most; among equals one that neither leaves nor is in an
+    /// evacuated zone.
     fn choose_replica(&mut self, now: Time, out: &mut Vec<Action>) {
         let Phase::StoppingReplicas(stopping) = &self.phase else { return };
         let planned = stopping.planned;
         let listed = stopping.stopped.iter().filter(|(key, _)| self.listed(*key).is_some());
-        let best = listed.max_by_key(|(key, point)| (*point, !self.is_leaving(*key)));
+        let best =
+            listed.max_by_key(|(key, point)| (*point, self.stays(*key), !self.is_leaving(*key)));
         let Some((instance, _)) = best.copied() else {
             return self.abandon(now, "no replica is left", out);
         };
         if planned && self.is_leaving(instance) {
             return self.abandon(now, "the replica that has received most leaves too", out);
         }
+        // A leaving primary still serves for a while, which an instance in an evacuated zone does
+        // not.
+        let primary_serves = self.primary.is_some_and(|primary| !self.is_evacuated(primary));
+        if planned && self.is_evacuated(instance) && primary_serves {
+            let reason = "the zone of the replica that has received most is evacuated";
+            return self.abandon(now, reason, out);
+        }
         self.record_choice(now, instance, out);
     }
 
@@ -355,6 +374,7 @@
         self.unresolved = None;
         self.record_ordered = false;
         self.stopped = false;
+        self.leaving_since = None;
         self.phase = Phase::Watching;
     }
 
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -83,7 +83,7 @@
 }
 
 fn instances(leaving: bool) -> Input {
-    let known = |key, leaving, primary| ListedInstance { key, leaving, primary };
+    let known = |key, leaving, primary| ListedInstance { key, leaving, evacuated: false, primary };
     Input::Instances(
         [known(PRIMARY, leaving, true), known(NEAR, false, false), known(FAR, false, false)]
             .into_iter()
@@ -91,6 +91,17 @@
     )
 }
 
+fn listed(key: InstanceKey, primary: bool) -> ListedInstance {
+    ListedInstance { key, leaving: false, evacuated: false, primary }
+}
+
+/// Returns the list of instances while those in `evacuated` are in a zone under evacuation.
+fn instances_in_zone(evacuated: &[InstanceKey]) -> Input {
+    let in_zone =
+        |key| ListedInstance { evacuated: evacuated.contains(&key), ..listed(key, key == PRIMARY) };
+    Input::Instances([PRIMARY, NEAR, FAR].map(in_zone).into_iter().collect())
+}
+
 fn point(term: u64, position: u64) -> LogPoint {
     LogPoint { term: Term(term), position: Position(position) }
 }
@@ -151,6 +162,71 @@
     assert_eq!(sent_order(&actions), Some((case.best, 8)));
 }
 
+/// `ZoneCase` is which instances are in the evacuated zone when the primary is lost, what the
+/// replicas have received and which one is promoted.
+struct ZoneCase {
+    evacuated: &'static [InstanceKey],
+    near: LogPoint,
+    far: LogPoint,
+    best: InstanceKey,
+}
+
+/// Guards against a promotion into a zone that gets no statements, and against one that loses
+/// acknowledged commits to avoid the zone.
+#[rstest]
+#[case::near_is_in_the_zone(ZoneCase {
+    evacuated: &[NEAR],
+    near: point(1, 12),
+    far: point(1, 12),
+    best: FAR,
+})]
+#[case::far_is_in_the_zone(ZoneCase {
+    evacuated: &[FAR],
+    near: point(1, 12),
+    far: point(1, 12),
+    best: NEAR,
+})]
+#[case::the_furthest_is_in_the_zone(ZoneCase {
+    evacuated: &[NEAR],
+    near: point(1, 12),
+    far: point(1, 11),
+    best: NEAR,
+})]
+fn among_equal_replicas_one_outside_the_evacuated_zone_is_promoted(#[case] case: ZoneCase) {
+    let mut harness = Harness::settled();
+    harness.handle(instances_in_zone(case.evacuated));
+    harness.lose_primary();
+    harness.start_promotion(7);
+    harness.handle(Input::ReplicationStopped(NEAR, Some(case.near)));
+    let actions = harness.handle(Input::ReplicationStopped(FAR, Some(case.far)));
+    assert_eq!(token_request(&actions), Some(Some(case.best)));
+}
+
+/// Guards against a primary that leaves and is replaced by one that no VM uses, while it could still
+/// serve itself.
+#[test]
+fn a_leaving_primary_is_not_replaced_by_an_evacuated_one() {
+    let mut harness = Harness::settled();
+    let leaving = ListedInstance { leaving: true, ..listed(PRIMARY, true) };
+    let near = ListedInstance { evacuated: true, ..listed(NEAR, false) };
+    let list = [leaving, near, listed(FAR, false)].into_iter().collect();
+    assert!(harness.handle(Input::Instances(list)).contains(&Action::CheckVms));
+    harness.handle(Input::VmsChecked(true));
+    harness.start_promotion(7);
+    harness.handle(Input::ReplicationStopped(NEAR, Some(point(1, 12))));
+    let actions = harness.handle(Input::ReplicationStopped(FAR, Some(point(1, 11))));
+    assert_eq!(token_request(&actions), None);
+    assert_eq!(resumed_replicas(&actions), [NEAR, FAR]);
+}
+
+/// Guards against an evacuated primary, which gets no statements, that is kept for VMs that do not
+/// answer.
+#[test]
+fn an_evacuated_primary_is_replaced_without_waiting_for_vms() {
+    let mut harness = Harness::settled();
+    assert_eq!(token_request(&harness.handle(instances_in_zone(&[PRIMARY]))), Some(None));
+}
+
 /// `LostPrimary` is the result of probes of a lost primary, and the bounds in milliseconds of the
 /// time until its replacement starts.
 struct LostPrimary {
@@ -184,8 +260,7 @@
     harness.handle(Input::ReplicationStopped(NEAR, Some(point(1, 12))));
     let actions = harness.handle(Input::ReplicationStopped(FAR, None));
     assert_eq!(sent_order(&actions), None);
-    let left =
-        [PRIMARY, NEAR].map(|key| ListedInstance { key, leaving: false, primary: key == PRIMARY });
+    let left = [PRIMARY, NEAR].map(|key| listed(key, key == PRIMARY));
     let actions = harness.handle(Input::Instances(left.into_iter().collect()));
     assert_eq!(token_request(&actions), Some(Some(NEAR)));
 }
@@ -448,8 +523,8 @@
         let mut queue = harness.wait(100);
         if EXPIRY <= harness.now.since(since) {
             // Both lost instances leave the directory in the end.
-            let left = ListedInstance { key: FAR, leaving: false, primary: false };
-            queue.extend(harness.handle(Input::Instances([left].into_iter().collect())));
+            let left = [listed(FAR, false)];
+            queue.extend(harness.handle(Input::Instances(left.into_iter().collect())));
         }
         while let Some(action) = queue.pop() {
             let input = match action {
--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -81,6 +81,8 @@
     Restart(usize),
     /// The primary is announced as leaving.
     Leave,
+    /// The evacuation of an instance's zone is requested, or ends.
+    Evacuate(usize),
     /// Another VM takes over as keeper.
     Replace,
     /// The store is restored from a copy, which lacks what the record said last, and another VM
@@ -106,6 +108,7 @@
         1 => index().prop_map(Step::Crash),
         2 => index().prop_map(Step::Restart),
         1 => Just(Step::Leave),
+        1 => index().prop_map(Step::Evacuate),
         1 => Just(Step::Replace),
         1 => Just(Step::Restore),
         4 => index().prop_map(Step::ReplicateReplaced),
@@ -312,6 +315,8 @@
     delayed: Vec<DelayedMessage>,
     /// The instance that the directory announces as leaving.
     leaving: Option<usize>,
+    /// `true` for instances whose zone is under evacuation.
+    evacuated: [bool; INSTANCES],
     /// The token whose record all VMs use from this time on, though one has not confirmed it.
     informed_at: Option<(u64, Time)>,
     /// The instance whose promotion was ordered according to the record.
@@ -339,6 +344,7 @@
             sent: Vec::new(),
             delayed: Vec::new(),
             leaving: None,
+            evacuated: [false; INSTANCES],
             informed_at: None,
             ordered: None,
             published: None,
@@ -392,6 +398,7 @@
         let known = |index: usize| ListedInstance {
             key: key(index),
             leaving: self.leaving == Some(index),
+            evacuated: self.evacuated[index],
             primary: self.group.members[index].leads != 0,
         };
         self.handle(Input::Instances((0..INSTANCES).map(known).collect()));
@@ -490,6 +497,11 @@
                 self.leaving = Some(self.group.primary);
                 self.update_directory();
             }
+            Step::Evacuate(index) => {
+                let evacuated = &mut self.evacuated[index % INSTANCES];
+                *evacuated = !*evacuated;
+                self.update_directory();
+            }
             Step::Replace => {
                 let record = match (self.published, self.ordered) {
                     _ if self.restored => RecordState::Restored,
@@ -668,6 +680,69 @@
     assert_eq!((world.group.primary, world.group.promotions), (1, 1));
 }
 
+/// `EvacuationCase` is what the instances have received, which of them are in the evacuated zone, and
+/// the instances that lead in turn.
+struct EvacuationCase {
+    received: [u64; INSTANCES],
+    evacuated: [bool; INSTANCES],
+    leaders: &'static [usize],
+}
+
+/// Guards against a database that stays without writes because its primary stays in an evacuated
+/// zone, and against a promotion that helps nobody or loses commits.
+#[rstest]
+#[case::to_an_instance_elsewhere(EvacuationCase {
+    received: [5, 5, 5],
+    evacuated: [true, true, false],
+    leaders: &[0, 2],
+})]
+#[case::to_the_other_instance_elsewhere(EvacuationCase {
+    received: [5, 5, 5],
+    evacuated: [true, false, true],
+    leaders: &[0, 1],
+})]
+#[case::nowhere_to_go(EvacuationCase {
+    received: [5, 5, 5],
+    evacuated: [true, true, true],
+    leaders: &[0],
+})]
+#[case::primary_elsewhere(EvacuationCase {
+    received: [5, 5, 5],
+    evacuated: [false, true, true],
+    leaders: &[0],
+})]
+#[case::the_furthest_replica_is_in_the_zone(EvacuationCase {
+    received: [6, 6, 5],
+    evacuated: [true, true, false],
+    leaders: &[0, 1, 2],
+})]
+fn an_evacuated_primary_is_replaced_by_an_instance_elsewhere(#[case] case: EvacuationCase) {
+    let mut world = World::new(Span::ZERO, Rules::Checked);
+    while world.published.is_none() {
+        pass_or_deliver(&mut world);
+    }
+    for (member, received) in world.group.members.iter_mut().zip(case.received) {
+        member.received = received;
+    }
+    world.group.acknowledge(case.received[0], 1);
+    world.evacuated = case.evacuated;
+    world.update_directory();
+    let mut leaders = vec![0];
+    for _ in 0..600 {
+        if leaders.last() != Some(&world.group.primary) {
+            leaders.push(world.group.primary);
+        }
+        // The replicas receive what a promoted instance has.
+        let is_promoted = leaders.len() != 1;
+        (0..INSTANCES).filter(|_| is_promoted).for_each(|index| {
+            world.group.replicate(index);
+        });
+        pass_or_deliver(&mut world);
+    }
+    assert_eq!(leaders, case.leaders);
+    assert_eq!(world.published, case.leaders.last().copied(), "the record names the primary");
+}
+
 /// `Interruption` is an event at one step of a promotion.
 struct Interruption {
     /// Returns `true` for the action of the step.
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -67,9 +67,10 @@
     /// Returns the view after a full read. Whatever `former` has and the reading lacks is removed.
     ///
     /// The first reading of a new era shows a copy of the store, in which what has been written
-    /// since is missing. What `former` has of instances, VMs and keepers is then kept until the
-    /// next reading, by which time it has been written again. A VM whose lease the store has lost
-    /// uses its shares until the end of the lease as it counts it.
+    /// since is missing. What `former` has of instances, evacuations, VMs and keepers is then kept
+    /// until the next reading, by which time it has been written again. A VM whose lease the store
+    /// has lost uses its shares until the end of the lease as it counts it. An evacuation that only
+    /// the copy has is in force at once, since it may have been requested after the restore.
     pub fn apply_reading(&self, former: &View, reading: &ReadResponse, now: Time) -> View {
         if is_restored(former, reading) {
             return self.apply_restored(former, reading, now);
@@ -77,7 +78,7 @@
         let mut draft = Draft { view: former.clone(), now };
         let present: HashSet<&str> =
             reading.entries.iter().map(|entry| entry.key.as_str()).collect();
-        self.drop_absent(&mut draft, &present);
+        self.drop_absent(&mut draft, &present, reading.revision);
         for entry in &reading.entries {
             self.put(&mut draft, entry);
         }
@@ -120,7 +121,7 @@
         Some(draft.view)
     }
 
-    fn drop_absent(&self, draft: &mut Draft, present: &HashSet<&str>) {
+    fn drop_absent(&self, draft: &mut Draft, present: &HashSet<&str>, revision: StoreRevision) {
         let view = &mut draft.view;
         let directory = self.sources.directory_prefix;
         let is_listed = |instance: &Instance| {
@@ -129,6 +130,14 @@
         if !view.instances.values().all(is_listed) {
             Arc::make_mut(&mut view.instances).retain(|_, instance| is_listed(instance));
         }
+        let prefix = self.sources.evacuation_prefix;
+        let is_requested = |zone: &str| present.contains(format!("{prefix}{zone}").as_str());
+        let zones = draft.view.evacuated.keys();
+        let ended: Vec<String> = zones.filter(|zone| !is_requested(zone)).cloned().collect();
+        for zone in ended {
+            self.end_evacuation(draft, &zone, revision);
+        }
+        let view = &mut draft.view;
         let vms: Vec<VmId> = present
             .iter()
             .filter_map(|key| key.strip_prefix(self.sources.own_prefix)?.strip_prefix(VM_PREFIX))
@@ -154,6 +163,8 @@
             self.put_configuration(draft, entry);
         } else if entry.key.starts_with(self.sources.directory_prefix) {
             self.put_instance(draft, entry);
+        } else if let Some(zone) = entry.key.strip_prefix(self.sources.evacuation_prefix) {
+            self.start_evacuation(draft, zone, entry.revision);
         } else if let Some(suffix) = entry.key.strip_prefix(self.sources.own_prefix) {
             if suffix.starts_with(VM_PREFIX) {
                 self.put_vm(draft, entry);
@@ -175,6 +186,8 @@
                 ];
                 self.journal.record(Event::InstanceChanged, &fields);
             }
+        } else if let Some(zone) = key.strip_prefix(self.sources.evacuation_prefix) {
+            self.end_evacuation(draft, zone, revision);
         } else if let Some(suffix) = key.strip_prefix(self.sources.own_prefix) {
             if let Some(name) = suffix.strip_prefix(VM_PREFIX) {
                 Arc::make_mut(&mut view.roster).end_lease(VmId::from_name(name), draft.now);
@@ -186,6 +199,24 @@
         }
     }
 
+    /// Records the evacuation of a zone, unless it is known. Its key is all that counts, so that no
+    /// value is malformed.
+    fn start_evacuation(&self, draft: &mut Draft, zone: &str, revision: StoreRevision) {
+        if !draft.view.evacuated.contains_key(zone) {
+            Arc::make_mut(&mut draft.view.evacuated).insert(zone.to_owned(), draft.now);
+            let fields = [Field::text("zone", zone), revision_field(revision)];
+            self.journal.record(Event::EvacuationStarted, &fields);
+        }
+    }
+
+    fn end_evacuation(&self, draft: &mut Draft, zone: &str, revision: StoreRevision) {
+        if draft.view.evacuated.contains_key(zone) {
+            Arc::make_mut(&mut draft.view.evacuated).remove(zone);
+            let fields = [Field::text("zone", zone), revision_field(revision)];
+            self.journal.record(Event::EvacuationEnded, &fields);
+        }
+    }
+
     /// Applies a configuration. One that cannot be decoded leaves the former one in force.
     fn put_configuration(&self, draft: &mut Draft, entry: &Entry) {
         if entry.revision <= draft.view.configuration_revision {
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -17,6 +17,7 @@
 use super::Pace;
 use super::apply::Applier;
 use super::feed::Feed;
+use crate::eligibility;
 use crate::fleet::Fleet;
 
 /// The longest wait of one watch call. Together with the call's time limit it stays well within
@@ -187,7 +188,10 @@
             // The answer is older than the view, so it does not show that the view is current.
             return Err(StoreError::Refused);
         }
-        let view = self.applier.apply_reading(&former, &reading, self.fleet.now());
+        let now = self.fleet.now();
+        let mut view = self.applier.apply_reading(&former, &reading, now);
+        let synced = self.fleet.synced_at();
+        eligibility::shorten_window(&mut view, &former, synced, now, &self.fleet.settings);
         self.feed.copy().apply_reading(&reading);
         self.fleet.set_view(view);
         self.fleet.mark_synced(asked);
@@ -210,7 +214,10 @@
         let now = self.fleet.now();
         // Followers are answered from the copy as soon as the view has changed.
         self.feed.copy().apply_changes(changes);
-        if let Some(mut view) = self.applier.apply_changes(&self.fleet.view(), changes, now) {
+        let former = self.fleet.view();
+        if let Some(mut view) = self.applier.apply_changes(&former, changes, now) {
+            let synced = self.fleet.synced_at();
+            eligibility::shorten_window(&mut view, &former, synced, now, &self.fleet.settings);
             Arc::make_mut(&mut view.roster).drop_ended(now, ROSTER_GRACE);
             self.fleet.set_view(view);
         }
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
@@ -24,10 +25,16 @@
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
+use oleander_session::work::Work;
 use smallvec::SmallVec;
 
+use crate::eligibility;
+use crate::eligibility::Obstacle;
+use crate::eligibility::Rules;
+use crate::eligibility::StatementKind;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
+use crate::fleet::View;
 use crate::home::registry::Homes;
 use crate::primaries::Primaries;
 
@@ -131,10 +138,33 @@
         home: VmId,
         request: HomeRequest,
     ) -> Result<HomeAnswer, Refusal> {
-        let outcome = self.call(home, &request).await;
+        let outcome = match self.evacuation_refusal(&request) {
+            Some(refusal) => Err(refusal),
+            None => self.call(home, &request).await,
+        };
         outcome.inspect_err(|refusal| self.log_refusal(Event::StatementFailed, &request, refusal))
     }
 
+    /// Returns the refusal of a statement of an open transaction on an evacuated instance, which the
+    /// home may not know to be one; `None` if the statement may be sent. The home always gets a
+    /// rollback.
+    fn evacuation_refusal(&self, request: &HomeRequest) -> Option<Refusal> {
+        if request.work == Work::Rollback {
+            return None;
+        }
+        let view = self.fleet.view();
+        let instance = view.instances.get(&InstanceKey::from_name(&request.instance))?;
+        let kind = StatementKind::InTransaction;
+        let refusal = eligibility::evacuation_refusal(&self.fleet, instance, kind)?;
+        self.fleet.evacuation_counts.at_entry.fetch_add(1, Ordering::Relaxed);
+        Some(refusal)
+    }
+
+    fn rules<'a>(&'a self, view: &'a View, database: DatabaseId) -> Rules<'a> {
+        let primary = self.primaries.primary(database);
+        Rules { view, settings: &self.fleet.settings, primary, now: self.fleet.now() }
+    }
+
     /// Returns the instances that may run a statement, in order of preference: instances that are
     /// not leaving first, then by distance, then replicas before the primary.
     fn candidates(
@@ -144,22 +174,16 @@
         age: Option<Span>,
     ) -> SmallVec<[Instance; 4]> {
         let view = self.fleet.view();
-        let primary = self.primaries.primary(database);
+        let rules = self.rules(&view, database);
+        let Rules { primary, now, .. } = rules;
         let place = &self.fleet.settings.place;
-        let drain_window = self.fleet.settings.drain_window();
-        let now = self.fleet.now();
         let mut instances: SmallVec<[Instance; 4]> = view
             .instances_of(database)
             .filter(|instance| match role {
                 RequiredRole::Primary => Some(instance.key) == primary,
                 RequiredRole::Any => true,
             })
-            .filter(|instance| match instance.leaving_since {
-                None => true,
-                // A leaving primary serves until its role is handed over, but no longer than the
-                // drain window.
-                Some(at) => Some(instance.key) == primary && now.since(at) < drain_window,
-            })
+            .filter(|instance| rules.obstacle(instance, StatementKind::New).is_none())
             .cloned()
             .collect();
         if let (Some(age), Some(primary)) = (age, primary) {
@@ -283,6 +307,10 @@
         let is_promoting = role == RequiredRole::Primary && self.primaries.is_promoting(database);
         let refusal = match last {
             Some(refusal) => refusal,
+            None if self.is_evacuated(database, role) => {
+                self.fleet.evacuation_counts.at_entry.fetch_add(1, Ordering::Relaxed);
+                self.rules(&self.fleet.view(), database).evacuation_refusal(database)
+            }
             None => Refusal::not_run(RefusalCode::UpstreamUnavailable, "no instance can serve it"),
         };
         if is_promoting && refusal.retry_after.is_none() {
@@ -290,6 +318,18 @@
         }
         refusal
     }
+
+    /// Returns `true` if an instance that could run the statement is in an evacuated zone.
+    fn is_evacuated(&self, database: DatabaseId, role: RequiredRole) -> bool {
+        let view = self.fleet.view();
+        let rules = self.rules(&view, database);
+        let mut instances = view.instances_of(database);
+        instances.any(|instance| {
+            let has_role = role == RequiredRole::Any || Some(instance.key) == rules.primary;
+            let obstacle = rules.obstacle(instance, StatementKind::New);
+            has_role && obstacle == Some(Obstacle::Evacuated)
+        })
+    }
 }
 
 /// Returns `true` if another instance may answer although this one did not.
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -216,11 +216,14 @@
             Err(refusal) => {
                 self.state.failed(&work);
                 if let Some(transaction) = self.transaction.take() {
-                    // The home ends a transaction whose statement fails. These two refusals can
-                    // come from this VM before the statement is sent, so the home has to be told.
-                    if refusal.code == RefusalCode::KeyRejected
-                        || refusal.code == RefusalCode::NotCurrent
-                    {
+                    // The home ends a transaction whose statement fails. These refusals can come
+                    // from this VM before the statement is sent, so the home has to be told.
+                    if matches!(
+                        refusal.code,
+                        RefusalCode::KeyRejected
+                            | RefusalCode::NotCurrent
+                            | RefusalCode::UpstreamUnavailable
+                    ) {
                         self.transaction = Some(transaction);
                         self.abandon();
                     }
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -27,6 +27,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::eligibility::EvacuationCounts;
 use crate::settings::NodeSettings;
 
 /// The time for which a VM that did not answer is not chosen as a home.
@@ -174,6 +175,8 @@
     pub settings: Arc<NodeSettings>,
     /// The clock and timers.
     pub timers: TimerService,
+    /// The statements refused because of evacuations.
+    pub evacuation_counts: EvacuationCounts,
     started: Time,
     view: ArcSwap<View>,
     changed: watch::Sender<StoreRevision>,
@@ -197,6 +200,7 @@
             vm: VmId::from_name(&settings.name),
             settings,
             started: timers.now(),
+            evacuation_counts: EvacuationCounts::default(),
             timers,
             view: ArcSwap::default(),
             changed: watch::Sender::new(StoreRevision(0)),
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -1,6 +1,7 @@
 //! The home of one instance: admits and runs its statements.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
@@ -29,6 +30,8 @@
 use super::upstream;
 use super::upstream::FreshnessCheck;
 use super::upstream::Statement;
+use crate::eligibility;
+use crate::eligibility::StatementKind;
 use crate::fleet::Instance;
 use crate::primaries::Primaries;
 
@@ -53,6 +56,8 @@
     context: Arc<HomeContext>,
     database: DatabaseId,
     key: InstanceKey,
+    /// The instance as it was listed when the home was created.
+    instance: Instance,
     slots: InstanceSlots,
     pool: Arc<ConnectionPool>,
 }
@@ -68,6 +73,7 @@
             slots: InstanceSlots::new(context.links.timers.clone(), quota),
             database: instance.database,
             key: instance.key,
+            instance: instance.clone(),
             pool: Arc::new(ConnectionPool::new(context.links.clone(), target, options)),
             context,
         }
@@ -105,6 +111,7 @@
         request: &HomeRequest,
         deadline: Time,
     ) -> Result<HomeAnswer, Refusal> {
+        self.check_evacuation(StatementKind::New)?;
         let is_write = request.work.is_write();
         let check = if is_write {
             FreshnessCheck::After(None)
@@ -116,6 +123,7 @@
         }
         let permit = self.acquire(request, class_of(request), deadline).await?;
         let mut pooled = self.pool.acquire(request).await?;
+        self.check_evacuation(StatementKind::New)?;
         let reply = pooled.connection.run_single(statement(request), check).await;
         drop(pooled);
         let answer = answer(&permit, reply?)?;
@@ -137,6 +145,7 @@
         read_only: bool,
         deadline: Time,
     ) -> Result<TransactionResult, Refusal> {
+        self.check_evacuation(StatementKind::New)?;
         let (read_only, after) = match (read_only, self.freshness_check(&request.freshness)) {
             (true, Ok(FreshnessCheck::After(after))) => (true, after),
             (true, Err(refusal)) => return Err(refusal),
@@ -148,6 +157,7 @@
         let class = if read_only { Class::Read } else { Class::Write };
         let mut permit = self.acquire(request, class, deadline).await?;
         let mut pooled = self.pool.acquire(request).await?;
+        self.check_evacuation(StatementKind::New)?;
         pooled.connection.begin(read_only, after).await?;
         // From here on the transaction frees the connection when it is dropped.
         permit.keep_connection();
@@ -176,7 +186,11 @@
             transaction.roll_back().await;
             return Ok(TransactionResult { answer: HomeAnswer::default(), open: None });
         }
-        let permit = match self.acquire(request, Class::Transaction, deadline).await {
+        let admitted = match self.check_evacuation(StatementKind::InTransaction) {
+            Ok(()) => self.acquire(request, Class::Transaction, deadline).await,
+            Err(refusal) => Err(refusal),
+        };
+        let permit = match admitted {
             Ok(permit) => permit,
             Err(refusal) => {
                 transaction.roll_back().await;
@@ -202,6 +216,7 @@
         request: &HomeRequest,
         permit: &Permit,
     ) -> Result<HomeAnswer, Refusal> {
+        self.check_evacuation(StatementKind::InTransaction)?;
         let Some(connection) = transaction.connection() else {
             return Err(Refusal::not_run(
                 RefusalCode::TransactionGone,
@@ -265,6 +280,27 @@
         Err(Refusal::not_run(RefusalCode::NotPrimary, detail))
     }
 
+    /// Checks that no evacuation keeps a statement from the instance.
+    fn check_evacuation(&self, kind: StatementKind) -> Result<(), Refusal> {
+        let Some(refusal) = self.evacuation_refusal(kind) else { return Ok(()) };
+        let counts = &self.context.primaries.fleet().evacuation_counts;
+        counts.at_home.fetch_add(1, Ordering::Relaxed);
+        Err(refusal)
+    }
+
+    /// Returns `true` if the time is over for which open transactions may go on after the
+    /// evacuation of the instance's zone was requested.
+    pub fn ends_transactions(&self) -> bool {
+        self.evacuation_refusal(StatementKind::InTransaction).is_some()
+    }
+
+    fn evacuation_refusal(&self, kind: StatementKind) -> Option<Refusal> {
+        let fleet = self.context.primaries.fleet();
+        let view = fleet.view();
+        let instance = view.instances.get(&self.key).unwrap_or(&self.instance);
+        eligibility::evacuation_refusal(fleet, instance, kind)
+    }
+
     fn is_primary(&self) -> bool {
         self.context.primaries.primary(self.database) == Some(self.key)
     }
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -24,6 +24,7 @@
 use super::instance::HomeContext;
 use super::instance::InstanceHome;
 use super::instance::TransactionResult;
+use super::open::OpenTransaction;
 use super::transactions::Transactions;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
@@ -107,7 +108,7 @@
     }
 
     /// Applies each new view of the fleet to the homes and ends transactions that were idle for too
-    /// long. Runs until dropped.
+    /// long or whose instance is evacuated. Runs until dropped.
     pub async fn watch(&self) {
         let mut changes = self.fleet.changes();
         let mut ticks = self.fleet.timers.interval(EXPIRY_CHECK_INTERVAL);
@@ -202,14 +203,21 @@
 
     fn end_expired(&self) {
         for transaction in self.transactions.take_expired(self.fleet.now()) {
-            let fields = [
-                Field::text("workspace", &transaction.workspace),
-                Field::text("reason", "the transaction was idle for too long"),
-                Field::millis("rest", transaction.rest),
-            ];
-            self.context.links.journal.record(Event::TransactionEnded, &fields);
-            tokio::spawn(transaction.roll_back());
+            self.end_transaction(transaction, "the transaction was idle for too long");
         }
+        for transaction in self.transactions.take_evacuated() {
+            self.end_transaction(transaction, "the availability zone is under evacuation");
+        }
+    }
+
+    fn end_transaction(&self, transaction: OpenTransaction, reason: &'static str) {
+        let fields = [
+            Field::text("workspace", &transaction.workspace),
+            Field::text("reason", reason),
+            Field::millis("rest", transaction.rest),
+        ];
+        self.context.links.journal.record(Event::TransactionEnded, &fields);
+        tokio::spawn(transaction.roll_back());
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<InstanceKey, HomeEntry>> {
--- a/oleander-node/src/home/transactions.rs
+++ b/oleander-node/src/home/transactions.rs
@@ -67,6 +67,13 @@
         expired.iter().filter_map(|id| resting.remove(id)).map(|entry| entry.transaction).collect()
     }
 
+    /// Takes out the transactions that may not go on at the instances of their homes.
+    pub fn take_evacuated(&self) -> Vec<OpenTransaction> {
+        let mut resting = self.lock();
+        let ended = resting.extract_if(|_, entry| entry.home.ends_transactions());
+        ended.map(|(_, entry)| entry.transaction).collect()
+    }
+
     /// Takes out all transactions, for the end of the process.
     pub fn take_all(&self) -> Vec<OpenTransaction> {
         self.lock().drain().map(|(_, entry)| entry.transaction).collect()
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -434,6 +434,7 @@
         let instances = view.instances_of(database).map(|instance| ListedInstance {
             key: instance.key,
             leaving: instance.entry.leaving,
+            evacuated: view.evacuated.contains_key(&instance.entry.zone),
             primary: instance.entry.primary,
         });
         Input::Instances(instances.collect())
--- a/oleander-node/src/lib.rs
+++ b/oleander-node/src/lib.rs
@@ -10,6 +10,7 @@
 //! a `fleet::Fleet`, which holds the view of the store.
 
 pub mod control;
+pub mod eligibility;
 pub mod entry;
 pub mod fleet;
 pub mod home;
--- a/oleander-node/src/primaries.rs
+++ b/oleander-node/src/primaries.rs
@@ -47,6 +47,11 @@
         Self { fleet, state: Mutex::default() }
     }
 
+    /// Returns the fleet whose keeper records name the primaries.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// Records a report; `asked` is the time before it was requested. A report of an older term is
     /// ignored.
     pub fn record_report(&self, database: DatabaseId, asked: Time, report: PrimaryReport) {
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -18,6 +18,10 @@
 /// statement to pass a queue.
 const DRAIN_MARGIN: Span = Span::from_millis(1_500);
 
+/// The part of the half of `NodeSettings::evacuation` reserved for a statement on its way to the
+/// instance.
+const EVACUATION_MARGIN: Span = Span::from_millis(300);
+
 /// The time after which a promotion order without an answer can no longer take effect. Calls that
 /// lost their answer are executed up to 6 s late, and an order takes up to 1 s to have its effect.
 const ORDER_EXPIRY: Span = Span::from_millis(8_000);
@@ -81,6 +85,18 @@
         self.drain.saturating_sub(DRAIN_MARGIN)
     }
 
+    /// Returns half of the time for an evacuation: the part for the way of the request from the
+    /// store to a VM.
+    pub fn half_evacuation(&self) -> Span {
+        Span(self.evacuation.0 / 2)
+    }
+
+    /// Returns the time for which open transactions may go on in an evacuated zone after this VM
+    /// has learned of the request.
+    pub fn evacuation_window(&self) -> Span {
+        self.half_evacuation().saturating_sub(EVACUATION_MARGIN)
+    }
+
     /// Returns the options of the keepers.
     pub fn keeper_options(&self) -> KeeperOptions {
         let order_expiry = (!self.fenced).then_some(ORDER_EXPIRY);
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -1,7 +1,9 @@
 //! The state of a VM for operators, as JSON and as text.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use oleander_core::time::Span;
 use serde::Serialize;
@@ -36,12 +38,20 @@
     /// The primary of each database, by name; a database whose primary is unknown or being replaced
     /// is left out.
     pub primaries: BTreeMap<String, String>,
+    /// The availability zones under evacuation, by name.
+    pub evacuated: BTreeSet<String>,
+    /// The number of statements of this VM's callers refused because of evacuations.
+    pub evacuation_refused_at_entry: u64,
+    /// The number of statements refused by this VM's homes because of evacuations; the entry VM may
+    /// have tried other instances.
+    pub evacuation_refused_at_home: u64,
 }
 
 /// Returns the current state.
 pub fn collect(fleet: &Fleet, homes: &Homes) -> NodeStatus {
     let view = fleet.view();
     let now = fleet.now();
+    let counts = &fleet.evacuation_counts;
     NodeStatus {
         name: fleet.settings.name.clone(),
         configuration: view.snapshot.revision.0,
@@ -54,6 +64,9 @@
         instances: view.instances.len(),
         transactions: homes.resting_transactions(),
         primaries: fleet.primaries().into_iter().collect(),
+        evacuated: view.evacuated.keys().cloned().collect(),
+        evacuation_refused_at_entry: counts.at_entry.load(Ordering::Relaxed),
+        evacuation_refused_at_home: counts.at_home.load(Ordering::Relaxed),
     }
 }
 
@@ -75,11 +88,15 @@
         ("vms", vms as u64),
         ("instances", instances as u64),
         ("resting_transactions", transactions as u64),
+        ("evacuation_refused_at_entry", status.evacuation_refused_at_entry),
+        ("evacuation_refused_at_home", status.evacuation_refused_at_home),
     ];
     let lines = gauges.map(|(name, value)| format!("{name} {value}\n"));
     let primaries = status.primaries.into_iter().map(|(database, primary)| {
         format!("primary{{database=\"{database}\",instance=\"{primary}\"}} 1\n")
     });
+    // Operators choose the names, which may have any characters.
+    let zones = status.evacuated.into_iter().map(|zone| format!("evacuated{{zone={zone:?}}} 1\n"));
     let age = age_ms.map(|age| format!("store_age_ms {age}\n"));
-    lines.into_iter().chain(age).chain(primaries).collect()
+    lines.into_iter().chain(age).chain(primaries).chain(zones).collect()
 }
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -1,5 +1,5 @@
-//! The home of an instance when the instance refuses connections or does not answer, and when the
-//! primary is replaced during a write.
+//! The home of an instance when the instance refuses connections or does not answer, when the
+//! primary is replaced during a write, and when the instance's availability zone is evacuated.
 
 mod support;
 
@@ -17,6 +17,7 @@
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
@@ -51,6 +52,9 @@
 use oleander_session::work::Work;
 use rstest::rstest;
 
+/// The availability zone of the instance.
+const ZONE: &str = "east";
+
 /// `FakeInstance` is an instance that can refuse connections, or accept them and not answer.
 #[derive(Default)]
 struct FakeInstance {
@@ -177,7 +181,7 @@
             life: 1,
             database: "ledger".to_owned(),
             address: "127.0.0.1:1".parse().unwrap(),
-            zone: String::new(),
+            zone: ZONE.to_owned(),
             slots: 2,
             leaving: false,
             primary: true,
@@ -382,3 +386,108 @@
     let refused = run(&home, &timers).await.unwrap_err();
     assert_eq!((refused.verdict, refused.code), (Verdict::NotRun, code));
 }
+
+/// Sets the availability zones under evacuation, each with the time at which the VM learned of it.
+fn evacuate(fleet: &Fleet, evacuated: &[(&str, Time)]) {
+    let named = evacuated.iter().map(|(zone, learned)| ((*zone).to_owned(), *learned));
+    let evacuated = Arc::new(named.collect());
+    fleet.set_view(View { evacuated, ..View::clone(&fleet.view()) });
+}
+
+/// Counts the exchanges with the instance from now on.
+fn count_exchanges(fake: &FakeInstance) -> Arc<AtomicUsize> {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
+    *fake.on_exchange.lock().unwrap() = Some(Box::new(move || {
+        counted.fetch_add(1, Ordering::AcqRel);
+    }));
+    count
+}
+
+/// `QueueCase` is the zone that is evacuated while a statement waits for a slot, and the code with
+/// which it is refused; `None` if it runs.
+struct QueueCase {
+    zone: &'static str,
+    refused: Option<RefusalCode>,
+}
+
+/// Guards against a statement that waits in the queue while the evacuation is requested, and is sent
+/// to the instance seconds later.
+#[rstest]
+#[case::of_the_instance(QueueCase { zone: ZONE, refused: Some(RefusalCode::UpstreamUnavailable) })]
+#[case::another(QueueCase { zone: "west", refused: None })]
+#[tokio::test]
+async fn a_statement_that_waited_during_the_request_is_not_sent_to_an_evacuated_instance(
+    #[case] case: QueueCase,
+    #[values(Scope::Single, Scope::First { read_only: false })] scope: Scope,
+) {
+    let fake = Arc::new(FakeInstance::default());
+    let (home, timers, fleet) = home_with_fleet(&fake);
+    let count = count_exchanges(&fake);
+    fake.hangs.store(true, Ordering::Release);
+    let occupy = || {
+        let (home, timers) = (home.clone(), timers.clone());
+        tokio::spawn(async move { run(&home, &timers).await })
+    };
+    let occupied = [occupy(), occupy()];
+    timers.sleep(Span::from_millis(50)).await;
+    fake.hangs.store(false, Ordering::Release);
+    let waiting = {
+        let (home, deadline) = (home.clone(), timers.now() + Span::from_secs(2));
+        let request = HomeRequest { scope, ..write() };
+        tokio::spawn(async move {
+            match request.scope {
+                Scope::Single => home.run_single(&request, deadline).await.err(),
+                _ => home.run_first(&request, false, deadline).await.map(drop).err(),
+            }
+        })
+    };
+    timers.sleep(Span::from_millis(50)).await;
+    evacuate(&fleet, &[(case.zone, timers.now())]);
+    for statement in occupied {
+        assert!(statement.await.unwrap().is_err(), "it holds its slot until its time limit");
+    }
+    let refused = waiting.await.unwrap();
+    assert_eq!(refused.as_ref().map(|refusal| refusal.code), case.refused);
+    let is_sent = count.load(Ordering::Acquire) != 0;
+    assert_eq!(is_sent, case.refused.is_none());
+    if let Some(refusal) = refused {
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+        assert!(refusal.retry_after.is_some(), "{refusal:?}");
+    }
+}
+
+/// `WindowCase` is the time since the VM learned of the evacuation, in milliseconds, and whether the
+/// next statement of an open transaction runs.
+struct WindowCase {
+    passed: u64,
+    runs: bool,
+}
+
+/// Guards against open transactions that are cut off at once, and against those that go on after
+/// half of the time for the evacuation.
+#[rstest]
+#[case::at_once(WindowCase { passed: 0, runs: true })]
+#[case::within_the_window(WindowCase { passed: 1_500, runs: true })]
+#[case::after_the_window(WindowCase { passed: 2_500, runs: false })]
+#[tokio::test]
+async fn an_open_transaction_goes_on_for_half_of_the_time_for_an_evacuation(
+    #[case] case: WindowCase,
+    #[values(Work::Read("loaf".to_owned()), Work::Commit)] work: Work,
+) {
+    let fake = Arc::new(FakeInstance::default());
+    let (home, timers, fleet) = home_with_fleet(&fake);
+    let first = HomeRequest { scope: Scope::First { read_only: false }, ..write() };
+    let deadline = timers.now() + Span::from_secs(1);
+    let opened = home.run_first(&first, false, deadline).await;
+    let transaction = opened.ok().and_then(|ran| ran.open).expect("the transaction is open");
+    let learned = Time(timers.now().0 - Span::from_millis(case.passed).0);
+    evacuate(&fleet, &[(ZONE, learned)]);
+    assert_eq!(home.ends_transactions(), !case.runs);
+    let count = count_exchanges(&fake);
+    let next = home.run_next(transaction, &HomeRequest { work, ..write() }, deadline).await;
+    assert_eq!(count.load(Ordering::Acquire), 1, "the statement or a rollback");
+    let refused = next.err().map(|refusal| (refusal.code, refusal.verdict));
+    let expected = (RefusalCode::UpstreamUnavailable, Verdict::NotRun);
+    assert_eq!(refused, (!case.runs).then_some(expected));
+}
