--- a/oleander-config/src/edit.rs
+++ b/oleander-config/src/edit.rs
@@ -6,7 +6,7 @@
 use crate::nodes::Entry;
 use crate::nodes::Node;
 
-/// `EditError` is the reason why a text was not edited.
+/// `EditError` is the reason why the text of a section was not edited.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EditError {
     /// The text is not a list of workspaces.
@@ -19,6 +19,10 @@
     DuplicateKey,
     /// The workspace or its keys are in YAML flow style and must be edited by hand.
     FlowStyle,
+    /// The text is not a list of databases with instances.
+    MalformedUpstreams,
+    /// No instance is in the given availability zone.
+    UnknownZone,
 }
 
 impl std::fmt::Display for EditError {
@@ -28,6 +32,10 @@
             EditError::UnknownWorkspace => "config: no workspace has the name",
             EditError::UnknownKey => "config: the workspace has no key with the name",
             EditError::DuplicateKey => "config: the workspace already has a key with the name",
+            EditError::MalformedUpstreams => {
+                "config: the section is not a list of databases with instances"
+            }
+            EditError::UnknownZone => "config: no instance is in the availability zone",
             EditError::FlowStyle => "config: write each key on a line of its own, led by a dash",
         })
     }
--- a/oleander-config/src/lib.rs
+++ b/oleander-config/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod diff;
 pub mod edit;
+pub mod evacuation;
 pub mod keys;
 pub mod model;
 pub mod problems;
--- a/oleander-config/tests/documents.rs
+++ b/oleander-config/tests/documents.rs
@@ -5,6 +5,7 @@
 use oleander_config::edit::EditError;
 use oleander_config::edit::grant_key;
 use oleander_config::edit::withdraw_key;
+use oleander_config::evacuation;
 use oleander_config::keys::hash_key;
 use oleander_config::model::Document;
 use oleander_config::model::KeyHash;
@@ -148,6 +149,48 @@
     assert_eq!(result, Err(EditError::DuplicateKey));
 }
 
+/// Returns the names of the instances that leave.
+fn leaving_instances(text: &str) -> Vec<String> {
+    let document = parse_sections(&[SectionText::new(Section::Upstreams, text)]).unwrap();
+    let instances = document.upstreams.into_iter().flat_map(|database| database.instances);
+    instances.filter(|instance| instance.leaving).map(|instance| instance.name).collect()
+}
+
+/// Guards against an edit that spoils a layout or marks the instances of another zone.
+#[rstest]
+#[case::flow_style(
+    "  - {name: a, address: \"10.0.0.1:1\", region: r, zone: east}  # ours\n  - {name: b, address: \"10.0.0.2:1\", region: r, zone: west}\n"
+)]
+#[case::long_form(
+    "  - name: a\n    address: \"10.0.0.1:1\"\n    region: r\n    zone: east\n  - zone: west\n    name: b\n    address: \"10.0.0.2:1\"\n    region: r\n"
+)]
+#[case::zone_first("  - zone: east\n    name: a\n    region: r\n    address: \"10.0.0.1:1\"\n")]
+#[case::not_leaving(
+    "  - {leaving: false, name: a, address: \"10.0.0.1:1\", region: r, zone: east}\n"
+)]
+#[case::leaving(
+    "  - {name: a, leaving: true, address: \"10.0.0.1:1\", region: r, zone: \"east\"}\n"
+)]
+fn the_instances_of_an_evacuated_zone_leave(#[case] instances: &str) {
+    let text = format!("- name: orders\n  slots: 2\n  connections: 2\n  instances:\n{instances}");
+    let evacuated = evacuation::start(&text, "east").unwrap();
+    assert_eq!(leaving_instances(&evacuated), ["a"]);
+    assert_eq!(evacuation::start(&evacuated, "east").unwrap(), evacuated);
+    let ended = evacuation::end(&evacuated, "east").unwrap();
+    assert!(leaving_instances(&ended).is_empty());
+    assert_eq!(
+        ended.lines().filter(|line| line.contains('#')).count(),
+        usize::from(text.contains('#'))
+    );
+}
+
+#[rstest]
+#[case::unknown_zone("- name: a\n  instances: [{name: b, zone: west}]\n", EditError::UnknownZone)]
+#[case::no_list("name: a\n", EditError::MalformedUpstreams)]
+fn an_impossible_evacuation_is_refused(#[case] text: &str, #[case] expected: EditError) {
+    assert_eq!(evacuation::start(text, "east"), Err(expected));
+}
+
 /// `Stored` is the name of a stored section and whether this version accepts it.
 struct Stored {
     name: &'static str,
--- a/oleander-config/tests/fuzz.rs
+++ b/oleander-config/tests/fuzz.rs
@@ -1,6 +1,7 @@
 //! Hostile input: nothing panics, and the reported problems stay bounded.
 
 use oleander_config::edit;
+use oleander_config::evacuation;
 use oleander_config::keys::hash_key;
 use oleander_config::model::Section;
 use oleander_config::sections::MAX_PROBLEMS;
@@ -40,6 +41,8 @@
     }
     let _ = edit::grant_key(text, "rosewood", "k", &hash_key("k"));
     let _ = edit::withdraw_key(text, "rosewood", "first");
+    let _ = evacuation::start(text, "coast-1");
+    let _ = evacuation::end(text, "coast-1");
 }
 
 proptest! {
--- a/oleander-ctl/src/arguments.rs
+++ b/oleander-ctl/src/arguments.rs
@@ -94,6 +94,14 @@
         /// The name of the VM.
         vm: String,
     },
+    /// Lets the instances of an availability zone leave, so that they get no new work.
+    Evacuate {
+        /// The name of the zone.
+        zone: String,
+        /// Ends the evacuation: no instance of the zone leaves any more.
+        #[arg(long)]
+        end: bool,
+    },
     /// Shows recent events of the VMs, oldest first.
     Events {
         /// Only events with this number.
--- a/oleander-ctl/src/commands/documents.rs
+++ b/oleander-ctl/src/commands/documents.rs
@@ -4,6 +4,7 @@
 
 use oleander_config::diff;
 use oleander_config::diff::Change;
+use oleander_config::edit::EditError;
 use oleander_config::model::Document;
 use oleander_config::model::Section;
 use oleander_config::sections::SectionText;
@@ -111,6 +112,25 @@
     })
 }
 
+/// Publishes a section whose published text is changed by `edit`.
+pub(crate) async fn publish_edited(
+    options: &GlobalOptions,
+    section: Section,
+    edit: impl Fn(&str) -> std::result::Result<String, EditError>,
+) -> Result<Output> {
+    let stored = read_stored(options).await?;
+    let name = section.to_string();
+    let body = stored.sections.iter().find(|body| body.section == name);
+    let body = body.ok_or_else(|| usage_error(format!("the store holds no section {section}")))?;
+    let edit = SectionEdit {
+        section,
+        text: edit(&body.text)?,
+        base: Some(BodyHash::of(&body.text)),
+        change: changes::new_change_id(),
+    };
+    publish(&options.store()?, &edit).await
+}
+
 /// Shows the published text of a section and its hash.
 pub(crate) async fn show(options: &GlobalOptions, section: Section) -> Result<Output> {
     let stored = read_stored(options).await?;
--- a/oleander-ctl/src/commands/keys.rs
+++ b/oleander-ctl/src/commands/keys.rs
@@ -5,14 +5,11 @@
 use oleander_config::keys::KEY_BYTES;
 use oleander_config::model::Section;
 use oleander_config::model::Workspace;
-use oleander_membership::head::BodyHash;
 use rand::TryRng as _;
 use rand::rngs::SysRng;
 use serde_json::json;
 
 use crate::arguments::KeysCommand;
-use crate::changes;
-use crate::changes::SectionEdit;
 use crate::commands::GlobalOptions;
 use crate::commands::documents;
 use crate::errors::Error;
@@ -62,17 +59,7 @@
     options: &GlobalOptions,
     edit: impl Fn(&str) -> std::result::Result<String, edit::EditError>,
 ) -> Result<Output> {
-    let stored = documents::read_stored(options).await?;
-    let name = Section::Workspaces.to_string();
-    let body = stored.sections.iter().find(|body| body.section == name);
-    let body = body.ok_or_else(|| usage_error("the store holds no section workspaces"))?;
-    let edit = SectionEdit {
-        section: Section::Workspaces,
-        text: edit(&body.text)?,
-        base: Some(BodyHash::of(&body.text)),
-        change: changes::new_change_id(),
-    };
-    documents::publish(&options.store()?, &edit).await
+    documents::publish_edited(options, Section::Workspaces, edit).await
 }
 
 async fn list(options: &GlobalOptions, workspace: Option<&str>) -> Result<Output> {
--- a/oleander-ctl/src/commands/mod.rs
+++ b/oleander-ctl/src/commands/mod.rs
@@ -1,6 +1,8 @@
-//! The commands of the tool, grouped by what they work on: the configuration, keys and VMs.
+//! The commands of the tool, grouped by what they work on: the configuration, keys, availability
+//! zones and VMs.
 
 mod documents;
+mod evacuation;
 mod keys;
 mod vms;
 
@@ -34,6 +36,8 @@
         Command::Status => vms::status(&options).await,
         Command::Keys(command) => keys::run(&options, command).await,
         Command::Drain { vm } => vms::drain(&options, &vm).await,
+        Command::Evacuate { zone, end: false } => evacuation::start(&options, &zone).await,
+        Command::Evacuate { zone, end: true } => evacuation::end(&options, &zone).await,
         Command::Events { number, vm } => vms::events(&options, number, vm.as_deref()).await,
         Command::Explain { subject } => vms::explain(&options, &subject).await,
         Command::Completions { shell } => Ok(completions(shell)),
