--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -163,7 +163,7 @@
             self.put_configuration(draft, entry);
         } else if entry.key.starts_with(self.sources.directory_prefix) {
             self.put_instance(draft, entry);
-        } else if let Some(zone) = entry.key.strip_prefix(self.sources.evacuation_prefix) {
+        } else if let Some(zone) = self.evacuated_zone(&entry.key) {
             self.start_evacuation(draft, zone, entry.revision);
         } else if let Some(suffix) = entry.key.strip_prefix(self.sources.own_prefix) {
             if suffix.starts_with(VM_PREFIX) {
@@ -186,7 +186,7 @@
                 ];
                 self.journal.record(Event::InstanceChanged, &fields);
             }
-        } else if let Some(zone) = key.strip_prefix(self.sources.evacuation_prefix) {
+        } else if let Some(zone) = self.evacuated_zone(key) {
             self.end_evacuation(draft, zone, revision);
         } else if let Some(suffix) = key.strip_prefix(self.sources.own_prefix) {
             if let Some(name) = suffix.strip_prefix(VM_PREFIX) {
@@ -199,6 +199,11 @@
         }
     }
 
+    /// Returns the zone that the key requests to evacuate; `None` for any other key.
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.sources.evacuation_prefix).filter(|zone| !zone.is_empty())
+    }
+
     /// Records the evacuation of a zone, unless it is known. Its key is all that counts, so that no
     /// value is malformed.
     fn start_evacuation(&self, draft: &mut Draft, zone: &str, revision: StoreRevision) {
--- a/oleander-node/src/eligibility.rs
+++ b/oleander-node/src/eligibility.rs
@@ -106,8 +106,8 @@
     is_evacuated.then(|| rules.evacuation_refusal(instance.database))
 }
 
-/// Ends the transaction window of evacuations that `view` has and `former` lacks if they may have
-/// been requested long ago, as `former` was last known to be complete at `synced`.
+/// Shortens the transaction window of evacuations that `view` has and `former` lacks, as they may
+/// have been requested at any time since `synced`, when `former` was last known to be complete.
 pub fn shorten_window(
     view: &mut View,
     former: &View,
@@ -115,15 +115,15 @@
     now: Time,
     settings: &NodeSettings,
 ) {
-    let half = settings.half_evacuation();
-    if now.since(synced) <= half {
+    let late = now.since(synced).saturating_sub(settings.half_evacuation());
+    if late == Span::ZERO {
         return;
     }
     let is_new = |zone: &str| !former.evacuated.contains_key(zone);
     if view.evacuated.keys().any(|zone| is_new(zone)) {
         let evacuated = Arc::make_mut(&mut view.evacuated).iter_mut();
         for (_, learned) in evacuated.filter(|(zone, _)| is_new(zone)) {
-            *learned = Time(learned.0.saturating_sub(half.0));
+            *learned = Time(learned.0.saturating_sub(late.0));
         }
     }
 }
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -101,7 +101,7 @@
     /// The keepers of the databases.
     pub keepers: Arc<HashMap<DatabaseId, KeeperEntry>>,
     /// The availability zones that an operator has asked to evacuate, by name, each with the time at
-    /// which this VM learned of it.
+    /// which this VM learned of it; an earlier time if it may have learned late.
     pub evacuated: Arc<HashMap<String, Time>>,
 }
 
--- a/oleander-node/tests/evacuation.rs
+++ b/oleander-node/tests/evacuation.rs
@@ -188,6 +188,7 @@
     learned: Some(2),
 })]
 #[case::other_key(StoreCase { answers: &[Put("evacuate/east"), Put("evacuations")], learned: None })]
+#[case::no_zone(StoreCase { answers: &[Put("evacuations/")], learned: None })]
 #[case::deleted(StoreCase { answers: &[Put(ZONE_KEY), Deleted(ZONE_KEY)], learned: None })]
 #[case::other_zone_deleted(StoreCase {
     answers: &[Put(ZONE_KEY), Deleted("evacuations/west")],
@@ -245,31 +246,39 @@
             }
         };
     }
+    assert!(view.evacuated.keys().all(|zone| zone == ZONE));
     let learned = view.evacuated.get(ZONE).map(|learned| now.since(*learned));
     assert_eq!(learned, case.learned.map(Span::from_secs));
 }
 
-/// `SilenceCase` is the age of the former view, in milliseconds, whether it had the evacuation, and
-/// whether statements of open transactions may still run.
+/// `SilenceCase` is the age of the former view, whether it had the evacuation, and the time for which
+/// statements of open transactions may still run, in milliseconds.
 struct SilenceCase {
     age: u64,
     known: bool,
-    runs: bool,
+    left: u64,
 }
 
 /// Guards against a VM that was without contact and lets transactions go on beyond the time for the
 /// evacuation.
 #[rstest]
-#[case::in_contact(SilenceCase { age: 1_500, known: false, runs: true })]
-#[case::without_contact(SilenceCase { age: 4_000, known: false, runs: false })]
-#[case::known_before(SilenceCase { age: 4_000, known: true, runs: true })]
-fn an_evacuation_that_may_be_old_leaves_no_time_for_transactions(#[case] case: SilenceCase) {
+#[case::in_contact(SilenceCase { age: 1_500, known: false, left: 2_200 })]
+#[case::learned_late(SilenceCase { age: 4_000, known: false, left: 700 })]
+#[case::without_contact(SilenceCase { age: 5_000, known: false, left: 0 })]
+#[case::known_before(SilenceCase { age: 5_000, known: true, left: 2_200 })]
+fn the_time_for_transactions_counts_from_the_earliest_time_of_the_request(
+    #[case] case: SilenceCase,
+) {
     let settings = support::settings();
     let mut view = View { evacuated: Arc::new([(ZONE.to_owned(), NOW)].into()), ..View::default() };
     let former = if case.known { view.clone() } else { View::default() };
     let synced = Time(NOW.0 - Span::from_millis(case.age).0);
     eligibility::shorten_window(&mut view, &former, synced, NOW, &settings);
-    let rules = Rules { view: &view, settings: &settings, primary: None, now: NOW };
-    let found = rules.obstacle(&instance(KEY, ZONE, None), IN_TRANSACTION);
-    assert_eq!(found.is_none(), case.runs);
+    let runs_at = |millis: u64| {
+        let now = NOW + Span::from_millis(millis);
+        let rules = Rules { view: &view, settings: &settings, primary: None, now };
+        rules.obstacle(&instance(KEY, ZONE, None), IN_TRANSACTION).is_none()
+    };
+    assert!(!runs_at(case.left));
+    assert!(case.left == 0 || runs_at(case.left - 1));
 }
