--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -11,7 +11,10 @@
 
 use async_trait::async_trait;
 use oleander_core::ids::DatabaseId;
+use oleander_core::ids::Incarnation;
 use oleander_core::ids::InstanceKey;
+use oleander_core::ids::TransactionId;
+use oleander_core::ids::VmId;
 use oleander_core::level::Level;
 use oleander_core::places::Place;
 use oleander_core::terms::LogPoint;
@@ -52,6 +55,9 @@
 use oleander_session::work::Work;
 use rstest::rstest;
 
+/// The identifier of an open transaction.
+const ID: TransactionId = TransactionId { home: VmId(1), incarnation: Incarnation(1), serial: 1 };
+
 /// The availability zone of the instance.
 const ZONE: &str = "east";
 
@@ -457,6 +463,42 @@
     }
 }
 
+/// Guards against statements that wait in the queue of an evacuated instance until their deadline,
+/// though they are known not to run.
+#[rstest]
+#[tokio::test]
+async fn a_statement_for_an_evacuated_instance_is_refused_without_waiting(
+    #[values(Scope::Single, Scope::First { read_only: false }, Scope::Within(ID))] scope: Scope,
+) {
+    let fake = Arc::new(FakeInstance::default());
+    let (home, timers, fleet) = home_with_fleet(&fake);
+    let deadline = timers.now() + Span::from_secs(2);
+    let first = HomeRequest { scope: Scope::First { read_only: false }, ..write() };
+    let opened = home.run_first(&first, false, deadline).await.ok().and_then(|ran| ran.open);
+    fake.hangs.store(true, Ordering::Release);
+    let occupied = [(); 2].map(|()| {
+        let (home, timers) = (home.clone(), timers.clone());
+        tokio::spawn(async move { run(&home, &timers).await })
+    });
+    timers.sleep(Span::from_millis(50)).await;
+    fake.hangs.store(false, Ordering::Release);
+    evacuate(&fleet, &[(ZONE, Time(0))]);
+    let sent = timers.now();
+    let request = HomeRequest { scope, ..write() };
+    let refused = match scope {
+        Scope::Single => home.run_single(&request, deadline).await.err(),
+        Scope::First { .. } => home.run_first(&request, false, deadline).await.map(drop).err(),
+        Scope::Within(_) => {
+            let transaction = opened.expect("the transaction is open");
+            home.run_next(transaction, &request, deadline).await.map(drop).err()
+        }
+    };
+    assert_eq!(refused.map(|refusal| refusal.code), Some(RefusalCode::UpstreamUnavailable));
+    let waited = timers.now().since(sent);
+    assert!(waited < Span::from_millis(100), "{} ms", waited.as_millis());
+    assert!(occupied.iter().all(|statement| !statement.is_finished()), "the slots are in use");
+}
+
 /// `WindowCase` is the time since the VM learned of the evacuation, in milliseconds, and whether the
 /// next statement of an open transaction runs.
 struct WindowCase {
