--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -33,6 +33,10 @@
     EntryRejected = 204,
     /// An instance was added to the directory, changed or removed.
     InstanceChanged = 205,
+    /// An operator has requested the evacuation of an availability zone.
+    EvacuationStarted = 206,
+    /// The evacuation of an availability zone has ended.
+    EvacuationEnded = 207,
     /// An instance has started and warms up.
     InstanceCold = 210,
     /// This VM, as the home of an instance, refused a statement that may not run in its region.
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -28,6 +28,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::eligibility::EvacuationCounts;
 use crate::settings::NodeSettings;
 
 /// The time for which a VM that did not answer is not chosen as a home.
@@ -101,7 +102,7 @@
     /// The keepers of the databases.
     pub keepers: Arc<HashMap<DatabaseId, KeeperEntry>>,
     /// The availability zones that an operator has asked to evacuate, by name, each with the time at
-    /// which this VM learned of it.
+    /// which this VM learned of it; an earlier time if it may have learned late.
     pub evacuated: Arc<HashMap<String, Time>>,
 }
 
@@ -177,6 +178,8 @@
     pub settings: Arc<NodeSettings>,
     /// The clock and timers.
     pub timers: TimerService,
+    /// The statements refused because of evacuations.
+    pub evacuation_counts: EvacuationCounts,
     started: Time,
     view: ArcSwap<View>,
     changed: watch::Sender<StoreRevision>,
@@ -200,6 +203,7 @@
             vm: VmId::from_name(&settings.name),
             settings,
             started: timers.now(),
+            evacuation_counts: EvacuationCounts::default(),
             timers,
             view: ArcSwap::default(),
             changed: watch::Sender::new(StoreRevision(0)),
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -1,6 +1,7 @@
 //! The home of one instance: admits and runs its statements.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
@@ -32,6 +33,8 @@
 use super::upstream::FreshnessCheck;
 use super::upstream::Statement;
 use super::warmup::WarmupBudget;
+use crate::eligibility;
+use crate::eligibility::StatementKind;
 use crate::fleet::Instance;
 use crate::primaries::Primaries;
 
@@ -58,6 +61,8 @@
     context: Arc<HomeContext>,
     database: DatabaseId,
     key: InstanceKey,
+    /// The instance as it was listed when the home was created.
+    instance: Instance,
     slots: InstanceSlots,
     /// `LatestStart` if statements are served in the order of their urgency.
     expiry: Expiry,
@@ -92,6 +97,7 @@
             expiry,
             database: instance.database,
             key: instance.key,
+            instance: instance.clone(),
             pool: Arc::new(ConnectionPool::new(context.links.clone(), target, options)),
             context,
         }
@@ -129,6 +135,7 @@
         request: &HomeRequest,
         deadline: Time,
     ) -> Result<HomeAnswer, Refusal> {
+        self.check_evacuation(StatementKind::New)?;
         let is_write = request.work.is_write();
         let check = if is_write {
             FreshnessCheck::After(None)
@@ -140,6 +147,7 @@
         }
         let permit = self.acquire(request, class_of(request), deadline).await?;
         let mut pooled = self.pool.acquire(request).await?;
+        self.check_evacuation(StatementKind::New)?;
         self.admit_warmup().await?;
         let reply = pooled.connection.run_single(statement(request), check).await;
         drop(pooled);
@@ -162,6 +170,7 @@
         read_only: bool,
         deadline: Time,
     ) -> Result<TransactionResult, Refusal> {
+        self.check_evacuation(StatementKind::New)?;
         let (read_only, after) = match (read_only, self.freshness_check(&request.freshness)) {
             (true, Ok(FreshnessCheck::After(after))) => (true, after),
             (true, Err(refusal)) => return Err(refusal),
@@ -173,6 +182,7 @@
         let class = if read_only { Class::Read } else { Class::Write };
         let mut permit = self.acquire(request, class, deadline).await?;
         let mut pooled = self.pool.acquire(request).await?;
+        self.check_evacuation(StatementKind::New)?;
         self.admit_warmup().await?;
         pooled.connection.begin(read_only, after).await?;
         // From here on the transaction frees the connection when it is dropped.
@@ -203,6 +213,7 @@
             return Ok(TransactionResult { answer: HomeAnswer::default(), open: None });
         }
         let admitted = async {
+            self.check_evacuation(StatementKind::InTransaction)?;
             let permit = self.acquire(request, Class::Transaction, deadline).await?;
             self.admit_warmup().await?;
             Ok(permit)
@@ -233,6 +244,7 @@
         request: &HomeRequest,
         permit: &Permit,
     ) -> Result<HomeAnswer, Refusal> {
+        self.check_evacuation(StatementKind::InTransaction)?;
         let Some(connection) = transaction.connection() else {
             return Err(Refusal::not_run(
                 RefusalCode::TransactionGone,
@@ -296,6 +308,27 @@
         Err(Refusal::not_run(RefusalCode::NotPrimary, detail))
     }
 
+    /// Checks that no evacuation keeps a statement from the instance.
+    fn check_evacuation(&self, kind: StatementKind) -> Result<(), Refusal> {
+        let Some(refusal) = self.evacuation_refusal(kind) else { return Ok(()) };
+        let counts = &self.context.primaries.fleet().evacuation_counts;
+        counts.at_home.fetch_add(1, Ordering::Relaxed);
+        Err(refusal)
+    }
+
+    /// Returns `true` if the time is over for which open transactions may go on after the
+    /// evacuation of the instance's zone was requested.
+    pub fn ends_transactions(&self) -> bool {
+        self.evacuation_refusal(StatementKind::InTransaction).is_some()
+    }
+
+    fn evacuation_refusal(&self, kind: StatementKind) -> Option<Refusal> {
+        let fleet = self.context.primaries.fleet();
+        let view = fleet.view();
+        let instance = view.instances.get(&self.key).unwrap_or(&self.instance);
+        eligibility::evacuation_refusal(fleet, instance, kind)
+    }
+
     fn is_primary(&self) -> bool {
         self.context.primaries.primary(self.database) == Some(self.key)
     }
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -435,6 +435,7 @@
         let instances = view.instances_of(database).map(|instance| ListedInstance {
             key: instance.key,
             leaving: instance.entry.leaving,
+            evacuated: view.evacuated.contains_key(&instance.entry.zone),
             primary: instance.entry.primary,
             allowing_routes: places::routes_allowing_primary(
                 view.snapshot.routes.values(),
