--- a/oleander-limits/src/home/mod.rs
+++ b/oleander-limits/src/home/mod.rs
@@ -4,6 +4,7 @@
 //! It has a quota of the slots and connections of each instance, queues the requests and decides
 //! which one starts next.
 
+pub mod calendar;
 pub mod estimate;
 pub mod fair;
 pub mod pool;
--- a/oleander-routing/src/lib.rs
+++ b/oleander-routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod admit;
 pub mod budget;
 pub mod homes;
+pub mod horizon;
 pub mod group_view;
 pub mod lag;
 pub mod lag_backoff;
