--- a/oleander-limits/src/home/mod.rs
+++ b/oleander-limits/src/home/mod.rs
@@ -5,10 +5,13 @@
 //! which one starts next.
 
 pub mod calendar;
+mod drops;
 pub mod estimate;
 pub mod fair;
+mod levels;
 pub mod pool;
 pub mod queue;
 pub mod request;
 pub mod slots;
 pub mod transactions;
+pub mod urgency;
