Tell entry VMs what a home admits, and refused clients when to return

A home books the return of each refused statement in its calendar and puts its horizon into each reply. An entry VM refuses what all homes exclude. Refusals for the rate, or because the configuration is not current, are spread over 500 to 1,500 ms by level. All of it only where overload control is on.

A statement without time to spare that an empty queue tries could expire between the push and the start; the start now uses the time of the push.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -89,6 +89,8 @@
     RequestServed = 503,
     /// A statement failed on an instance and was not retried on another.
     StatementFailed = 504,
+    /// A home admits only the higher priority levels, because statements wait long or were refused.
+    HorizonClosed = 511,
     /// A connection was closed because nothing was received on it for too long.
     ConnectionSilent = 600,
     /// A connection was closed because its state is unknown.
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
+use oleander_core::level::Horizon;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -26,6 +27,8 @@
 use oleander_session::work::Scope;
 use smallvec::SmallVec;
 
+use super::overload;
+use super::overload::EntryHorizons;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
 use crate::home::registry::Homes;
@@ -51,6 +54,8 @@
     pub homes: Arc<Homes>,
     /// The replicas to avoid because they were found behind.
     pub lag_backoff: Mutex<LagBackoff>,
+    /// The horizons of homes; `None` unless `NodeSettings::overload` is set.
+    pub horizons: Option<EntryHorizons>,
     /// Sends calls to homes on other VMs.
     pub peers: PeerClient,
     /// Logs retries, failed statements and suspected VMs.
@@ -98,7 +103,11 @@
         let mut last = None;
         let target = self.fleet.now() + request.patience;
         let age = request.freshness.age;
-        for instance in self.candidates(database, role, age) {
+        let mut candidates = self.candidates(database, role, age);
+        if let Some(horizons) = &self.horizons {
+            horizons.admit(self.fleet.now(), &mut candidates, request.level)?;
+        }
+        for instance in candidates {
             let now = self.fleet.now();
             if deadline <= now {
                 break;
@@ -121,7 +130,10 @@
             }
             self.log_refusal(Event::RequestRetried, &request, &refusal);
             self.metrics.count("request.retried", 1);
-            last = Some(refusal);
+            last = Some(match &self.horizons {
+                Some(_) => overload::earliest_return(last.as_ref(), refusal),
+                None => refusal,
+            });
         }
         Err(self.final_refusal(database, role, last))
     }
@@ -242,16 +254,25 @@
 
     async fn call(&self, home: VmId, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         if home == self.fleet.vm {
-            return self.homes.run(request).await;
+            let outcome = self.homes.run(request).await;
+            let outcome = self.homes.complete(request, outcome);
+            self.record_horizon(request, self.homes.horizon(&request.instance));
+            return outcome;
         }
         let Some(address) = self.fleet.address(home) else {
             let detail = "the home has left the fleet";
             return Err(Refusal::not_run(RefusalCode::HomeUnreachable, detail));
         };
         let limit = request.limit + NETWORK_MARGIN;
-        let request = Request::Home(Box::new(request.clone()));
-        match self.peers.call(address, &request, limit).await {
-            Ok(Reply::Home(outcome)) => outcome,
+        let message = Request::Home(Box::new(request.clone()));
+        match self.peers.call(address, &message, limit).await {
+            Ok(Reply::Home(outcome)) => outcome.inspect(|answer| {
+                self.record_horizon(request, answer.horizon);
+            }),
+            Ok(Reply::Refused(refusal, horizon)) => {
+                self.record_horizon(request, horizon);
+                Err(refusal)
+            }
             Ok(_) => Err(Refusal::may_have_run(RefusalCode::Internal, "an answer of another kind")),
             Err(error) => {
                 if self.fleet.suspect(home) {
@@ -264,6 +285,12 @@
         }
     }
 
+    fn record_horizon(&self, request: &HomeRequest, horizon: Horizon) {
+        if let Some(horizons) = &self.horizons {
+            horizons.record(self.fleet.now(), &request.instance, horizon);
+        }
+    }
+
     fn log_refusal(&self, event: Event, request: &HomeRequest, refusal: &Refusal) {
         let fields = [
             Field::text("statement", &request.statement),
--- a/oleander-node/src/entry/route.rs
+++ b/oleander-node/src/entry/route.rs
@@ -7,6 +7,7 @@
 use oleander_config::model::KeyHash;
 use oleander_config::model::Matcher;
 use oleander_config::model::Route;
+use oleander_config::model::Workspace;
 use oleander_config::snapshot::Snapshot;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::WorkspaceId;
@@ -15,6 +16,7 @@
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 
+use super::overload;
 use crate::fleet::Fleet;
 
 /// The `retry_after` of a refusal by a VM whose configuration is not current.
@@ -51,15 +53,15 @@
     let snapshot = &view.snapshot;
     let Some(route) = snapshot.route(&Matcher::Session(name.to_owned())) else {
         if !fleet.is_current() {
-            return Err(not_current());
+            return Err(not_current(fleet, Level::LAST));
         }
         return Err(Refusal::not_run(RefusalCode::UnknownRoute, "no route has this name"));
     };
     let (workspace, keyless) = match &route.audience {
         Audience::Open(workspace) => (workspace.clone(), true),
-        Audience::Keyed => (workspace_of_caller(fleet, snapshot, key)?, false),
+        Audience::Keyed => (workspace_of_caller(fleet, snapshot, route, key)?, false),
         Audience::Only(names) => {
-            let workspace = workspace_of_caller(fleet, snapshot, key)?;
+            let workspace = workspace_of_caller(fleet, snapshot, route, key)?;
             if !names.contains(&workspace) {
                 let detail = "the workspace may not use the route";
                 return Err(Refusal::not_run(RefusalCode::RouteForbidden, detail));
@@ -68,12 +70,7 @@
         }
     };
     let id = WorkspaceId::from_name(&workspace);
-    let level = if fleet.settings.overload {
-        let priority = snapshot.workspace(id).map_or(0, |workspace| workspace.priority);
-        Level::from_priorities(route.priority, priority)
-    } else {
-        Level::default()
-    };
+    let level = level(fleet, route, snapshot.workspace(id));
     Ok(Admitted {
         database: DatabaseId::from_name(&route.database),
         workspace: id,
@@ -90,23 +87,36 @@
     route.consistency == Consistency::Primary
 }
 
+/// Returns the level of an operation; the same for all unless `NodeSettings::overload` is set.
+fn level(fleet: &Fleet, route: &Route, workspace: Option<&Workspace>) -> Level {
+    if !fleet.settings.overload {
+        return Level::default();
+    }
+    Level::from_priorities(route.priority, workspace.map_or(0, |workspace| workspace.priority))
+}
+
 /// Returns the name of the workspace that the key belongs to.
 fn workspace_of_caller(
     fleet: &Fleet,
     snapshot: &Snapshot,
+    route: &Route,
     key: Option<&KeyHash>,
 ) -> Result<String, Refusal> {
+    let found = key.and_then(|key| snapshot.workspace_of_key(key));
     if !fleet.is_current() {
-        return Err(not_current());
+        // An old configuration suffices for the time after which the caller returns.
+        let workspace = found.map(|index| &snapshot.workspaces[index]);
+        return Err(not_current(fleet, level(fleet, route, workspace)));
     }
-    let found = key.and_then(|key| snapshot.workspace_of_key(key));
     match found {
         Some(workspace) => Ok(snapshot.workspaces[workspace].name.clone()),
         None => Err(Refusal::not_run(RefusalCode::KeyRejected, "the key is not known")),
     }
 }
 
-fn not_current() -> Refusal {
-    Refusal::not_run(RefusalCode::NotCurrent, "this VM has not heard from the store lately")
-        .with_retry_after(NOT_CURRENT_RETRY_AFTER)
+fn not_current(fleet: &Fleet, level: Level) -> Refusal {
+    let refusal =
+        Refusal::not_run(RefusalCode::NotCurrent, "this VM has not heard from the store lately")
+            .with_retry_after(NOT_CURRENT_RETRY_AFTER);
+    overload::spread_return(fleet, level, refusal)
 }
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -29,6 +29,7 @@
 
 use super::forward::Forwarder;
 use super::forward::RequiredRole;
+use super::overload;
 use super::route;
 use super::route::Admitted;
 use super::start;
@@ -197,7 +198,9 @@
             let fleet = &entry.fleet;
             let retry_at =
                 start::rate_retry_time(&refusal, fleet.now(), fleet.started(), started, target);
-            let Some(retry_at) = retry_at else { return Err(refusal) };
+            let Some(retry_at) = retry_at else {
+                return Err(overload::spread_return(fleet, level, refusal));
+            };
             fleet.timers.sleep_until(retry_at).await;
         }
     }
@@ -263,7 +266,8 @@
         let snapshot = &entry.fleet.view().snapshot;
         if !entry.fleet.is_current() {
             let detail = "this VM has not heard from the store lately";
-            return Err(Refusal::not_run(RefusalCode::NotCurrent, detail));
+            let refusal = Refusal::not_run(RefusalCode::NotCurrent, detail);
+            return Err(overload::spread_return(&entry.fleet, operation.admitted.level, refusal));
         }
         let found = self.key.as_ref().and_then(|key| snapshot.workspace_of_key(key));
         match found.map(|workspace| &snapshot.workspaces[workspace].name) {
--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -66,6 +66,11 @@
         Self { context, target, state: Mutex::new(state) }
     }
 
+    /// Returns the name of the instance.
+    pub(super) fn instance(&self) -> &str {
+        &self.target.instance
+    }
+
     /// Replaces the bounds of the pool.
     pub(super) fn set_options(&self, options: PoolOptions) {
         self.lock().pool.set_options(options);
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -1,10 +1,15 @@
 //! The home of one instance: admits and runs its statements.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
+use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Horizon;
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -15,6 +20,7 @@
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
+use oleander_runtime::logs::Field;
 use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
@@ -59,8 +65,13 @@
     /// `LatestStart` if statements are served in the order of their urgency.
     expiry: Expiry,
     pool: Arc<ConnectionPool>,
+    /// The time at which a closed horizon was last logged; 0 if never.
+    closed_logged: AtomicU64,
 }
 
+/// The shortest time between two log records of a closed horizon.
+const LOG_CLOSED_INTERVAL: Span = Span::from_secs(10);
+
 impl InstanceHome {
     /// Creates the home of an instance that accepts `connections` in all. It serves all statements
     /// alike.
@@ -91,6 +102,7 @@
             key: instance.key,
             pool: Arc::new(ConnectionPool::new(context.links.clone(), target, options)),
             context,
+            closed_logged: AtomicU64::new(0),
         }
     }
 
@@ -101,6 +113,42 @@
         self.slots.set_quota(Quota { slots: slots.max(1), connections: options.max_open });
     }
 
+    /// Closes the horizon to all but level 0, because this VM has just started or the instance was
+    /// away; it opens level by level.
+    pub fn reopen(&self) {
+        self.slots.reopen();
+    }
+
+    /// Returns the levels that the home admits now. Logs once in a while that not all are admitted.
+    pub fn horizon(&self) -> Horizon {
+        let horizon = self.slots.horizon();
+        if horizon != Horizon::OPEN {
+            self.log_closed(horizon);
+        }
+        horizon
+    }
+
+    fn log_closed(&self, horizon: Horizon) {
+        let now = self.context.links.timers.now();
+        let logged = Time(self.closed_logged.load(Ordering::Relaxed));
+        if logged != Time(0) && now.since(logged) < LOG_CLOSED_INTERVAL {
+            return;
+        }
+        self.closed_logged.store(now.0, Ordering::Relaxed);
+        let fields = [
+            Field::text("instance", self.pool.instance()),
+            Field::number("lowest", horizon.lowest().0),
+            Field::millis("opens", horizon.opens()),
+        ];
+        self.context.links.journal.record(Event::HorizonClosed, &fields);
+    }
+
+    /// Sets the time after which a statement returns that was refused although it had a slot.
+    pub fn book_return(&self, request: &HomeRequest, refusal: Refusal) -> Refusal {
+        let workspace = WorkspaceId::from_name(&request.workspace);
+        self.slots.book_return(workspace, request.level, refusal)
+    }
+
     /// Closes the idle connections; called when another VM has become the home.
     pub fn close_idle(&self) {
         self.pool.close_idle();
@@ -348,7 +396,8 @@
     let Reply { rows, outcome, point, .. } = reply;
     let signature =
         outcome.map_err(|failure| upstream::failure_refusal(&failure, failure.kind.verdict()))?;
-    Ok(HomeAnswer { rows, signature, point, transaction: None, queued: permit.queued })
+    let queued = permit.queued;
+    Ok(HomeAnswer { rows, signature, point, transaction: None, queued, horizon: Horizon::OPEN })
 }
 
 /// Adjusts the refusal of a failed statement of a transaction: the failure rolls back the
--- a/oleander-node/src/home/mod.rs
+++ b/oleander-node/src/home/mod.rs
@@ -5,13 +5,14 @@
 //! controls all of its slots.
 //!
 //! `registry` finds or creates the home of an instance, `instance` admits and runs statements,
-//! `slots` queues them, `connections` is the pool of connections, `open` is a transaction with its
+//! `slots` queues them, `overload` times the return of refused ones, `connections` is the pool of connections, `open` is a transaction with its
 //! connection, `transactions` holds transactions between their statements, and `upstream` is one
 //! connection with its session state.
 
 pub mod connections;
 pub mod instance;
 pub mod open;
+mod overload;
 pub mod registry;
 pub mod slots;
 pub mod transactions;
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -11,9 +11,12 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::TransactionId;
+use oleander_core::level::Horizon;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
+use oleander_core::verdict::Verdict;
 use oleander_runtime::logs::Field;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
@@ -32,12 +35,22 @@
 /// The interval at which transactions that were idle for too long are ended.
 const EXPIRY_CHECK_INTERVAL: Span = Span::from_millis(500);
 
+/// The time after the start of this VM in which its new homes open their horizons level by level:
+/// VMs that lost power together are back within a second of each other, and their callers too.
+const STARTUP_PERIOD: Span = Span::from_secs(2);
+
+/// The time for which an instance that was away is remembered.
+const AWAY_MEMORY: Span = Span::from_secs(60);
+
 /// `Homes` holds the homes of this VM and runs the statements that entry VMs forward to them.
 pub struct Homes {
     fleet: Arc<Fleet>,
     context: Arc<HomeContext>,
     transactions: Transactions,
     table: Mutex<HashMap<InstanceKey, HomeEntry>>,
+    /// The instances that had a home here and left the directory or restarted, each with the time at
+    /// which this VM noticed it.
+    away: Mutex<HashMap<InstanceKey, Time>>,
 }
 
 struct HomeEntry {
@@ -50,7 +63,8 @@
 impl Homes {
     /// Creates an empty table.
     pub fn new(fleet: Arc<Fleet>, context: HomeContext, transactions: Transactions) -> Self {
-        Self { fleet, context: Arc::new(context), transactions, table: Mutex::default() }
+        let context = Arc::new(context);
+        Self { fleet, context, transactions, table: Mutex::default(), away: Mutex::default() }
     }
 
     /// Runs a statement at the home of the instance that it names.
@@ -92,6 +106,46 @@
         }
     }
 
+    /// Completes the outcome of a statement, if `NodeSettings::overload` is set: an answer gets the
+    /// horizon of the home, and a refusal for want of capacity a time from the calendar.
+    ///
+    /// # Errors
+    /// Fails if the statement failed.
+    pub fn complete(
+        &self,
+        request: &HomeRequest,
+        outcome: Result<HomeAnswer, Refusal>,
+    ) -> Result<HomeAnswer, Refusal> {
+        if !self.fleet.settings.overload {
+            return outcome;
+        }
+        match outcome {
+            Ok(answer) => Ok(HomeAnswer { horizon: self.horizon(&request.instance), ..answer }),
+            Err(refusal)
+                if refusal.code == RefusalCode::QueueFull
+                    && refusal.verdict == Verdict::NotRun
+                    && refusal.retry_after.is_none() =>
+            {
+                match self.known_home(&request.instance) {
+                    Some(home) => Err(home.book_return(request, refusal)),
+                    None => Err(refusal),
+                }
+            }
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    /// Returns the levels that the home of an instance admits now: all, if this VM has no home of it
+    /// or `NodeSettings::overload` is not set.
+    pub fn horizon(&self, instance: &str) -> Horizon {
+        self.known_home(instance).map_or(Horizon::OPEN, |home| home.horizon())
+    }
+
+    fn known_home(&self, instance: &str) -> Option<Arc<InstanceHome>> {
+        let key = InstanceKey::from_name(instance);
+        self.lock().get(&key).map(|entry| entry.home.clone())
+    }
+
     /// Stores the transaction under its identifier until its next statement, unless it has ended.
     fn store_open(
         &self,
@@ -170,6 +224,7 @@
         let entry = table.entry(key).or_insert_with(|| self.create_home(&view, instance));
         if !matches_instance(entry, instance) {
             entry.home.close();
+            self.mark_away(key);
             *entry = self.create_home(&view, instance);
         }
         Ok(entry.home.clone())
@@ -183,6 +238,9 @@
             InstanceHome::new
         };
         let home = Arc::new(create(self.context.clone(), instance, connections));
+        if self.reopens(instance.key) {
+            home.reopen();
+        }
         HomeEntry { home, life: instance.entry.life, address: instance.entry.address }
     }
 
@@ -196,6 +254,7 @@
                 view.instances.get(key).filter(|listed| matches_instance(entry, listed))
             else {
                 entry.home.close();
+                self.mark_away(*key);
                 return false;
             };
             entry.home.set_limits(instance.entry.slots, max_connections(&view, instance));
@@ -207,6 +266,20 @@
         });
     }
 
+    fn mark_away(&self, key: InstanceKey) {
+        let now = self.fleet.now();
+        let mut away = self.away.lock().unwrap_or_else(PoisonError::into_inner);
+        away.retain(|_, at| now.since(*at) < AWAY_MEMORY);
+        away.insert(key, now);
+    }
+
+    /// Returns `true` if a new home of the instance opens its horizon level by level: this VM has
+    /// just started, or the instance was away.
+    fn reopens(&self, key: InstanceKey) -> bool {
+        let mut away = self.away.lock().unwrap_or_else(PoisonError::into_inner);
+        away.remove(&key).is_some() || self.fleet.now().since(self.fleet.started()) < STARTUP_PERIOD
+    }
+
     fn end_expired(&self) {
         for transaction in self.transactions.take_expired(self.fleet.now()) {
             let fields = [
--- a/oleander-node/src/home/slots.rs
+++ b/oleander-node/src/home/slots.rs
@@ -7,11 +7,14 @@
 use std::sync::PoisonError;
 
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Horizon;
+use oleander_core::level::Level;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_limits::home::queue::Connection;
+use oleander_limits::home::queue::Dropped;
 use oleander_limits::home::queue::HomeQueue;
 use oleander_limits::home::queue::QueueOptions;
 use oleander_limits::home::request::Class;
@@ -19,12 +22,14 @@
 use oleander_limits::home::request::Ticket;
 use oleander_limits::home::slots::Quota;
 use oleander_limits::home::slots::Slots;
-use oleander_limits::home::urgency::Rank;
-use oleander_limits::home::urgency::Standing;
 use oleander_limits::home::urgency::Urgency;
 use oleander_runtime::timer::TimerService;
 use tokio::sync::oneshot;
 
+use super::overload;
+use super::overload::Entitlement;
+use super::overload::Overload;
+
 /// The ordinal of the instance, the only one in its queue.
 const ORDINAL: u8 = 0;
 
@@ -47,12 +52,20 @@
 
 struct State {
     queue: HomeQueue,
+    /// The times for refused statements; `None` if `expiry` is `Deadline`.
+    overload: Option<Overload>,
     /// Wakes the caller of each queued statement with its permit or refusal.
-    waiting: HashMap<Ticket, oneshot::Sender<Result<Permit, Refusal>>>,
+    waiting: HashMap<Ticket, Waiting>,
     /// The number of the last ticket.
     serial: u64,
 }
 
+/// `Waiting` is a queued statement.
+struct Waiting {
+    sender: oneshot::Sender<Result<Permit, Refusal>>,
+    entitlement: Entitlement,
+}
+
 /// `SlotRequest` describes a statement that needs a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotRequest {
@@ -78,6 +91,8 @@
     pub queued: Span,
     /// `true` if a transaction keeps the connection when the permit is dropped.
     keep: bool,
+    level: Level,
+    entitlement: Entitlement,
 }
 
 impl InstanceSlots {
@@ -86,7 +101,11 @@
         let mut slots = Slots::default();
         slots.set_quotas([quota], Time(0));
         let queue = HomeQueue::new(QueueOptions::default(), slots);
-        let state = State { queue, waiting: HashMap::new(), serial: 0 };
+        let overload = match expiry {
+            Expiry::Deadline => None,
+            Expiry::LatestStart => Some(Overload::new(timers.now(), quota.slots)),
+        };
+        let state = State { queue, overload, waiting: HashMap::new(), serial: 0 };
         Self { timers, expiry, state: Arc::new(Mutex::new(state)) }
     }
 
@@ -95,7 +114,33 @@
         let mut state = self.lock();
         if state.queue.slots().quota(ORDINAL) != quota {
             state.queue.slots_mut().set_quotas([quota], Time(0));
-            self.start_next(&mut state);
+            if let Some(overload) = &mut state.overload {
+                overload.set_slots(quota.slots);
+            }
+            self.start_next(self.timers.now(), &mut state);
+        }
+    }
+
+    /// Closes the horizon to all but level 0; it opens level by level.
+    pub fn reopen(&self) {
+        let now = self.timers.now();
+        if let Some(overload) = &mut self.lock().overload {
+            overload.reopen(now);
+        }
+    }
+
+    /// Returns the levels that are admitted now.
+    pub fn horizon(&self) -> Horizon {
+        let now = self.timers.now();
+        self.lock().overload.as_mut().map_or(Horizon::OPEN, |overload| overload.horizon(now))
+    }
+
+    /// Books the return of a statement that was refused although it had a slot.
+    pub fn book_return(&self, workspace: WorkspaceId, level: Level, refusal: Refusal) -> Refusal {
+        let now = self.timers.now();
+        match &mut self.lock().overload {
+            Some(overload) => overload.refuse(now, Span::ZERO, workspace, level, refusal),
+            None => refusal,
         }
     }
 
@@ -106,23 +151,34 @@
     /// or a more urgent one takes its place in a full queue.
     pub async fn acquire(&self, request: SlotRequest) -> Result<Permit, Refusal> {
         let now = self.timers.now();
-        let SlotRequest { workspace, weight, class, deadline, urgency } = request;
+        let SlotRequest { workspace, weight, class, deadline, mut urgency } = request;
         let (queued, until, waiting) = {
             let mut state = self.lock();
+            let state = &mut *state;
             state.serial += 1;
             let ticket = Ticket(state.serial);
             let queued = QueuedRequest { ticket, workspace, weight, cost: 1, deadline, class };
-            let added = state.queue.push_urgent(now, queued, urgency)?;
-            if let Some(dropped) = added.dropped {
-                state.refuse(dropped.request.ticket, dropped.refusal);
+            let entitlement = match &mut state.overload {
+                Some(overload) => overload.admit(now, &state.queue, &queued, &mut urgency)?,
+                None => Entitlement::New,
+            };
+            let added = state
+                .queue
+                .push_urgent(now, queued, urgency)
+                .map_err(|refusal| state.book_return(now, &queued, urgency.level, refusal))?;
+            if let Some(Dropped { request, urgency, refusal }) = added.dropped {
+                let refusal = state.book_return(now, &request, urgency.level, refusal);
+                state.refuse(request.ticket, refusal);
             }
             let until = match self.expiry {
                 Expiry::Deadline => deadline,
                 Expiry::LatestStart => added.latest_start,
             };
             let (sender, receiver) = oneshot::channel();
-            state.waiting.insert(ticket, sender);
-            self.start_next(&mut state);
+            state.waiting.insert(ticket, Waiting { sender, entitlement });
+            // At the time of the push: a statement that only an empty queue tries, because it has no
+            // time to spare, would otherwise expire before it starts.
+            self.start_next(now, state);
             (queued, until, receiver)
         };
         let guard = QueueGuard { slots: self, ticket: queued.ticket };
@@ -138,7 +194,7 @@
     pub fn release_connection(&self) {
         let mut state = self.lock();
         state.queue.slots_mut().release_connection(ORDINAL);
-        self.start_next(&mut state);
+        self.start_next(self.timers.now(), &mut state);
     }
 
     /// Returns the refusal of a statement that waited for too long.
@@ -148,15 +204,13 @@
         match self.expiry {
             Expiry::Deadline => refusal,
             Expiry::LatestStart => {
-                let rank = Rank { level: urgency.level, standing: Standing::InTime };
-                refusal.with_retry_after(self.lock().queue.retry_after(queued, rank))
+                self.lock().book_return(self.timers.now(), queued, urgency.level, refusal)
             }
         }
     }
 
     /// Sends a permit to each statement that can start now.
-    fn start_next(&self, state: &mut State) {
-        let now = self.timers.now();
+    fn start_next(&self, now: Time, state: &mut State) {
         if self.expiry == Expiry::LatestStart {
             // Without its sender, the caller of an expired statement refuses it.
             for ticket in state.queue.expire(now) {
@@ -173,15 +227,23 @@
         while let Some(started) = state.queue.pop(now, place) {
             let ticket = started.request.ticket;
             let keep = started.request.class == Class::Transaction;
+            if let Some(overload) = &mut state.overload {
+                overload.record_start(now, &started);
+            }
+            let waiting = state.waiting.remove(&ticket);
+            let entitlement =
+                waiting.as_ref().map_or(Entitlement::New, |waiting| waiting.entitlement);
             let permit = Permit {
                 slots: self.clone(),
                 ticket,
                 started_at: now,
                 queued: started.queued,
                 keep,
+                level: started.urgency.level,
+                entitlement,
             };
-            let undelivered = match state.waiting.remove(&ticket) {
-                Some(sender) => sender.send(Ok(permit)).err(),
+            let undelivered = match waiting {
+                Some(Waiting { sender, .. }) => sender.send(Ok(permit)).err(),
                 None => Some(Ok(permit)),
             };
             if let Some(Ok(permit)) = undelivered {
@@ -199,9 +261,22 @@
 }
 
 impl State {
+    /// Sets the time after which a refused statement returns.
+    fn book_return(
+        &mut self,
+        now: Time,
+        queued: &QueuedRequest,
+        level: Level,
+        refusal: Refusal,
+    ) -> Refusal {
+        let Some(overload) = &mut self.overload else { return refusal };
+        let wait = overload::expected_wait(&self.queue, queued, level);
+        overload.refuse(now, wait, queued.workspace, level, refusal)
+    }
+
     /// Refuses a statement that has left the queue.
     fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
-        if let Some(sender) = self.waiting.remove(&ticket) {
+        if let Some(Waiting { sender, .. }) = self.waiting.remove(&ticket) {
             // If this fails, the caller has gone.
             let _ = sender.send(Err(refusal));
         }
@@ -219,8 +294,12 @@
     fn drop(&mut self) {
         let now = self.slots.timers.now();
         let mut state = self.slots.lock();
-        state.queue.finish(self.ticket, now.since(self.started_at), connection(self.keep));
-        self.slots.start_next(&mut state);
+        let service = now.since(self.started_at);
+        state.queue.finish(self.ticket, service, connection(self.keep));
+        if let Some(overload) = &mut state.overload {
+            overload.record_end(now, self.level, self.entitlement, service);
+        }
+        self.slots.start_next(now, &mut state);
     }
 }
 
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -32,6 +32,7 @@
 use crate::control::relay::RelayedStore;
 use crate::control::shares;
 use crate::entry::forward::Forwarder;
+use crate::entry::overload::EntryHorizons;
 use crate::entry::session::Entry;
 use crate::entry::shed;
 use crate::fleet::Fleet;
@@ -153,6 +154,7 @@
                 fleet: fleet.clone(),
                 primaries: primaries.clone(),
                 homes: homes.clone(),
+                horizons: settings.overload.then(|| EntryHorizons::new(metrics.clone())),
                 lag_backoff: Mutex::default(),
                 peers: peer_client.clone(),
                 journal: journal.clone(),
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -63,9 +63,18 @@
                 // A task of its own runs to its end even if the peer stream breaks, so that the
                 // connection to the instance is kept.
                 let homes = server.homes.clone();
-                let running = tokio::spawn(async move { homes.run(&request).await });
+                let instance = request.instance.clone();
+                let running = tokio::spawn(async move {
+                    let outcome = homes.run(&request).await;
+                    homes.complete(&request, outcome)
+                });
                 let lost = |_| Err(Refusal::may_have_run(RefusalCode::Internal, "the task failed"));
-                Reply::Home(running.await.unwrap_or_else(lost))
+                match running.await.unwrap_or_else(lost) {
+                    Err(refusal) if server.fleet.settings.overload => {
+                        Reply::Refused(refusal, server.homes.horizon(&instance))
+                    }
+                    outcome => Reply::Home(outcome),
+                }
             }
             Request::Primary(database) => Reply::Primary(server.duties.report(database)),
             Request::Joined { revision, former } => {
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -7,6 +7,7 @@
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::level::Horizon;
 use oleander_core::level::Level;
 use oleander_core::statement::Access;
 use oleander_core::statement::Rows;
@@ -168,6 +169,8 @@
     Followed(FollowReply),
     /// The reply to `Request::Store`.
     Store(StoreReply),
+    /// The refusal of `Request::Home` by a home that tells which levels it admits now.
+    Refused(Refusal, Horizon),
 }
 
 /// `StoreReply` is the result of a call that was passed on to the store.
--- a/oleander-routing/src/horizon.rs
+++ b/oleander-routing/src/horizon.rs
@@ -68,8 +68,12 @@
     /// stays open.
     pub fn close(&mut self, now: Time, level: Level) {
         self.open_due(now);
-        self.lowest = self.lowest.min(Level(level.0.saturating_sub(1)));
-        self.since = now;
+        let lowest = Level(level.0.saturating_sub(1));
+        // A closed level that is refused says nothing about the next one to open.
+        if lowest <= self.lowest {
+            self.lowest = lowest;
+            self.since = now;
+        }
     }
 
     /// Returns the horizon at `now`. `next_room` returns the time until there is room for a level.
@@ -178,9 +182,11 @@
     }
 }
 
-/// The shortest and the longest time after which a client returns that was refused for a reason
-/// other than the load of a home.
-const MIN_RETURN: Span = Span::from_millis(500);
+/// The shortest time after which a client returns that was refused for a reason other than the load
+/// of a home.
+pub const MIN_RETURN: Span = Span::from_millis(500);
+
+/// The longest time after which such a client returns.
 const MAX_RETURN: Span = Span::from_millis(1_500);
 
 /// Returns a time between 500 ms and 1,500 ms after which a refused request of `level` returns,
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -1,6 +1,7 @@
 //! Requests from an entry VM to the home of an instance for a session, and the answers.
 
 use oleander_core::ids::TransactionId;
+use oleander_core::level::Horizon;
 use oleander_core::level::Level;
 use oleander_core::statement::Access;
 use oleander_core::terms::LogPoint;
@@ -123,4 +124,6 @@
     pub transaction: Option<TransactionId>,
     /// The time spent in the home's queue.
     pub queued: Span,
+    /// The levels that the home admits now.
+    pub horizon: Horizon,
 }
