--- a/oleander-node/src/home/overload.rs
+++ b/oleander-node/src/home/overload.rs
@@ -17,6 +17,8 @@
 use oleander_limits::home::urgency::Urgency;
 use oleander_routing::horizon::HorizonControl;
 
+use super::slots::ORDINAL;
+
 /// The factor by which the time until the deadline must exceed the expected wait, as in the queue.
 const WAIT_MARGIN: u64 = 2;
 
@@ -52,8 +54,11 @@
         self.control = HorizonControl::reopening(now);
     }
 
-    /// Returns the levels that the home admits now.
-    pub(super) fn horizon(&mut self, now: Time) -> Horizon {
+    /// Returns the levels that the home admits now: all while a slot is free and nothing waits.
+    pub(super) fn horizon(&mut self, now: Time, queue: &HomeQueue) -> Horizon {
+        if is_free(now, queue) {
+            return Horizon::OPEN;
+        }
         self.control.horizon(now, |level| self.calendar.next_room(now, level))
     }
 
@@ -80,8 +85,7 @@
             return Ok(Entitlement::Booked);
         }
         let pending = self.calendar.pending(now, urgency.level, wait);
-        let is_free = queue.is_empty() && queue.slots().has_free_slot(now);
-        if pending == Span::ZERO || is_free {
+        if pending == Span::ZERO || is_free(now, queue) {
             return Ok(Entitlement::New);
         }
         let ahead = Span(pending.0 / u64::from(queue.slots().total_slots().max(1)));
@@ -135,6 +139,11 @@
     }
 }
 
+/// Returns `true` if a new statement would start at once.
+fn is_free(now: Time, queue: &HomeQueue) -> bool {
+    queue.is_empty() && queue.slots().is_free(now, ORDINAL)
+}
+
 /// Returns the time that a new statement of a level would wait.
 pub(super) fn expected_wait(queue: &HomeQueue, queued: &QueuedRequest, level: Level) -> Span {
     queue.expected_wait(queued, Rank { level, standing: Standing::InTime })
--- a/oleander-node/src/home/slots.rs
+++ b/oleander-node/src/home/slots.rs
@@ -31,7 +31,7 @@
 use super::overload::Overload;
 
 /// The ordinal of the instance, the only one in its queue.
-const ORDINAL: u8 = 0;
+pub(super) const ORDINAL: u8 = 0;
 
 /// `InstanceSlots` admits statements to an instance. Clones share the same queue.
 #[derive(Clone)]
@@ -121,7 +121,8 @@
         }
     }
 
-    /// Closes the horizon to all but level 0; it opens level by level.
+    /// Closes the horizon to all but level 0; it opens level by level, and at once while a slot is
+    /// free.
     pub fn reopen(&self) {
         let now = self.timers.now();
         if let Some(overload) = &mut self.lock().overload {
@@ -132,7 +133,8 @@
     /// Returns the levels that are admitted now.
     pub fn horizon(&self) -> Horizon {
         let now = self.timers.now();
-        self.lock().overload.as_mut().map_or(Horizon::OPEN, |overload| overload.horizon(now))
+        let State { queue, overload, .. } = &mut *self.lock();
+        overload.as_mut().map_or(Horizon::OPEN, |overload| overload.horizon(now, queue))
     }
 
     /// Books the return of a statement that was refused although it had a slot.
--- a/oleander-node/tests/overload.rs
+++ b/oleander-node/tests/overload.rs
@@ -66,15 +66,20 @@
     assert!(acquire(&timers, &slots, 2).await.is_ok());
 }
 
-/// Guards against a home that has just started and takes the callers of all levels at once.
+/// Guards against a home that has just started and takes the callers of all levels at once, and
+/// against refusals while a slot is free.
 #[tokio::test]
 async fn a_reopened_home_admits_the_highest_priority_first() {
     let timers = TimerService::start(Clock::new());
     let slots = slots(&timers, Expiry::LatestStart);
     slots.reopen();
+    assert_eq!(slots.horizon(), Horizon::OPEN);
+    let running = acquire(&timers, &slots, 0).await;
     assert_eq!(slots.horizon().lowest(), Level(0));
     timers.sleep(Span::from_millis(120)).await;
     assert!(Level(0) < slots.horizon().lowest());
+    drop(running);
+    assert_eq!(slots.horizon(), Horizon::OPEN);
 }
 
 /// Guards against a return of all callers at the same time after an outage of the store, and against
