--- a/oleander-node/src/home/overload.rs
+++ b/oleander-node/src/home/overload.rs
@@ -19,8 +19,10 @@
 
 use super::slots::ORDINAL;
 
-/// The factor by which the time until the deadline must exceed the expected wait, as in the queue.
-const WAIT_MARGIN: u64 = 2;
+/// The factor, in halves, by which the time until the deadline of a new statement must exceed its
+/// expected wait while bookings are due. It is above that of the queue, so that the queue does not
+/// refuse statements with a booking when estimates move.
+const WAIT_MARGIN_HALVES: u64 = 5;
 
 /// `Overload` gives refused statements times to return, and decides which levels the home admits.
 pub(super) struct Overload {
@@ -89,7 +91,7 @@
             return Ok(Entitlement::New);
         }
         let ahead = Span(pending.0 / u64::from(queue.slots().total_slots().max(1)));
-        if queued.deadline.since(now) < (wait + ahead).times(WAIT_MARGIN) {
+        if queued.deadline.since(now).times(2) < (wait + ahead).times(WAIT_MARGIN_HALVES) {
             let detail = "home: requests that return as told go first";
             let refusal = Refusal::not_run(RefusalCode::DeadlineExceeded, detail);
             return Err(self.refuse(now, wait, queued.workspace, urgency.level, refusal));
