--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -105,7 +105,7 @@
         let age = request.freshness.age;
         let mut candidates = self.candidates(database, role, age);
         if let Some(horizons) = &self.horizons {
-            horizons.admit(self.fleet.now(), &mut candidates, request.level)?;
+            horizons.admit(self.fleet.now(), &request, &mut candidates)?;
         }
         for instance in candidates {
             let now = self.fleet.now();
@@ -256,7 +256,8 @@
         if home == self.fleet.vm {
             let outcome = self.homes.run(request).await;
             let outcome = self.homes.complete(request, outcome);
-            self.record_horizon(request, self.homes.horizon(&request.instance));
+            let horizon = self.homes.horizon(&request.instance);
+            self.record_horizon(request, horizon, outcome.as_ref().err());
             return outcome;
         }
         let Some(address) = self.fleet.address(home) else {
@@ -267,10 +268,10 @@
         let message = Request::Home(Box::new(request.clone()));
         match self.peers.call(address, &message, limit).await {
             Ok(Reply::Home(outcome)) => outcome.inspect(|answer| {
-                self.record_horizon(request, answer.horizon);
+                self.record_horizon(request, answer.horizon, None);
             }),
             Ok(Reply::Refused(refusal, horizon)) => {
-                self.record_horizon(request, horizon);
+                self.record_horizon(request, horizon, Some(&refusal));
                 Err(refusal)
             }
             Ok(_) => Err(Refusal::may_have_run(RefusalCode::Internal, "an answer of another kind")),
@@ -285,9 +286,9 @@
         }
     }
 
-    fn record_horizon(&self, request: &HomeRequest, horizon: Horizon) {
+    fn record_horizon(&self, request: &HomeRequest, horizon: Horizon, refusal: Option<&Refusal>) {
         if let Some(horizons) = &self.horizons {
-            horizons.record(self.fleet.now(), &request.instance, horizon);
+            horizons.record(self.fleet.now(), request, horizon, refusal);
         }
     }
 
--- a/oleander-node/src/entry/overload.rs
+++ b/oleander-node/src/entry/overload.rs
@@ -6,6 +6,7 @@
 
 use oleander_config::snapshot::Snapshot;
 use oleander_core::ids::InstanceKey;
+use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Horizon;
 use oleander_core::level::Level;
 use oleander_core::time::Span;
@@ -16,42 +17,74 @@
 use oleander_routing::horizon::Admission;
 use oleander_routing::horizon::Horizons;
 use oleander_routing::horizon::MIN_RETURN;
+use oleander_routing::horizon::Returns;
 use oleander_runtime::metrics::Metrics;
+use oleander_session::work::HomeRequest;
 use smallvec::SmallVec;
 
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
 
-/// `EntryHorizons` holds the horizons that this VM has received from homes.
+/// `EntryHorizons` holds what this VM has learned from homes in their replies.
 pub struct EntryHorizons {
-    horizons: Mutex<Horizons>,
+    state: Mutex<State>,
     /// Counts the requests refused here and those sent as probes.
     metrics: Metrics,
 }
 
+#[derive(Default)]
+struct State {
+    horizons: Horizons,
+    returns: Returns,
+}
+
 impl EntryHorizons {
     /// Creates an empty set.
     pub fn new(metrics: Metrics) -> Self {
-        Self { horizons: Mutex::default(), metrics }
+        Self { state: Mutex::default(), metrics }
     }
 
-    /// Records the horizon in a reply of an instance's home.
-    pub fn record(&self, now: Time, instance: &str, horizon: Horizon) {
-        self.lock().record(now, InstanceKey::from_name(instance), horizon);
+    /// Records the horizon in a home's reply and, from a refusal, the time of the return.
+    pub fn record(
+        &self,
+        now: Time,
+        request: &HomeRequest,
+        horizon: Horizon,
+        refusal: Option<&Refusal>,
+    ) {
+        let instance = InstanceKey::from_name(&request.instance);
+        let mut state = self.lock();
+        state.horizons.record(now, instance, horizon);
+        let booked = refusal.filter(|refusal| {
+            matches!(refusal.code, RefusalCode::QueueFull | RefusalCode::DeadlineExceeded)
+        });
+        if let Some(retry_after) = booked.and_then(|refusal| refusal.retry_after) {
+            state.returns.record(now, return_key(request), now + retry_after, instance);
+        }
     }
 
-    /// Removes the instances whose homes do not admit a request of `level`.
+    /// Removes the instances whose homes do not admit the request. If a home has told a request of
+    /// the workspace and level to return now, its instance comes first.
     ///
     /// # Errors
     /// Fails with verdict `NotRun` if no home admits it.
     pub fn admit(
         &self,
         now: Time,
+        request: &HomeRequest,
         instances: &mut SmallVec<[Instance; 4]>,
-        level: Level,
     ) -> Result<(), Refusal> {
-        let mut horizons = self.lock();
+        let State { horizons, returns } = &mut *self.lock();
+        let level = request.level;
         let keys = instances.iter().map(|instance| instance.key);
+        let is_candidate = |key| keys.clone().any(|candidate| candidate == key);
+        if let Some(key) = returns.take(now, return_key(request), is_candidate) {
+            instances.retain(|instance| {
+                instance.key == key || horizons.admits(now, instance.key, level)
+            });
+            instances.sort_by_key(|instance| instance.key != key);
+            return Ok(());
+        }
         match horizons.decide(now, keys, level, rand::random()) {
             Admission::Open => {
                 instances.retain(|instance| horizons.admits(now, instance.key, level));
@@ -64,17 +97,25 @@
             }
             Admission::Refuse(retry_after) => {
                 self.metrics.count("horizon.refused", 1);
+                // When it returns, it is sent to the home, which books a time if it refuses as well.
+                if let Some(instance) = instances.first() {
+                    returns.record(now, return_key(request), now + retry_after, instance.key);
+                }
                 let detail = "entry: the homes admit only requests of higher priority now";
                 Err(Refusal::not_run(RefusalCode::QueueFull, detail).with_retry_after(retry_after))
             }
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Horizons> {
-        self.horizons.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn return_key(request: &HomeRequest) -> (WorkspaceId, Level) {
+    (WorkspaceId::from_name(&request.workspace), request.level)
+}
+
 /// Returns the refusal of a request that was tried at several instances: the last one, with the
 /// earliest time that a home has given it.
 pub fn earliest_return(former: Option<&Refusal>, last: Refusal) -> Refusal {
--- a/oleander-routing/src/horizon.rs
+++ b/oleander-routing/src/horizon.rs
@@ -1,9 +1,11 @@
 //! The levels that a home admits: decided at the home, and used by entry VMs to refuse requests
 //! where they arrive.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use oleander_core::ids::InstanceKey;
+use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Horizon;
 use oleander_core::level::Level;
 use oleander_core::time::Span;
@@ -182,6 +184,70 @@
     }
 }
 
+/// The time before and after the given one within which a request counts as a return. The home
+/// accepts it from one cell of its calendar before the time until 1 s after it.
+const RETURN_EARLY: Span = Span::from_millis(50);
+const RETURN_LATE: Span = Span::from_secs(1);
+
+/// The maximum number of returns that an entry VM remembers.
+const MAX_RETURNS: usize = 1_024;
+
+/// `Returns` holds the times at which refused requests of this entry VM were told to return. Homes
+/// have booked room for those that they refused, so that these are sent although the horizon excludes
+/// their level. Those that this VM refused are sent so that it refuses none of them twice.
+#[derive(Clone, Debug, Default)]
+pub struct Returns {
+    /// The times with the instances, for each workspace and level.
+    expected: BTreeMap<(WorkspaceId, Level), Vec<(Time, InstanceKey)>>,
+    count: usize,
+}
+
+impl Returns {
+    /// Records that a request was told to return at `at`.
+    pub fn record(
+        &mut self,
+        now: Time,
+        key: (WorkspaceId, Level),
+        at: Time,
+        instance: InstanceKey,
+    ) {
+        if MAX_RETURNS <= self.count {
+            self.drop_late(now);
+        }
+        if self.count < MAX_RETURNS {
+            self.expected.entry(key).or_default().push((at, instance));
+            self.count += 1;
+        }
+    }
+
+    /// Takes the earliest return that is due at a candidate for the request and returns the instance.
+    pub fn take(
+        &mut self,
+        now: Time,
+        key: (WorkspaceId, Level),
+        is_candidate: impl Fn(InstanceKey) -> bool,
+    ) -> Option<InstanceKey> {
+        let expected = self.expected.get_mut(&key)?;
+        let is_due = |at: Time| at <= now + RETURN_EARLY && now.since(at) <= RETURN_LATE;
+        let due = expected
+            .iter()
+            .enumerate()
+            .filter(|(_, (at, instance))| is_due(*at) && is_candidate(*instance));
+        let (index, _) = due.min_by_key(|(_, (at, _))| *at)?;
+        let (_, instance) = expected.swap_remove(index);
+        self.count -= 1;
+        Some(instance)
+    }
+
+    fn drop_late(&mut self, now: Time) {
+        self.expected.retain(|_, expected| {
+            expected.retain(|(at, _)| now.since(*at) <= RETURN_LATE);
+            !expected.is_empty()
+        });
+        self.count = self.expected.values().map(Vec::len).sum();
+    }
+}
+
 /// The shortest time after which a client returns that was refused for a reason other than the load
 /// of a home.
 pub const MIN_RETURN: Span = Span::from_millis(500);
--- a/oleander-routing/tests/horizon.rs
+++ b/oleander-routing/tests/horizon.rs
@@ -1,6 +1,7 @@
 //! Properties of the admission horizon at homes and entry VMs.
 
 use oleander_core::ids::InstanceKey;
+use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Horizon;
 use oleander_core::level::Level;
 use oleander_core::time::Span;
@@ -9,6 +10,7 @@
 use oleander_routing::horizon::HORIZON_TTL;
 use oleander_routing::horizon::HorizonControl;
 use oleander_routing::horizon::Horizons;
+use oleander_routing::horizon::Returns;
 use oleander_routing::horizon::STEP;
 use oleander_routing::horizon::spread_return;
 use proptest::prelude::ProptestConfig;
@@ -100,6 +102,25 @@
     }
 }
 
+/// Guards against a client that returns as told by a home and is refused at the entry, because the
+/// home's horizon still excludes its level.
+#[test]
+fn a_return_is_taken_once_and_only_when_it_is_due() {
+    let mut returns = Returns::default();
+    let key = (WorkspaceId(1), Level(2));
+    let at = START + Span::from_millis(400);
+    let mut take = |now: Time, key| returns.take(now, key, |instance| instance == INSTANCE);
+    assert_eq!(take(at, key), None);
+    returns.record(START, key, at, InstanceKey(2));
+    returns.record(START, key, at, INSTANCE);
+    let mut take = |now: Time, key| returns.take(now, key, |instance| instance == INSTANCE);
+    assert_eq!(take(START, key), None);
+    assert_eq!(take(at + Span::from_millis(1_001), key), None);
+    assert_eq!(take(at, (WorkspaceId(1), Level(1))), None);
+    assert_eq!(take(at + Span::from_millis(90), key), Some(INSTANCE));
+    assert_eq!(take(at, key), None);
+}
+
 /// Guards against a request that is refused although the home of another instance admits it, and
 /// against one that is sent although all homes exclude it.
 #[test]
