--- a/oleander-limits/src/home/calendar.rs
+++ b/oleander-limits/src/home/calendar.rs
@@ -217,10 +217,12 @@
         self.service().times(count)
     }
 
-    /// Returns the time until the first cell with room for `level`; `LENGTH` if there is none.
-    pub fn next_room(&mut self, now: Time, level: Level) -> Span {
+    /// Returns the time until the first cell with room for `level`, after the `waiting` requests
+    /// that are served before; `LENGTH` if there is none.
+    pub fn next_room(&mut self, now: Time, level: Level, waiting: usize) -> Span {
         self.advance(now);
-        let start = self.first_with_room(cell_at(now), self.room(level), Span::ZERO);
+        let wait = self.service.drain_time(waiting as u64, self.slots).min(LENGTH);
+        let start = self.first_with_room(cell_at(now), self.room(level), wait);
         start.map_or(LENGTH, |number| Time(number * CELL.0).since(now))
     }
 
--- a/oleander-node/src/home/overload.rs
+++ b/oleander-node/src/home/overload.rs
@@ -61,7 +61,10 @@
         if is_free(now, queue) {
             return Horizon::OPEN;
         }
-        self.control.horizon(now, |level| self.calendar.next_room(now, level))
+        self.control.horizon(now, |level| {
+            let waiting = (0..=level.0).map(|ahead| queue.waiting_at(Level(ahead))).sum();
+            self.calendar.next_room(now, level, waiting)
+        })
     }
 
     /// Decides whether a statement may enter the queue. Bookings that are due go before new
