--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -352,7 +352,13 @@
         let wait = if fleet.settings.overload { request.limit } else { request.patience };
         let until = fleet.now() + wait;
         let database = operation.admitted.database;
-        let ran = self.entry.forwarder.run(database, role, request, until).await?;
+        let level = request.level;
+        let ran = self.entry.forwarder.run(database, role, request, until).await;
+        let ran = ran.map_err(|refusal| match refusal.code {
+            // The home's configuration is not current.
+            RefusalCode::NotCurrent => overload::spread_return(fleet, level, refusal),
+            _ => refusal,
+        })?;
         Ok((ran.answer, ran.home, ran.instance))
     }
 
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -140,6 +140,9 @@
     /// Returns the levels that the home of an instance admits now: all, if this VM has no home of it
     /// or `NodeSettings::overload` is not set.
     pub fn horizon(&self, instance: &str) -> Horizon {
+        if !self.fleet.settings.overload {
+            return Horizon::OPEN;
+        }
         self.known_home(instance).map_or(Horizon::OPEN, |home| home.horizon())
     }
 
