--- a/oleander-config/src/snapshot.rs
+++ b/oleander-config/src/snapshot.rs
@@ -39,6 +39,8 @@
     /// The time for which an open transaction may be idle before it is ended; `None` leaves
     /// the limit to the home.
     pub tx_idle: Option<Span>,
+    /// The lowest-priority level that a request may have.
+    pub lowest_level: Level,
     /// The highest priority of a route; 0 if there is none.
     first_priority: u8,
     keys: HashMap<KeyHash, WorkspaceIdx>,
@@ -53,8 +55,12 @@
     pub fn new(revision: Revision, document: Document) -> Self {
         let priorities = document.routes.iter().map(|route| route.priority);
         let first_priority = priorities.min().unwrap_or(0);
+        let route = document.routes.iter().map(|route| route.priority).max();
+        let workspace = document.workspaces.iter().map(|workspace| workspace.priority).max();
+        let lowest_level = Level::from_priorities(route.unwrap_or(0), workspace.unwrap_or(0));
         let tx_idle = document.tx_idle;
-        let mut snapshot = Self { revision, tx_idle, first_priority, ..Self::default() };
+        let mut snapshot =
+            Self { revision, tx_idle, lowest_level, first_priority, ..Self::default() };
         for workspace in document.workspaces {
             snapshot.add_workspace(workspace);
         }
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -10,6 +10,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
+use oleander_core::level::Horizon;
 use oleander_core::places::Regions;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -29,6 +30,8 @@
 use oleander_session::work::Work;
 use smallvec::SmallVec;
 
+use super::overload;
+use super::overload::EntryHorizons;
 use super::places;
 use crate::eligibility;
 use crate::eligibility::Obstacle;
@@ -60,6 +63,8 @@
     pub homes: Arc<Homes>,
     /// The replicas to avoid because they were found behind.
     pub lag_backoff: Mutex<LagBackoff>,
+    /// The horizons of homes; `None` unless `NodeSettings::overload` is set.
+    pub horizons: Option<EntryHorizons>,
     /// Sends calls to homes on other VMs.
     pub peers: PeerClient,
     /// Logs retries, failed statements and suspected VMs.
@@ -114,7 +119,11 @@
         {
             return Err(refusal);
         }
-        for instance in self.candidates(database, role, age, &regions) {
+        let mut candidates = self.candidates(database, role, age, &regions);
+        if let Some(horizons) = &self.horizons {
+            horizons.admit(self.fleet.now(), &request, &mut candidates)?;
+        }
+        for instance in candidates {
             let now = self.fleet.now();
             if deadline <= now {
                 break;
@@ -137,7 +146,10 @@
             }
             self.log_refusal(Event::RequestRetried, &request, &refusal);
             self.metrics.count("request.retried", 1);
-            last = Some(refusal);
+            last = Some(match &self.horizons {
+                Some(_) => overload::earliest_return(last.as_ref(), refusal),
+                None => refusal,
+            });
         }
         Err(self.final_refusal(database, role, last))
     }
@@ -280,7 +292,11 @@
 
     async fn call(&self, home: VmId, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         if home == self.fleet.vm {
-            return self.homes.run(request).await;
+            let outcome = self.homes.run(request).await;
+            let outcome = self.homes.complete(request, outcome);
+            let horizon = self.homes.horizon(&request.instance);
+            self.record_horizon(request, horizon, outcome.as_ref().err());
+            return outcome;
         }
         if !places::allows_home(&self.fleet, &request.regions, home) {
             let detail = "the home is not in an allowed region";
@@ -291,9 +307,15 @@
             return Err(Refusal::not_run(RefusalCode::HomeUnreachable, detail));
         };
         let limit = request.limit + NETWORK_MARGIN;
-        let request = Request::Home(Box::new(request.clone()));
-        match self.peers.call(address, &request, limit).await {
-            Ok(Reply::Home(outcome)) => outcome,
+        let message = Request::Home(Box::new(request.clone()));
+        match self.peers.call(address, &message, limit).await {
+            Ok(Reply::Home(outcome)) => outcome.inspect(|answer| {
+                self.record_horizon(request, answer.horizon, None);
+            }),
+            Ok(Reply::Refused(refusal, horizon)) => {
+                self.record_horizon(request, horizon, Some(&refusal));
+                Err(refusal)
+            }
             Ok(_) => Err(Refusal::may_have_run(RefusalCode::Internal, "an answer of another kind")),
             Err(error) => {
                 if self.fleet.suspect(home) {
@@ -306,6 +328,12 @@
         }
     }
 
+    fn record_horizon(&self, request: &HomeRequest, horizon: Horizon, refusal: Option<&Refusal>) {
+        if let Some(horizons) = &self.horizons {
+            horizons.record(self.fleet.now(), request, horizon, refusal);
+        }
+    }
+
     fn log_refusal(&self, event: Event, request: &HomeRequest, refusal: &Refusal) {
         let fields = [
             Field::text("statement", &request.statement),
--- a/oleander-node/src/entry/route.rs
+++ b/oleander-node/src/entry/route.rs
@@ -17,6 +17,7 @@
 use oleander_core::verdict::RefusalCode;
 use oleander_routing::places;
 
+use super::overload;
 use crate::fleet::Fleet;
 
 /// The `retry_after` of a refusal by a VM whose configuration is not current.
@@ -55,15 +56,15 @@
     let snapshot = &view.snapshot;
     let Some(route) = snapshot.route(&Matcher::Session(name.to_owned())) else {
         if !fleet.is_current() {
-            return Err(not_current());
+            return Err(not_current(fleet, Level::LAST));
         }
         return Err(Refusal::not_run(RefusalCode::UnknownRoute, "no route has this name"));
     };
     let (workspace, keyless) = match &route.audience {
         Audience::Open(workspace) => (workspace.clone(), true),
-        Audience::Keyed => (workspace_of_caller(fleet, snapshot, key)?, false),
+        Audience::Keyed => (workspace_of_caller(fleet, snapshot, route, key)?, false),
         Audience::Only(names) => {
-            let workspace = workspace_of_caller(fleet, snapshot, key)?;
+            let workspace = workspace_of_caller(fleet, snapshot, route, key)?;
             if !names.contains(&workspace) {
                 let detail = "the workspace may not use the route";
                 return Err(Refusal::not_run(RefusalCode::RouteForbidden, detail));
@@ -72,11 +73,7 @@
         }
     };
     let id = WorkspaceId::from_name(&workspace);
-    let (level, rate_level) = if fleet.settings.overload {
-        (snapshot.level(route, id), snapshot.route_level(route))
-    } else {
-        Default::default()
-    };
+    let (level, rate_level) = levels(fleet, snapshot, route, id);
     Ok(Admitted {
         database: DatabaseId::from_name(&route.database),
         workspace: id,
@@ -105,23 +102,45 @@
     route.consistency == Consistency::Primary
 }
 
+/// Returns the level of an operation, and that among the requests of its workspace; the same for all
+/// unless `NodeSettings::overload` is set.
+fn levels(
+    fleet: &Fleet,
+    snapshot: &Snapshot,
+    route: &Route,
+    workspace: WorkspaceId,
+) -> (Level, Level) {
+    if !fleet.settings.overload {
+        return Default::default();
+    }
+    (snapshot.level(route, workspace), snapshot.route_level(route))
+}
+
 /// Returns the name of the workspace that the key belongs to.
 fn workspace_of_caller(
     fleet: &Fleet,
     snapshot: &Snapshot,
+    route: &Route,
     key: Option<&KeyHash>,
 ) -> Result<String, Refusal> {
+    let found = key.and_then(|key| snapshot.workspace_of_key(key));
     if !fleet.is_current() {
-        return Err(not_current());
+        // An old configuration suffices for the time after which the caller returns.
+        let level = found.map_or(Level::LAST, |index| {
+            let workspace = WorkspaceId::from_name(&snapshot.workspaces[index].name);
+            levels(fleet, snapshot, route, workspace).0
+        });
+        return Err(not_current(fleet, level));
     }
-    let found = key.and_then(|key| snapshot.workspace_of_key(key));
     match found {
         Some(workspace) => Ok(snapshot.workspaces[workspace].name.clone()),
         None => Err(Refusal::not_run(RefusalCode::KeyRejected, "the key is not known")),
     }
 }
 
-fn not_current() -> Refusal {
-    Refusal::not_run(RefusalCode::NotCurrent, "this VM has not heard from the store lately")
-        .with_retry_after(NOT_CURRENT_RETRY_AFTER)
+fn not_current(fleet: &Fleet, level: Level) -> Refusal {
+    let refusal =
+        Refusal::not_run(RefusalCode::NotCurrent, "this VM has not heard from the store lately")
+            .with_retry_after(NOT_CURRENT_RETRY_AFTER);
+    overload::spread_return(fleet, level, refusal)
 }
--- a/oleander-node/tests/regions.rs
+++ b/oleander-node/tests/regions.rs
@@ -149,6 +149,7 @@
             fleet,
             primaries,
             homes,
+            horizons: None,
             lag_backoff: Mutex::default(),
             peers,
             journal,
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -1,6 +1,7 @@
 //! Requests from an entry VM to the home of an instance for a session, and the answers.
 
 use oleander_core::ids::TransactionId;
+use oleander_core::level::Horizon;
 use oleander_core::level::Level;
 use oleander_core::places::Regions;
 use oleander_core::statement::Access;
@@ -127,4 +128,6 @@
     pub transaction: Option<TransactionId>,
     /// The time spent in the home's queue.
     pub queued: Span,
+    /// The levels that the home admits now.
+    pub horizon: Horizon,
 }
