--- a/oleander-routing/src/lib.rs
+++ b/oleander-routing/src/lib.rs
@@ -9,6 +9,8 @@
 //! - `lag_backoff` keeps reads away from replicas that were found behind.
 //! - `group_view` collects the statuses of a database group that `reads` decides on. It is built
 //!   from `samples`, the primary's log position over time, and `lag`, the delay of a replica.
+//! - `meter` measures the answers of instances at their home; `outliers` detects the instances that
+//!   fail or are slow compared with the others, and orders the candidates of reads accordingly.
 //! - `retry` maps the point at which a request failed to a verdict and to the next step;
 //!   `budget` limits the number of retries.
 
@@ -18,6 +20,8 @@
 pub mod group_view;
 pub mod lag;
 pub mod lag_backoff;
+pub mod meter;
+pub mod outliers;
 pub mod reads;
 pub mod retry;
 pub mod samples;
--- /dev/null
+++ b/oleander-routing/tests/outliers.rs
@@ -0,0 +1,321 @@
+//! Detection of instances that fail or are slow, on simulated homes and entry VMs.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+
+use oleander_core::ids::InstanceKey;
+use oleander_core::time::Span;
+use oleander_core::time::Time;
+use oleander_routing::meter::Meter;
+use oleander_routing::meter::Outcome;
+use oleander_routing::meter::Running;
+use oleander_routing::meter::StatementClass;
+use oleander_routing::outliers::Change;
+use oleander_routing::outliers::Outliers;
+use oleander_session::report::InstanceReport;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const START: Time = Time(600_000_000);
+/// The usual service time of a read.
+const SERVICE: Span = Span::from_millis(30);
+/// The time after which a read is given up, and after which a probe is.
+const LIMIT: Span = Span::from_millis(1_500);
+const PROBE_LIMIT: Span = Span::from_millis(250);
+/// The entry VMs and the interval between the reads of each.
+const ENTRIES: usize = 20;
+const READ_INTERVAL: Span = Span::from_millis(400);
+const GROUP: [InstanceKey; 3] = [InstanceKey(1), InstanceKey(2), InstanceKey(3)];
+
+/// `Behaviour` returns the time that an instance takes for its read number `u64` at a time since the
+/// start, and whether it succeeds; `None` if it never answers.
+type Behaviour = fn(Span, u64) -> Option<(Span, bool)>;
+
+fn healthy(_: Span, read: u64) -> Option<(Span, bool)> {
+    Some((Span(SERVICE.0 + read % 7 * 1_000), true))
+}
+
+fn failing(_: Span, read: u64) -> Option<(Span, bool)> {
+    Some((SERVICE, 4 <= read * 7 % 10))
+}
+
+fn slow(_: Span, read: u64) -> Option<(Span, bool)> {
+    Some((SERVICE.times(5 + read % 4), true))
+}
+
+fn silent(_: Span, _: u64) -> Option<(Span, bool)> {
+    None
+}
+
+fn flapping(at: Span, _: u64) -> Option<(Span, bool)> {
+    let is_up = (at.as_millis() / 1_000).is_multiple_of(2);
+    Some(if is_up { (SERVICE, true) } else { (Span::from_millis(1), false) })
+}
+
+fn slow_for_a_while(at: Span, read: u64) -> Option<(Span, bool)> {
+    if at < Span::from_secs(5) { slow(at, read) } else { healthy(at, read) }
+}
+
+fn later_slow(at: Span, read: u64) -> Option<(Span, bool)> {
+    if at < Span::from_secs(5) { healthy(at, read) } else { slow(at, read) }
+}
+
+/// `Read` is a read on its way: its entry VM, the instances left to try, and whether it is a probe.
+struct Read {
+    entry: usize,
+    order: Vec<InstanceKey>,
+    probe: bool,
+}
+
+/// `Simulation` is a database of three instances whose homes are on one VM, and its entry VMs.
+struct Simulation {
+    behaviours: [Behaviour; 3],
+    entries: Vec<Outliers>,
+    meter: Meter,
+    reads: Vec<Read>,
+    /// The ends of attempts: the time, the read, the instance's index and whether it succeeds.
+    ends: BinaryHeap<Reverse<(Time, usize, usize, bool)>>,
+    running: Vec<Option<Running>>,
+    counts: [u64; 3],
+    served: u64,
+    lost: u64,
+    changes: Vec<(Time, Change)>,
+    most_ejected: usize,
+}
+
+impl Simulation {
+    /// Runs the entry VMs for `span`. All of them prefer the first instance, so that it is compared
+    /// with instances that are rarely used.
+    fn run(behaviours: [Behaviour; 3], span: Span) -> Self {
+        let mut simulation = Self {
+            behaviours,
+            entries: (0..ENTRIES).map(|_| Outliers::default()).collect(),
+            meter: Meter::default(),
+            reads: Vec::new(),
+            ends: BinaryHeap::new(),
+            running: Vec::new(),
+            counts: [0; 3],
+            served: 0,
+            lost: 0,
+            changes: Vec::new(),
+            most_ejected: 0,
+        };
+        let pause = READ_INTERVAL.0 / ENTRIES as u64;
+        for turn in 0..span.0 / pause {
+            let now = START + Span(turn * pause);
+            simulation.advance(now);
+            simulation.begin(now, turn as usize % ENTRIES);
+        }
+        simulation.advance(START + span + LIMIT.times(3));
+        simulation
+    }
+
+    fn begin(&mut self, now: Time, entry: usize) {
+        let outliers = &mut self.entries[entry];
+        let plan = outliers.plan(now, &GROUP, &GROUP);
+        self.most_ejected = self.most_ejected.max(outliers.ejected().len());
+        self.changes.extend(plan.changes.iter().map(|change| (now, *change)));
+        let order = plan.order.iter().rev().copied().collect();
+        self.reads.push(Read { entry, order, probe: plan.probe.is_some() });
+        self.running.push(None);
+        self.attempt(now, self.reads.len() - 1);
+    }
+
+    /// Sends a read to the next instance in its order.
+    fn attempt(&mut self, now: Time, index: usize) {
+        let read = &mut self.reads[index];
+        let Some(key) = read.order.pop() else {
+            self.lost += 1;
+            return;
+        };
+        let place = GROUP.iter().position(|other| *other == key).unwrap();
+        self.counts[place] += 1;
+        self.entries[read.entry].record_sent(now, key);
+        self.running[index] = Some(self.meter.start(now, key, StatementClass::Read));
+        let limit = if read.probe { PROBE_LIMIT } else { LIMIT };
+        let answer = (self.behaviours[place])(now.since(START), self.counts[place]);
+        let (span, success) = answer.filter(|(span, _)| *span < limit).unwrap_or((limit, false));
+        self.ends.push(Reverse((now + span, index, place, success)));
+    }
+
+    fn advance(&mut self, until: Time) {
+        while let Some(Reverse((now, index, place, success))) = self.ends.peek().copied() {
+            if until < now {
+                return;
+            }
+            self.ends.pop();
+            let key = GROUP[place];
+            let outcome = if success { Outcome::Answered } else { Outcome::Failed };
+            self.meter.end(now, self.running[index].take().unwrap(), outcome, Span::ZERO);
+            let report = self.meter.report(now, key);
+            let read = &mut self.reads[index];
+            let outliers = &mut self.entries[read.entry];
+            outliers.record_ended(key);
+            outliers.record_reply(now, key, report);
+            if std::mem::take(&mut read.probe) {
+                if success {
+                    let change = outliers.record_probe_answered(now, key, &GROUP);
+                    self.changes.extend(change.map(|change| (now, change)));
+                } else {
+                    outliers.record_probe_failed(now, key);
+                }
+            }
+            if success {
+                self.served += 1;
+            } else {
+                self.attempt(now, index);
+            }
+        }
+    }
+
+    fn ejections(&self) -> usize {
+        self.changes.iter().filter(|(_, change)| matches!(change, Change::Ejected { .. })).count()
+    }
+}
+
+/// `Faulty` is the behaviour of the nearest instance, and the largest share of the reads that still
+/// go there, in percent.
+struct Faulty {
+    behaviour: Behaviour,
+    max_percent: u64,
+}
+
+/// Guards against reads that keep going to an instance that the directory calls healthy and that
+/// fails, is slow, never answers or flaps.
+#[rstest]
+#[case::failing(Faulty { behaviour: failing, max_percent: 25 })]
+#[case::slow(Faulty { behaviour: slow, max_percent: 25 })]
+#[case::silent(Faulty { behaviour: silent, max_percent: 25 })]
+#[case::flapping(Faulty { behaviour: flapping, max_percent: 45 })]
+fn reads_move_off_a_faulty_instance(#[case] faulty: Faulty) {
+    let ran = Simulation::run([faulty.behaviour, healthy, healthy], Span::from_secs(30));
+    let all: u64 = ran.counts.iter().sum();
+    let percent = ran.counts[0] * 100 / all;
+    assert!(percent <= faulty.max_percent, "{percent}% of {:?}", ran.counts);
+    assert!(ENTRIES <= ran.ejections(), "{} ejections", ran.ejections());
+    assert_eq!((ran.lost, ran.most_ejected), (0, 1), "each read finds an instance that serves it");
+}
+
+/// Guards against ejections from a group that is slow or fails as a whole, where moving reads helps
+/// nobody, and from a healthy one.
+#[rstest]
+#[case::healthy(healthy)]
+#[case::slow(slow)]
+#[case::failing(failing)]
+#[case::silent(silent)]
+#[case::slow_after_a_time(later_slow)]
+fn no_instance_of_an_even_group_is_ejected(#[case] behaviour: Behaviour) {
+    let ran = Simulation::run([behaviour; 3], Span::from_secs(20));
+    assert_eq!(ran.ejections(), 0, "{:?}", ran.changes.first());
+}
+
+/// Guards against an instance that stays ejected although it answers well again, and against a
+/// database that loses its nearest instance for good by a false detection.
+#[test]
+fn an_instance_that_answers_well_again_is_reinstated() {
+    let ran = Simulation::run([slow_for_a_while, healthy, healthy], Span::from_secs(30));
+    let reinstated =
+        ran.changes.iter().rev().find(|(_, change)| matches!(change, Change::Reinstated { .. }));
+    let (at, _) = reinstated.expect("it is reinstated");
+    assert!(at.since(START) < Span::from_secs(20), "{}", at.since(START));
+    assert!(ran.entries.iter().all(|outliers| outliers.ejected().is_empty()));
+    let rest = Simulation::run([healthy; 3], Span::from_secs(10));
+    assert!(rest.counts[0] * 10 >= rest.served * 9, "healthy reads stay near: {:?}", rest.counts);
+}
+
+/// Guards against ejections from a database of one or two instances.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn a_small_group_keeps_all_its_instances(#[case] size: usize) {
+    let mut outliers = Outliers::default();
+    let bad = InstanceReport { ended: 20, failed: 20, ..InstanceReport::default() };
+    let good = InstanceReport { ended: 20, service: SERVICE, ..InstanceReport::default() };
+    for step in 0..50 {
+        let now = START + Span::from_millis(step * 100);
+        outliers.record_reply(now, GROUP[0], bad);
+        outliers.record_reply(now, GROUP[1], good);
+        outliers.plan(now, &GROUP[..size], &GROUP[..size]);
+        assert!(outliers.ejected().is_empty());
+    }
+}
+
+/// Guards against a home's refusal for lack of room that is answered by trying every instance: one
+/// that had no room a moment ago is not tried.
+#[test]
+fn an_instance_without_room_is_tried_again_after_a_time() {
+    let mut outliers = Outliers::default();
+    assert!(outliers.has_room(START, GROUP[0]), "an instance that was not tried may have room");
+    outliers.record_full(START, GROUP[0]);
+    assert!(!outliers.has_room(START + Span::from_millis(900), GROUP[0]));
+    assert!(outliers.has_room(START + Span::from_secs(1), GROUP[0]));
+    outliers.record_full(START + Span::from_secs(2), GROUP[0]);
+    outliers.record_answered(GROUP[0]);
+    assert!(outliers.has_room(START + Span::from_secs(2), GROUP[0]));
+}
+
+/// Guards against a distant home that makes its instance look slow, and against a statement without
+/// an answer that is not counted until its time limit.
+#[test]
+fn a_report_leaves_out_the_way_and_shows_silence() {
+    let mut meter = Meter::default();
+    for read in 0..10 {
+        let now = START + Span::from_millis(read * 100);
+        let running = meter.start(now, GROUP[0], StatementClass::Read);
+        let elapsed = Span::from_millis(if read == 0 { 41 } else { 70 });
+        meter.end(now + elapsed, running, Outcome::Answered, Span::from_millis(50));
+    }
+    meter.start(START + Span::from_secs(1), GROUP[0], StatementClass::Read);
+    let report = meter.report(START + Span::from_millis(1_600), GROUP[0]);
+    let expected = InstanceReport {
+        ended: 10,
+        failed: 0,
+        service: Span::from_millis(29),
+        silent: Span::from_millis(600),
+    };
+    assert_eq!(report, expected);
+    let later = meter.report(START + Span::from_secs(4), GROUP[0]);
+    assert_eq!((later.ended, later.silent), (0, Span::from_secs(3)));
+}
+
+fn any_report() -> impl Strategy<Value = InstanceReport> {
+    (0..40_u32, 0..100_u32, 0..400_u64, 0..2_000_u64).prop_map(
+        |(ended, percent, service, silent)| InstanceReport {
+            ended,
+            failed: ended * percent / 100,
+            service: Span::from_millis(service),
+            silent: Span::from_millis(silent),
+        },
+    )
+}
+
+proptest! {
+    /// Guards against a read that an instance could run and that is refused: whatever the reports,
+    /// each candidate is tried once, and at most a third of the group is ejected.
+    #[test]
+    fn a_plan_leaves_no_candidate_out(
+        size in 1..8_usize,
+        steps in prop::collection::vec((0..8_usize, any_report(), 1..900_u64, 0..4_u8), 1..200),
+    ) {
+        let group: Vec<InstanceKey> = (0..size as u64).map(InstanceKey).collect();
+        let mut outliers = Outliers::default();
+        let mut now = START;
+        for (index, report, pause, action) in steps {
+            now = now + Span::from_millis(pause);
+            let key = group[index % size];
+            match action {
+                0 => outliers.record_sent(now, key),
+                1 => outliers.record_probe_failed(now, key),
+                2 => drop(outliers.record_probe_answered(now, key, &group)),
+                _ => outliers.record_reply(now, key, report),
+            }
+            let candidates = &group[index % size..];
+            let plan = outliers.plan(now, &group, candidates);
+            let planned: BTreeSet<InstanceKey> = plan.order.iter().copied().collect();
+            prop_assert_eq!(planned, candidates.iter().copied().collect::<BTreeSet<_>>());
+            prop_assert_eq!(plan.order.len(), candidates.len());
+            prop_assert!(outliers.ejected().len() <= size / 3);
+        }
+    }
+}
--- a/oleander-session/src/lib.rs
+++ b/oleander-session/src/lib.rs
@@ -28,12 +28,13 @@
 //!
 //! A session may also be a connection. Then `command` holds the caller's commands, `state` the
 //! state that the entry VM keeps for the connection, and `work` the requests from the entry VM to a
-//! home.
+//! home; `report` is what a home tells about an instance in its replies.
 
 pub mod codec;
 pub mod command;
 pub mod errors;
 pub mod proof;
+pub mod report;
 pub mod state;
 pub mod token;
 pub mod work;
