--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -79,6 +79,10 @@
     PrimaryWithdrawn = 411,
     /// No VM uses the former primary of a database any more.
     VmsInformed = 412,
+    /// An instance fails or is slow compared with the others of its database; reads try it last.
+    InstanceEjected = 414,
+    /// An ejected instance gets reads again as before.
+    InstanceReinstated = 415,
     /// A request was refused.
     RequestRefused = 500,
     /// A request was retried after a failure.
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -21,11 +21,14 @@
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
+use oleander_session::report::InstanceReport;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
 use smallvec::SmallVec;
 
+use super::outliers::ReadOutliers;
+use super::outliers::ReadPlan;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
 use crate::home::registry::Homes;
@@ -49,6 +52,8 @@
     pub primaries: Arc<Primaries>,
     /// The homes on this VM, called directly.
     pub homes: Arc<Homes>,
+    /// Orders the candidates of reads; `None` unless outliers are to be detected.
+    pub outliers: Option<ReadOutliers>,
     /// The replicas to avoid because they were found behind.
     pub lag_backoff: Mutex<LagBackoff>,
     /// Sends calls to homes on other VMs.
@@ -95,29 +100,55 @@
         deadline: Time,
     ) -> Result<ForwardResult, Refusal> {
         let is_read = !request.work.is_write();
+        let limit = request.limit;
         let mut last = None;
         let age = request.freshness.age;
-        for instance in self.candidates(database, role, age) {
+        let mut candidates = self.candidates(database, role, age);
+        let outliers = self.outliers.as_ref();
+        let reads = outliers.filter(|_| role == RequiredRole::Any);
+        let plan = reads.map_or_else(ReadPlan::default, |reads| {
+            reads.plan(&self.fleet.view(), database, &mut candidates)
+        });
+        outliers.inspect(|outliers| outliers.record_first());
+        for (index, instance) in candidates.iter().enumerate() {
             let now = self.fleet.now();
             if deadline <= now {
                 break;
             }
             request.instance.clone_from(&instance.entry.instance);
             request.patience = deadline.since(now).min(request.patience);
-            let outcome = self.run_at(&instance, &request).await;
+            request.limit = limit;
+            let sent = reads.map(|reads| reads.start(&plan, instance.key, &mut request));
+            let outcome = self.run_at(instance, &request).await;
+            drop(sent);
             self.record_lag(instance.key, &request, &outcome);
+            if let Some(reads) = reads {
+                let refusal = outcome.as_ref().err();
+                reads.record_end(&self.fleet.view(), &plan, instance.key, refusal);
+            }
             let refusal = match outcome {
                 Ok(ran) => return Ok(ran),
                 Err(refusal) => refusal,
             };
             let retry = refusal.verdict == Verdict::NotRun || (is_read && is_transient(&refusal));
-            if !retry || refusal.code == RefusalCode::BadRequest {
+            // An instance may fail a read that another one answers.
+            let retry = retry || (reads.is_some() && refusal.code == RefusalCode::UpstreamError);
+            let next = candidates.get(index + 1).map(|instance| instance.key);
+            let is_allowed = match (outliers, next) {
+                (Some(outliers), Some(next)) if retry => outliers.may_retry(&refusal, next),
+                _ => true,
+            };
+            if !retry || !is_allowed || refusal.code == RefusalCode::BadRequest {
                 self.log_refusal(Event::StatementFailed, &request, &refusal);
                 return Err(refusal);
             }
             self.log_refusal(Event::RequestRetried, &request, &refusal);
             self.metrics.count("request.retried", 1);
-            last = Some(refusal);
+            // A refusal may say "not run" only if no instance has run the read.
+            let has_run = |former: &Refusal| refusal.verdict < former.verdict;
+            if reads.is_none() || !last.as_ref().is_some_and(has_run) {
+                last = Some(refusal);
+            }
         }
         Err(self.final_refusal(database, role, last))
     }
@@ -238,16 +269,22 @@
 
     async fn call(&self, home: VmId, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         if home == self.fleet.vm {
-            return self.homes.run(request).await;
+            let outcome = self.homes.run(request.clone()).await;
+            self.record_report(request, self.homes.report(&request.instance));
+            return outcome;
         }
         let Some(address) = self.fleet.address(home) else {
             let detail = "the home has left the fleet";
             return Err(Refusal::not_run(RefusalCode::HomeUnreachable, detail));
         };
         let limit = request.limit + NETWORK_MARGIN;
-        let request = Request::Home(Box::new(request.clone()));
-        match self.peers.call(address, &request, limit).await {
+        let message = Request::Home(Box::new(request.clone()));
+        match self.peers.call(address, &message, limit).await {
             Ok(Reply::Home(outcome)) => outcome,
+            Ok(Reply::Reported(outcome, report)) => {
+                self.record_report(request, Some(report));
+                outcome
+            }
             Ok(_) => Err(Refusal::may_have_run(RefusalCode::Internal, "an answer of another kind")),
             Err(error) => {
                 if self.fleet.suspect(home) {
@@ -260,6 +297,12 @@
         }
     }
 
+    fn record_report(&self, request: &HomeRequest, report: Option<InstanceReport>) {
+        if let (Some(outliers), Some(report)) = (&self.outliers, report) {
+            outliers.record_report(InstanceKey::from_name(&request.instance), report);
+        }
+    }
+
     fn log_refusal(&self, event: Event, request: &HomeRequest, refusal: &Refusal) {
         let fields = [
             Field::text("statement", &request.statement),
--- a/oleander-node/src/entry/mod.rs
+++ b/oleander-node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! statements to the home of an instance on this or another VM.
 
 pub mod forward;
+pub mod outliers;
 pub mod records;
 pub mod route;
 pub mod session;
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -5,7 +5,6 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::WorkspaceId;
-use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
@@ -14,14 +13,18 @@
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
+use oleander_routing::meter::StatementClass;
 use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Work;
 
+use super::caller::StartCondition;
 use super::connections::ConnectionPool;
 use super::connections::LinkContext;
+use super::connections::PooledConnection;
 use super::connections::pool_options;
+use super::measure::InstanceMeter;
 use super::open::OpenTransaction;
 use super::slots::InstanceSlots;
 use super::slots::Permit;
@@ -55,6 +58,8 @@
     key: InstanceKey,
     slots: InstanceSlots,
     pool: Arc<ConnectionPool>,
+    /// Measures the statements; `None` unless outliers are to be detected.
+    meter: Option<InstanceMeter>,
 }
 
 impl InstanceHome {
@@ -70,9 +75,15 @@
             key: instance.key,
             pool: Arc::new(ConnectionPool::new(context.links.clone(), target, options)),
             context,
+            meter: None,
         }
     }
 
+    /// Sets the meter of the instance.
+    pub fn with_meter(self, meter: Option<InstanceMeter>) -> Self {
+        Self { meter, ..self }
+    }
+
     /// Changes the numbers of slots and connections that the instance accepts.
     pub fn set_limits(&self, slots: u32, connections: u32) {
         let options = pool_options(connections);
@@ -95,7 +106,7 @@
         self.pool.open_count()
     }
 
-    /// Runs a statement outside a transaction; it must start by `deadline`.
+    /// Runs a statement outside a transaction; it must start as `start` states.
     ///
     /// # Errors
     /// Fails with verdict `NotRun` if the statement is not admitted, and with verdict `Ran` if a
@@ -103,8 +114,9 @@
     pub async fn run_single(
         &self,
         request: &HomeRequest,
-        deadline: Time,
+        start: impl Into<StartCondition>,
     ) -> Result<HomeAnswer, Refusal> {
+        let start = start.into();
         let is_write = request.work.is_write();
         let check = if is_write {
             FreshnessCheck::After(None)
@@ -114,9 +126,11 @@
         if is_write || check == FreshnessCheck::Primary {
             self.admit_at_primary()?;
         }
-        let permit = self.acquire(request, class_of(request), deadline).await?;
-        let mut pooled = self.pool.acquire(request).await?;
-        let reply = pooled.connection.run_single(statement(request), check).await;
+        let class = class_of(request);
+        let permit = self.acquire(request, class, &start).await?;
+        let mut pooled = self.connect(request, class, &start).await?;
+        let running = pooled.connection.run_single(statement(request), check);
+        let reply = self.measure(class, running).await;
         drop(pooled);
         let answer = answer(&permit, reply?)?;
         match check {
@@ -127,7 +141,7 @@
         Ok(answer)
     }
 
-    /// Opens a transaction and runs its first statement, which must start by `deadline`.
+    /// Opens a transaction and runs its first statement, which must start as `start` states.
     ///
     /// # Errors
     /// A failure ends the transaction.
@@ -135,8 +149,9 @@
         &self,
         request: &HomeRequest,
         read_only: bool,
-        deadline: Time,
+        start: impl Into<StartCondition>,
     ) -> Result<TransactionResult, Refusal> {
+        let start = start.into();
         let (read_only, after) = match (read_only, self.freshness_check(&request.freshness)) {
             (true, Ok(FreshnessCheck::After(after))) => (true, after),
             (true, Err(refusal)) => return Err(refusal),
@@ -146,8 +161,8 @@
             }
         };
         let class = if read_only { Class::Read } else { Class::Write };
-        let mut permit = self.acquire(request, class, deadline).await?;
-        let mut pooled = self.pool.acquire(request).await?;
+        let mut permit = self.acquire(request, class, &start).await?;
+        let mut pooled = self.connect(request, class, &start).await?;
         pooled.connection.begin(read_only, after).await?;
         // From here on the transaction frees the connection when it is dropped.
         permit.keep_connection();
@@ -162,7 +177,7 @@
         Ok(TransactionResult { answer, open: (!request.work.is_end()).then_some(transaction) })
     }
 
-    /// Runs a further statement of a transaction, which must start by `deadline`.
+    /// Runs a further statement of a transaction, which must start as `start` states.
     ///
     /// # Errors
     /// A failure rolls back the transaction.
@@ -170,13 +185,13 @@
         &self,
         mut transaction: OpenTransaction,
         request: &HomeRequest,
-        deadline: Time,
+        start: impl Into<StartCondition>,
     ) -> Result<TransactionResult, Refusal> {
         if request.work == Work::Rollback {
             transaction.roll_back().await;
             return Ok(TransactionResult { answer: HomeAnswer::default(), open: None });
         }
-        let permit = match self.acquire(request, Class::Transaction, deadline).await {
+        let permit = match self.acquire(request, Class::Transaction, &start.into()).await {
             Ok(permit) => permit,
             Err(refusal) => {
                 transaction.roll_back().await;
@@ -208,7 +223,8 @@
                 "the transaction has ended",
             ));
         };
-        let running = connection.run_in_transaction(statement(request));
+        let class = if request.work.is_write() { Class::Write } else { Class::Read };
+        let running = self.measure(class, connection.run_in_transaction(statement(request)));
         let reply = match self.context.links.timers.within(request.limit, running).await {
             Some(reply) => reply,
             None => Err(Refusal::may_have_run(RefusalCode::Timeout, "no answer in time")),
@@ -273,10 +289,42 @@
         &self,
         request: &HomeRequest,
         class: Class,
-        deadline: Time,
+        start: &StartCondition,
     ) -> Result<Permit, Refusal> {
         let workspace = WorkspaceId::from_name(&request.workspace);
-        self.slots.acquire(SlotRequest { workspace, weight: 1, class, deadline }).await
+        let deadline = start.deadline;
+        let slot = SlotRequest { workspace, weight: 1, class, deadline };
+        start.wait_for(self.slots.acquire(slot)).await
+    }
+
+    /// Returns a connection for a statement that has its slot, unless its caller has left meanwhile.
+    async fn connect(
+        &self,
+        request: &HomeRequest,
+        class: Class,
+        start: &StartCondition,
+    ) -> Result<PooledConnection, Refusal> {
+        let pooled = self.pool.acquire(request).await;
+        if let (Some(meter), Err(refusal)) = (&self.meter, &pooled)
+            && refusal.code == RefusalCode::UpstreamUnavailable
+        {
+            meter.record_unreachable(statement_class(class));
+        }
+        let pooled = pooled?;
+        start.check()?;
+        Ok(pooled)
+    }
+
+    /// Runs an exchange with the instance and measures it if outliers are to be detected.
+    async fn measure<T>(
+        &self,
+        class: Class,
+        exchange: impl Future<Output = Result<T, Refusal>>,
+    ) -> Result<T, Refusal> {
+        match &self.meter {
+            Some(meter) => meter.measure(statement_class(class), exchange).await,
+            None => exchange.await,
+        }
     }
 
     /// Returns the condition under which the instance may run a read.
@@ -312,6 +360,14 @@
     if request.work.is_write() || request.freshness.latest { Class::Write } else { Class::Read }
 }
 
+/// Returns the class under which a statement is measured.
+fn statement_class(class: Class) -> StatementClass {
+    match class {
+        Class::Read => StatementClass::Read,
+        Class::Write | Class::Transaction => StatementClass::Write,
+    }
+}
+
 fn statement(request: &HomeRequest) -> Statement<'_> {
     Statement { id: &request.statement, settings: &request.values, work: &request.work }
 }
--- a/oleander-node/src/home/mod.rs
+++ b/oleander-node/src/home/mod.rs
@@ -7,10 +7,13 @@
 //! `registry` finds or creates the home of an instance, `instance` admits and runs statements,
 //! `slots` queues them, `connections` is the pool of connections, `open` is a transaction with its
 //! connection, `transactions` holds transactions between their statements, and `upstream` is one
-//! connection with its session state.
+//! connection with its session state. `caller` tells a home that nobody waits for a statement any more,
+//! and `measure` how well instances answer.
 
+pub mod caller;
 pub mod connections;
 pub mod instance;
+pub mod measure;
 pub mod open;
 pub mod registry;
 pub mod slots;
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -15,15 +15,20 @@
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_runtime::logs::Field;
+use oleander_session::report::InstanceReport;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
 use oleander_session::work::Work;
 use tokio::task::JoinSet;
 
+use super::caller;
+use super::caller::Caller;
+use super::caller::StartCondition;
 use super::instance::HomeContext;
 use super::instance::InstanceHome;
 use super::instance::TransactionResult;
+use super::measure::Meters;
 use super::transactions::Transactions;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
@@ -38,6 +43,8 @@
     context: Arc<HomeContext>,
     transactions: Transactions,
     table: Mutex<HashMap<InstanceKey, HomeEntry>>,
+    /// Measures the instances; `None` unless outliers are to be detected.
+    meters: Option<Meters>,
 }
 
 struct HomeEntry {
@@ -50,16 +57,36 @@
 impl Homes {
     /// Creates an empty table.
     pub fn new(fleet: Arc<Fleet>, context: HomeContext, transactions: Transactions) -> Self {
-        Self { fleet, context: Arc::new(context), transactions, table: Mutex::default() }
+        let meters = fleet.settings.outliers.then(|| Meters::new(fleet.timers.clone()));
+        let context = Arc::new(context);
+        Self { fleet, context, transactions, table: Mutex::default(), meters }
     }
 
     /// Runs a statement at the home of the instance that it names.
     ///
+    /// If the future is dropped, a statement that waits leaves the queue. One that runs is left to
+    /// end, since breaking it off would close its connection and could leave a write in doubt; its
+    /// transaction is then rolled back.
+    ///
     /// # Errors
     /// Fails with a refusal that says whether the statement may have run.
-    pub async fn run(&self, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
-        let now = self.fleet.now();
-        let deadline = now + request.patience;
+    pub async fn run(self: &Arc<Self>, request: HomeRequest) -> Result<HomeAnswer, Refusal> {
+        let (_guard, caller) = caller::channel();
+        let homes = self.clone();
+        let running = tokio::spawn(async move { homes.run_for(&request, caller).await });
+        let lost = |_| Err(Refusal::may_have_run(RefusalCode::Internal, "the task failed"));
+        running.await.unwrap_or_else(lost)
+    }
+
+    /// Returns the report on the reads of an instance; `None` unless outliers are to be detected.
+    pub fn report(&self, instance: &str) -> Option<InstanceReport> {
+        let meters = self.meters.as_ref()?;
+        Some(meters.report(InstanceKey::from_name(instance)))
+    }
+
+    async fn run_for(&self, request: &HomeRequest, caller: Caller) -> Result<HomeAnswer, Refusal> {
+        let deadline = self.fleet.now() + request.patience;
+        let start = StartCondition { deadline, caller: Some(caller.clone()) };
         if let Scope::Within(id) = request.scope {
             let Some((home, transaction)) = self.transactions.take(id) else {
                 return Err(Refusal::not_run(
@@ -67,17 +94,17 @@
                     "the transaction has ended",
                 ));
             };
-            let ran = home.run_next(transaction, request, deadline).await?;
-            return Ok(self.store_open(&home, ran, || id));
+            let ran = home.run_next(transaction, request, start).await?;
+            return Ok(self.store_open(&home, ran, &caller, || id).await);
         }
         let home = self.home(request)?;
         let running = async {
             match request.scope {
                 Scope::First { read_only } => {
-                    let ran = home.run_first(request, read_only, deadline).await?;
-                    Ok(self.store_open(&home, ran, || self.transactions.new_id()))
+                    let ran = home.run_first(request, read_only, start).await?;
+                    Ok(self.store_open(&home, ran, &caller, || self.transactions.new_id()).await)
                 }
-                _ => home.run_single(request, deadline).await,
+                _ => home.run_single(request, start).await,
             }
         };
         match self.fleet.timers.within(request.limit, running).await {
@@ -91,14 +118,20 @@
     }
 
     /// Stores the transaction under its identifier until its next statement, unless it has ended.
-    fn store_open(
+    /// Without a caller there is no next statement, and it is rolled back.
+    async fn store_open(
         &self,
         home: &Arc<InstanceHome>,
         ran: TransactionResult,
+        caller: &Caller,
         new_id: impl FnOnce() -> TransactionId,
     ) -> HomeAnswer {
         let TransactionResult { mut answer, open } = ran;
         if let Some(transaction) = open {
+            if caller.has_left() {
+                transaction.roll_back().await;
+                return answer;
+            }
             let id = new_id();
             self.transactions.insert(id, home.clone(), transaction, self.fleet.now());
             answer.transaction = Some(id);
@@ -175,8 +208,14 @@
 
     fn create_home(&self, view: &View, instance: &Instance) -> HomeEntry {
         let connections = max_connections(view, instance);
-        let home = Arc::new(InstanceHome::new(self.context.clone(), instance, connections));
-        HomeEntry { home, life: instance.entry.life, address: instance.entry.address }
+        let home = InstanceHome::new(self.context.clone(), instance, connections);
+        let distance = instance.place.distance(&self.fleet.settings.place);
+        let meter = self.meters.as_ref().map(|meters| meters.instance(instance.key, distance));
+        HomeEntry {
+            home: Arc::new(home.with_meter(meter)),
+            life: instance.entry.life,
+            address: instance.entry.address,
+        }
     }
 
     /// Closes the homes of instances that were removed, restarted or moved, and the idle
@@ -189,6 +228,7 @@
                 view.instances.get(key).filter(|listed| matches_instance(entry, listed))
             else {
                 entry.home.close();
+                self.meters.iter().for_each(|meters| meters.forget(*key));
                 return false;
             };
             entry.home.set_limits(instance.entry.slots, max_connections(&view, instance));
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -32,6 +32,7 @@
 use crate::control::relay::RelayedStore;
 use crate::control::shares;
 use crate::entry::forward::Forwarder;
+use crate::entry::outliers::ReadOutliers;
 use crate::entry::session::Entry;
 use crate::entry::shed;
 use crate::fleet::Fleet;
@@ -153,6 +154,9 @@
                 fleet: fleet.clone(),
                 primaries: primaries.clone(),
                 homes: homes.clone(),
+                outliers: settings
+                    .outliers
+                    .then(|| ReadOutliers::new(timers.clone(), journal.clone(), metrics.clone())),
                 lag_backoff: Mutex::default(),
                 peers: peer_client.clone(),
                 journal: journal.clone(),
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -8,8 +8,6 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
-use oleander_core::verdict::Refusal;
-use oleander_core::verdict::RefusalCode;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
@@ -60,12 +58,13 @@
     Box::pin(async move {
         let reply = match incoming.request {
             Request::Home(request) => {
-                // A task of its own runs to its end even if the peer stream breaks, so that the
-                // connection to the instance is kept.
-                let homes = server.homes.clone();
-                let running = tokio::spawn(async move { homes.run(&request).await });
-                let lost = |_| Err(Refusal::may_have_run(RefusalCode::Internal, "the task failed"));
-                Reply::Home(running.await.unwrap_or_else(lost))
+                // If the caller leaves, the other VM resets the stream and this future is dropped.
+                let instance = request.instance.clone();
+                let outcome = server.homes.run(*request).await;
+                match server.homes.report(&instance) {
+                    Some(report) => Reply::Reported(outcome, report),
+                    None => Reply::Home(outcome),
+                }
             }
             Request::Primary(database) => Reply::Primary(server.duties.report(database)),
             Request::Joined { revision, former } => {
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -21,6 +21,7 @@
 use oleander_membership::messages::MemberReply;
 use oleander_membership::messages::MemberRequest;
 use oleander_membership::messages::View;
+use oleander_session::report::InstanceReport;
 use oleander_session::token::SeenPoint;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
@@ -167,6 +168,8 @@
     Followed(FollowReply),
     /// The reply to `Request::Store`.
     Store(StoreReply),
+    /// The result of `Request::Home` with a report on the instance, from a VM that detects outliers.
+    Reported(Result<HomeAnswer, Refusal>, InstanceReport),
 }
 
 /// `StoreReply` is the result of a call that was passed on to the store.
