--- a/oleander-node/src/entry/outliers.rs
+++ b/oleander-node/src/entry/outliers.rs
@@ -33,7 +33,7 @@
 /// The budget for retries that add load to a database. With 28 requests a second, the rate of one
 /// VM of the load that it was designed for, it allows less than a fifth of them in any 2 s.
 const RETRY_OPTIONS: RetryOptions =
-    RetryOptions { deposit: 100, capacity: 3, refill: Span::from_secs(1) };
+    RetryOptions { deposit: 140, capacity: 2, refill: Span::from_secs(2) };
 
 /// `ReadOutliers` holds what this VM knows of the instances that it sends reads to.
 pub struct ReadOutliers {
@@ -159,20 +159,21 @@
         (!is_full || state.outliers.has_room(now, next)) && (!adds_load || state.budget.take(now))
     }
 
-    /// Returns the number of ejected instances, by cause.
-    pub fn ejected(&self) -> Vec<(InstanceKey, String)> {
+    /// Returns the ejected instances as metrics text, one line each with the cause.
+    pub fn text(&self, view: &View) -> String {
         let ejected = self.lock().outliers.ejected();
-        ejected.into_iter().map(|(key, cause)| (key, cause.to_string())).collect()
+        let line = |(key, cause)| {
+            let name = instance_name(view, key);
+            format!("ejected{{instance=\"{name}\",cause=\"{cause}\"}} 1\n")
+        };
+        ejected.into_iter().map(line).collect()
     }
 
     fn log_change(&self, view: &View, change: Change) {
-        let name = |key: InstanceKey| {
-            view.instances.get(&key).map_or("", |instance| instance.entry.instance.as_str())
-        };
         match change {
             Change::Ejected { key, finding: Finding { cause, own, median, reads }, span } => {
                 let fields = [
-                    Field::text("instance", name(key)),
+                    Field::text("instance", instance_name(view, key)),
                     Field::text("cause", cause),
                     Field::number("own", own),
                     Field::number("median", median),
@@ -184,7 +185,7 @@
             }
             Change::Reinstated { key, cause, span } => {
                 let fields = [
-                    Field::text("instance", name(key)),
+                    Field::text("instance", instance_name(view, key)),
                     Field::text("cause", cause),
                     Field::millis("span", span),
                 ];
@@ -205,6 +206,11 @@
     }
 }
 
+/// Returns the name of an instance; empty if it has been removed.
+fn instance_name(view: &View, key: InstanceKey) -> &str {
+    view.instances.get(&key).map_or("", |instance| instance.entry.instance.as_str())
+}
+
 /// Returns `true` if the instance or its home had no room.
 fn is_full(refusal: &Refusal) -> bool {
     matches!(refusal.code, RefusalCode::QueueFull | RefusalCode::DeadlineExceeded)
--- a/oleander-node/src/home/measure.rs
+++ b/oleander-node/src/home/measure.rs
@@ -32,8 +32,8 @@
     max_round_trip: Span,
 }
 
-/// `Measurement` is one statement; dropping it counts the statement as failed, since its time limit
-/// has passed.
+/// `Measurement` is one statement; dropping it counts the statement as unanswered, since its time
+/// limit has passed.
 struct Measurement<'a> {
     meter: &'a InstanceMeter,
     running: Option<Running>,
@@ -79,8 +79,8 @@
         let mut measurement = Measurement { meter: self, running: Some(running) };
         let result = exchange.await;
         let outcome = match &result {
-            Err(refusal) if is_instance_fault(refusal.code) => Outcome::Failed,
-            _ => Outcome::Answered,
+            Ok(_) => Outcome::Answered,
+            Err(refusal) => outcome_of(refusal.code),
         };
         measurement.end(outcome);
         result
@@ -89,7 +89,7 @@
     /// Records that no connection to the instance could be opened for a statement.
     pub fn record_unreachable(&self, class: StatementClass) {
         let running = self.meters.lock().start(self.meters.timers.now(), self.key, class);
-        Measurement { meter: self, running: Some(running) }.end(Outcome::Failed);
+        Measurement { meter: self, running: Some(running) }.end(Outcome::Unanswered);
     }
 }
 
@@ -103,7 +103,7 @@
 
 impl Drop for Measurement<'_> {
     fn drop(&mut self) {
-        self.end(Outcome::Failed);
+        self.end(Outcome::Unanswered);
     }
 }
 
@@ -116,15 +116,14 @@
     }
 }
 
-/// Returns `true` if the failure of a statement that was sent is the fault of the instance. Busy
-/// instances are included, since the home had counted a free slot.
-fn is_instance_fault(code: RefusalCode) -> bool {
-    matches!(
-        code,
-        RefusalCode::QueueFull
-            | RefusalCode::Timeout
-            | RefusalCode::UpstreamUnavailable
-            | RefusalCode::UpstreamLost
-            | RefusalCode::UpstreamError
-    )
+/// Returns the outcome of a statement that was sent and refused or failed. A busy instance is at
+/// fault, since the home had counted a free slot; a replica that is behind is not.
+fn outcome_of(code: RefusalCode) -> Outcome {
+    match code {
+        RefusalCode::Timeout | RefusalCode::UpstreamLost => Outcome::Unanswered,
+        RefusalCode::QueueFull | RefusalCode::UpstreamUnavailable | RefusalCode::UpstreamError => {
+            Outcome::Failed
+        }
+        _ => Outcome::Answered,
+    }
 }
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -259,7 +259,9 @@
 
     /// Returns the state, counters and latencies as metrics text, one per line.
     pub fn metrics_text(&self) -> String {
-        status::text(&self.fleet, &self.homes) + &self.metrics.text()
+        let outliers = &self.entry.forwarder.outliers;
+        let ejected = outliers.as_ref().map(|outliers| outliers.text(&self.fleet.view()));
+        status::text(&self.fleet, &self.homes) + &ejected.unwrap_or_default() + &self.metrics.text()
     }
 
     /// Returns the current state for operators.
--- a/oleander-routing/src/meter.rs
+++ b/oleander-routing/src/meter.rs
@@ -31,9 +31,11 @@
 pub enum Outcome {
     /// The instance answered as it should, which includes refusals that are not its fault.
     Answered,
-    /// The instance failed: the connection broke, it reported an error, it did not answer in time,
-    /// or it was busy although the home had counted a free slot.
+    /// The instance reported an error, or was busy although the home had counted a free slot.
     Failed,
+    /// The instance did not answer: it could not be reached, the connection broke, or the time limit
+    /// passed.
+    Unanswered,
 }
 
 /// `Running` identifies a statement that an instance runs.
@@ -60,8 +62,9 @@
     outcomes: VecDeque<(Time, Option<Span>)>,
     /// The statements that run, each with the time at which it was sent.
     running: SmallVec<[(u64, Time); 8]>,
-    /// The time of the last answer.
-    answered_at: Time,
+    /// When the earliest statement since the last answer was sent, or the time of that answer if it
+    /// was sent before; `None` if there is none.
+    unanswered_since: Option<Time>,
 }
 
 impl Meter {
@@ -69,7 +72,9 @@
     pub fn start(&mut self, now: Time, key: InstanceKey, class: StatementClass) -> Running {
         self.serial += 1;
         let running = Running { key, class, serial: self.serial };
-        self.windows.entry((key, class)).or_default().running.push((self.serial, now));
+        let window = self.windows.entry((key, class)).or_default();
+        window.running.push((self.serial, now));
+        window.unanswered_since.get_or_insert(now);
         running
     }
 
@@ -85,10 +90,12 @@
             return;
         };
         let (_, sent_at) = window.running.swap_remove(index);
+        if outcome != Outcome::Unanswered {
+            window.unanswered_since = (!window.running.is_empty()).then_some(now);
+        }
         let service = match outcome {
-            Outcome::Failed => None,
+            Outcome::Failed | Outcome::Unanswered => None,
             Outcome::Answered => {
-                window.answered_at = now;
                 let elapsed = now.since(sent_at);
                 let fastest = self.fastest.entry(key).or_insert(elapsed);
                 *fastest = elapsed.min(*fastest);
@@ -114,12 +121,15 @@
         let ended = window.outcomes.len() as u32;
         let failed = ended - times.len() as u32;
         times.sort_unstable();
-        let oldest = window.running.iter().map(|(_, sent_at)| *sent_at).min();
+        if window.running.is_empty() && ended == 0 {
+            // Reads that went unanswered long ago say nothing about the instance now.
+            window.unanswered_since = None;
+        }
         InstanceReport {
             ended,
             failed,
             service: times.get(times.len() / 2).copied().unwrap_or_default(),
-            silent: oldest.map_or(Span::ZERO, |sent| now.since(sent.max(window.answered_at))),
+            silent: window.unanswered_since.map_or(Span::ZERO, |since| now.since(since)),
         }
     }
 
--- a/oleander-routing/tests/outliers.rs
+++ b/oleander-routing/tests/outliers.rs
@@ -28,36 +28,36 @@
 const READ_INTERVAL: Span = Span::from_millis(400);
 const GROUP: [InstanceKey; 3] = [InstanceKey(1), InstanceKey(2), InstanceKey(3)];
 
-/// `Behaviour` returns the time that an instance takes for its read number `u64` at a time since the
-/// start, and whether it succeeds; `None` if it never answers.
-type Behaviour = fn(Span, u64) -> Option<(Span, bool)>;
+/// `Behaviour` returns the time that an instance takes for its read of a number, at a time since the
+/// start, and the outcome.
+type Behaviour = fn(Span, u64) -> (Span, Outcome);
 
-fn healthy(_: Span, read: u64) -> Option<(Span, bool)> {
-    Some((Span(SERVICE.0 + read % 7 * 1_000), true))
+fn healthy(_: Span, read: u64) -> (Span, Outcome) {
+    (Span(SERVICE.0 + read % 7 * 1_000), Outcome::Answered)
 }
 
-fn failing(_: Span, read: u64) -> Option<(Span, bool)> {
-    Some((SERVICE, 4 <= read * 7 % 10))
+fn failing(_: Span, read: u64) -> (Span, Outcome) {
+    (SERVICE, if read * 7 % 10 < 4 { Outcome::Failed } else { Outcome::Answered })
 }
 
-fn slow(_: Span, read: u64) -> Option<(Span, bool)> {
-    Some((SERVICE.times(5 + read % 4), true))
+fn slow(_: Span, read: u64) -> (Span, Outcome) {
+    (SERVICE.times(5 + read % 4), Outcome::Answered)
 }
 
-fn silent(_: Span, _: u64) -> Option<(Span, bool)> {
-    None
+fn silent(_: Span, _: u64) -> (Span, Outcome) {
+    (Span::MAX, Outcome::Unanswered)
 }
 
-fn flapping(at: Span, _: u64) -> Option<(Span, bool)> {
+fn flapping(at: Span, _: u64) -> (Span, Outcome) {
     let is_up = (at.as_millis() / 1_000).is_multiple_of(2);
-    Some(if is_up { (SERVICE, true) } else { (Span::from_millis(1), false) })
+    if is_up { (SERVICE, Outcome::Answered) } else { (Span(300), Outcome::Unanswered) }
 }
 
-fn slow_for_a_while(at: Span, read: u64) -> Option<(Span, bool)> {
+fn slow_at_first(at: Span, read: u64) -> (Span, Outcome) {
     if at < Span::from_secs(5) { slow(at, read) } else { healthy(at, read) }
 }
 
-fn later_slow(at: Span, read: u64) -> Option<(Span, bool)> {
+fn slow_later(at: Span, read: u64) -> (Span, Outcome) {
     if at < Span::from_secs(5) { healthy(at, read) } else { slow(at, read) }
 }
 
@@ -74,8 +74,8 @@
     entries: Vec<Outliers>,
     meter: Meter,
     reads: Vec<Read>,
-    /// The ends of attempts: the time, the read, the instance's index and whether it succeeds.
-    ends: BinaryHeap<Reverse<(Time, usize, usize, bool)>>,
+    /// The ends of attempts: the time, the read, the instance's index and the outcome's.
+    ends: BinaryHeap<Reverse<(Time, usize, usize, u8)>>,
     running: Vec<Option<Running>>,
     counts: [u64; 3],
     served: u64,
@@ -134,19 +134,21 @@
         self.entries[read.entry].record_sent(now, key);
         self.running[index] = Some(self.meter.start(now, key, StatementClass::Read));
         let limit = if read.probe { PROBE_LIMIT } else { LIMIT };
-        let answer = (self.behaviours[place])(now.since(START), self.counts[place]);
-        let (span, success) = answer.filter(|(span, _)| *span < limit).unwrap_or((limit, false));
-        self.ends.push(Reverse((now + span, index, place, success)));
+        let (span, outcome) = (self.behaviours[place])(now.since(START), self.counts[place]);
+        let outcome = if span < limit { outcome } else { Outcome::Unanswered };
+        self.ends.push(Reverse((now + span.min(limit), index, place, outcome as u8)));
     }
 
     fn advance(&mut self, until: Time) {
-        while let Some(Reverse((now, index, place, success))) = self.ends.peek().copied() {
+        while let Some(Reverse((now, index, place, outcome))) = self.ends.peek().copied() {
             if until < now {
                 return;
             }
             self.ends.pop();
             let key = GROUP[place];
-            let outcome = if success { Outcome::Answered } else { Outcome::Failed };
+            let outcomes = [Outcome::Answered, Outcome::Failed, Outcome::Unanswered];
+            let outcome = outcomes[usize::from(outcome)];
+            let success = outcome == Outcome::Answered;
             self.meter.end(now, self.running[index].take().unwrap(), outcome, Span::ZERO);
             let report = self.meter.report(now, key);
             let read = &mut self.reads[index];
@@ -204,7 +206,7 @@
 #[case::slow(slow)]
 #[case::failing(failing)]
 #[case::silent(silent)]
-#[case::slow_after_a_time(later_slow)]
+#[case::slow_after_a_time(slow_later)]
 fn no_instance_of_an_even_group_is_ejected(#[case] behaviour: Behaviour) {
     let ran = Simulation::run([behaviour; 3], Span::from_secs(20));
     assert_eq!(ran.ejections(), 0, "{:?}", ran.changes.first());
@@ -214,7 +216,7 @@
 /// database that loses its nearest instance for good by a false detection.
 #[test]
 fn an_instance_that_answers_well_again_is_reinstated() {
-    let ran = Simulation::run([slow_for_a_while, healthy, healthy], Span::from_secs(30));
+    let ran = Simulation::run([slow_at_first, healthy, healthy], Span::from_secs(30));
     let reinstated =
         ran.changes.iter().rev().find(|(_, change)| matches!(change, Change::Reinstated { .. }));
     let (at, _) = reinstated.expect("it is reinstated");
--- a/oleander-session/src/report.rs
+++ b/oleander-session/src/report.rs
@@ -14,6 +14,7 @@
     pub failed: u32,
     /// The median service time of the answered ones; zero if there are none.
     pub service: Span,
-    /// The time for which the instance has run reads without answering any; zero if it runs none.
+    /// The time for which reads were sent to the instance and none was answered; zero if the last one
+    /// was answered.
     pub silent: Span,
 }
