--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -106,7 +106,7 @@
         let mut candidates = self.candidates(database, role, age);
         let outliers = self.outliers.as_ref();
         let reads = outliers.filter(|_| role == RequiredRole::Any);
-        let plan = reads.map_or_else(ReadPlan::default, |reads| {
+        let mut plan = reads.map_or_else(ReadPlan::default, |reads| {
             reads.plan(&self.fleet.view(), database, &mut candidates)
         });
         outliers.inspect(|outliers| outliers.record_first());
@@ -118,13 +118,11 @@
             request.instance.clone_from(&instance.entry.instance);
             request.patience = deadline.since(now).min(request.patience);
             request.limit = limit;
-            let sent = reads.map(|reads| reads.start(&plan, instance.key, &mut request));
+            let sent = reads.map(|reads| reads.start(&mut plan, instance.key, &mut request));
             let outcome = self.run_at(instance, &request).await;
-            drop(sent);
             self.record_lag(instance.key, &request, &outcome);
-            if let Some(reads) = reads {
-                let refusal = outcome.as_ref().err();
-                reads.record_end(&self.fleet.view(), &plan, instance.key, refusal);
+            if let (Some(reads), Some(sent)) = (reads, sent) {
+                reads.finish(&sent, &self.fleet.view(), &plan, outcome.as_ref().err());
             }
             let refusal = match outcome {
                 Ok(ran) => return Ok(ran),
@@ -140,15 +138,11 @@
             };
             if !retry || !is_allowed || refusal.code == RefusalCode::BadRequest {
                 self.log_refusal(Event::StatementFailed, &request, &refusal);
-                return Err(refusal);
+                return Err(if reads.is_some() { strongest(last, refusal) } else { refusal });
             }
             self.log_refusal(Event::RequestRetried, &request, &refusal);
             self.metrics.count("request.retried", 1);
-            // A refusal may say "not run" only if no instance has run the read.
-            let has_run = |former: &Refusal| refusal.verdict < former.verdict;
-            if reads.is_none() || !last.as_ref().is_some_and(has_run) {
-                last = Some(refusal);
-            }
+            last = Some(if reads.is_some() { strongest(last, refusal) } else { refusal });
         }
         Err(self.final_refusal(database, role, last))
     }
@@ -335,6 +329,14 @@
     }
 }
 
+/// Returns the refusal that a caller gets after an earlier attempt: "not run" only if none has run.
+fn strongest(earlier: Option<Refusal>, refusal: Refusal) -> Refusal {
+    match earlier {
+        Some(earlier) if refusal.verdict < earlier.verdict => earlier,
+        _ => refusal,
+    }
+}
+
 /// Returns `true` if another instance may answer although this one did not.
 fn is_transient(refusal: &Refusal) -> bool {
     matches!(
--- a/oleander-node/src/entry/outliers.rs
+++ b/oleander-node/src/entry/outliers.rs
@@ -53,7 +53,7 @@
 pub struct ReadPlan {
     /// The instances of the database.
     group: SmallVec<[InstanceKey; 4]>,
-    /// The instance that the read probes.
+    /// The ejected instance that the read probes first; `None` once it has been sent there.
     probe: Option<InstanceKey>,
 }
 
@@ -61,6 +61,7 @@
 pub struct SentRead<'a> {
     outliers: &'a ReadOutliers,
     key: InstanceKey,
+    is_probe: bool,
 }
 
 impl ReadOutliers {
@@ -72,7 +73,12 @@
     }
 
     /// Puts the candidates of a read in the order in which it tries them.
-    pub fn plan(&self, view: &View, database: DatabaseId, candidates: &mut [Instance]) -> ReadPlan {
+    pub fn plan(
+        &self,
+        view: &View,
+        database: DatabaseId,
+        candidates: &mut SmallVec<[Instance; 4]>,
+    ) -> ReadPlan {
         let group: SmallVec<[InstanceKey; 4]> =
             view.instances_of(database).map(|instance| instance.key).collect();
         let keys: SmallVec<[InstanceKey; 4]> =
@@ -80,26 +86,31 @@
         let plan = self.lock().outliers.plan(self.timers.now(), &group, &keys);
         let place = |key| plan.order.iter().position(|other| *other == key);
         candidates.sort_by_key(|candidate| place(candidate.key));
+        if plan.probe.is_some() {
+            // The probe has little time. If no other instance can run the read, the probed one gets
+            // what is left.
+            candidates.extend(candidates.first().cloned());
+        }
         for change in plan.changes {
             self.log_change(view, change);
         }
         ReadPlan { group, probe: plan.probe }
     }
 
-    /// Records that a read is sent to an instance. Returns the read's limits at this instance: a
-    /// probe gets a part of the time.
+    /// Records that a read is sent to an instance. If it is a probe, its time limit is shortened.
     pub fn start(
         &self,
-        plan: &ReadPlan,
+        plan: &mut ReadPlan,
         key: InstanceKey,
         request: &mut HomeRequest,
     ) -> SentRead<'_> {
-        if plan.probe == Some(key) {
+        let is_probe = plan.probe.take() == Some(key);
+        if is_probe {
             let limit = Span(request.patience.0 / PROBE_DIVISOR);
             request.limit = limit.min(request.limit);
         }
         self.lock().outliers.record_sent(self.timers.now(), key);
-        SentRead { outliers: self, key }
+        SentRead { outliers: self, key, is_probe }
     }
 
     /// Records a report of the home of an instance.
@@ -107,14 +118,15 @@
         self.lock().outliers.record_reply(self.timers.now(), key, report);
     }
 
-    /// Records how a read ended at an instance; `refusal` is `None` if it was served.
-    pub fn record_end(
+    /// Records how a read ended; `refusal` is `None` if it was served.
+    pub fn finish(
         &self,
+        sent: &SentRead<'_>,
         view: &View,
         plan: &ReadPlan,
-        key: InstanceKey,
         refusal: Option<&Refusal>,
     ) {
+        let SentRead { key, is_probe, .. } = *sent;
         let now = self.timers.now();
         let mut state = self.lock();
         let outliers = &mut state.outliers;
@@ -123,7 +135,7 @@
             Some(refusal) if is_full(refusal) => outliers.record_full(now, key),
             Some(_) => {}
         }
-        if plan.probe != Some(key) {
+        if !is_probe {
             return;
         }
         let change = match refusal {
