--- a/oleander-routing/src/outliers.rs
+++ b/oleander-routing/src/outliers.rs
@@ -56,6 +56,11 @@
 /// The time after an ejection in which the next one lasts twice as long.
 const EJECTION_MEMORY: Span = Span::from_secs(30);
 
+/// The number of probes in a row that must succeed before an instance that fails some of its reads
+/// is reinstated. One that fails 40% passes a single probe more often than not, and five with a
+/// probability of 8%; where few VMs probe it, the reports hold too few reads to tell.
+const FAILING_PROBES: u32 = 5;
+
 /// The minimum time between two reads of a database that are sent elsewhere to compare a suspicious
 /// instance.
 const COMPARE_INTERVAL: Span = Span::from_millis(100);
@@ -164,6 +169,8 @@
     /// When the next probe is due.
     until: Time,
     span: Span,
+    /// The number of probes in a row that succeeded.
+    passed: u32,
 }
 
 impl Outliers {
@@ -228,8 +235,8 @@
         known.full_at == Time(0) || FULL_TTL <= now.since(known.full_at)
     }
 
-    /// Records that the instance answered a probe. It is reinstated unless the reports still show
-    /// what it was ejected for.
+    /// Records that the instance answered a probe. It is reinstated after enough of them, unless
+    /// the reports still show what it was ejected for.
     pub fn record_probe_answered(
         &mut self,
         now: Time,
@@ -240,13 +247,25 @@
             self.record_probe_failed(now, key);
             return None;
         }
-        self.instances.get_mut(&key)?.reinstate(now, key)
+        let known = self.instances.get_mut(&key)?;
+        let ejection = known.ejection.as_mut()?;
+        ejection.passed += 1;
+        ejection.until = now + MIN_EJECTION;
+        let needed = match ejection.finding.cause {
+            Cause::Failing => FAILING_PROBES,
+            Cause::Slow | Cause::Silent => 1,
+        };
+        if ejection.passed < needed {
+            return None;
+        }
+        known.reinstate(now, key)
     }
 
     /// Records that a probe failed, after which the ejection lasts twice as long.
     pub fn record_probe_failed(&mut self, now: Time, key: InstanceKey) {
         let known = self.instances.get_mut(&key);
         let Some(ejection) = known.and_then(|known| known.ejection.as_mut()) else { return };
+        ejection.passed = 0;
         ejection.span = ejection.span.times(2).min(MAX_EJECTION);
         ejection.until = now + ejection.span;
     }
@@ -298,7 +317,7 @@
             && let Some(known) = self.instances.get_mut(&key)
         {
             let span = known.next_span(now);
-            let ejection = Ejection { finding, since: now, until: now + span, span };
+            let ejection = Ejection { finding, since: now, until: now + span, span, passed: 0 };
             known.ejection = Some(ejection);
             changes.push(Change::Ejected { key, finding, span });
         }
--- a/oleander-routing/tests/outliers.rs
+++ b/oleander-routing/tests/outliers.rs
@@ -239,6 +239,27 @@
     assert!(all * 9 <= rest.counts[0] * 10, "healthy reads stay near: {:?}", rest.counts);
 }
 
+/// Guards against an instance that fails 40% of its reads and returns after a probe that it passes by
+/// chance, where too few VMs probe it for the home's report to tell.
+#[test]
+fn a_failing_instance_must_pass_several_probes() {
+    let mut outliers = Outliers::default();
+    let report = |ended, failed| InstanceReport { ended, failed, ..InstanceReport::default() };
+    outliers.record_reply(START, GROUP[0], report(20, 8));
+    outliers.record_reply(START, GROUP[1], report(20, 0));
+    outliers.plan(START, &GROUP, &GROUP);
+    assert!(outliers.is_ejected(GROUP[0]));
+    outliers.record_reply(START, GROUP[0], report(2, 0));
+    for passed in [true, true, false, true, true, true, true] {
+        if passed {
+            assert_eq!(outliers.record_probe_answered(START, GROUP[0], &GROUP), None);
+        } else {
+            outliers.record_probe_failed(START, GROUP[0]);
+        }
+    }
+    assert!(outliers.record_probe_answered(START, GROUP[0], &GROUP).is_some());
+}
+
 /// Guards against a home's refusal for lack of room that is answered by trying every instance: one
 /// that had no room a moment ago is not tried.
 #[test]
