--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -24,12 +24,15 @@
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
+use oleander_session::report::InstanceReport;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
 use oleander_session::work::Work;
 use smallvec::SmallVec;
 
+use super::outliers::ReadOutliers;
+use super::outliers::ReadPlan;
 use super::overload;
 use super::overload::EntryHorizons;
 use super::places;
@@ -61,6 +64,8 @@
     pub primaries: Arc<Primaries>,
     /// The homes on this VM, called directly.
     pub homes: Arc<Homes>,
+    /// Orders the candidates of reads; `None` unless outliers are to be detected.
+    pub outliers: Option<ReadOutliers>,
     /// The replicas to avoid because they were found behind.
     pub lag_backoff: Mutex<LagBackoff>,
     /// The horizons of homes; `None` unless `NodeSettings::overload` is set.
@@ -109,6 +114,7 @@
         deadline: Time,
     ) -> Result<ForwardResult, Refusal> {
         let is_read = !request.work.is_write();
+        let limit = request.limit;
         let mut last = None;
         let target = self.fleet.now() + request.patience;
         let age = request.freshness.age;
@@ -123,29 +129,45 @@
         if let Some(horizons) = &self.horizons {
             horizons.admit(self.fleet.now(), &request, &mut candidates)?;
         }
-        for instance in candidates {
+        let outliers = self.outliers.as_ref();
+        let reads = outliers.filter(|_| role == RequiredRole::Any);
+        let mut plan = reads.map_or_else(ReadPlan::default, |reads| {
+            reads.plan(&self.fleet.view(), database, &mut candidates)
+        });
+        outliers.inspect(|outliers| outliers.record_first());
+        for (index, instance) in candidates.iter().enumerate() {
             let now = self.fleet.now();
             if deadline <= now {
                 break;
             }
             request.instance.clone_from(&instance.entry.instance);
             request.patience = deadline.min(target).since(now);
-            if self.fleet.settings.overload {
-                request.limit = deadline.since(now);
-            }
-            let outcome = self.run_at(&instance, &request).await;
+            request.limit = if self.fleet.settings.overload { deadline.since(now) } else { limit };
+            let sent = reads.map(|reads| reads.start(&mut plan, instance.key, &mut request));
+            let outcome = self.run_at(instance, &request).await;
             self.record_lag(instance.key, &request, &outcome);
+            if let (Some(reads), Some(sent)) = (reads, sent) {
+                reads.finish(&sent, &self.fleet.view(), &plan, outcome.as_ref().err());
+            }
             let refusal = match outcome {
                 Ok(ran) => return Ok(ran),
                 Err(refusal) => refusal,
             };
             let retry = refusal.verdict == Verdict::NotRun || (is_read && is_transient(&refusal));
-            if !retry || refusal.code == RefusalCode::BadRequest {
+            // An instance may fail a read that another one answers.
+            let retry = retry || (reads.is_some() && refusal.code == RefusalCode::UpstreamError);
+            let next = candidates.get(index + 1).map(|instance| instance.key);
+            let is_allowed = match (outliers, next) {
+                (Some(outliers), Some(next)) if retry => outliers.may_retry(&refusal, next),
+                _ => true,
+            };
+            if !retry || !is_allowed || refusal.code == RefusalCode::BadRequest {
                 self.log_refusal(Event::StatementFailed, &request, &refusal);
-                return Err(refusal);
+                return Err(if reads.is_some() { strongest(last, refusal) } else { refusal });
             }
             self.log_refusal(Event::RequestRetried, &request, &refusal);
             self.metrics.count("request.retried", 1);
+            let refusal = if reads.is_some() { strongest(last.clone(), refusal) } else { refusal };
             last = Some(match &self.horizons {
                 Some(_) => overload::earliest_return(last.as_ref(), refusal),
                 None => refusal,
@@ -292,8 +314,8 @@
 
     async fn call(&self, home: VmId, request: &HomeRequest) -> Result<HomeAnswer, Refusal> {
         if home == self.fleet.vm {
-            let outcome = self.homes.run(request).await;
-            let outcome = self.homes.complete(request, outcome);
+            let outcome = self.homes.run(request.clone()).await;
+            self.record_report(request, self.homes.report(&request.instance));
             let horizon = self.homes.horizon(&request.instance);
             self.record_horizon(request, horizon, outcome.as_ref().err());
             return outcome;
@@ -316,6 +338,11 @@
                 self.record_horizon(request, horizon, Some(&refusal));
                 Err(refusal)
             }
+            Ok(Reply::Reported(outcome, report, horizon)) => {
+                self.record_report(request, Some(report));
+                self.record_horizon(request, horizon, outcome.as_ref().err());
+                outcome
+            }
             Ok(_) => Err(Refusal::may_have_run(RefusalCode::Internal, "an answer of another kind")),
             Err(error) => {
                 if self.fleet.suspect(home) {
@@ -328,6 +355,12 @@
         }
     }
 
+    fn record_report(&self, request: &HomeRequest, report: Option<InstanceReport>) {
+        if let (Some(outliers), Some(report)) = (&self.outliers, report) {
+            outliers.record_report(InstanceKey::from_name(&request.instance), report);
+        }
+    }
+
     fn record_horizon(&self, request: &HomeRequest, horizon: Horizon, refusal: Option<&Refusal>) {
         if let Some(horizons) = &self.horizons {
             horizons.record(self.fleet.now(), request, horizon, refusal);
@@ -382,6 +415,14 @@
     }
 }
 
+/// Returns the refusal that a caller gets after an earlier attempt: "not run" only if none has run.
+fn strongest(earlier: Option<Refusal>, refusal: Refusal) -> Refusal {
+    match earlier {
+        Some(earlier) if refusal.verdict < earlier.verdict => earlier,
+        _ => refusal,
+    }
+}
+
 /// Returns `true` if another instance may answer although this one did not.
 fn is_transient(refusal: &Refusal) -> bool {
     matches!(
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -20,15 +20,19 @@
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
+use oleander_routing::meter::StatementClass;
 use oleander_runtime::logs::Field;
 use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Work;
 
+use super::caller::StartCondition;
 use super::connections::ConnectionPool;
 use super::connections::LinkContext;
+use super::connections::PooledConnection;
 use super::connections::pool_options;
+use super::measure::InstanceMeter;
 use super::open::OpenTransaction;
 use super::slots::Expiry;
 use super::slots::InstanceSlots;
@@ -74,6 +78,8 @@
     pool: Arc<ConnectionPool>,
     /// The time at which a closed horizon was last logged; 0 if never.
     closed_logged: AtomicU64,
+    /// Measures the statements; `None` unless outliers are to be detected.
+    meter: Option<InstanceMeter>,
 }
 
 /// The shortest time between two log records of a closed horizon.
@@ -111,9 +117,15 @@
             pool: Arc::new(ConnectionPool::new(context.links.clone(), target, options)),
             context,
             closed_logged: AtomicU64::new(0),
+            meter: None,
         }
     }
 
+    /// Sets the meter of the instance.
+    pub fn with_meter(self, meter: Option<InstanceMeter>) -> Self {
+        Self { meter, ..self }
+    }
+
     /// Changes the numbers of slots and connections that the instance accepts.
     pub fn set_limits(&self, slots: u32, connections: u32) {
         let options = pool_options(connections);
@@ -172,7 +184,7 @@
         self.pool.open_count()
     }
 
-    /// Runs a statement outside a transaction; it must start by `deadline`.
+    /// Runs a statement outside a transaction; it must start as `start` states.
     ///
     /// # Errors
     /// Fails with verdict `NotRun` if the statement is not admitted, and with verdict `Ran` if a
@@ -180,8 +192,9 @@
     pub async fn run_single(
         &self,
         request: &HomeRequest,
-        deadline: Time,
+        start: impl Into<StartCondition>,
     ) -> Result<HomeAnswer, Refusal> {
+        let start = start.into();
         self.check_evacuation(StatementKind::New)?;
         let is_write = request.work.is_write();
         let check = if is_write {
@@ -192,11 +205,13 @@
         if is_write || check == FreshnessCheck::Primary {
             self.admit_at_primary()?;
         }
-        let permit = self.acquire(request, class_of(request), deadline).await?;
-        let mut pooled = self.pool.acquire(request).await?;
+        let class = class_of(request);
+        let permit = self.acquire(request, class, &start).await?;
+        let mut pooled = self.connect(request, class, &start).await?;
         self.check_evacuation(StatementKind::New)?;
         self.admit_warmup().await?;
-        let reply = pooled.connection.run_single(statement(request), check).await;
+        let running = pooled.connection.run_single(statement(request), check);
+        let reply = self.measure(class, running).await;
         drop(pooled);
         let answer = answer(&permit, reply?)?;
         match check {
@@ -207,7 +222,7 @@
         Ok(answer)
     }
 
-    /// Opens a transaction and runs its first statement, which must start by `deadline`.
+    /// Opens a transaction and runs its first statement, which must start as `start` states.
     ///
     /// # Errors
     /// A failure ends the transaction.
@@ -215,8 +230,9 @@
         &self,
         request: &HomeRequest,
         read_only: bool,
-        deadline: Time,
+        start: impl Into<StartCondition>,
     ) -> Result<TransactionResult, Refusal> {
+        let start = start.into();
         self.check_evacuation(StatementKind::New)?;
         let (read_only, after) = match (read_only, self.freshness_check(&request.freshness)) {
             (true, Ok(FreshnessCheck::After(after))) => (true, after),
@@ -227,8 +243,8 @@
             }
         };
         let class = if read_only { Class::Read } else { Class::Write };
-        let mut permit = self.acquire(request, class, deadline).await?;
-        let mut pooled = self.pool.acquire(request).await?;
+        let mut permit = self.acquire(request, class, &start).await?;
+        let mut pooled = self.connect(request, class, &start).await?;
         self.check_evacuation(StatementKind::New)?;
         self.admit_warmup().await?;
         pooled.connection.begin(read_only, after).await?;
@@ -245,7 +261,7 @@
         Ok(TransactionResult { answer, open: (!request.work.is_end()).then_some(transaction) })
     }
 
-    /// Runs a further statement of a transaction, which must start by `deadline`.
+    /// Runs a further statement of a transaction, which must start as `start` states.
     ///
     /// # Errors
     /// A failure rolls back the transaction.
@@ -253,15 +269,16 @@
         &self,
         mut transaction: OpenTransaction,
         request: &HomeRequest,
-        deadline: Time,
+        start: impl Into<StartCondition>,
     ) -> Result<TransactionResult, Refusal> {
         if request.work == Work::Rollback {
             transaction.roll_back().await;
             return Ok(TransactionResult { answer: HomeAnswer::default(), open: None });
         }
+        let start = start.into();
         let admitted = async {
             self.check_evacuation(StatementKind::InTransaction)?;
-            let permit = self.acquire(request, Class::Transaction, deadline).await?;
+            let permit = self.acquire(request, Class::Transaction, &start).await?;
             self.admit_warmup().await?;
             Ok(permit)
         };
@@ -298,7 +315,8 @@
                 "the transaction has ended",
             ));
         };
-        let running = connection.run_in_transaction(statement(request));
+        let class = if request.work.is_write() { Class::Write } else { Class::Read };
+        let running = self.measure(class, connection.run_in_transaction(statement(request)));
         let reply = match self.context.links.timers.within(request.limit, running).await {
             Some(reply) => reply,
             None => Err(Refusal::may_have_run(RefusalCode::Timeout, "no answer in time")),
@@ -389,7 +407,7 @@
         &self,
         request: &HomeRequest,
         class: Class,
-        deadline: Time,
+        start: &StartCondition,
     ) -> Result<Permit, Refusal> {
         let workspace = WorkspaceId::from_name(&request.workspace);
         let urgency = match self.expiry {
@@ -399,7 +417,39 @@
                 Urgency { level: request.level, target: Some(target) }
             }
         };
-        self.slots.acquire(SlotRequest { workspace, weight: 1, class, deadline, urgency }).await
+        let deadline = start.deadline;
+        let slot = SlotRequest { workspace, weight: 1, class, deadline, urgency };
+        start.wait_for(self.slots.acquire(slot)).await
+    }
+
+    /// Returns a connection for a statement that has its slot, unless its caller has left meanwhile.
+    async fn connect(
+        &self,
+        request: &HomeRequest,
+        class: Class,
+        start: &StartCondition,
+    ) -> Result<PooledConnection, Refusal> {
+        let pooled = self.pool.acquire(request).await;
+        if let (Some(meter), Err(refusal)) = (&self.meter, &pooled)
+            && refusal.code == RefusalCode::UpstreamUnavailable
+        {
+            meter.record_unreachable(statement_class(class));
+        }
+        let pooled = pooled?;
+        start.check()?;
+        Ok(pooled)
+    }
+
+    /// Runs an exchange with the instance and measures it if outliers are to be detected.
+    async fn measure<T>(
+        &self,
+        class: Class,
+        exchange: impl Future<Output = Result<T, Refusal>>,
+    ) -> Result<T, Refusal> {
+        match &self.meter {
+            Some(meter) => meter.measure(statement_class(class), exchange).await,
+            None => exchange.await,
+        }
     }
 
     /// Returns the condition under which the instance may run a read.
@@ -435,6 +485,14 @@
     if request.work.is_write() || request.freshness.latest { Class::Write } else { Class::Read }
 }
 
+/// Returns the class under which a statement is measured.
+fn statement_class(class: Class) -> StatementClass {
+    match class {
+        Class::Read => StatementClass::Read,
+        Class::Write | Class::Transaction => StatementClass::Write,
+    }
+}
+
 fn statement(request: &HomeRequest) -> Statement<'_> {
     Statement { id: &request.statement, settings: &request.values, work: &request.work }
 }
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -32,6 +32,7 @@
 use crate::control::relay::RelayedStore;
 use crate::control::shares;
 use crate::entry::forward::Forwarder;
+use crate::entry::outliers::ReadOutliers;
 use crate::entry::overload::EntryHorizons;
 use crate::entry::session::Entry;
 use crate::entry::shed;
@@ -157,6 +158,9 @@
                 primaries: primaries.clone(),
                 homes: homes.clone(),
                 horizons: settings.overload.then(|| EntryHorizons::new(metrics.clone())),
+                outliers: settings
+                    .outliers
+                    .then(|| ReadOutliers::new(timers.clone(), journal.clone(), metrics.clone())),
                 lag_backoff: Mutex::default(),
                 peers: peer_client.clone(),
                 journal: journal.clone(),
@@ -259,7 +263,9 @@
 
     /// Returns the state, counters and latencies as metrics text, one per line.
     pub fn metrics_text(&self) -> String {
-        status::text(&self.fleet, &self.homes) + &self.metrics.text()
+        let outliers = &self.entry.forwarder.outliers;
+        let ejected = outliers.as_ref().map(|outliers| outliers.text(&self.fleet.view()));
+        status::text(&self.fleet, &self.homes) + &ejected.unwrap_or_default() + &self.metrics.text()
     }
 
     /// Returns the current state for operators.
--- a/oleander-node/tests/regions.rs
+++ b/oleander-node/tests/regions.rs
@@ -149,6 +149,7 @@
             fleet,
             primaries,
             homes,
+            outliers: None,
             horizons: None,
             lag_backoff: Mutex::default(),
             peers,
@@ -264,7 +265,7 @@
 async fn a_home_refuses_a_request_that_may_not_run_at_its_instance() {
     let vm = EntryVm::new(Vec::new());
     let request = HomeRequest { instance: "i-1".to_owned(), ..read(&only(&["hills"])) };
-    let refusal = vm.forwarder.homes.run(&request).await.unwrap_err();
+    let refusal = vm.forwarder.homes.run(request).await.unwrap_err();
     assert_eq!(
         (refusal.code, refusal.verdict),
         (RefusalCode::UpstreamUnavailable, Verdict::NotRun)
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -23,6 +23,7 @@
 use oleander_membership::messages::MemberReply;
 use oleander_membership::messages::MemberRequest;
 use oleander_membership::messages::View;
+use oleander_session::report::InstanceReport;
 use oleander_session::token::SeenPoint;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
@@ -171,6 +172,9 @@
     Store(StoreReply),
     /// The refusal of `Request::Home` by a home that tells which levels it admits now.
     Refused(Refusal, Horizon),
+    /// The result of `Request::Home` with a report on the instance, from a VM that detects outliers,
+    /// and the levels that the home admits now.
+    Reported(Result<HomeAnswer, Refusal>, InstanceReport, Horizon),
 }
 
 /// `StoreReply` is the result of a call that was passed on to the store.
