Learn the primary's position from answers at its home

Cause: replicas prove the age of their data by the primary's position, which only the keeper told.

Change: the home of the primary records the position in each answer, if no other instance can have led. VMs whose newest position is older than 500 ms ask that home beside the keeper. A replica that knows none asks at once and waits up to 100 ms.

--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Horizon;
+use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -22,7 +23,6 @@
 use oleander_ports::upstream::Target;
 use oleander_routing::meter::StatementClass;
 use oleander_runtime::logs::Field;
-use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Work;
@@ -85,6 +85,13 @@
 /// The shortest time between two log records of a closed horizon.
 const LOG_CLOSED_INTERVAL: Span = Span::from_secs(10);
 
+/// The longest time for which a read at a replica waits for the position of the primary: a few
+/// round trips between regions.
+const MAX_FLOOR_WAIT: Span = Span::from_millis(100);
+
+/// The part of the time left for a read, as a divisor, that it may spend on this wait.
+const FLOOR_WAIT_DIVISOR: u64 = 4;
+
 impl InstanceHome {
     /// Creates the home of an instance that accepts `connections` in all. It serves all statements
     /// alike.
@@ -200,7 +207,7 @@
         let check = if is_write {
             FreshnessCheck::After(None)
         } else {
-            self.freshness_check(&request.freshness)?
+            self.freshness_check(request).await?
         };
         if is_write || check == FreshnessCheck::Primary {
             self.admit_at_primary()?;
@@ -210,10 +217,12 @@
         let mut pooled = self.connect(request, class, &start).await?;
         self.check_evacuation(StatementKind::New)?;
         self.admit_warmup().await?;
+        let asked = self.context.links.timers.now();
         let running = pooled.connection.run_single(statement(request), check);
         let reply = self.measure(class, running).await;
         drop(pooled);
         let answer = answer(&permit, reply?)?;
+        self.record_position(asked, &answer);
         match check {
             _ if is_write => self.check_commit()?,
             FreshnessCheck::Primary => self.check_latest()?,
@@ -234,7 +243,7 @@
     ) -> Result<TransactionResult, Refusal> {
         let start = start.into();
         self.check_evacuation(StatementKind::New)?;
-        let (read_only, after) = match (read_only, self.freshness_check(&request.freshness)) {
+        let (read_only, after) = match (read_only, self.freshness_check(request).await) {
             (true, Ok(FreshnessCheck::After(after))) => (true, after),
             (true, Err(refusal)) => return Err(refusal),
             _ => {
@@ -251,7 +260,9 @@
         // From here on the transaction frees the connection when it is dropped.
         permit.keep_connection();
         let mut transaction = OpenTransaction::new(pooled, self.slots.clone(), request.rest);
+        let asked = self.context.links.timers.now();
         let answer = self.run_in_transaction(&mut transaction, request, &permit).await?;
+        self.record_position(asked, &answer);
         // The reads of the transaction need the commits from before its start, so that one check
         // after the start suffices for all of them.
         if !read_only && let Err(refusal) = self.check_latest() {
@@ -457,14 +468,15 @@
     /// # Errors
     /// Fails with `ReplicaBehind` if the read has a maximum age and the progress of the primary is
     /// not known to this VM.
-    fn freshness_check(&self, freshness: &Freshness) -> Result<FreshnessCheck, Refusal> {
+    async fn freshness_check(&self, request: &HomeRequest) -> Result<FreshnessCheck, Refusal> {
+        let freshness = &request.freshness;
         let is_primary = self.is_primary();
         if freshness.latest {
             return Ok(FreshnessCheck::Primary);
         }
         let floor = match freshness.age {
             None => None,
-            Some(age) => match self.context.primaries.floor(self.database, age) {
+            Some(age) => match self.floor(age, request.patience, is_primary).await {
                 Some(floor) => Some(floor),
                 None if is_primary => return Ok(FreshnessCheck::Primary),
                 None => {
@@ -477,6 +489,25 @@
         // older terms.
         Ok(FreshnessCheck::After(floor.max(freshness.seen)))
     }
+
+    /// Returns a point that includes all commits older than `age`. A replica waits a moment for one
+    /// if none is known, since all its reads would go to the primary otherwise.
+    async fn floor(&self, age: Span, patience: Span, is_primary: bool) -> Option<LogPoint> {
+        let primaries = &self.context.primaries;
+        let floor = primaries.floor(self.database, age);
+        if floor.is_some() || is_primary || primaries.is_promoting(self.database) {
+            return floor;
+        }
+        let limit = MAX_FLOOR_WAIT.min(Span(patience.0 / FLOOR_WAIT_DIVISOR));
+        primaries.floor_within(self.database, age, limit).await
+    }
+
+    /// Records the position that the instance had when it answered a statement sent after `asked`.
+    fn record_position(&self, asked: Time, answer: &HomeAnswer) {
+        if let Some(point) = answer.point {
+            self.context.primaries.record_answer(self.database, self.key, asked, point);
+        }
+    }
 }
 
 /// Returns the class of a statement outside a transaction: replicas serve only reads that accept
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -194,6 +194,7 @@
             fleet: fleet.clone(),
             homes: homes.clone(),
             duties: duties.clone(),
+            primaries: primaries.clone(),
             feed,
             store: store.clone(),
             rates: rates.clone(),
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::fleet::Fleet;
 use crate::home::registry::Homes;
 use crate::keeper::duties::Duties;
+use crate::primaries::Primaries;
 use crate::rates::Rates;
 
 /// The longest wait, when another VM tells of its join, until the limiter has applied the revision
@@ -36,6 +37,8 @@
     pub homes: Arc<Homes>,
     /// Answers for the databases of which this VM is the keeper.
     pub duties: Arc<Duties>,
+    /// Answers for the databases of which this VM is the home of the primary.
+    pub primaries: Arc<Primaries>,
     /// Answers VMs that follow the store through this one.
     pub feed: Arc<Feed>,
     /// Passes on calls to the store.
@@ -71,7 +74,10 @@
                     (None, outcome) => Reply::Home(outcome),
                 }
             }
-            Request::Primary(database) => Reply::Primary(server.duties.report(database)),
+            Request::Primary(database) => {
+                let report = server.duties.report(database);
+                Reply::Primary(report.or_else(|| server.primaries.report(database)))
+            }
             Request::Joined { revision, former } => {
                 server.handle_joined(StoreRevision(revision), former).await
             }
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -1,6 +1,8 @@
 //! The home of an instance when the instance refuses connections or does not answer, when the
 //! primary is replaced during a write, and when the instance's availability zone is evacuated.
 
+#[path = "support/record.rs"]
+mod record;
 mod support;
 
 use std::sync::Arc;
@@ -28,8 +30,6 @@
 use oleander_limits::rates::limiter::RateLimiter;
 use oleander_node::fleet::Fleet;
 use oleander_node::fleet::Instance;
-use oleander_node::fleet::KeeperEntry;
-use oleander_node::fleet::KeeperRecord;
 use oleander_node::fleet::View;
 use oleander_node::home::connections::LinkContext;
 use oleander_node::home::instance::HomeContext;
@@ -58,6 +58,7 @@
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
 use oleander_session::work::Work;
+use record::set_primary;
 use rstest::rstest;
 
 /// The identifier of an open transaction.
@@ -140,30 +141,6 @@
     }
 }
 
-/// Sets the primary in the keeper's record.
-fn set_primary(fleet: &Fleet, primary: Option<InstanceKey>) {
-    let record = KeeperRecord {
-        holder: None,
-        duty: 1,
-        primary: None,
-        ordered: None,
-        term: 1,
-        era: 0,
-        restored: false,
-    };
-    let keeper = KeeperEntry {
-        holder: None,
-        primary,
-        ordered: None,
-        record: Arc::new(record),
-        revision: StoreRevision(1),
-        known: StoreRevision(1),
-        restored: false,
-    };
-    let keepers = Arc::new([(DatabaseId(1), keeper)].into());
-    fleet.set_view(View { revision: StoreRevision(1), keepers, ..View::default() });
-}
-
 /// Returns a limiter without limits and shares.
 fn rates(fleet: &Arc<Fleet>) -> Rates {
     let limiter = RateLimiter::new(fleet.vm, 1);
