Count the tokens gained while a VM that starts again waits for its shares

Cause: after all VMs were killed or lost power, every workspace started with an empty bucket once the VMs had asked each other about earlier loans, 0.1 s (6 VMs) to 0.3 s (58 VMs) after their first views, while the callers of the outage waited.

Change: VMs answer a join with the time since which nothing lent from the shares has been in use and no share has moved. The joining VM counts the refill since the latest of these moments. Loans of shares that have moved to it since (their owner left or lapsed) are waited for as well; they were not counted before if the record of its earlier process stood.

--- a/oleander-limits/src/rates/account.rs
+++ b/oleander-limits/src/rates/account.rs
@@ -227,9 +227,11 @@
         self.limit = limit;
     }
 
-    /// Drops the owner state; the next `sync` fills it again from the shares that are usable then.
-    pub fn reset_owner(&mut self, now: Time) {
-        self.owner = RateOwner::new(now, 0, Tokens::ZERO);
+    /// Replaces the owner state by that of the shares that are usable now.
+    pub fn reset_owner(&mut self, now: Time, ownership: &Ownership) {
+        let usable = ownership.usable(now, self.workspace, self.limit, self.since);
+        self.owner = RateOwner::new(now, usable.fractions, usable.level);
+        self.next_sync = usable.next;
     }
 
     /// Returns all loans to their owners, for use before a planned stop.
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -15,12 +15,15 @@
 use crate::messages::LimitRequest;
 use crate::rates::account::Account;
 use crate::rates::actions::Action;
+use crate::rates::actions::Call;
 use crate::rates::actions::CallId;
 use crate::rates::actions::Decision;
 use crate::rates::actions::Ticket;
 use crate::rates::context::Context;
 use crate::rates::context::SharedState;
+use crate::rates::owner::GRANT_HOLD;
 use crate::rates::owner::LOAN_EXPIRY_WAIT;
+use crate::rates::owner::LOAN_HOLD;
 use crate::rates::ownership::Ownership;
 use crate::rates::tokens::FRACTIONS;
 use crate::rates::tokens::Limit;
@@ -29,6 +32,9 @@
 /// The time after which an unanswered call is dropped.
 const CALL_TTL: Span = Span::from_secs(5);
 
+/// The time for which the end of a loan or grant is remembered.
+pub const HOLD_MEMORY: Span = Span::from_secs(10);
+
 /// `RateLimiter` decides for one proxy which requests are within their workspace's rate.
 ///
 /// It does no I/O and has no clock: the caller passes the time, performs the returned actions,
@@ -43,6 +49,9 @@
     wakes: BinaryHeap<Reverse<(Time, WorkspaceId)>>,
     /// The time at which outdated calls were last dropped.
     last_prune: Time,
+    /// The latest end of a loan or grant of each owner, as far as it is not older than
+    /// `HOLD_MEMORY`.
+    held_ends: HashMap<VmId, Time>,
     /// Whether a configuration with limits has been set since the process started.
     had_limits: bool,
 }
@@ -91,6 +100,7 @@
             accounts: HashMap::new(),
             wakes: BinaryHeap::new(),
             last_prune: Time(0),
+            held_ends: HashMap::new(),
             had_limits: false,
         }
     }
@@ -159,6 +169,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(call) = self.shared.calls.remove(&call) else { return };
+        self.record_hold(&call, reply.as_ref());
         self.with_account(now, call.workspace, out, |account, ctx| {
             account.handle_reply(ctx, &call, reply);
         });
@@ -234,10 +245,11 @@
         }
     }
 
-    /// Replaces the shares like `set_shares`, but makes own shares usable at once. Must be called
-    /// only if no loan of an earlier owner can be in use.
-    pub fn activate_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time) {
-        if self.shared.ownership.start(now, owners, until) {
+    /// Replaces the shares like `set_shares`, but makes own shares usable at once, with the tokens
+    /// that they have gained since `from`. Must be called only if nothing of these shares has been
+    /// in use since `from`, neither by an earlier owner nor as a loan or grant.
+    pub fn activate_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time, from: Time) {
+        if self.shared.ownership.start(now, owners, until, from) {
             self.reset_owners(now);
         }
     }
@@ -273,6 +285,14 @@
         until.unwrap_or_default().since(now)
     }
 
+    /// Returns the time since which this VM has had no loan or grant from owners that match
+    /// `filter`: at most `HOLD_MEMORY` ago, or later than `now` if it has one.
+    pub fn free_since(&self, now: Time, filter: impl Fn(VmId) -> bool) -> Time {
+        let ends = self.held_ends.iter().filter(|(owner, _)| filter(**owner));
+        let latest = ends.map(|(_, end)| *end).max().unwrap_or_default();
+        latest.max(Time(now.0.saturating_sub(HOLD_MEMORY.0)))
+    }
+
     /// Returns the remaining time for which other VMs may use loans and grants from this VM or from
     /// an earlier owner of its shares.
     pub fn lent(&self, now: Time) -> Span {
@@ -290,6 +310,17 @@
         self.accounts.len()
     }
 
+    /// Records until when the loan or grant in a reply may be used.
+    fn record_hold(&mut self, call: &Call, reply: Option<&LimitReply>) {
+        let hold = match reply {
+            Some(LimitReply::Lent { loan: Some(_), .. } | LimitReply::Renewed) => LOAN_HOLD,
+            Some(LimitReply::Lent { grant: Some(_), .. }) => GRANT_HOLD,
+            _ => return,
+        };
+        let end = self.held_ends.entry(call.to).or_default();
+        *end = (*end).max(call.sent + hold);
+    }
+
     /// Runs `event` on the account of a workspace and schedules its next `tick`. Returns `None` if
     /// the workspace has no limit.
     fn with_account<R>(
@@ -321,7 +352,7 @@
     /// the number of shares has changed.
     fn reset_owners(&mut self, now: Time) {
         for account in self.accounts.values_mut() {
-            account.reset_owner(now);
+            account.reset_owner(now, &self.shared.ownership);
         }
     }
 
@@ -332,5 +363,6 @@
         }
         self.last_prune = now;
         self.shared.calls.retain(|_, call| now.since(call.sent) < CALL_TTL);
+        self.held_ends.retain(|_, end| now.since(*end) < HOLD_MEMORY);
     }
 }
--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -91,11 +91,12 @@
         reset
     }
 
-    /// Replaces the owners like `set`, but makes own shares usable at once.
-    pub fn start(&mut self, now: Time, owners: &[Option<VmId>], until: Time) -> bool {
+    /// Replaces the owners like `set`, but makes own shares usable at once, with the tokens gained
+    /// since `from`.
+    pub fn start(&mut self, now: Time, owners: &[Option<VmId>], until: Time, from: Time) -> bool {
         let reset = self.set(now, owners, until, LOAN_EXPIRY_WAIT);
         for share in &mut self.shares {
-            share.usable_from = share.usable_from.min(now);
+            share.usable_from = share.usable_from.min(from.min(now));
         }
         reset
     }
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -56,6 +56,10 @@
         millis: u64,
     },
     Restart(usize),
+    /// The process of a VM starts again while the VM keeps its shares.
+    RestartKnown(usize),
+    /// All processes start again at once.
+    RestartAll,
     TransferShare {
         share: usize,
         to: usize,
@@ -74,6 +78,8 @@
         1 => (vm(), 1..4_000u64).prop_map(|(vm, millis)| Step::Pause { vm, millis }),
         1 => (vm(), 1..4_000u64).prop_map(|(vm, millis)| Step::Isolate { vm, millis }),
         2 => vm().prop_map(Step::Restart),
+        3 => vm().prop_map(Step::RestartKnown),
+        1 => Just(Step::RestartAll),
         3 => (0..32usize, vm()).prop_map(|(share, to)| Step::TransferShare { share, to }),
         2 => vm().prop_map(Step::Leave),
         2 => vm().prop_map(Step::Rejoin),
@@ -99,6 +105,8 @@
         Step::Pause { vm, millis } => fleet.pause(vm, Span::from_millis(millis)),
         Step::Isolate { vm, millis } => fleet.isolate(vm, Span::from_millis(millis)),
         Step::Restart(vm) => fleet.restart(vm),
+        Step::RestartKnown(vm) => fleet.restart_known(vm),
+        Step::RestartAll => (0..VMS).for_each(|vm| fleet.restart_known(vm)),
         Step::TransferShare { share, to } => fleet.transfer_share(share, to),
         Step::Leave(vm) => fleet.leave(vm),
         Step::Rejoin(vm) => fleet.rejoin(vm),
@@ -160,6 +168,7 @@
 #[case::restart_without_wait(Fault::SkipShareWait)]
 #[case::stale_owner(Fault::StaleOwner)]
 #[case::loans_not_waited_for(Fault::IgnoreLoans)]
+#[case::earlier_use_not_counted(Fault::IgnoreEarlierUse)]
 fn the_check_detects_an_injected_fault(#[case] fault: Fault) {
     let error = run(fault).unwrap_err();
     assert!(error.contains("too much admitted"), "{error}");
--- a/oleander-limits/tests/start.rs
+++ b/oleander-limits/tests/start.rs
@@ -60,7 +60,7 @@
     if start.waits {
         limiter.set_shares(now, &[Some(VM); 64], FOREVER);
     } else {
-        limiter.activate_shares(now, &[Some(VM); 64], FOREVER);
+        limiter.activate_shares(now, &[Some(VM); 64], FOREVER, now);
     }
     let asked = now + start.after;
     let decision = limiter.acquire(asked, Ticket(1), workspace, 1, asked, &mut out);
@@ -75,12 +75,41 @@
     let mut out = Vec::new();
     limiter.set_limits(Time(0), [], &mut out);
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
-    limiter.activate_shares(now, &[Some(VM); 64], FOREVER);
+    limiter.activate_shares(now, &[Some(VM); 64], FOREVER, now);
     let asked = now + Span::from_millis(50);
     let decision = limiter.acquire(asked, Ticket(1), workspace, 1, asked, &mut out);
     assert_eq!(decision, Decision::Admit);
 }
 
+/// Load: a fleet that lost power as a whole serves the callers that waited for it. Guards against
+/// leaving out the tokens gained while the VMs asked each other about earlier loans.
+#[rstest]
+#[case::nothing_since_the_activation(Span::ZERO, 0)]
+#[case::of_the_time_without_use(Span::from_millis(300), 30)]
+#[case::no_more_than_the_burst(Span::from_secs(3), 100)]
+fn a_start_counts_the_tokens_gained_since_the_shares_were_last_in_use(
+    #[case] unused: Span,
+    #[case] admitted: usize,
+    #[values(false, true)] asked_before: bool,
+) {
+    let first = Time(10_000_000);
+    let now = first + unused;
+    let workspace = WorkspaceId(1);
+    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut out = Vec::new();
+    limiter.set_limits(first, [(workspace, LIMIT)], &mut out);
+    let mut ask = |limiter: &mut RateLimiter, serial| {
+        limiter.acquire(now, Ticket(serial), workspace, 1, now, &mut out) == Decision::Admit
+    };
+    if asked_before {
+        // The account exists before the shares are usable.
+        assert!(!ask(&mut limiter, 0));
+    }
+    limiter.activate_shares(now, &[Some(VM); 64], FOREVER, first);
+    let count = (1..=200).filter(|serial| ask(&mut limiter, *serial)).count();
+    assert_eq!(count, admitted);
+}
+
 /// Guards against a VM that has just joined refusing its callers until the wait for its own shares
 /// has ended.
 #[test]
@@ -119,7 +148,7 @@
     let mut limiter = RateLimiter::with_groups(VM, 1, 2);
     let mut out = Vec::new();
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
-    limiter.activate_shares(now, &[Some(VM); 64], FOREVER);
+    limiter.activate_shares(now, &[Some(VM); 64], FOREVER, now);
     assert_eq!(limiter.lent(now), Span::ZERO);
     let later = now + Span::from_secs(1);
     let need = Tokens::whole(1);
@@ -144,7 +173,7 @@
     let mut limiter = RateLimiter::with_groups(VM, 1, 2);
     let mut out = Vec::new();
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
-    limiter.activate_shares(now, &[Some(VM); 64], FOREVER);
+    limiter.activate_shares(now, &[Some(VM); 64], FOREVER, now);
     let deadline = now + Span::from_secs(1);
     let mut acquire = |ticket: u64, level| {
         let level = Level(level);
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -38,6 +38,8 @@
 const CLOCK_OFFSET: Span = Span::from_secs(1_000);
 /// The interval at which a rejoining VM asks again about outstanding loans.
 const REJOIN_POLL_INTERVAL: Span = Span::from_millis(10);
+/// The time before its start from which on a VM with `Fault::IgnoreEarlierUse` counts tokens.
+const EARLIER_USE: Span = Span::from_secs(10);
 /// The time after which a caller no longer waits.
 const DEADLINE: Span = Span::from_secs(2);
 
@@ -66,6 +68,9 @@
     StaleOwner,
     /// A planned stop or a rejoin does not wait for outstanding loans to expire.
     IgnoreLoans,
+    /// A VM that starts again counts tokens gained before its start, when its former process may
+    /// have used them.
+    IgnoreEarlierUse,
 }
 
 struct Vm {
@@ -78,6 +83,12 @@
     last_view: Time,
     /// The time at which the VM's process started.
     started_at: Time,
+    /// `true` until the VM's process uses its shares, which it has kept since an earlier process.
+    is_starting: bool,
+    /// The time at which the VM last saw shares move to another VM.
+    moved_at: Time,
+    /// The time until which loans of shares that it saw move may be in use.
+    lent_until: Time,
     /// The number of the VM's process, unique in the fleet.
     process: u64,
     /// Outdated owners that the VM receives from now on, or `None` if it receives the current ones.
@@ -104,10 +115,14 @@
         vm: usize,
         process: u64,
         since: Time,
+        /// `true` if the VM kept its shares while its process started again.
+        kept: bool,
     },
+    /// A VM starts to use its shares, which have not been in use for `unused`.
     ActivateShares {
         vm: usize,
         process: u64,
+        unused: Span,
     },
 }
 
@@ -149,6 +164,9 @@
             has_left: false,
             last_view: Time(0),
             started_at: Time(0),
+            is_starting: false,
+            moved_at: Time(0),
+            lent_until: Time(0),
             process: index as u64,
             stale_owners: None,
         });
@@ -236,18 +254,52 @@
         self.vms[index].paused_until = self.now;
         self.vms[index].has_left = false;
         self.vms[index].started_at = self.now;
+        self.vms[index].is_starting = false;
+        self.vms[index].moved_at = self.now;
         self.vms[index].process = self.process_count;
         self.initialize(index);
     }
 
+    /// Replaces a VM's process by one that uses its shares as soon as all VMs have told that nothing
+    /// of them is in use, with the tokens gained since.
+    pub fn restart_known(&mut self, index: usize) {
+        if self.is_unreachable(index) || self.vms[index].has_left {
+            return;
+        }
+        self.start_process(index);
+        self.vms[index].is_starting = true;
+        let process = self.process_count;
+        let event = Event::CheckLoans { vm: index, process, since: self.now, kept: true };
+        self.events.schedule(self.now, event);
+    }
+
+    /// Starts a process that knows the owners but uses no shares yet.
+    fn start_process(&mut self, index: usize) {
+        self.process_count += 1;
+        let (now, limit, owners) = (self.clock(index), self.limit, self.owner_ids());
+        let mut limiter = RateLimiter::new(id(index), self.process_count);
+        let began = match self.fault {
+            Fault::IgnoreEarlierUse => Time(now.0 - EARLIER_USE.0),
+            _ => now,
+        };
+        limiter.set_limits(began, [(WORKSPACE, limit)], &mut Vec::new());
+        limiter.suspend_shares(now, &owners);
+        let vm = &mut self.vms[index];
+        (vm.limiter, vm.started_at, vm.process) = (limiter, self.now, self.process_count);
+        vm.is_starting = false;
+        vm.moved_at = self.now;
+    }
+
     /// Performs a planned stop of a VM: another VM takes its shares, and its open sessions
     /// continue.
     pub fn leave(&mut self, index: usize) {
-        if self.is_unreachable(index) || self.vms[index].has_left {
+        let vm = &self.vms[index];
+        if self.is_unreachable(index) || vm.has_left || vm.is_starting {
             return;
         }
+        let can_own = |vm: &Vm| !vm.has_left && !vm.is_starting;
         let Some(successor) =
-            (0..self.vms.len()).find(|vm| *vm != index && !self.vms[*vm].has_left)
+            (0..self.vms.len()).find(|vm| *vm != index && can_own(&self.vms[*vm]))
         else {
             return;
         };
@@ -260,6 +312,7 @@
         for owner in self.owners.iter_mut().filter(|owner| **owner == index) {
             *owner = successor;
         }
+        self.record_move(lent);
         self.update_reachable_views(lent);
     }
 
@@ -269,31 +322,28 @@
         if !self.vms[index].has_left || self.is_unreachable(index) {
             return;
         }
-        self.process_count += 1;
         let count = self.vms.len();
         for (_, owner) in
             self.owners.iter_mut().enumerate().filter(|(share, _)| share % count == index)
         {
             *owner = index;
         }
-        let (now, limit, owners) = (self.clock(index), self.limit, self.owner_ids());
-        let mut limiter = RateLimiter::new(id(index), self.process_count);
-        limiter.set_limits(now, [(WORKSPACE, limit)], &mut Vec::new());
-        limiter.suspend_shares(now, &owners);
-        let vm = &mut self.vms[index];
-        (vm.limiter, vm.started_at, vm.process) = (limiter, self.now, self.process_count);
+        self.record_move(LOAN_EXPIRY_WAIT);
+        self.start_process(index);
         self.update_reachable_views(LOAN_EXPIRY_WAIT);
-        let event = Event::CheckLoans { vm: index, process: self.process_count, since: self.now };
+        let process = self.process_count;
+        let event = Event::CheckLoans { vm: index, process, since: self.now, kept: false };
         self.events.schedule(self.now, event);
     }
 
-    /// Asks all VMs how long loans on the shares of a rejoining VM may be in use, and schedules the
-    /// use of the shares. Repeats until all have answered.
-    fn check_loans(&mut self, vm: usize, process: u64, since: Time) {
+    /// Asks all VMs how the shares of a starting VM were used before, and schedules the use of the
+    /// shares. Repeats until all have answered.
+    fn check_loans(&mut self, vm: usize, process: u64, since: Time, kept: bool) {
         if self.vms[vm].process != process {
             return;
         }
         let mut lent = Span::ZERO;
+        let mut unused = self.now.since(self.vms[vm].started_at);
         for index in (0..self.vms.len()).filter(|index| *index != vm) {
             let now = self.clock(index);
             let other = &self.vms[index];
@@ -303,37 +353,64 @@
             if self.is_unreachable(index) || !heard || !settled {
                 if self.now < since + SHARE_VALIDITY {
                     let again = self.now + REJOIN_POLL_INTERVAL;
-                    self.events.schedule(again, Event::CheckLoans { vm, process, since });
+                    self.events.schedule(again, Event::CheckLoans { vm, process, since, kept });
                     return;
                 }
                 lent = LOAN_EXPIRY_WAIT;
             }
+            if kept {
+                let counts = |owner: VmId| owner == id(vm) || self.vms[owner.0 as usize].has_left;
+                lent =
+                    lent.max(other.limiter.held(now, counts)).max(other.lent_until.since(self.now));
+                unused = unused
+                    .min(now.since(other.limiter.free_since(now, counts)))
+                    .min(self.now.since(other.moved_at));
+                continue;
+            }
             let unseen = (other.started_at + LOAN_EXPIRY_WAIT).since(self.now);
             lent = lent
                 .max(other.limiter.held(now, |_| true))
                 .max(other.limiter.lent(now))
                 .max(unseen);
         }
+        unused = match (self.fault, kept) {
+            (Fault::IgnoreEarlierUse, true) => EARLIER_USE,
+            (_, true) if lent == Span::ZERO => unused,
+            _ => Span::ZERO,
+        };
         let lent =
             if self.fault == Fault::IgnoreLoans { Span::ZERO } else { lent.min(LOAN_EXPIRY_WAIT) };
-        self.events.schedule(self.now + lent, Event::ActivateShares { vm, process });
+        self.events.schedule(self.now + lent, Event::ActivateShares { vm, process, unused });
     }
 
-    fn activate_rejoined_shares(&mut self, index: usize, process: u64) {
+    fn activate_shares(&mut self, index: usize, process: u64, unused: Span) {
         if self.vms[index].process != process || self.is_unreachable(index) {
             return;
         }
         let (now, owners) = (self.clock(index), self.owner_ids());
+        let from = Time(now.0 - unused.0);
         self.vms[index].has_left = false;
-        self.vms[index].limiter.activate_shares(now, &owners, now + SHARE_VALIDITY);
+        self.vms[index].is_starting = false;
+        self.vms[index].limiter.activate_shares(now, &owners, now + SHARE_VALIDITY, from);
+    }
+
+    /// Records that shares have moved, and that loans of them may run for `lent`. A VM that cannot
+    /// be reached does not answer a starting one, so that it makes no difference when it learns of
+    /// this.
+    fn record_move(&mut self, lent: Span) {
+        let until = self.now + lent;
+        for vm in &mut self.vms {
+            vm.moved_at = self.now;
+            vm.lent_until = vm.lent_until.max(until);
+        }
     }
 
     /// Transfers a share to another VM after its owner has stopped using it.
     pub fn transfer_share(&mut self, share: usize, to: usize) {
-        if self.vms[to].has_left {
+        let from = self.owners[share];
+        if self.vms[to].has_left || self.vms[to].is_starting || self.vms[from].is_starting {
             return;
         }
-        let from = self.owners[share];
         if self.fault == Fault::StaleOwner && self.vms[from].stale_owners.is_none() {
             self.vms[from].stale_owners = Some(self.owner_ids());
         }
@@ -345,6 +422,7 @@
             self.advance(SHARE_VALIDITY);
         }
         self.owners[share] = to;
+        self.record_move(LOAN_EXPIRY_WAIT);
         for index in [from, to] {
             if !self.is_unreachable(index) && !self.vms[index].has_left {
                 self.update_view(index, LOAN_EXPIRY_WAIT);
@@ -372,7 +450,12 @@
     fn update_view(&mut self, index: usize, wait: Span) {
         let now = self.clock(index);
         let owners = self.vms[index].stale_owners.clone().unwrap_or_else(|| self.owner_ids());
-        self.vms[index].limiter.set_shares_with_wait(now, &owners, now + SHARE_VALIDITY, wait);
+        let vm = &mut self.vms[index];
+        if vm.is_starting {
+            vm.limiter.suspend_shares(now, &owners);
+        } else {
+            vm.limiter.set_shares_with_wait(now, &owners, now + SHARE_VALIDITY, wait);
+        }
         self.vms[index].last_view = self.now;
     }
 
@@ -410,8 +493,12 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::RefreshViews => self.refresh_views(),
-            Event::CheckLoans { vm, process, since } => self.check_loans(vm, process, since),
-            Event::ActivateShares { vm, process } => self.activate_rejoined_shares(vm, process),
+            Event::CheckLoans { vm, process, since, kept } => {
+                self.check_loans(vm, process, since, kept);
+            }
+            Event::ActivateShares { vm, process, unused } => {
+                self.activate_shares(vm, process, unused);
+            }
             Event::Request { from, process, to, call, request } => {
                 if self.now < self.vms[to].paused_until {
                     let paused_until = self.vms[to].paused_until;
--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -179,12 +179,12 @@
 
     /// Returns the longest time for which rate limit capacity lent by VMs that owned shares in
     /// `former` and no longer do may still be in use. `unknown` is assumed for a VM that announced
-    /// no time itself; the result is zero if no VM stopped being an owner.
-    pub fn loan_wait(&self, former: &LeasedRoster, unknown: Span) -> Span {
+    /// no time itself; the result is `None` if no VM stopped being an owner.
+    pub fn loan_wait(&self, former: &LeasedRoster, unknown: Span) -> Option<Span> {
         let owned = former.present().filter(|member| !member.leaving).map(LeasedMember::vm);
         let lost = owned.filter(|vm| !self.may_own(*vm));
         let lent = lost.map(|vm| self.member(vm)?.lent);
-        lent.map(|lent| lent.unwrap_or(unknown)).max().unwrap_or_default()
+        lent.map(|lent| lent.unwrap_or(unknown)).max()
     }
 
     /// Returns the latest time at which the lease of a VM was seen to end although the VM had not
--- a/oleander-membership/tests/leased.rs
+++ b/oleander-membership/tests/leased.rs
@@ -28,10 +28,11 @@
     Lapses(&'static str),
 }
 
-/// `Case` is a sequence of events and the wait that new owners of shares need after it.
+/// `Case` is a sequence of events and the wait that new owners of shares need after it; `None` if
+/// there are none.
 struct Case {
     changes: &'static [Change],
-    wait: Span,
+    wait: Option<Span>,
 }
 
 fn member(name: &str, leaving: bool, lent: Option<Span>) -> LeasedMember {
@@ -49,22 +50,22 @@
 }
 
 #[rstest]
-#[case::no_change(Case { changes: &[], wait: Span::ZERO })]
-#[case::another_joins(Case { changes: &[Change::Joins("c")], wait: Span::ZERO })]
-#[case::one_leaves(Case { changes: &[Change::Leaves("a", Some(SHORT))], wait: SHORT })]
-#[case::one_leaves_without_a_loan_time(Case { changes: &[Change::Leaves("a", None)], wait: UNKNOWN })]
-#[case::one_lease_ends(Case { changes: &[Change::Lapses("a")], wait: UNKNOWN })]
+#[case::no_change(Case { changes: &[], wait: None })]
+#[case::another_joins(Case { changes: &[Change::Joins("c")], wait: None })]
+#[case::one_leaves(Case { changes: &[Change::Leaves("a", Some(SHORT))], wait: Some(SHORT) })]
+#[case::one_leaves_without_a_loan_time(Case { changes: &[Change::Leaves("a", None)], wait: Some(UNKNOWN) })]
+#[case::one_lease_ends(Case { changes: &[Change::Lapses("a")], wait: Some(UNKNOWN) })]
 #[case::longest_loan_counts(Case {
     changes: &[Change::Leaves("a", Some(LONG)), Change::Leaves("b", Some(SHORT))],
-    wait: LONG,
+    wait: Some(LONG),
 })]
 #[case::one_leaves_and_another_lease_ends(Case {
     changes: &[Change::Leaves("a", Some(SHORT)), Change::Lapses("b")],
-    wait: UNKNOWN,
+    wait: Some(UNKNOWN),
 })]
 #[case::one_leaves_and_its_lease_ends(Case {
     changes: &[Change::Leaves("a", Some(SHORT)), Change::Lapses("a")],
-    wait: UNKNOWN,
+    wait: Some(UNKNOWN),
 })]
 fn new_owners_wait_for_loans_of_former_owners(#[case] case: Case) {
     let mut former = LeasedRoster::default();
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -10,6 +10,7 @@
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
 use oleander_membership::leased::LeasedMember;
 use oleander_peer::client::PeerClient;
+use oleander_peer::messages::EarlierUse;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_ports::sources::Sources;
@@ -211,7 +212,9 @@
             let (fleet, peers) = (self.fleet.clone(), self.peers.clone());
             calls.spawn(announce_join(fleet, peers, vm, request.clone(), since));
         }
-        let mut lent_until = self.fleet.now();
+        // Shares that this VM did not own before have been in use up to now. The others were in
+        // use until the end of its earlier process at the latest.
+        let mut lent_until = if former.is_some() { self.fleet.started() } else { self.fleet.now() };
         while let Some(until) = calls.join_next().await {
             lent_until = lent_until.max(until.unwrap_or(Time(u64::MAX)));
         }
@@ -266,7 +269,8 @@
 }
 
 /// Tells a VM that this one has joined, until it answers or can no longer use shares that have
-/// moved to this one. Returns the time until which it may use what earlier owners lent to it.
+/// moved to this one. Returns the time until which it may use what earlier owners lent to it, or
+/// last did.
 async fn announce_join(
     fleet: Arc<Fleet>,
     peers: PeerClient,
@@ -281,8 +285,9 @@
             // from an earlier time than the store does.
             return fleet.now() + LOAN_EXPIRY_WAIT;
         };
-        if let Ok(Reply::Joined(loans)) = peers.call(address, &request, JOIN_TIMEOUT).await {
-            return fleet.now() + loans;
+        let reply = peers.call(address, &request, JOIN_TIMEOUT).await;
+        if let Ok(Reply::Joined(EarlierUse { remaining, unused })) = reply {
+            return Time((fleet.now() + remaining).0.saturating_sub(unused.0));
         }
         fleet.timers.sleep(JOIN_RETRY_PAUSE).await;
     }
--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use oleander_core::events::Event;
+use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
@@ -29,12 +30,12 @@
 
 /// Passes the shares and limits of each new view to the limiter, until dropped.
 ///
-/// `applied` receives the revision of each view that the limiter has been given.
+/// `applied` receives the state after each view that the limiter has been given.
 pub async fn follow(
     fleet: Arc<Fleet>,
     rates: Rates,
     journal: Journal,
-    applied: watch::Sender<StoreRevision>,
+    applied: watch::Sender<AppliedView>,
 ) {
     let mut changes = fleet.changes();
     let mut share_changes = fleet.share_changes();
@@ -44,6 +45,8 @@
     let mut state = ShareState::Unused;
     // Loans of VMs that handed shares over while this one was starting may be in use until then.
     let mut lent_until = Time(0);
+    let mut moved_at = Time(0);
+    let mut lost_at = None;
     loop {
         let view = fleet.view();
         let is_same = |part: fn(&View, &View) -> bool| {
@@ -53,32 +56,44 @@
         let new_roster = !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster));
         let mut wait = LOAN_EXPIRY_WAIT;
         if new_roster {
-            owners = view.roster.owners();
+            let former_owners = std::mem::replace(&mut owners, view.roster.owners());
             if let Some(former) = &former {
                 // Loans of a VM whose lease has ended may run for `LOAN_EXPIRY_WAIT`. A VM that
                 // leaves has written in its record for how long its loans run.
-                wait = view.roster.loan_wait(&former.roster, LOAN_EXPIRY_WAIT);
-                lent_until = lent_until.max(now + wait);
+                let lent = view.roster.loan_wait(&former.roster, LOAN_EXPIRY_WAIT);
+                wait = lent.unwrap_or_default();
+                lent_until = lent_until.max(lent.map_or(Time(0), |lent| now + lent));
+                let is_lost = lost_shares(fleet.vm, &former_owners, &owners);
+                if is_lost && state == ShareState::InUse {
+                    lost_at = Some(now);
+                }
+                if is_lost || lent.is_some() {
+                    moved_at = now;
+                }
+            } else {
+                moved_at = now;
             }
         }
-        let may_start = fleet.shares_from().is_some_and(|from| from.max(lent_until) <= now);
-        match state {
+        let start = fleet.shares_from().map(|from| from.max(lent_until));
+        match (state, start) {
             // All loans of earlier owners have ended, so that the shares need no further wait.
-            ShareState::Unused if now < until && may_start => {
-                rates.activate_shares(&owners, until);
+            (ShareState::Unused, Some(start)) if now < until && start <= now => {
+                rates.activate_shares(&owners, until, start);
                 state = ShareState::InUse;
                 journal.record(Event::SharesActive, &[]);
             }
-            ShareState::Ended if now < until => {
+            (ShareState::Ended, _) if now < until => {
                 rates.set_shares(&owners, until, wait);
                 state = ShareState::InUse;
                 journal.record(Event::SharesActive, &[]);
             }
             // Other owners are asked for tokens from the first view on.
-            ShareState::Unused | ShareState::Ended if new_roster => rates.suspend_shares(&owners),
-            ShareState::Unused | ShareState::Ended => {}
-            ShareState::InUse if now < until => rates.set_shares(&owners, until, wait),
-            ShareState::InUse => {
+            (ShareState::Unused | ShareState::Ended, _) if new_roster => {
+                rates.suspend_shares(&owners);
+            }
+            (ShareState::Unused | ShareState::Ended, _) => {}
+            (ShareState::InUse, _) if now < until => rates.set_shares(&owners, until, wait),
+            (ShareState::InUse, _) => {
                 rates.suspend_shares(&owners);
                 state = ShareState::Ended;
                 let fields = [
@@ -97,7 +112,12 @@
         if new_snapshot || new_parties {
             rates.set_limits(limits_of(&view).into_iter().chain(parties.limits()));
         }
-        applied.send_replace(view.revision);
+        applied.send_replace(AppliedView {
+            revision: view.revision,
+            moved_at,
+            lent_until,
+            lost_at,
+        });
         former = Some(view);
         let interval = if state == ShareState::Unused { START_INTERVAL } else { SHARES_INTERVAL };
         tokio::select! {
@@ -108,6 +128,20 @@
     }
 }
 
+/// `AppliedView` is the state of the limiter after it has been given a view.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AppliedView {
+    /// The revision of the view.
+    pub revision: StoreRevision,
+    /// The time at which this VM last saw that shares may have moved away from their owner. What
+    /// happened before its first view is unknown.
+    pub moved_at: Time,
+    /// The time until which loans of VMs that stopped being owners may be in use.
+    pub lent_until: Time,
+    /// The time at which this VM last lost shares that it used; its own loans of them go on.
+    pub lost_at: Option<Time>,
+}
+
 /// `ShareState` says whether this VM uses the shares that the roster assigns to it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ShareState {
@@ -119,6 +153,11 @@
     Ended,
 }
 
+/// Returns `true` if the VM owned a share in `former` that it does not own now.
+fn lost_shares(vm: VmId, former: &[Option<VmId>], owners: &[Option<VmId>]) -> bool {
+    former.iter().zip(owners).any(|(former, owner)| *former == Some(vm) && owner != former)
+}
+
 fn limits_of(view: &View) -> Vec<(WorkspaceId, Limit)> {
     let workspaces = view.snapshot.workspaces.iter().map(|(_, workspace)| &workspace.name);
     workspaces
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -14,7 +14,6 @@
 use oleander_ports::promotion::Promotions;
 use oleander_ports::sources::Sources;
 use oleander_ports::store::KeyValueStore;
-use oleander_ports::store::StoreRevision;
 use oleander_ports::upstream::Upstreams;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -31,6 +30,7 @@
 use crate::control::lease::Leaseholder;
 use crate::control::relay::RelayedStore;
 use crate::control::shares;
+use crate::control::shares::AppliedView;
 use crate::entry::forward::Forwarder;
 use crate::entry::outliers::ReadOutliers;
 use crate::entry::overload::EntryHorizons;
@@ -188,7 +188,7 @@
             life,
             held_lease: lease_sender,
         };
-        let (applied_sender, applied) = watch::channel(StoreRevision(0));
+        let (applied_sender, applied) = watch::channel(AppliedView::default());
         let server = Arc::new(PeerServer {
             applied,
             fleet: fleet.clone(),
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
+use oleander_peer::messages::EarlierUse;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_peer::server::Incoming;
@@ -19,6 +20,7 @@
 
 use crate::control::feed::Feed;
 use crate::control::relay::RelayedStore;
+use crate::control::shares::AppliedView;
 use crate::fleet::Fleet;
 use crate::home::registry::Homes;
 use crate::keeper::duties::Duties;
@@ -45,8 +47,8 @@
     pub store: Arc<RelayedStore>,
     /// Answers for the shares of rates that this VM owns.
     pub rates: Rates,
-    /// Receives the revision of the view that the limiter has applied.
-    pub applied: watch::Receiver<StoreRevision>,
+    /// Receives the view that the limiter has applied.
+    pub applied: watch::Receiver<AppliedView>,
     /// Holds the recent events, for operators.
     pub journal: Journal,
     /// Returns the state for operators as JSON.
@@ -124,23 +126,42 @@
     }
 
     /// Waits until the limiter has applied the view in which a VM has joined and no earlier loan is
-    /// in flight. Replies with the time for which loans of earlier owners of its shares may be
-    /// used.
+    /// in flight. Replies with how its shares have been used before.
     async fn handle_joined(&self, revision: StoreRevision, former: Option<VmId>) -> Reply {
         let mut applied = self.applied.clone();
         let settling = async {
-            applied.wait_for(|at| revision <= *at).await.ok()?;
-            let counts = |owner| former.is_none_or(|former| former == owner);
-            let borrowed = self.rates.borrowed_remaining(counts).await;
-            // Nobody but the VM itself has lent shares that stayed with it.
-            Some(if former.is_some() { borrowed } else { borrowed.max(self.loans_remaining()) })
+            applied.wait_for(|at| revision <= at.revision).await.ok()?;
+            let roster = self.fleet.view().roster.clone();
+            // Shares that stayed with the VM have been lent by nobody else, but others may have
+            // become its own since, from VMs that can no longer own any.
+            let counts =
+                |owner| former.is_none_or(|former| former == owner || !roster.may_own(owner));
+            let borrowed = self.rates.borrowed_use(&counts).await;
+            let applied = *applied.borrow();
+            let lent =
+                if former.is_some() { self.moved_loans(applied) } else { self.loans_remaining() };
+            let remaining = borrowed.remaining.max(lent);
+            let unmoved = self.fleet.now().since(applied.moved_at);
+            let unused = match remaining {
+                Span::ZERO if former.is_some() => borrowed.unused.min(unmoved),
+                _ => Span::ZERO,
+            };
+            Some(EarlierUse { remaining, unused })
         };
         match self.fleet.timers.within(JOIN_WAIT, settling).await.flatten() {
-            Some(loans) => Reply::Joined(loans),
+            Some(earlier) => Reply::Joined(earlier),
             None => Reply::Unsupported,
         }
     }
 
+    /// Returns the time for which loans of shares that have moved to another VM may still be used.
+    fn moved_loans(&self, applied: AppliedView) -> Span {
+        let now = self.fleet.now();
+        let has_lost = applied.lost_at.is_some_and(|at| now.since(at) < LOAN_EXPIRY_WAIT);
+        let own = if has_lost { self.rates.lent_remaining() } else { Span::ZERO };
+        own.max(applied.lent_until.since(now))
+    }
+
     /// Returns the time for which loans that other VMs hold may still be used: loans of this VM,
     /// loans of VMs whose leases have ended, and all loans from before this process started.
     fn loans_remaining(&self) -> Span {
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -25,6 +25,7 @@
 use oleander_limits::rates::limiter::RateRequest;
 use oleander_limits::rates::tokens::Limit;
 use oleander_peer::client::PeerClient;
+use oleander_peer::messages::EarlierUse;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_runtime::timer::TimerService;
@@ -128,11 +129,11 @@
         self.with_limiter(|limiter, _| limiter.set_shares_with_wait(now, owners, until, wait));
     }
 
-    /// Sets the owner of each share as `set_shares` does, but without a wait: no loan of an earlier
-    /// owner may be in use.
-    pub fn activate_shares(&self, owners: &[Option<VmId>], until: Time) {
+    /// Sets the owner of each share as `set_shares` does, but without a wait and with the tokens
+    /// gained since `from`: nothing of the own shares may have been in use since then.
+    pub fn activate_shares(&self, owners: &[Option<VmId>], until: Time, from: Time) {
         let now = self.inner.timers.now();
-        self.with_limiter(|limiter, _| limiter.activate_shares(now, owners, until));
+        self.with_limiter(|limiter, _| limiter.activate_shares(now, owners, until, from));
     }
 
     /// Sets the owner of each share and ends the use of own shares, which other VMs may take over.
@@ -147,14 +148,19 @@
         self.with_limiter(|limiter, out| limiter.set_limits(now, limits, out));
     }
 
-    /// Waits until the calls that are pending now have ended, then returns the time for which this
-    /// VM may still use loans of the owners for which `counts` returns `true`.
-    pub async fn borrowed_remaining(&self, counts: impl Fn(VmId) -> bool + Copy) -> Span {
+    /// Waits until the calls that are pending now have ended, then returns how this VM has used
+    /// loans and grants of the owners for which `counts` returns `true`.
+    pub async fn borrowed_use(&self, counts: impl Fn(VmId) -> bool + Copy) -> EarlierUse {
         let asked = self.inner.timers.now();
         loop {
             let oldest = self.lock().limiter.oldest_call();
             if oldest.is_none_or(|sent| asked < sent) {
-                return self.lock().limiter.held(self.inner.timers.now(), counts);
+                let now = self.inner.timers.now();
+                let limiter = &self.lock().limiter;
+                return EarlierUse {
+                    remaining: limiter.held(now, counts),
+                    unused: now.since(limiter.free_since(now, counts)),
+                };
             }
             self.inner.timers.sleep(CALLS_POLL_INTERVAL).await;
         }
--- a/oleander-node/tests/shares.rs
+++ b/oleander-node/tests/shares.rs
@@ -13,6 +13,7 @@
 use oleander_membership::leased::LeasedMember;
 use oleander_membership::leased::LeasedRoster;
 use oleander_node::control::shares;
+use oleander_node::control::shares::AppliedView;
 use oleander_node::fleet::Fleet;
 use oleander_node::fleet::View;
 use oleander_node::rates::Rates;
@@ -56,12 +57,12 @@
     fleet.set_view(view(1, None));
     fleet.mark_synced(timers.now());
     fleet.set_leased_until(timers.now() + Span::from_secs(60));
-    let (apply, mut applied) = watch::channel(StoreRevision(0));
+    let (apply, mut applied) = watch::channel(AppliedView::default());
     let following = tokio::spawn(shares::follow(fleet.clone(), rates, journal.clone(), apply));
-    applied.wait_for(|at| *at == StoreRevision(1)).await.unwrap();
+    applied.wait_for(|at| at.revision == StoreRevision(1)).await.unwrap();
     let left = timers.now();
     fleet.set_view(view(2, lent));
-    applied.wait_for(|at| *at == StoreRevision(2)).await.unwrap();
+    applied.wait_for(|at| at.revision == StoreRevision(2)).await.unwrap();
     fleet.enable_shares(timers.now());
     while !journal.recent().iter().any(|record| record.event == "shares-active") {
         assert!(timers.now().since(left) < Span::from_secs(5), "shares are not in use");
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -147,9 +147,8 @@
     Ready(bool),
     /// The keeper's report on the primary; `None` if it knows no primary.
     Primary(Option<PrimaryReport>),
-    /// The receiver has applied the join. The time is how long loans from earlier owners of the
-    /// shares may still be in use, as far as the receiver knows.
-    Joined(Span),
+    /// The receiver has applied the join, and tells how the shares were used before it.
+    Joined(EarlierUse),
     /// The reply to `Request::Limit`.
     Limit(LimitReply),
     /// The reply to `Request::Member`.
@@ -242,6 +241,16 @@
     pub revision: u64,
 }
 
+/// `EarlierUse` tells when shares of a VM that has joined were in use before, by earlier owners or
+/// as loans and grants of these, as far as one VM knows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EarlierUse {
+    /// The time for which they may still be in use.
+    pub remaining: Span,
+    /// The time for which they have not been in use; zero unless `remaining` is.
+    pub unused: Span,
+}
+
 /// `PrimaryReport` is a keeper's latest knowledge of the log point of its database's primary.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PrimaryReport {
