Lend fractions of rates for 500 ms instead of 1 s

Change: loans run for ten round trips between distant regions, and are renewed 250 ms before their end. The property test runs 500 sequences instead of 300: with shorter loans 300 no longer met the planted fault of ignored loans.

--- a/oleander-limits/src/rates/borrower.rs
+++ b/oleander-limits/src/rates/borrower.rs
@@ -17,9 +17,9 @@
 use crate::rates::tokens::Tokens;
 
 /// The time before a loan expires at which it is renewed or returned.
-const RENEW_AHEAD: Span = Span::from_millis(500);
+const RENEW_AHEAD: Span = Span::from_millis(250);
 /// The interval after which an unanswered renewal is sent again.
-const RENEW_RETRY_INTERVAL: Span = Span::from_millis(150);
+const RENEW_RETRY_INTERVAL: Span = Span::from_millis(80);
 /// The time before a grant expires at which its tokens are returned if no request waits.
 const SURPLUS_AHEAD: Span = Span::from_millis(60);
 /// The maximum number of ended grants recorded until they are reported to their owners.
--- a/oleander-limits/src/rates/owner.rs
+++ b/oleander-limits/src/rates/owner.rs
@@ -17,19 +17,21 @@
 use crate::rates::tokens::Limit;
 use crate::rates::tokens::Tokens;
 
-/// The time for which a borrower may use lent fractions, counted from sending its request.
-pub const LOAN_HOLD: Span = Span::from_millis(1_000);
+/// The time for which a borrower may use lent fractions, counted from sending its request: ten
+/// round trips between distant regions, since fractions of a VM that is lost are out of use for as
+/// long.
+pub const LOAN_HOLD: Span = Span::from_millis(500);
 /// The time for which a borrower may use granted tokens, counted from sending its request.
 pub const GRANT_HOLD: Span = Span::from_millis(400);
 /// The time for which an owner counts fractions as lent. It exceeds `LOAN_HOLD` by the possible
 /// drift between two clocks.
-const LOAN_RESERVATION: Span = Span::from_millis(1_010);
+const LOAN_RESERVATION: Span = Span::from_millis(505);
 /// The time for which an owner counts tokens as granted. It exceeds `GRANT_HOLD` by the possible
 /// drift between two clocks.
 const GRANT_RESERVATION: Span = Span::from_millis(405);
 /// The time for which a new owner or a restarted VM must not use its shares, so that every loan
 /// made earlier has expired.
-pub const LOAN_EXPIRY_WAIT: Span = Span::from_millis(1_020);
+pub const LOAN_EXPIRY_WAIT: Span = Span::from_millis(510);
 /// An owner grants no tokens for stock from the last part of its capacity, which is the capacity
 /// divided by this.
 const RESERVE_DIVISOR: u64 = 4;
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -28,7 +28,7 @@
 /// The seed of the random sequences.
 const SEED: u64 = 4;
 /// The number of random sequences of steps in one run.
-const CASES: u32 = 300;
+const CASES: u32 = 500;
 
 #[derive(Clone, Debug)]
 enum Step {
