Wait for earlier owners after a VM that left before it used its shares

The next owners waited only for loans, so that both used the shares.

Change: a VM that leaves before all others have answered its join announces the time after which a VM that has not heard of it can use nothing any more. The wait of a new owner is no longer cut to that for loans.

--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -1,8 +1,11 @@
 //! Tracks which VM owns which fraction, and the period in which this VM may use its own.
 
+use std::collections::HashMap;
+
 use oleander_core::hash;
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
+use oleander_core::places::Distance;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use smallvec::SmallVec;
@@ -15,6 +18,10 @@
 /// The number of owners of a workspace stored inline without heap allocation.
 const INLINE_OWNERS: usize = 8;
 
+/// The longest wait for a newly owned share: above the time after which no earlier owner can use
+/// it.
+const MAX_SHARE_WAIT: Span = Span::from_secs(10);
+
 /// `FractionOwner` is a VM and the number of fractions of one workspace that it owns.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FractionOwner {
@@ -35,6 +42,8 @@
     until: Time,
     /// Incremented by each change of the owners.
     version: u64,
+    /// The distances to other VMs; those that are not listed count as remote.
+    distances: HashMap<VmId, Distance>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,7 +68,14 @@
     /// Creates a table without owners. `groups` is the number of shares over which the fractions of
     /// a workspace are spread; it must be the same on all VMs.
     pub fn new(vm: VmId, groups: u32) -> Self {
-        Self { vm, shares: Vec::new(), groups, until: Time(0), version: 0 }
+        Self {
+            vm,
+            shares: Vec::new(),
+            groups,
+            until: Time(0),
+            version: 0,
+            distances: HashMap::new(),
+        }
     }
 
     /// Replaces the owners. This VM may use its own shares until `until`.
@@ -81,7 +97,7 @@
             if is_own && reset && now < until {
                 share.usable_from = now + LOAN_EXPIRY_WAIT;
             } else if is_own && share.owner != *owner {
-                share.usable_from = now + wait.min(LOAN_EXPIRY_WAIT);
+                share.usable_from = now + wait.min(MAX_SHARE_WAIT);
             }
             changed |= share.owner != *owner;
             share.owner = *owner;
@@ -112,6 +128,16 @@
         self.shares.iter().map(|share| share.usable_from).max().unwrap_or_default()
     }
 
+    /// Replaces the distances to other VMs.
+    pub fn set_distances(&mut self, distances: impl IntoIterator<Item = (VmId, Distance)>) {
+        self.distances = distances.into_iter().collect();
+    }
+
+    /// Returns the distance to another VM.
+    pub fn distance(&self, vm: VmId) -> Distance {
+        self.distances.get(&vm).copied().unwrap_or(Distance::Remote)
+    }
+
     /// Returns the id of this VM.
     pub fn vm(&self) -> VmId {
         self.vm
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -174,6 +174,26 @@
     assert!(error.contains("too much admitted"), "{error}");
 }
 
+/// Guards against double use of the shares of a VM that joins and leaves again before all others
+/// have heard of it: the owner before it, cut off from the fleet, went on using them.
+#[rstest]
+#[case::waits_for_earlier_owners(Fault::None, false)]
+#[case::ignores_earlier_owners(Fault::IgnoreEarlierOwners, true)]
+fn shares_of_a_vm_that_leaves_before_their_use_stay_unused(
+    #[case] fault: Fault,
+    #[case] violated: bool,
+) {
+    let delay = Span::from_millis(20);
+    let network = Network { delay, max_delay: delay, loss_percent: 0, duplicate_percent: 0 };
+    let mut fleet = Fleet::new(VMS, Limit { rate: 40, burst: 8 }, network, fault, 0);
+    fleet.leave(1);
+    fleet.isolate(0, Span::from_millis(1_100));
+    fleet.rejoin(1);
+    fleet.transfer_share(29, 2);
+    fleet.advance(Span::from_secs(5));
+    assert_eq!(fleet.violation.is_some(), violated, "{:?}", fleet.violation);
+}
+
 #[rstest]
 #[case::all_at_one_vm(&[0])]
 #[case::at_every_vm(&[0, 1, 2, 3])]
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -68,6 +68,9 @@
     StaleOwner,
     /// A planned stop or a rejoin does not wait for outstanding loans to expire.
     IgnoreLoans,
+    /// The shares of a VM that leaves before it uses them are used by others without regard to the
+    /// owners before it.
+    IgnoreEarlierOwners,
     /// A VM that starts again counts tokens gained before its start, when its former process may
     /// have used them.
     IgnoreEarlierUse,
@@ -422,10 +425,14 @@
             self.advance(SHARE_VALIDITY);
         }
         self.owners[share] = to;
-        self.record_move(LOAN_EXPIRY_WAIT);
+        // An owner that has not used its shares yet does not know who has not heard of its join and
+        // uses them still.
+        let is_unused = self.vms[from].has_left && self.fault != Fault::IgnoreEarlierOwners;
+        let wait = if is_unused { SHARE_VALIDITY + LOAN_EXPIRY_WAIT } else { LOAN_EXPIRY_WAIT };
+        self.record_move(wait);
         for index in [from, to] {
             if !self.is_unreachable(index) && !self.vms[index].has_left {
-                self.update_view(index, LOAN_EXPIRY_WAIT);
+                self.update_view(index, wait);
             }
         }
     }
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -244,9 +244,15 @@
         let Some(held) = *self.held_lease.borrow() else { return };
         let from = self.fleet.shares_from();
         self.fleet.disable_shares();
-        // Before its shares are in use this VM does not know what earlier owners have lent.
-        let was_active = from.is_some_and(|from| from <= self.fleet.now());
-        let lent = if was_active { self.rates.lent_remaining() } else { LOAN_EXPIRY_WAIT };
+        let now = self.fleet.now();
+        let lent = match from {
+            Some(from) if from <= now => self.rates.lent_remaining(),
+            // All VMs have answered, and what earlier owners have lent is in use until then.
+            Some(from) => from.since(now),
+            // A VM that has not answered may use shares that it owned before until its view is no
+            // longer current, and its loans run on.
+            None => self.fleet.settings.currency_ttl() + LOAN_EXPIRY_WAIT,
+        };
         if let Err(error) = self.write_record(Some(lent), held.lease).await {
             self.journal.record(Event::StoreUnreachable, &[Field::text("reason", error)]);
         }
