Ask the nearest owner of a rate that has enough tokens

Cause: on a fleet of 58 VMs nearly each operation asks one of the three owners of its workspace, which were asked by their estimated fill alone.

Change: owners whose estimated fill is half or more are asked by distance; then the fullest is asked, as before.

--- a/oleander-limits/src/rates/asking.rs
+++ b/oleander-limits/src/rates/asking.rs
@@ -113,7 +113,8 @@
             let unborrowed = self.unborrowed(index);
             if self.peers[index].is_ready(ctx.now, level) && 0 < unborrowed {
                 let left = self.peers[index].expected(ctx.now, self.limit, unborrowed);
-                offers.push(Offer::new(index, left, self.limit.capacity(unborrowed)));
+                let distance = ctx.ownership.distance(self.peers[index].vm);
+                offers.push(Offer::new(index, left, self.limit.capacity(unborrowed), distance));
             }
         }
         offers
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -8,6 +8,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
+use oleander_core::places::Distance;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 
@@ -226,6 +227,12 @@
         }
     }
 
+    /// Replaces the distances to other VMs: of several owners that have enough tokens, the nearest
+    /// is asked.
+    pub fn set_distances(&mut self, distances: impl IntoIterator<Item = (VmId, Distance)>) {
+        self.shared.ownership.set_distances(distances);
+    }
+
     /// Replaces the owner of each share; this VM may use its own shares until `until`.
     pub fn set_shares(&mut self, now: Time, owners: &[Option<VmId>], until: Time) {
         self.set_shares_with_wait(now, owners, until, LOAN_EXPIRY_WAIT);
--- a/oleander-limits/tests/start.rs
+++ b/oleander-limits/tests/start.rs
@@ -3,6 +3,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
+use oleander_core::places::Distance;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::messages::Ask;
@@ -191,3 +192,47 @@
     }
     assert_eq!(out, [1, 5, 3, 2, 4].map(|ticket| Action::Admit(Ticket(ticket))));
 }
+
+/// `Near` gives the distances of two owners and whether both are asked.
+struct Near {
+    first: Distance,
+    second: Distance,
+    /// The tokens that a request costs: an owner holds 50.
+    cost: u32,
+    asked: &'static [VmId],
+}
+
+/// Load: a fleet of many VMs in several regions, each of which gets few requests of a workspace, so
+/// that nearly each one asks an owner. Guards against asking other regions while a near owner has
+/// tokens, and against leaving the far owners' tokens unused.
+#[rstest]
+#[case::the_first_is_near(Near {
+    first: Distance::Zone, second: Distance::Remote, cost: 10, asked: &[VmId(8)],
+})]
+#[case::the_second_is_near(Near {
+    first: Distance::Remote, second: Distance::Region, cost: 10, asked: &[VmId(9)],
+})]
+#[case::the_near_one_has_too_few(Near {
+    first: Distance::Zone, second: Distance::Remote, cost: 60, asked: &[VmId(8), VmId(9)],
+})]
+fn the_nearest_owner_with_enough_tokens_is_asked(#[case] near: Near) {
+    let now = Time(300_000);
+    let workspace = WorkspaceId(1);
+    let mut limiter = RateLimiter::new(VM, 1);
+    let mut out = Vec::new();
+    limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
+    let owners: Vec<Option<VmId>> = (0..64).map(|share| Some(VmId(8 + share % 2))).collect();
+    limiter.set_distances([(VmId(8), near.first), (VmId(9), near.second)]);
+    limiter.suspend_shares(now, &owners);
+    let until = now + Span::from_secs(1);
+    limiter.acquire(now, Ticket(1), workspace, near.cost, until, &mut out);
+    let mut asked: Vec<VmId> = out
+        .iter()
+        .map(|action| match action {
+            Action::Send { to, .. } => *to,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    asked.sort_unstable();
+    assert_eq!(asked, near.asked);
+}
--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -12,6 +12,7 @@
 use oleander_core::time::Time;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
 use oleander_limits::rates::tokens::Limit;
+use oleander_membership::leased::LeasedMember;
 use oleander_ports::store::StoreRevision;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -56,6 +57,9 @@
         let new_roster = !is_same(|former, view| Arc::ptr_eq(&former.roster, &view.roster));
         let mut wait = LOAN_EXPIRY_WAIT;
         if new_roster {
+            let place = &fleet.settings.place;
+            let distance = |member: &LeasedMember| (member.vm(), member.place.distance(place));
+            rates.set_distances(view.roster.present().map(distance));
             let former_owners = std::mem::replace(&mut owners, view.roster.owners());
             if let Some(former) = &former {
                 // Loans of a VM whose lease has ended may run for `LOAN_EXPIRY_WAIT`. A VM that
--- a/oleander-node/src/primaries.rs
+++ b/oleander-node/src/primaries.rs
@@ -181,10 +181,10 @@
         local: impl Fn(DatabaseId) -> Option<PrimaryReport>,
     ) {
         let keeper = self.fleet.view().keepers.get(&database).and_then(|keeper| keeper.holder);
-        if keeper == Some(self.fleet.vm) {
-            if let Some(report) = local(database) {
-                self.record_report(database, self.fleet.now(), report);
-            }
+        if keeper == Some(self.fleet.vm)
+            && let Some(report) = local(database)
+        {
+            self.record_report(database, self.fleet.now(), report);
         }
         let is_silent = self.silence(database).is_none_or(|age| KEEPER_SILENCE <= age);
         let home = if is_silent { self.home_of_primary(database) } else { None };
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -11,6 +11,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
+use oleander_core::places::Distance;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Refusal;
@@ -142,6 +143,11 @@
         self.with_limiter(|limiter, _| limiter.suspend_shares(now, owners));
     }
 
+    /// Sets the distances to the other VMs, of which the nearest are asked for tokens first.
+    pub fn set_distances(&self, distances: impl IntoIterator<Item = (VmId, Distance)>) {
+        self.lock().limiter.set_distances(distances);
+    }
+
     /// Replaces the limits of all workspaces; a workspace that is not named has none.
     pub fn set_limits(&self, limits: impl IntoIterator<Item = (WorkspaceId, Limit)>) {
         let now = self.inner.timers.now();
