Read the time before the keeper's own position

Found in review: a keeper that also polls for itself counted its report from a time after the report was made. If the process was frozen in between, the position would have counted as newer than it is. The poll for positions that are missing also covers those that are too old.

--- a/oleander-node/src/primaries.rs
+++ b/oleander-node/src/primaries.rs
@@ -162,7 +162,7 @@
                 () = self.missing.notified() => false,
             };
             for database in wanted() {
-                if is_tick || self.silence(database).is_none() {
+                if is_tick || self.is_silent(database) {
                     self.poll(&peers, database, &local);
                 }
             }
@@ -180,14 +180,15 @@
         database: DatabaseId,
         local: impl Fn(DatabaseId) -> Option<PrimaryReport>,
     ) {
+        // Read first: the position may be older than this, but not newer.
+        let asked = self.fleet.now();
         let keeper = self.fleet.view().keepers.get(&database).and_then(|keeper| keeper.holder);
         if keeper == Some(self.fleet.vm)
             && let Some(report) = local(database)
         {
-            self.record_report(database, self.fleet.now(), report);
+            self.record_report(database, asked, report);
         }
-        let is_silent = self.silence(database).is_none_or(|age| KEEPER_SILENCE <= age);
-        let home = if is_silent { self.home_of_primary(database) } else { None };
+        let home = if self.is_silent(database) { self.home_of_primary(database) } else { None };
         for vm in keeper.into_iter().chain(home.filter(|home| Some(*home) != keeper)) {
             let Some(address) = self.fleet.address(vm).filter(|_| vm != self.fleet.vm) else {
                 continue;
@@ -196,9 +197,9 @@
         }
     }
 
-    /// Returns the age of the newest sample; `None` if there is none.
-    fn silence(&self, database: DatabaseId) -> Option<Span> {
-        self.report(database).map(|report| report.age)
+    /// Returns `true` if no position is known that is younger than `KEEPER_SILENCE`.
+    fn is_silent(&self, database: DatabaseId) -> bool {
+        self.report(database).is_none_or(|report| KEEPER_SILENCE <= report.age)
     }
 
     /// Returns the VM that is the home of the primary of a database.
