--- a/oleander-core/src/verdict.rs
+++ b/oleander-core/src/verdict.rs
@@ -119,22 +119,29 @@
     pub retry_after: Option<Span>,
     /// A message for people; it never contains API keys or row data.
     pub detail: String,
+    /// `true` if a home has taken the tokens of the operation from its workspace's rate, so that a
+    /// repetition elsewhere needs none.
+    pub charged: bool,
 }
 
 impl Refusal {
     /// Creates the refusal of a request that has not run.
     pub fn not_run(code: RefusalCode, detail: impl Into<String>) -> Self {
-        Self { code, verdict: Verdict::NotRun, retry_after: None, detail: detail.into() }
+        Self::with_verdict(code, Verdict::NotRun, detail)
     }
 
     /// Creates the failure of a request that may have run.
     pub fn may_have_run(code: RefusalCode, detail: impl Into<String>) -> Self {
-        Self { code, verdict: Verdict::MayHaveRun, retry_after: None, detail: detail.into() }
+        Self::with_verdict(code, Verdict::MayHaveRun, detail)
     }
 
     /// Creates the failure of a request that has run.
     pub fn ran(code: RefusalCode, detail: impl Into<String>) -> Self {
-        Self { code, verdict: Verdict::Ran, retry_after: None, detail: detail.into() }
+        Self::with_verdict(code, Verdict::Ran, detail)
+    }
+
+    fn with_verdict(code: RefusalCode, verdict: Verdict, detail: impl Into<String>) -> Self {
+        Self { code, verdict, retry_after: None, detail: detail.into(), charged: false }
     }
 
     /// Sets how long the caller should wait before a retry.
--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -26,6 +26,7 @@
 use crate::rates::owner::LOAN_EXPIRY_WAIT;
 use crate::rates::owner::LOAN_HOLD;
 use crate::rates::ownership::Ownership;
+use crate::rates::ownership::ShareLayout;
 use crate::rates::tokens::FRACTIONS;
 use crate::rates::tokens::Limit;
 use crate::rates::tokens::Tokens;
@@ -85,16 +86,16 @@
     /// `life` identifies this process and must differ from that of every process that ran on this
     /// VM within the last seconds, such as a start time in nanoseconds.
     pub fn new(vm: VmId, life: u64) -> Self {
-        Self::with_groups(vm, life, FRACTIONS)
+        Self::with_layout(vm, life, ShareLayout::Hashed(FRACTIONS))
     }
 
-    /// Creates a limiter like `new`, but spreads the fractions of each workspace over `groups`
-    /// shares.
+    /// Creates a limiter like `new`, but spreads the fractions of each workspace over the shares of
+    /// `layout`.
     ///
-    /// Few groups suit low rates, at which a fraction would hold less than a token or two. With
-    /// many groups less of the rate is lost with a single VM. All VMs must use the same number.
-    pub fn with_groups(vm: VmId, life: u64, groups: u32) -> Self {
-        let ownership = Ownership::new(vm, groups);
+    /// Few shares suit low rates, at which a fraction would hold less than a token or two. With
+    /// many shares less of the rate is lost with a single VM. All VMs must use the same layout.
+    pub fn with_layout(vm: VmId, life: u64, layout: ShareLayout) -> Self {
+        let ownership = Ownership::new(vm, layout);
         Self {
             shared: SharedState::new(ownership, life),
             limits: HashMap::new(),
--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -36,8 +36,7 @@
 pub struct Ownership {
     vm: VmId,
     shares: Vec<ShareState>,
-    /// The number of shares over which a workspace's fractions are spread.
-    groups: u32,
+    layout: ShareLayout,
     /// The time until which this VM may use its own shares.
     until: Time,
     /// Incremented by each change of the owners.
@@ -46,6 +45,37 @@
     distances: HashMap<VmId, Distance>,
 }
 
+/// `ShareLayout` says over which shares the fractions of a workspace are spread. It must be the same
+/// on all VMs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ShareLayout {
+    /// Over this number of shares, chosen by a hash of the workspace.
+    Hashed(u32),
+    /// Over one share of each of this number of regions: share `n` belongs to region `n % regions`.
+    Regional(u32),
+}
+
+impl ShareLayout {
+    /// Returns the share of a fraction of a workspace, of `count` shares; `None` if the layout has
+    /// no place for it.
+    fn share(self, workspace: WorkspaceId, fraction: u32, count: usize) -> Option<usize> {
+        let count = count as u64;
+        let index = match self {
+            ShareLayout::Hashed(groups) => {
+                let group = fraction.checked_rem(groups)?;
+                hash::combine(workspace.0, u64::from(group)).checked_rem(count)?
+            }
+            ShareLayout::Regional(regions) => {
+                let region = u64::from(fraction.checked_rem(regions)?);
+                let regions = u64::from(regions);
+                let row = hash::combine(workspace.0, region).checked_rem(count / regions)?;
+                row * regions + region
+            }
+        };
+        Some(index as usize)
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct ShareState {
     owner: Option<VmId>,
@@ -65,13 +95,12 @@
 }
 
 impl Ownership {
-    /// Creates a table without owners. `groups` is the number of shares over which the fractions of
-    /// a workspace are spread; it must be the same on all VMs.
-    pub fn new(vm: VmId, groups: u32) -> Self {
+    /// Creates a table without owners.
+    pub fn new(vm: VmId, layout: ShareLayout) -> Self {
         Self {
             vm,
             shares: Vec::new(),
-            groups,
+            layout,
             until: Time(0),
             version: 0,
             distances: HashMap::new(),
@@ -183,12 +212,9 @@
 
     /// Returns the share of each fraction of a workspace.
     fn shares_of(&self, workspace: WorkspaceId) -> impl Iterator<Item = ShareState> {
-        let count = self.shares.len() as u64;
-        let groups = u64::from(self.groups);
-        (0..u64::from(FRACTIONS)).filter_map(move |fraction| {
-            let group = fraction.checked_rem(groups)?;
-            let index = hash::combine(workspace.0, group).checked_rem(count)?;
-            self.shares.get(index as usize).copied()
+        (0..FRACTIONS).filter_map(move |fraction| {
+            let index = self.layout.share(workspace, fraction, self.shares.len())?;
+            self.shares.get(index).copied()
         })
     }
 }
--- a/oleander-limits/tests/rates.rs
+++ b/oleander-limits/tests/rates.rs
@@ -10,6 +10,7 @@
 use oleander_limits::messages::LoanId;
 use oleander_limits::rates::owner::BorrowRequest;
 use oleander_limits::rates::owner::RateOwner;
+use oleander_limits::rates::ownership::ShareLayout;
 use oleander_limits::rates::tokens::Limit;
 use oleander_limits::rates::tokens::Tokens;
 use proptest::prelude::*;
@@ -30,6 +31,11 @@
 /// The number of random sequences of steps in one run.
 const CASES: u32 = 500;
 
+/// The fractions of the workspace spread by hash, as with a home for each instance.
+const HASHED: ShareLayout = ShareLayout::Hashed(16);
+/// The fractions of the workspace spread over three regions, as with homes by region.
+const REGIONAL: ShareLayout = ShareLayout::Regional(3);
+
 #[derive(Clone, Debug)]
 enum Step {
     /// Callers send `count` requests at once.
@@ -134,7 +140,7 @@
 
 /// Runs `CASES` random sequences of steps. Returns the admitted tokens, or the first case that
 /// admits too much.
-fn run(fault: Fault) -> Result<u64, String> {
+fn run(layout: ShareLayout, fault: Fault) -> Result<u64, String> {
     let config = Config {
         cases: CASES,
         rng_seed: RngSeed::Fixed(SEED),
@@ -144,7 +150,7 @@
     let admitted = std::cell::Cell::new(0);
     let inputs = (limit(), network(), any::<u64>(), prop::collection::vec(step(), 1..40));
     let result = TestRunner::new(config).run(&inputs, |(limit, network, seed, steps)| {
-        let mut fleet = Fleet::new(VMS, limit, network, fault, seed);
+        let mut fleet = Fleet::with_layout(VMS, limit, network, fault, seed, layout);
         steps.iter().for_each(|step| perform(&mut fleet, step));
         fleet.advance(Span::from_secs(5));
         admitted.set(admitted.get() + fleet.admitted);
@@ -156,10 +162,12 @@
     result.map(|()| admitted.get()).map_err(|error| error.to_string())
 }
 
-#[test]
-fn no_window_admits_more_than_burst_plus_rate() {
+#[rstest]
+#[case::hashed(HASHED)]
+#[case::regional(REGIONAL)]
+fn no_window_admits_more_than_burst_plus_rate(#[case] layout: ShareLayout) {
     println!("seed {SEED}");
-    let admitted = run(Fault::None).unwrap();
+    let admitted = run(layout, Fault::None).unwrap();
     // The check has little value if hardly any request is admitted.
     assert!(u64::from(CASES) * 20 < admitted, "{admitted} admitted");
 }
@@ -169,8 +177,11 @@
 #[case::stale_owner(Fault::StaleOwner)]
 #[case::loans_not_waited_for(Fault::IgnoreLoans)]
 #[case::earlier_use_not_counted(Fault::IgnoreEarlierUse)]
-fn the_check_detects_an_injected_fault(#[case] fault: Fault) {
-    let error = run(fault).unwrap_err();
+fn the_check_detects_an_injected_fault(
+    #[values(HASHED, REGIONAL)] layout: ShareLayout,
+    #[case] fault: Fault,
+) {
+    let error = run(layout, fault).unwrap_err();
     assert!(error.contains("too much admitted"), "{error}");
 }
 
--- a/oleander-limits/tests/start.rs
+++ b/oleander-limits/tests/start.rs
@@ -17,6 +17,7 @@
 use oleander_limits::rates::limiter::RateRequest;
 use oleander_limits::rates::owner::GRANT_HOLD;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
+use oleander_limits::rates::ownership::ShareLayout;
 use oleander_limits::rates::tokens::Limit;
 use oleander_limits::rates::tokens::Tokens;
 use rstest::rstest;
@@ -55,7 +56,7 @@
 fn admits_only_once_shares_are_usable(#[case] start: Start) {
     let now = Time(300_000);
     let workspace = WorkspaceId(1);
-    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut limiter = RateLimiter::with_layout(VM, 1, ShareLayout::Hashed(2));
     let mut out = Vec::new();
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
     if start.waits {
@@ -72,7 +73,7 @@
 fn limits_of_an_empty_configuration_start_no_wait() {
     let now = Time(300_000);
     let workspace = WorkspaceId(1);
-    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut limiter = RateLimiter::with_layout(VM, 1, ShareLayout::Hashed(2));
     let mut out = Vec::new();
     limiter.set_limits(Time(0), [], &mut out);
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
@@ -96,7 +97,7 @@
     let first = Time(10_000_000);
     let now = first + unused;
     let workspace = WorkspaceId(1);
-    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut limiter = RateLimiter::with_layout(VM, 1, ShareLayout::Hashed(2));
     let mut out = Vec::new();
     limiter.set_limits(first, [(workspace, LIMIT)], &mut out);
     let mut ask = |limiter: &mut RateLimiter, serial| {
@@ -117,7 +118,7 @@
 fn a_vm_without_usable_shares_asks_other_owners() {
     let now = Time(300_000);
     let workspace = WorkspaceId(1);
-    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut limiter = RateLimiter::with_layout(VM, 1, ShareLayout::Hashed(2));
     let mut out = Vec::new();
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
     limiter.suspend_shares(now, &[Some(VmId(8)); 64]);
@@ -146,7 +147,7 @@
     let now = Time(300_000);
     let workspace = WorkspaceId(1);
     let borrower = VmId(8);
-    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut limiter = RateLimiter::with_layout(VM, 1, ShareLayout::Hashed(2));
     let mut out = Vec::new();
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
     limiter.activate_shares(now, &[Some(VM); 64], FOREVER, now);
@@ -171,7 +172,7 @@
 fn tokens_go_to_the_highest_level_that_waits() {
     let now = Time(300_000);
     let workspace = WorkspaceId(1);
-    let mut limiter = RateLimiter::with_groups(VM, 1, 2);
+    let mut limiter = RateLimiter::with_layout(VM, 1, ShareLayout::Hashed(2));
     let mut out = Vec::new();
     limiter.set_limits(now, [(workspace, LIMIT)], &mut out);
     limiter.activate_shares(now, &[Some(VM); 64], FOREVER, now);
--- a/oleander-limits/tests/support/mod.rs
+++ b/oleander-limits/tests/support/mod.rs
@@ -19,6 +19,7 @@
 use oleander_limits::rates::limiter::RateLimiter;
 use oleander_limits::rates::limiter::RateRequest;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
+use oleander_limits::rates::ownership::ShareLayout;
 use oleander_limits::rates::tokens::FRACTIONS;
 use oleander_limits::rates::tokens::Limit;
 use oleander_limits::rates::tokens::Tokens;
@@ -141,11 +142,14 @@
     pub admissions: Vec<Time>,
     /// The number of refused requests.
     pub refused: u64,
+    /// The number of requests that VMs have sent to one another.
+    pub calls: u64,
     /// The first time at which more than burst + rate × window was or could have been admitted.
     pub violation: Option<Time>,
     /// The current virtual time.
     pub now: Time,
     network: Network,
+    layout: ShareLayout,
     fault: Fault,
     vms: Vec<Vm>,
     owners: Vec<usize>,
@@ -158,10 +162,23 @@
 }
 
 impl Fleet {
-    /// Creates a fleet in which all earlier loans have expired.
+    /// Creates a fleet in which all earlier loans have expired, with the fractions of the workspace
+    /// spread over as many shares as there are fractions.
     pub fn new(count: usize, limit: Limit, network: Network, fault: Fault, seed: u64) -> Self {
+        Self::with_layout(count, limit, network, fault, seed, ShareLayout::Hashed(FRACTIONS))
+    }
+
+    /// Creates a fleet like `new` with another layout of the shares.
+    pub fn with_layout(
+        count: usize,
+        limit: Limit,
+        network: Network,
+        fault: Fault,
+        seed: u64,
+        layout: ShareLayout,
+    ) -> Self {
         let vms = (0..count).map(|index| Vm {
-            limiter: RateLimiter::new(id(index), index as u64),
+            limiter: RateLimiter::with_layout(id(index), index as u64, layout),
             paused_until: Time(0),
             isolated_until: Time(0),
             has_left: false,
@@ -179,9 +196,11 @@
             urgent: 0,
             admissions: Vec::new(),
             refused: 0,
+            calls: 0,
             violation: None,
             now: Time(1_000_000),
             network,
+            layout,
             fault,
             vms: vms.collect(),
             owners: (0..SHARES).map(|share| share % count).collect(),
@@ -253,7 +272,8 @@
     /// Replaces a VM's process by a new one without state.
     pub fn restart(&mut self, index: usize) {
         self.process_count += 1;
-        self.vms[index].limiter = RateLimiter::new(id(index), self.process_count);
+        self.vms[index].limiter =
+            RateLimiter::with_layout(id(index), self.process_count, self.layout);
         self.vms[index].paused_until = self.now;
         self.vms[index].has_left = false;
         self.vms[index].started_at = self.now;
@@ -280,7 +300,7 @@
     fn start_process(&mut self, index: usize) {
         self.process_count += 1;
         let (now, limit, owners) = (self.clock(index), self.limit, self.owner_ids());
-        let mut limiter = RateLimiter::new(id(index), self.process_count);
+        let mut limiter = RateLimiter::with_layout(id(index), self.process_count, self.layout);
         let began = match self.fault {
             Fault::IgnoreEarlierUse => Time(now.0 - EARLIER_USE.0),
             _ => now,
@@ -561,6 +581,7 @@
 
     fn send(&mut self, from: usize, to: VmId, call: CallId, request: &LimitRequest) {
         let to = to.0 as usize;
+        self.calls += 1;
         for delay in self.delivery_delays(from, to) {
             let process = self.vms[from].process;
             let event = Event::Request { from, process, to, call, request: request.clone() };
--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -1,5 +1,6 @@
 //! Membership derived from leased keys in the store, and the placement of homes and shares on it.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -33,6 +34,10 @@
     pub peers: SocketAddr,
     /// Identifies this run of the process; each restart writes another number.
     pub life: u64,
+    /// The processor time that the VM may use, in thousandths of a core; 0 if its settings do not
+    /// tell.
+    #[serde(default)]
+    pub cpu: u32,
     /// `true` once the VM is stopping; it then owns no shares and is no home.
     pub leaving: bool,
     /// How long after this record was written other VMs may still use rate limit capacity lent by
@@ -138,13 +143,32 @@
             .map(|member| {
                 let vm = member.vm();
                 let score = hash::combine(key, vm.0);
-                (member.place.distance(place), std::cmp::Reverse(score), vm)
+                (member.place.distance(place), Reverse(score), vm)
             })
             .collect();
         candidates.sort_unstable();
         candidates.into_iter().map(|(_, _, vm)| vm).collect()
     }
 
+    /// Ranks the VMs that may be the home of all instances of a region: those of the region first,
+    /// then those with more processor time, equal ones by rendezvous hashing. VMs for which `is_up`
+    /// returns `false` are left out.
+    ///
+    /// `regional_owners` ranks in the same way, so that the home of a region usually owns its shares.
+    pub fn regional_homes(
+        &self,
+        region: &str,
+        is_up: impl Fn(VmId) -> bool,
+    ) -> SmallVec<[VmId; INLINE_HOMES]> {
+        let members = self.members.values().map(|entry| &entry.member);
+        let mut candidates: SmallVec<[_; 16]> = members
+            .filter(|member| !member.leaving && is_up(member.vm()))
+            .map(|member| (regional_rank(region, member), member.vm()))
+            .collect();
+        candidates.sort_unstable();
+        candidates.into_iter().map(|(_, vm)| vm).collect()
+    }
+
     /// Ranks the VMs of an availability zone for the watch of the store: those with a valid lease
     /// that are not leaving and for which `is_up` returns `true`, by rendezvous hashing.
     pub fn watchers(&self, place: &Place, is_up: impl Fn(VmId) -> bool) -> Vec<VmId> {
@@ -164,7 +188,14 @@
         place: &Place,
         is_up: impl Fn(VmId) -> bool,
     ) -> SmallVec<[VmId; INLINE_HOMES]> {
-        let mut homes = self.homes(key, place, is_up);
+        self.present_first(self.homes(key, place, is_up))
+    }
+
+    /// Moves the VMs with a valid lease to the front of a ranking.
+    pub fn present_first(
+        &self,
+        mut homes: SmallVec<[VmId; INLINE_HOMES]>,
+    ) -> SmallVec<[VmId; INLINE_HOMES]> {
         homes.sort_by_key(|vm| !self.is_present(*vm));
         homes
     }
@@ -181,9 +212,14 @@
     /// `former` and no longer do may still be in use. `unknown` is assumed for a VM that announced
     /// no time itself; the result is `None` if no VM stopped being an owner.
     pub fn loan_wait(&self, former: &LeasedRoster, unknown: Span) -> Option<Span> {
-        let owned = former.present().filter(|member| !member.leaving).map(LeasedMember::vm);
-        let lost = owned.filter(|vm| !self.may_own(*vm));
-        let lent = lost.map(|vm| self.member(vm)?.lent);
+        let owned = former.present().filter(|member| !member.leaving);
+        // A VM that starts again with a lower rank may lose shares to others.
+        let keeps_rank = |former: &LeasedMember| {
+            let member = self.member(former.vm());
+            member.is_some_and(|member| former.cpu <= member.cpu)
+        };
+        let lost = owned.filter(|member| !self.may_own(member.vm()) || !keeps_rank(member));
+        let lent = lost.map(|member| self.member(member.vm())?.lent);
         lent.map(|lent| lent.unwrap_or(unknown)).max()
     }
 
@@ -193,6 +229,21 @@
         self.last_expiry
     }
 
+    /// Returns the owner of each share if the shares are divided among `regions`: share `n` belongs to
+    /// region `n % regions.len()`, and all shares of a region have the same owner. All owners are
+    /// `None` if no VM has a valid lease and is not leaving.
+    ///
+    /// The rank of a VM depends on its own record alone, so that a VM that joins or leaves moves
+    /// shares only to itself or away from itself.
+    pub fn regional_owners(&self, regions: &[String]) -> Vec<Option<VmId>> {
+        let owner = |region: &String| {
+            let members = self.present().filter(|member| !member.leaving);
+            members.min_by_key(|member| regional_rank(region, member)).map(LeasedMember::vm)
+        };
+        let owners: SmallVec<[Option<VmId>; INLINE_HOMES]> = regions.iter().map(owner).collect();
+        owners.into_iter().cycle().take(SHARE_COUNT).collect()
+    }
+
     /// Returns the owner of each share: the first of its `candidates`. All owners are `None` if
     /// no VM is a candidate.
     pub fn owners(&self) -> Vec<Option<VmId>> {
@@ -201,3 +252,10 @@
             .collect()
     }
 }
+
+/// Returns the rank of a VM as the home of a region's instances and the owner of its shares; the
+/// lowest one is preferred.
+fn regional_rank(region: &str, member: &LeasedMember) -> (bool, Reverse<u32>, Reverse<u64>) {
+    let score = hash::combine(hash::stable_hash(region.as_bytes()), member.vm().0);
+    (member.place.region != region, Reverse(member.cpu), Reverse(score))
+}
--- a/oleander-membership/tests/leased.rs
+++ b/oleander-membership/tests/leased.rs
@@ -10,6 +10,7 @@
 use oleander_core::time::Time;
 use oleander_membership::leased::LeasedMember;
 use oleander_membership::leased::LeasedRoster;
+use oleander_membership::leased::SHARE_COUNT;
 use rstest::rstest;
 
 /// The wait for loans of a VM that announced no time.
@@ -38,7 +39,7 @@
 fn member(name: &str, leaving: bool, lent: Option<Span>) -> LeasedMember {
     let place = Place { region: "r".into(), zone: "z".into() };
     let peers = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
-    LeasedMember { name: name.into(), place, peers, life: 1, leaving, lent }
+    LeasedMember { name: name.into(), place, peers, life: 1, cpu: 0, leaving, lent }
 }
 
 fn apply(roster: &mut LeasedRoster, change: Change) {
@@ -121,3 +122,76 @@
     assert_eq!(roster.homes(key, &place, |_| true)[0] == a, homes.reads);
     assert_eq!(roster.write_homes(key, &place, |_| true)[0] == a, homes.writes);
 }
+
+/// `Ranked` is a fleet of VMs with their region, zone and processor time, and the home of the region
+/// `r`.
+struct Ranked {
+    vms: &'static [(&'static str, &'static str, &'static str, u32)],
+    home: &'static str,
+}
+
+/// Guards against small VMs that become the home of many instances while a larger one is free, and
+/// against homes in other regions.
+#[rstest]
+#[case::most_processor_time(Ranked {
+    vms: &[("a", "r", "z1", 120), ("b", "r", "z2", 500), ("c", "r", "z1", 120)],
+    home: "b",
+})]
+#[case::own_region_first(Ranked { vms: &[("a", "r", "z1", 120), ("b", "s", "z3", 500)], home: "a" })]
+#[case::no_vm_in_the_region(Ranked {
+    vms: &[("a", "s", "z3", 120), ("b", "s", "z3", 500)],
+    home: "b",
+})]
+fn the_home_of_a_region_owns_its_shares(#[case] ranked: Ranked) {
+    let roster = roster_of(ranked.vms);
+    let home = Some(VmId::from_name(ranked.home));
+    assert_eq!(roster.regional_homes("r", |_| true).first().copied(), home);
+    let owners = roster.regional_owners(&["r".into(), "s".into()]);
+    assert_eq!((owners.len(), owners[0], owners[2]), (SHARE_COUNT, home, home));
+}
+
+/// Guards against shares that move between two VMs that stay: the rate limiter reckons only with
+/// moves to a VM that joins and from one that leaves.
+#[test]
+fn a_vm_that_joins_or_leaves_moves_only_its_own_shares() {
+    let names: Vec<String> = (0..24).map(|index| format!("vm-{index}")).collect();
+    let regions = ["r".into(), "s".into(), "t".into()];
+    for index in 0..names.len() {
+        let mut roster = LeasedRoster::default();
+        for (other, name) in names.iter().enumerate().filter(|(other, _)| *other != index) {
+            roster.put(spread_member(name, other));
+        }
+        let before = roster.regional_owners(&regions);
+        roster.put(spread_member(&names[index], index));
+        let joined = Some(VmId::from_name(&names[index]));
+        for (former, owner) in before.iter().zip(roster.regional_owners(&regions)) {
+            assert!(owner == *former || owner == joined, "{} moved another share", names[index]);
+        }
+    }
+}
+
+/// Guards against new owners that do not wait for the loans of a VM that starts again with less
+/// processor time, and so loses shares without leaving.
+#[test]
+fn loans_of_a_vm_that_starts_again_smaller_are_waited_for() {
+    let former = roster_of(&[("a", "r", "z1", 500), ("b", "r", "z1", 120)]);
+    let smaller = roster_of(&[("a", "r", "z1", 100), ("b", "r", "z1", 120)]);
+    assert_eq!(smaller.loan_wait(&former, UNKNOWN), Some(UNKNOWN));
+    assert_eq!(former.loan_wait(&smaller, UNKNOWN), None);
+}
+
+fn roster_of(vms: &[(&str, &str, &str, u32)]) -> LeasedRoster {
+    let mut roster = LeasedRoster::default();
+    for (name, region, zone, cpu) in vms {
+        let place = Place { region: (*region).into(), zone: (*zone).into() };
+        roster.put(LeasedMember { place, cpu: *cpu, ..member(name, false, None) });
+    }
+    roster
+}
+
+/// Returns the record of a VM in one of three regions, with one of two sizes.
+fn spread_member(name: &str, index: usize) -> LeasedMember {
+    let place = Place { region: ["r", "s", "t"][index % 3].into(), zone: "z".into() };
+    let cpu = if index.is_multiple_of(5) { 500 } else { 120 };
+    LeasedMember { place, cpu, ..member(name, false, None) }
+}
--- a/oleander-membership/tests/vm_list.rs
+++ b/oleander-membership/tests/vm_list.rs
@@ -48,8 +48,7 @@
     let (own, other) = (member("vm-0", 1), member("vm-1", 2));
     let mut node = Node::new(Time(0), own.clone(), NodeOptions::default());
     let listed = |member: &Member| ListedVm { vm: member.vm, state: MemberState::Alive };
-    let before =
-        if case.listed { vec![listed(&own), listed(&other)] } else { vec![listed(&own)] };
+    let before = if case.listed { vec![listed(&own), listed(&other)] } else { vec![listed(&own)] };
     node.on_list_read(Time(0), &before);
     node.on_roster_read(Time(0), 2, vec![own.clone(), other.clone()]);
     let map = ShareMap {
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -114,7 +114,8 @@
         let asked = self.fleet.now();
         let lease = self.store.grant(ttl).await?;
         self.fleet.set_leased_until(asked + ttl);
-        let former = self.former_owner().await;
+        self.wait_for_first_view().await;
+        let former = self.former_owner();
         let join_revision = self.write_record(None, lease).await?;
         self.fleet.set_join_revision(join_revision);
         self.held_lease.send_replace(Some(HeldLease { lease, join_revision }));
@@ -167,6 +168,7 @@
             place: settings.place.clone(),
             peers: settings.peers,
             life: self.life,
+            cpu: settings.cpu_millis(),
             leaving: lent.is_some(),
             lent,
         };
@@ -179,17 +181,24 @@
         }
     }
 
+    /// Waits up to `FIRST_VIEW_WAIT` for the first view.
+    async fn wait_for_first_view(&self) {
+        let mut changes = self.fleet.changes();
+        let viewed = changes.wait_for(|revision| *revision != StoreRevision(0));
+        // Without a view nothing is known of an earlier process.
+        let _ = self.fleet.timers.within(FIRST_VIEW_WAIT, viewed).await;
+    }
+
     /// Returns this VM if the record of its earlier process still gives it its shares.
     ///
     /// A record that is marked as leaving has already passed them on to other VMs, which may have
     /// lent them.
-    async fn former_owner(&self) -> Option<VmId> {
-        let mut changes = self.fleet.changes();
-        let viewed = changes.wait_for(|revision| *revision != StoreRevision(0));
-        // Without a view nothing is known of an earlier process.
-        self.fleet.timers.within(FIRST_VIEW_WAIT, viewed).await?.ok()?;
+    fn former_owner(&self) -> Option<VmId> {
         let own = self.fleet.vm;
-        self.fleet.view().roster.may_own(own).then_some(own)
+        let view = self.fleet.view();
+        let former = view.roster.member(own).filter(|_| view.roster.may_own(own))?;
+        // With a higher rank than before, the VM gets shares that others have owned until now.
+        (former.cpu == self.fleet.settings.cpu_millis()).then_some(own)
     }
 
     /// Enables the own shares once every VM that may have owned them knows that this one has
--- a/oleander-node/src/control/shares.rs
+++ b/oleander-node/src/control/shares.rs
@@ -60,7 +60,7 @@
             let place = &fleet.settings.place;
             let distance = |member: &LeasedMember| (member.vm(), member.place.distance(place));
             rates.set_distances(view.roster.present().map(distance));
-            let former_owners = std::mem::replace(&mut owners, view.roster.owners());
+            let former_owners = std::mem::replace(&mut owners, fleet.share_owners(&view.roster));
             if let Some(former) = &former {
                 // Loans of a VM whose lease has ended may run for `LOAN_EXPIRY_WAIT`. A VM that
                 // leaves has written in its record for how long its loans run.
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -36,6 +36,7 @@
 use super::overload;
 use super::overload::EntryHorizons;
 use super::places;
+use crate::charges;
 use crate::eligibility;
 use crate::eligibility::Obstacle;
 use crate::eligibility::Rules;
@@ -154,6 +155,8 @@
                 Err(refusal) => refusal,
             };
             let retry = refusal.verdict == Verdict::NotRun || (is_read && is_transient(&refusal));
+            let retry = retry && !charges::is_over_rate(request.charge, &refusal);
+            request.charge = charges::remaining_charge(request.charge, &refusal);
             // An instance may fail a read that another one answers.
             let retry = retry || (reads.is_some() && refusal.code == RefusalCode::UpstreamError);
             let next = candidates.get(index + 1).map(|instance| instance.key);
--- a/oleander-node/src/entry/route.rs
+++ b/oleander-node/src/entry/route.rs
@@ -16,6 +16,7 @@
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_routing::places;
+use oleander_session::work::RateCharge;
 
 use super::overload;
 use crate::fleet::Fleet;
@@ -45,6 +46,13 @@
     pub rate_level: Level,
 }
 
+impl Admitted {
+    /// Returns what the operation takes from the rate of its workspace.
+    pub fn charge(&self) -> RateCharge {
+        RateCharge { cost: self.route.cost, level: self.rate_level }
+    }
+}
+
 /// Checks an operation of a session against the configuration in force.
 ///
 /// # Errors
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -34,12 +34,8 @@
 use super::route;
 use super::route::Admitted;
 use super::start;
+use crate::charges::Charges;
 use crate::fleet::Fleet;
-use crate::rates::Rates;
-
-/// The divisor of the route's target latency that gives the time for which an operation waits for
-/// the rate limiter: a caller that is refused by then can still retry within the target.
-const RATE_WAIT_DIVISOR: u64 = 4;
 
 /// The time for which a transaction may stay idle if the configuration sets none.
 const DEFAULT_REST: Span = Span::from_secs(5);
@@ -51,8 +47,8 @@
 pub struct Entry {
     /// The view of the fleet.
     pub fleet: Arc<Fleet>,
-    /// The rate limits of the workspaces.
-    pub rates: Rates,
+    /// Charges operations to the rates of their workspaces.
+    pub charges: Charges,
     /// Sends statements to homes.
     pub forwarder: Forwarder,
     /// The number of served requests, for sampling the log.
@@ -180,7 +176,7 @@
         self.operation = None;
     }
 
-    /// Admits an operation by route and rate.
+    /// Admits an operation by route, and by rate unless the home of its first statement does that.
     ///
     /// `operation` is set even if the rate limiter then refuses it, so that the refusal is recorded
     /// under its workspace.
@@ -189,22 +185,13 @@
         let started = entry.fleet.now();
         let admitted = route::admit(&entry.fleet, &self.name, self.key.as_ref())?;
         let target = admitted.route.target_latency;
-        let deadline = started + Span(target.0 / RATE_WAIT_DIVISOR);
-        let (workspace, level, cost) =
-            (admitted.workspace, admitted.rate_level, admitted.route.cost);
+        let (workspace, charge) = (admitted.workspace, admitted.charge());
         self.operation = Some(Operation { admitted, started });
-        loop {
-            let Err(refusal) = entry.rates.admit(workspace, level, cost, deadline).await else {
-                return Ok(());
-            };
-            let fleet = &entry.fleet;
-            let retry_at =
-                start::rate_retry_time(&refusal, fleet.now(), fleet.started(), started, target);
-            let Some(retry_at) = retry_at else {
-                return Err(overload::spread_return(fleet, level, refusal));
-            };
-            fleet.timers.sleep_until(retry_at).await;
+        if entry.fleet.charges_at_homes() {
+            return Ok(());
         }
+        let charged = entry.charges.take(workspace, charge, started, target).await;
+        charged.map_err(|refusal| overload::spread_return(&entry.fleet, charge.level, refusal))
     }
 
     async fn run_work(&mut self, statement: &str, work: Work) -> Result<CommandOutput, Refusal> {
@@ -282,6 +269,7 @@
     }
 
     fn request(&self, statement: &str, work: &Work, operation: &Operation) -> HomeRequest {
+        let fleet = &self.entry.fleet;
         let route = &operation.admitted.route;
         let read_only = match self.state.transaction() {
             TransactionPhase::Begun { read_only } | TransactionPhase::Open { read_only, .. } => {
@@ -309,7 +297,9 @@
             patience: self.patience(operation),
             rest: operation.admitted.tx_idle.unwrap_or(DEFAULT_REST),
             level: operation.admitted.level,
-            regions: route::regions(&self.entry.fleet, &self.name, &operation.admitted),
+            regions: route::regions(fleet, &self.name, &operation.admitted),
+            charge: (fleet.charges_at_homes() && !matches!(scope, Scope::Within(_)))
+                .then(|| operation.admitted.charge()),
         }
     }
 
@@ -358,11 +348,12 @@
         let wait = if fleet.settings.overload { request.limit } else { request.patience };
         let until = fleet.now() + wait;
         let database = operation.admitted.database;
-        let level = request.level;
+        let (level, rate_level) = (request.level, operation.admitted.rate_level);
         let ran = self.entry.forwarder.run(database, role, request, until).await;
         let ran = ran.map_err(|refusal| match refusal.code {
             // The home's configuration is not current.
             RefusalCode::NotCurrent => overload::spread_return(fleet, level, refusal),
+            RefusalCode::RateLimited => overload::spread_return(fleet, rate_level, refusal),
             _ => refusal,
         })?;
         Ok((ran.answer, ran.home, ran.instance))
@@ -403,6 +394,7 @@
             level: Level::default(),
             // A rollback carries nothing of the caller's.
             regions: Regions::All,
+            charge: None,
         };
         let entry = self.entry.clone();
         tokio::spawn(async move {
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -20,6 +20,7 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_failover::keeper::messages::RecordState;
+use oleander_limits::rates::ownership::ShareLayout;
 use oleander_membership::leased::LeasedRoster;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::store::StoreRevision;
@@ -29,8 +30,17 @@
 use tokio::sync::watch;
 
 use crate::eligibility::EvacuationCounts;
+use crate::settings::HomePlacement;
 use crate::settings::NodeSettings;
 
+/// The time after the start of a VM during which others may be starting as well: VMs that lost
+/// power together are back within a second of each other.
+pub const STARTUP_PERIOD: Span = Span::from_millis(1_500);
+
+/// The number of shares over which a workspace's rate is spread: few, since rates are tens of
+/// requests a second, but enough that the loss of one VM leaves most of a rate usable.
+const RATE_GROUPS: u32 = 3;
+
 /// The time for which a VM that did not answer is not chosen as a home.
 const SUSPECT_TIME: Span = Span::from_millis(1_000);
 
@@ -180,6 +190,8 @@
     pub timers: TimerService,
     /// The statements refused because of evacuations.
     pub evacuation_counts: EvacuationCounts,
+    /// The regions among which homes and shares are divided; none if they are not.
+    home_regions: Vec<String>,
     started: Time,
     view: ArcSwap<View>,
     changed: watch::Sender<StoreRevision>,
@@ -201,6 +213,7 @@
     pub fn new(settings: Arc<NodeSettings>, timers: TimerService) -> Self {
         Self {
             vm: VmId::from_name(&settings.name),
+            home_regions: settings.home_regions(),
             settings,
             started: timers.now(),
             evacuation_counts: EvacuationCounts::default(),
@@ -462,13 +475,38 @@
     /// are left out.
     pub fn homes(&self, instance: &Instance) -> SmallVec<[VmId; 4]> {
         let roster = &self.view.load().roster;
-        roster.homes(instance.key.0, &instance.place, |vm| self.is_up(vm))
+        let is_up = |vm| self.is_up(vm);
+        match self.settings.homes {
+            HomePlacement::Instance => roster.homes(instance.key.0, &instance.place, is_up),
+            HomePlacement::Region => roster.regional_homes(&instance.place.region, is_up),
+        }
     }
 
     /// Returns the VMs as `homes` does, but those with a running lease first, since the others
     /// cannot confirm a write.
     pub fn write_homes(&self, instance: &Instance) -> SmallVec<[VmId; 4]> {
-        let roster = &self.view.load().roster;
-        roster.write_homes(instance.key.0, &instance.place, |vm| self.is_up(vm))
+        self.view.load().roster.present_first(self.homes(instance))
+    }
+
+    /// Returns the owner of each share of the rates.
+    pub fn share_owners(&self, roster: &LeasedRoster) -> Vec<Option<VmId>> {
+        if self.home_regions.is_empty() {
+            roster.owners()
+        } else {
+            roster.regional_owners(&self.home_regions)
+        }
+    }
+
+    /// Returns `true` if operations are charged to the rate of their workspace at the homes.
+    pub fn charges_at_homes(&self) -> bool {
+        !self.home_regions.is_empty()
+    }
+
+    /// Returns the layout of the shares of the rates.
+    pub fn share_layout(&self) -> ShareLayout {
+        match self.home_regions.len() {
+            0 => ShareLayout::Hashed(RATE_GROUPS),
+            count => ShareLayout::Regional(count as u32),
+        }
     }
 }
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -42,6 +42,7 @@
 use super::upstream::FreshnessCheck;
 use super::upstream::Statement;
 use super::warmup::WarmupBudget;
+use crate::charges::Charges;
 use crate::eligibility;
 use crate::eligibility::StatementKind;
 use crate::fleet::Instance;
@@ -55,6 +56,8 @@
     pub primaries: Arc<Primaries>,
     /// Limits the statements to instances that warm up.
     pub warmup: WarmupBudget,
+    /// Charges the operations that begin at the home.
+    pub charges: Charges,
 }
 
 /// `TransactionResult` is the result of a statement of a transaction.
@@ -212,23 +215,27 @@
         if is_write || check == FreshnessCheck::Primary {
             self.admit_at_primary()?;
         }
-        let class = class_of(request);
-        let permit = self.acquire(request, class, &start).await?;
-        let mut pooled = self.connect(request, class, &start).await?;
-        self.check_evacuation(StatementKind::New)?;
-        self.admit_warmup().await?;
-        let asked = self.context.links.timers.now();
-        let running = pooled.connection.run_single(statement(request), check);
-        let reply = self.measure(class, running).await;
-        drop(pooled);
-        let answer = answer(&permit, reply?)?;
-        self.record_position(asked, &answer);
-        match check {
-            _ if is_write => self.check_commit()?,
-            FreshnessCheck::Primary => self.check_latest()?,
-            FreshnessCheck::After(_) => {}
-        }
-        Ok(answer)
+        let charged = self.charge(request, &start).await?;
+        let running = async {
+            let class = class_of(request);
+            let permit = self.acquire(request, class, &start).await?;
+            let mut pooled = self.connect(request, class, &start).await?;
+            self.check_evacuation(StatementKind::New)?;
+            self.admit_warmup().await?;
+            let asked = self.context.links.timers.now();
+            let running = pooled.connection.run_single(statement(request), check);
+            let reply = self.measure(class, running).await;
+            drop(pooled);
+            let answer = answer(&permit, reply?)?;
+            self.record_position(asked, &answer);
+            match check {
+                _ if is_write => self.check_commit()?,
+                FreshnessCheck::Primary => self.check_latest()?,
+                FreshnessCheck::After(_) => {}
+            }
+            Ok(answer)
+        };
+        running.await.map_err(|refusal| Refusal { charged, ..refusal })
     }
 
     /// Opens a transaction and runs its first statement, which must start as `start` states.
@@ -251,9 +258,22 @@
                 (false, None)
             }
         };
+        let charged = self.charge(request, &start).await?;
+        let opened = self.open_transaction(request, read_only, after, &start).await;
+        opened.map_err(|refusal| Refusal { charged, ..refusal })
+    }
+
+    /// Opens a transaction whose tokens have been taken and runs its first statement.
+    async fn open_transaction(
+        &self,
+        request: &HomeRequest,
+        read_only: bool,
+        after: Option<LogPoint>,
+        start: &StartCondition,
+    ) -> Result<TransactionResult, Refusal> {
         let class = if read_only { Class::Read } else { Class::Write };
-        let mut permit = self.acquire(request, class, &start).await?;
-        let mut pooled = self.connect(request, class, &start).await?;
+        let mut permit = self.acquire(request, class, start).await?;
+        let mut pooled = self.connect(request, class, start).await?;
         self.check_evacuation(StatementKind::New)?;
         self.admit_warmup().await?;
         pooled.connection.begin(read_only, after).await?;
@@ -414,6 +434,12 @@
         self.context.warmup.admit(self.database, self.key, self.pool.view_needed()).await
     }
 
+    /// Takes the tokens of the operation that a statement begins, unless its caller leaves. Returns
+    /// `true` if tokens were taken.
+    async fn charge(&self, request: &HomeRequest, start: &StartCondition) -> Result<bool, Refusal> {
+        start.wait_for(self.context.charges.take_for(request)).await
+    }
+
     async fn acquire(
         &self,
         request: &HomeRequest,
--- a/oleander-node/src/home/upstream.rs
+++ b/oleander-node/src/home/upstream.rs
@@ -312,7 +312,8 @@
             RefusalCode::UpstreamError
         }
     };
-    Refusal { code, verdict, retry_after: None, detail: format!("instance: {}", failure.kind) }
+    let detail = format!("instance: {}", failure.kind);
+    Refusal { code, verdict, retry_after: None, detail, charged: false }
 }
 
 /// Returns the refusal of a statement whose connection could not be opened or broke.
--- a/oleander-node/src/lib.rs
+++ b/oleander-node/src/lib.rs
@@ -9,6 +9,7 @@
 //! replaces them. `control` follows the store and holds this VM's lease. They share
 //! a `fleet::Fleet`, which holds the view of the store.
 
+pub mod charges;
 pub mod control;
 pub mod eligibility;
 pub mod entry;
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::charges::Charges;
 use crate::control::apply::Applier;
 use crate::control::feed::Feed;
 use crate::control::follow::Follower;
@@ -62,10 +63,6 @@
     ping_timeout: Span::from_millis(350),
 };
 
-/// The number of shares over which a workspace's rate is spread: few, since rates are tens of
-/// requests a second, but enough that the loss of one VM leaves most of a rate usable.
-const RATE_GROUPS: u32 = 3;
-
 /// `Ports` are the adapters through which a node reaches the store, the instances and the platform.
 #[derive(Clone)]
 pub struct Ports {
@@ -128,13 +125,15 @@
         let address_fleet = fleet.clone();
         let rates = Rates::new(
             fleet.vm,
-            RateLimiter::with_groups(fleet.vm, life, RATE_GROUPS),
+            RateLimiter::with_layout(fleet.vm, life, fleet.share_layout()),
             timers.clone(),
             peer_client.clone(),
             Box::new(move |vm| address_fleet.present_address(vm)),
         );
         let warmup = WarmupBudget { fleet: fleet.clone(), rates: rates.clone() };
-        let home_context = HomeContext { links, primaries: primaries.clone(), warmup };
+        let charges = Charges { fleet: fleet.clone(), rates: rates.clone() };
+        let home_context =
+            HomeContext { links, primaries: primaries.clone(), warmup, charges: charges.clone() };
         let transactions = Transactions::new(fleet.vm, Incarnation(life));
         let homes = Arc::new(Homes::new(fleet.clone(), home_context, transactions));
         let (lease_sender, held_lease) = watch::channel(None);
@@ -152,7 +151,7 @@
         });
         let entry = Arc::new(Entry {
             fleet: fleet.clone(),
-            rates: rates.clone(),
+            charges,
             forwarder: Forwarder {
                 fleet: fleet.clone(),
                 primaries: primaries.clone(),
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of a node, without those of its adapters.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use oleander_core::places::Place;
@@ -26,6 +27,20 @@
 /// lost their answer are executed up to 6 s late, and an order takes up to 1 s to have its effect.
 const ORDER_EXPIRY: Span = Span::from_millis(8_000);
 
+/// `HomePlacement` says which instances have the same VM as their home. It must be the same on all
+/// VMs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HomePlacement {
+    /// Each instance has a home of its own.
+    #[default]
+    Instance,
+    /// All instances of a region have one home, the VM there with the most processor time. It also
+    /// owns the region's shares of the rates, and operations are charged there. This suits fleets of
+    /// many VMs that each see few requests of a workspace.
+    Region,
+}
+
 /// `NodeSettings` are the identity of one VM and the time limits that it has to keep.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -61,6 +76,12 @@
     /// aside for a time.
     #[serde(default)]
     pub outliers: bool,
+    /// Which instances have the same home.
+    #[serde(default)]
+    pub homes: HomePlacement,
+    /// The processor time that the VM may use, in cores; 0 if unknown.
+    #[serde(default)]
+    pub cpu: f64,
     /// The time within which no instance of an availability zone gets statements any more after an
     /// operator has requested its evacuation.
     #[serde(with = "span", default = "default_evacuation")]
@@ -97,6 +118,21 @@
         self.half_evacuation().saturating_sub(EVACUATION_MARGIN)
     }
 
+    /// Returns the regions that have a home each, in the order of their names; none if each instance
+    /// has its own.
+    pub fn home_regions(&self) -> Vec<String> {
+        let regions: BTreeSet<&String> = match self.homes {
+            HomePlacement::Instance => BTreeSet::new(),
+            HomePlacement::Region => self.zones.values().collect(),
+        };
+        regions.into_iter().cloned().collect()
+    }
+
+    /// Returns the processor time that the VM may use, in thousandths of a core.
+    pub fn cpu_millis(&self) -> u32 {
+        (self.cpu * 1e3) as u32
+    }
+
     /// Returns the options of the keepers.
     pub fn keeper_options(&self) -> KeeperOptions {
         let order_expiry = (!self.fenced).then_some(ORDER_EXPIRY);
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -17,6 +17,7 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
+use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
 use oleander_core::places::Place;
 use oleander_core::places::Regions;
@@ -28,6 +29,8 @@
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
 use oleander_limits::rates::limiter::RateLimiter;
+use oleander_limits::rates::tokens::Limit;
+use oleander_node::charges::Charges;
 use oleander_node::fleet::Fleet;
 use oleander_node::fleet::Instance;
 use oleander_node::fleet::View;
@@ -56,6 +59,7 @@
 use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
+use oleander_session::work::RateCharge;
 use oleander_session::work::Scope;
 use oleander_session::work::Work;
 use record::set_primary;
@@ -148,12 +152,27 @@
     Rates::new(fleet.vm, limiter, fleet.timers.clone(), PeerClient::default(), address_of)
 }
 
+/// Returns a limiter that has no tokens for the workspace of `write`.
+fn empty_rates(fleet: &Arc<Fleet>) -> Rates {
+    let rates = rates(fleet);
+    rates.set_limits([(WorkspaceId::from_name("rye"), Limit { rate: 1, burst: 1 })]);
+    rates
+}
+
 fn home(fake: &Arc<FakeInstance>) -> (Arc<InstanceHome>, TimerService) {
     let (home, timers, _) = home_with_fleet(fake);
     (home, timers)
 }
 
 fn home_with_fleet(fake: &Arc<FakeInstance>) -> (Arc<InstanceHome>, TimerService, Arc<Fleet>) {
+    home_with_rates(fake, rates)
+}
+
+/// Returns a home that charges operations to the limiter that `rates` returns.
+fn home_with_rates(
+    fake: &Arc<FakeInstance>,
+    rates: impl Fn(&Arc<Fleet>) -> Rates,
+) -> (Arc<InstanceHome>, TimerService, Arc<Fleet>) {
     let timers = TimerService::start(Clock::new());
     let fleet = Arc::new(Fleet::new(Arc::new(support::settings()), timers.clone()));
     set_primary(&fleet, Some(InstanceKey(1)));
@@ -169,6 +188,7 @@
         links,
         primaries: Arc::new(Primaries::new(fleet.clone())),
         warmup: WarmupBudget { fleet: fleet.clone(), rates: rates(&fleet) },
+        charges: Charges { fleet: fleet.clone(), rates: rates(&fleet) },
     };
     let instance = Instance {
         key: InstanceKey(1),
@@ -205,6 +225,7 @@
         rest: Span::from_secs(1),
         level: Level::default(),
         regions: Regions::All,
+        charge: None,
     }
 }
 
@@ -356,6 +377,63 @@
     assert_eq!(refused.map(|refusal| refusal.verdict), expected);
 }
 
+/// `ChargeCase` is a statement that fails at the home, and whether its tokens were taken.
+struct ChargeCase {
+    charge: Option<RateCharge>,
+    /// `true` if the workspace has no tokens.
+    is_over_rate: bool,
+    code: RefusalCode,
+    charged: bool,
+    /// The number of attempts to open a connection.
+    connect_attempts: usize,
+}
+
+const CHARGE: Option<RateCharge> = Some(RateCharge { cost: 1, level: Level::FIRST });
+
+/// Guards against tokens that are taken again when another home runs the statement, and against
+/// statements beyond the rate that reach an instance.
+#[rstest]
+#[case::charged(ChargeCase {
+    charge: CHARGE,
+    is_over_rate: false,
+    code: RefusalCode::QueueFull,
+    charged: true,
+    connect_attempts: 1,
+})]
+#[case::charged_before(ChargeCase {
+    charge: None,
+    is_over_rate: true,
+    code: RefusalCode::QueueFull,
+    charged: false,
+    connect_attempts: 1,
+})]
+#[case::over_its_rate(ChargeCase {
+    charge: CHARGE,
+    is_over_rate: true,
+    code: RefusalCode::RateLimited,
+    charged: false,
+    connect_attempts: 0,
+})]
+#[tokio::test]
+async fn a_refusal_tells_whether_the_operation_was_charged(
+    #[case] case: ChargeCase,
+    #[values(Scope::Single, Scope::First { read_only: false })] scope: Scope,
+) {
+    let fake = Arc::new(FakeInstance::default());
+    fake.refuses_connections.store(true, Ordering::Release);
+    let rates = if case.is_over_rate { empty_rates } else { rates };
+    let (home, timers, _) = home_with_rates(&fake, rates);
+    let request = HomeRequest { scope, charge: case.charge, ..write() };
+    let deadline = timers.now() + request.patience;
+    let refusal = match scope {
+        Scope::Single => home.run_single(&request, deadline).await.err(),
+        _ => home.run_first(&request, false, deadline).await.map(drop).err(),
+    };
+    let refused = refusal.map(|refusal| (refusal.code, refusal.verdict, refusal.charged));
+    assert_eq!(refused, Some((case.code, Verdict::NotRun, case.charged)));
+    assert_eq!(fake.connect_attempts.load(Ordering::Acquire), case.connect_attempts);
+}
+
 /// `StoreFault` is a reason why a VM may not confirm writes.
 enum StoreFault {
     PrimaryWithdrawn,
--- a/oleander-node/tests/regions.rs
+++ b/oleander-node/tests/regions.rs
@@ -27,6 +27,7 @@
 use oleander_limits::rates::limiter::RateLimiter;
 use oleander_membership::leased::LeasedMember;
 use oleander_membership::leased::LeasedRoster;
+use oleander_node::charges::Charges;
 use oleander_node::entry::forward::Forwarder;
 use oleander_node::entry::forward::RequiredRole;
 use oleander_node::fleet::Fleet;
@@ -94,6 +95,7 @@
         place: place(region),
         peers,
         life: 1,
+        cpu: 0,
         leaving: false,
         lent: None,
     }
@@ -141,8 +143,9 @@
         let peers = PeerClient::default();
         let limiter = RateLimiter::new(fleet.vm, 1);
         let rates = Rates::new(fleet.vm, limiter, timers, peers.clone(), Box::new(|_| None));
-        let warmup = WarmupBudget { fleet: fleet.clone(), rates };
-        let home_context = HomeContext { links, primaries: primaries.clone(), warmup };
+        let warmup = WarmupBudget { fleet: fleet.clone(), rates: rates.clone() };
+        let charges = Charges { fleet: fleet.clone(), rates };
+        let home_context = HomeContext { links, primaries: primaries.clone(), warmup, charges };
         let transactions = Transactions::new(fleet.vm, Incarnation(1));
         let homes = Arc::new(Homes::new(fleet.clone(), home_context, transactions));
         let forwarder = Forwarder {
@@ -182,6 +185,7 @@
         rest: Span::from_secs(1),
         level: Level::default(),
         regions: regions.clone(),
+        charge: None,
     }
 }
 
--- a/oleander-node/tests/restored.rs
+++ b/oleander-node/tests/restored.rs
@@ -158,6 +158,7 @@
         place: Place::default(),
         peers: "127.0.0.1:1".parse().unwrap(),
         life: 1,
+        cpu: 0,
         leaving: false,
         lent: None,
     };
--- a/oleander-node/tests/shares.rs
+++ b/oleander-node/tests/shares.rs
@@ -35,6 +35,7 @@
         place: Place::default(),
         peers: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         life: 1,
+        cpu: 0,
         leaving: lent.is_some(),
         lent,
     });
--- a/oleander-node/tests/support/mod.rs
+++ b/oleander-node/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::places::Place;
 use oleander_core::time::Span;
+use oleander_node::settings::HomePlacement;
 use oleander_node::settings::NodeSettings;
 
 /// Returns the settings of a VM without other VMs or zones.
@@ -18,6 +19,8 @@
         fenced: true,
         overload: false,
         outliers: false,
+        homes: HomePlacement::Instance,
+        cpu: 0.0,
         evacuation: Span::from_secs(5),
     }
 }
--- a/oleander-proxy/src/entry/forward.rs
+++ b/oleander-proxy/src/entry/forward.rs
@@ -217,6 +217,7 @@
             verdict: outcome.verdict,
             retry_after: retry::retry_after(outcome.code),
             detail: format!("cut at: {cut}"),
+            charged: false,
         };
         Self { cut: Some(cut), refusal }
     }
@@ -241,9 +242,8 @@
 /// its retry time if it has one. The verdict is the decided one, which covers all sends.
 fn merge_refusals(refusal: Refusal, decided: &Refusal) -> Refusal {
     Refusal {
-        code: refusal.code,
         verdict: decided.verdict,
         retry_after: refusal.retry_after.or(decided.retry_after),
-        detail: refusal.detail,
+        ..refusal
     }
 }
--- a/oleander-proxy/src/home/acks.rs
+++ b/oleander-proxy/src/home/acks.rs
@@ -196,5 +196,6 @@
         verdict: Verdict::MayHaveRun,
         retry_after: retry::retry_after(RefusalCode::NotReplicated),
         detail: detail.to_owned(),
+        charged: false,
     }
 }
--- a/oleander-proxy/src/home/single.rs
+++ b/oleander-proxy/src/home/single.rs
@@ -173,10 +173,9 @@
                 Ok(())
             }
             Next::Refuse(decided) => Err(Refusal {
-                detail: failure.refusal.detail,
-                code: failure.refusal.code,
                 verdict: decided.verdict,
                 retry_after: decided.retry_after,
+                ..failure.refusal
             }),
         }
     }
--- a/oleander-routing/src/retry.rs
+++ b/oleander-routing/src/retry.rs
@@ -184,7 +184,7 @@
     let verdict = outcome.verdict.max(attempt.prior_verdict);
     let detail = format!("cut at: {cut}; sends: {}", attempt.sends);
     let retry_after = retry_after(outcome.code);
-    Next::Refuse(Refusal { code: outcome.code, verdict, retry_after, detail })
+    Next::Refuse(Refusal { code: outcome.code, verdict, retry_after, detail, charged: false })
 }
 
 /// Returns the time after which a caller should retry; `None` if a retry would not help.
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -113,6 +113,18 @@
     /// The regions in which the statement may run. Besides the entry VM, only VMs in these regions
     /// may receive it.
     pub regions: Regions,
+    /// What the home takes from the workspace's rate before it runs the statement; `None` if
+    /// nothing is due: the operation has been admitted before.
+    pub charge: Option<RateCharge>,
+}
+
+/// `RateCharge` is what an operation takes from the rate of its workspace.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RateCharge {
+    /// The tokens.
+    pub cost: u32,
+    /// The urgency among the requests of the same workspace.
+    pub level: Level,
 }
 
 /// `HomeAnswer` is the result of a statement that succeeded.
--- a/oleander-upstream/src/errors.rs
+++ b/oleander-upstream/src/errors.rs
@@ -109,6 +109,7 @@
             verdict: self.verdict(),
             retry_after: None,
             detail: self.to_string(),
+            charged: false,
         }
     }
 }
