Watch the store from two VMs of each region instead of each zone

Cause: calls to the store are the largest price after the VMs; twelve VMs watched it with 61 in six zones, and each change of the store ended twelve watch calls. Change: the watchers of a region are the first of its ranking in different zones. Other VMs follow the one in their zone first, so that the second still takes over from a lost one. A fleet whose regions have one zone each is served as before.

--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -17,7 +17,7 @@
 /// VMs that serve one workspace.
 pub const SHARE_COUNT: usize = 64;
 
-/// The key of the rendezvous hash that ranks the VMs for the watch of the store.
+/// The key of the rendezvous hash that ranks the VMs of a region for the watch of the store.
 const WATCH_KEY: u64 = 0x0077_6174_6368;
 
 /// The number of VMs in a home ranking stored inline without heap allocation.
@@ -169,15 +169,26 @@
         candidates.into_iter().map(|(_, vm)| vm).collect()
     }
 
-    /// Ranks the VMs of an availability zone for the watch of the store: those with a valid lease
-    /// that are not leaving and for which `is_up` returns `true`, by rendezvous hashing.
-    pub fn watchers(&self, place: &Place, is_up: impl Fn(VmId) -> bool) -> Vec<VmId> {
-        let vms = self
+    /// Ranks the VMs of a region for the watch of the store: those with a valid lease that are not
+    /// leaving and for which `is_up` returns `true`. They are ranked by rendezvous hashing, the first
+    /// one of each availability zone before the second ones.
+    pub fn watchers(&self, region: &str, is_up: impl Fn(VmId) -> bool) -> Vec<VmId> {
+        let members = self
             .present()
-            .filter(|member| !member.leaving && member.place == *place)
-            .map(LeasedMember::vm)
-            .filter(|vm| is_up(*vm));
-        hash::rendezvous(hash::mix(WATCH_KEY), vms, |vm| vm.0)
+            .filter(|member| !member.leaving && member.place.region == region)
+            .filter(|member| is_up(member.vm()));
+        let ranked = hash::rendezvous(hash::mix(WATCH_KEY), members, |member| member.vm().0);
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut ranked: Vec<(usize, VmId)> = ranked
+            .into_iter()
+            .map(|member| {
+                let rank = zones.entry(member.place.zone.as_str()).or_default();
+                *rank += 1;
+                (*rank, member.vm())
+            })
+            .collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, vm)| vm).collect()
     }
 
     /// Ranks the VMs as `homes` does, with those that have a valid lease first: a VM without one
--- a/oleander-node/src/control/feed.rs
+++ b/oleander-node/src/control/feed.rs
@@ -1,7 +1,8 @@
-//! Passes the store's changes on between the VMs of an availability zone.
+//! Passes the store's changes on between the VMs of a region.
 //!
-//! In each zone a few VMs watch the store (`LeasedRoster::watchers`), and the others follow one of
-//! these. So the calls to the store grow with the number of zones and not with the number of VMs.
+//! In each region two VMs watch the store (`LeasedRoster::watchers`), in different availability zones
+//! if there are several, and the others follow one of these. So the calls to the store grow with the
+//! number of regions and not with the number of VMs.
 //! An answer says how long ago its view was known to be complete. A follower counts that from the
 //! sending of its own question, so that no delay on the way makes a view seem newer than it is.
 
@@ -29,7 +30,7 @@
 use super::store_copy::StoreCopy;
 use crate::fleet::Fleet;
 
-/// The number of VMs of a zone that watch the store: the second takes over from a first one that
+/// The number of VMs of a region that watch the store: the second takes over from a first one that
 /// is lost or has lost the store.
 pub const WATCHERS: usize = 2;
 
@@ -93,14 +94,18 @@
         {
             return SmallVec::from_slice(&[vm]);
         }
-        let watchers: SmallVec<[VmId; WATCHERS]> = fleet
-            .view()
-            .roster
-            .watchers(&fleet.settings.place, |vm| vm == fleet.vm || fleet.is_up(vm))
+        let place = &fleet.settings.place;
+        let roster = &fleet.view().roster;
+        let mut watchers: SmallVec<[VmId; WATCHERS]> = roster
+            .watchers(&place.region, |vm| vm == fleet.vm || fleet.is_up(vm))
             .into_iter()
             .take(WATCHERS)
             .collect();
-        if watchers.contains(&fleet.vm) { SmallVec::new() } else { watchers }
+        if watchers.contains(&fleet.vm) {
+            return SmallVec::new();
+        }
+        watchers.sort_by_key(|vm| roster.member(*vm).map(|member| member.place.distance(place)));
+        watchers
     }
 
     /// Asks the VMs in turn for the changes after a revision. Returns `None` if none of them has a
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -1,5 +1,5 @@
 //! Follows the store with one full read and then a chain of watch calls, or through a VM of the
-//! same availability zone that does (`feed`). Each answer shows until when the view was complete.
+//! same region that does (`feed`). Each answer shows until when the view was complete.
 
 use std::sync::Arc;
 
@@ -36,7 +36,7 @@
 /// The time for which a VM watches the store itself after no other VM could be followed.
 const DIRECT_TIME: Span = Span::from_millis(3_000);
 
-/// The time after a failed call to the store until a VM that is not one of its zone's watchers calls
+/// The time after a failed call to the store until a VM that is not one of its region's watchers calls
 /// it again. Meanwhile it asks the watchers, which call the store more often.
 const RETRY_TIME: Span = Span::from_millis(3_000);
 
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Follows the watchers of the zone. Returns `false` if the store has to be called.
+    /// Follows the watchers of the region. Returns `false` if the store has to be called.
     async fn follow_watchers(&self, progress: &mut Progress) -> bool {
         let Some(after) = progress.complete else { return false };
         if self.fleet.now() < progress.direct_until {
@@ -168,7 +168,7 @@
             self.journal.record(Event::StoreUnreachable, &fields);
         }
         progress.direct_until = Time(0);
-        // The store may turn this VM and the watchers of its zone away.
+        // The store may turn this VM and the watchers of its region away.
         if let Some(after) = progress.complete
             && let Some(followed) = self.feed.follow_any(after).await
         {
