Give large regions several homes

Cause: with homes by region one VM runs the statements of a whole region; each further VM brings callers of its own, so that one home does not suffice for a fleet of any size. Change: a region has one home for each 32 of its VMs, rounded to a power of two. The first of them owns the shares of the region as before; the others ask it for tokens. Homes need not be agreed, so that their number may follow the roster. Measured: the homes of 20, 63 and 100 VMs a region in leased.rs.

--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -20,6 +20,10 @@
 /// The key of the rendezvous hash that ranks the VMs of a region for the watch of the store.
 const WATCH_KEY: u64 = 0x0077_6174_6368;
 
+/// The number of VMs of a region up to which it has one home. A larger region has several: each VM
+/// brings callers of its own, and a home has to run the statements of all that share it.
+const VMS_PER_HOME: usize = 32;
+
 /// The number of VMs in a home ranking stored inline without heap allocation.
 const INLINE_HOMES: usize = 4;
 
@@ -150,20 +154,28 @@
         candidates.into_iter().map(|(_, _, vm)| vm).collect()
     }
 
-    /// Ranks the VMs that may be the home of all instances of a region: those of the region first,
-    /// then those with more processor time, equal ones by rendezvous hashing. VMs for which `is_up`
-    /// returns `false` are left out.
+    /// Ranks the VMs that may be the home of the instance `key` if the instances of a region share
+    /// homes: those of the region first, then those with more processor time, equal ones by
+    /// rendezvous hashing. VMs for which `is_up` returns `false` are left out.
     ///
     /// `regional_owners` ranks in the same way, so that the home of a region usually owns its shares.
+    /// In a region with several homes, this is one of them, and the others ask it for tokens.
     pub fn regional_homes(
         &self,
+        key: u64,
         region: &str,
         is_up: impl Fn(VmId) -> bool,
     ) -> SmallVec<[VmId; INLINE_HOMES]> {
-        let members = self.members.values().map(|entry| &entry.member);
-        let mut candidates: SmallVec<[_; 16]> = members
-            .filter(|member| !member.leaving && is_up(member.vm()))
-            .map(|member| (regional_rank(region, member), member.vm()))
+        let members = || {
+            let members = self.members.values().map(|entry| &entry.member);
+            members.filter(|member| !member.leaving)
+        };
+        let count = members().filter(|member| member.place.region == region).count();
+        let homes = (count / VMS_PER_HOME).max(1).next_power_of_two();
+        let home = hash::mix(key) % homes as u64;
+        let mut candidates: SmallVec<[_; 16]> = members()
+            .filter(|member| is_up(member.vm()))
+            .map(|member| (regional_rank(region, home, member), member.vm()))
             .collect();
         candidates.sort_unstable();
         candidates.into_iter().map(|(_, vm)| vm).collect()
@@ -249,7 +261,7 @@
     pub fn regional_owners(&self, regions: &[String]) -> Vec<Option<VmId>> {
         let owner = |region: &String| {
             let members = self.present().filter(|member| !member.leaving);
-            members.min_by_key(|member| regional_rank(region, member)).map(LeasedMember::vm)
+            members.min_by_key(|member| regional_rank(region, 0, member)).map(LeasedMember::vm)
         };
         let owners: SmallVec<[Option<VmId>; INLINE_HOMES]> = regions.iter().map(owner).collect();
         owners.into_iter().cycle().take(SHARE_COUNT).collect()
@@ -264,9 +276,14 @@
     }
 }
 
-/// Returns the rank of a VM as the home of a region's instances and the owner of its shares; the
-/// lowest one is preferred.
-fn regional_rank(region: &str, member: &LeasedMember) -> (bool, Reverse<u32>, Reverse<u64>) {
-    let score = hash::combine(hash::stable_hash(region.as_bytes()), member.vm().0);
+/// Returns the rank of a VM as home number `home` of a region; the lowest one is preferred. The first
+/// home, number 0, owns the shares of the region.
+fn regional_rank(
+    region: &str,
+    home: u64,
+    member: &LeasedMember,
+) -> (bool, Reverse<u32>, Reverse<u64>) {
+    let key = hash::stable_hash(region.as_bytes()).wrapping_add(home);
+    let score = hash::combine(key, member.vm().0);
     (member.place.region != region, Reverse(member.cpu), Reverse(score))
 }
--- a/oleander-membership/tests/leased.rs
+++ b/oleander-membership/tests/leased.rs
@@ -1,6 +1,7 @@
 //! How long new owners of shares wait for loans after a roster change, and which VM is the first
 //! home when leases end.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
@@ -145,11 +146,29 @@
 fn the_home_of_a_region_owns_its_shares(#[case] ranked: Ranked) {
     let roster = roster_of(ranked.vms);
     let home = Some(VmId::from_name(ranked.home));
-    assert_eq!(roster.regional_homes("r", |_| true).first().copied(), home);
+    assert_eq!(roster.regional_homes(7, "r", |_| true).first().copied(), home);
     let owners = roster.regional_owners(&["r".into(), "s".into()]);
     assert_eq!((owners.len(), owners[0], owners[2]), (SHARE_COUNT, home, home));
 }
 
+/// Load: each VM of a region brings callers of its own. Guards against a home that has to run the
+/// statements of a fleet of any size, and against homes that are spread where one suffices.
+#[rstest]
+#[case::one_for_a_small_region(20, 1)]
+#[case::one_up_to_twice_the_size(63, 1)]
+#[case::several_for_a_large_region(100, 4)]
+fn homes_of_a_region_grow_with_its_vms(#[case] vms: usize, #[case] homes: usize) {
+    let mut roster = LeasedRoster::default();
+    for index in 0..vms {
+        roster.put(spread_member(&format!("vm-{index}"), 3 * index));
+    }
+    let home_of = |key: u64| roster.regional_homes(key, "r", |_| true)[0];
+    let found: BTreeSet<VmId> = (0..200).map(home_of).collect();
+    assert_eq!(found.len(), homes);
+    let owner = roster.regional_owners(&["r".into()])[0];
+    assert!(owner.is_some_and(|owner| found.contains(&owner)));
+}
+
 /// Guards against shares that move between two VMs that stay: the rate limiter reckons only with
 /// moves to a VM that joins and from one that leaves.
 #[test]
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -478,7 +478,9 @@
         let is_up = |vm| self.is_up(vm);
         match self.settings.homes {
             HomePlacement::Instance => roster.homes(instance.key.0, &instance.place, is_up),
-            HomePlacement::Region => roster.regional_homes(&instance.place.region, is_up),
+            HomePlacement::Region => {
+                roster.regional_homes(instance.key.0, &instance.place.region, is_up)
+            }
         }
     }
 
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -35,9 +35,10 @@
     /// Each instance has a home of its own.
     #[default]
     Instance,
-    /// All instances of a region have one home, the VM there with the most processor time. It also
-    /// owns the region's shares of the rates, and operations are charged there. This suits fleets of
-    /// many VMs that each see few requests of a workspace.
+    /// All instances of a region have one home, the VM there with the most processor time, or a few
+    /// homes if the region has many VMs. The first of them also owns the region's shares of the
+    /// rates, and operations are charged at the homes. This suits fleets of many VMs that each see
+    /// few requests of a workspace.
     Region,
 }
 
