--- a/oleander-load/src/runs/faults.rs
+++ b/oleander-load/src/runs/faults.rs
@@ -147,8 +147,8 @@
     let mut violations: Vec<String> =
         check::check(&history).iter().map(ToString::to_string).collect();
     violations.extend(run.used_after_withdrawal(&history.calls));
-    if recovery.is_none() {
-        violations.push(format!("no recovery within {} s", RECOVERY_TIMEOUT.as_secs()));
+    if let Err(reason) = &recovery {
+        violations.push(format!("no recovery within {} s: {reason}", RECOVERY_TIMEOUT.as_secs()));
     }
     let summary = Summary::new(&history.calls, &live::limits(&history));
     table.push([
@@ -157,7 +157,7 @@
         summary.total.calls.to_string(),
         format_percent(summary.total.timely_share()),
         summary.total.failed.to_string(),
-        recovery.map_or_else(|| "none".to_owned(), |time| format!("{:.2}", time.as_secs_f64())),
+        recovery.map_or_else(|_| "none".to_owned(), |time| format!("{:.2}", time.as_secs_f64())),
         violations.len().to_string(),
     ]);
     report
@@ -211,10 +211,12 @@
     }
 
     /// Waits until each VM serves a request to the primary of each database, and returns how long
-    /// that took; `None` if it takes longer than `RECOVERY_TIMEOUT`.
-    async fn wait_recovered(&self) -> Option<Duration> {
+    /// that took. If it takes longer than `RECOVERY_TIMEOUT`, the error names the request that was
+    /// not served, with the last outcome.
+    async fn wait_recovered(&self) -> Result<Duration, String> {
         let started = tokio::time::Instant::now();
-        let client = Client::new(Span::from_secs(2)).ok()?;
+        let client = Client::new(Span::from_secs(2)).map_err(|error| error.to_string())?;
+        let mut unserved = String::new();
         let probes = async {
             for node in self.fleet.nodes.iter().flatten() {
                 for (number, database) in self.fleet.profile.databases.iter().enumerate() {
@@ -222,13 +224,15 @@
                     let key = self.fleet.profile.api_key(workspace);
                     let class = format!("{database}.upsert");
                     let context = CallContext { proxy: node.callers, api_key: &key, session: None };
-                    while client.read(context, &class, "probe").await.is_err() {
+                    while let Err(outcome) = client.read(context, &class, "probe").await {
+                        unserved = format!("{class} at {}: {outcome:?}", node.name);
                         tokio::time::sleep(PROBE_INTERVAL).await;
                     }
                 }
             }
         };
-        tokio::time::timeout(RECOVERY_TIMEOUT, probes).await.ok().map(|()| started.elapsed())
+        let outcome = tokio::time::timeout(RECOVERY_TIMEOUT, probes).await;
+        outcome.map(|()| started.elapsed()).map_err(|_| unserved)
     }
 
     /// Crashes a VM and removes it from the VM list.
--- a/oleander-load/tests/faults.rs
+++ b/oleander-load/tests/faults.rs
@@ -13,5 +13,6 @@
 async fn guarantees_hold_during_a_pair_of_faults(#[case] first: Fault, #[case] second: Fault) {
     println!("seed {SEED}");
     let report = faults::run(Some((first, second)), SEED).await.expect("the fleet comes up");
+    println!("{:?}", report.tables);
     assert_eq!(report.missed, Vec::<String>::new());
 }
