Start a request that an empty home tries before it expires

Cause: Admission::acquire pushed a request at one time and dispatched at a later one. A request that is accepted only because nothing else waits has no time to spare by the estimate, so it expired in between, was refused as 'no slot came free in time' with a free slot, and the estimate stayed as long as it was. Field report: after connections went silent, a VM gave up work that it could have run. Ruled out: a slot or connection that is not released (the guards are attached to the connection, which ends 2 s after its drop). Change: the request is pushed and dispatched at one time under one lock, as oleander-node does.

--- a/oleander-proxy/src/home/admission.rs
+++ b/oleander-proxy/src/home/admission.rs
@@ -139,7 +139,6 @@
         let (sender, slot) = oneshot::channel();
         let ticket = self.push(request, sender)?;
         let _guard = QueueEntryGuard { admission: self, ticket };
-        self.dispatch();
         self.request_added.notify_waiters();
         slot.await.unwrap_or_else(|_| Err(not_a_home())).map(Arc::new)
     }
@@ -224,39 +223,28 @@
         }
     }
 
+    /// Adds a request to the queue and starts it if it can run. `sender` receives its slot or its
+    /// refusal.
     fn push(
-        &self,
+        self: &Arc<Self>,
         request: AdmissionRequest,
         sender: oneshot::Sender<Result<SlotGuard, Refusal>>,
     ) -> Result<Ticket, Refusal> {
+        let now = self.timers.now();
         let mut state = self.lock();
-        if state.closed {
-            return Err(not_a_home());
-        }
-        state.serial += 1;
-        let ticket = Ticket(state.serial);
-        let class = match &request.target {
-            Target::Primary => Class::Write,
-            Target::Instance(_) => Class::Transaction,
-            Target::Read(_) => Class::Read,
-        };
-        let AdmissionRequest { workspace, weight, cost, level, deadline, target } = request;
-        let queued = state.queue.push_urgent(
-            self.timers.now(),
-            QueuedRequest { ticket, workspace, weight, cost, deadline, class },
-            Urgency { level, target: None },
-        )?;
-        if let Some(dropped) = queued.dropped {
-            state.refuse(dropped.request.ticket, dropped.refusal);
-        }
-        state.pending.insert(ticket, PendingRequest { target, sender });
+        let ticket = state.push(now, request, sender)?;
+        // At the time of the push: a request that only an empty queue tries, because it has no time
+        // to spare, would otherwise expire before it starts.
+        self.dispatch_at(now, state);
         Ok(ticket)
     }
 
     /// Starts requests that can run, refuses expired ones and returns the time of the next pass.
     fn dispatch(self: &Arc<Self>) -> Time {
-        let now = self.timers.now();
-        let mut state = self.lock();
+        self.dispatch_at(self.timers.now(), self.lock())
+    }
+
+    fn dispatch_at(self: &Arc<Self>, now: Time, mut state: MutexGuard<'_, State>) -> Time {
         for ticket in state.queue.expire(now) {
             state.refuse(
                 ticket,
@@ -293,6 +281,35 @@
 }
 
 impl State {
+    fn push(
+        &mut self,
+        now: Time,
+        request: AdmissionRequest,
+        sender: oneshot::Sender<Result<SlotGuard, Refusal>>,
+    ) -> Result<Ticket, Refusal> {
+        if self.closed {
+            return Err(not_a_home());
+        }
+        self.serial += 1;
+        let ticket = Ticket(self.serial);
+        let class = match &request.target {
+            Target::Primary => Class::Write,
+            Target::Instance(_) => Class::Transaction,
+            Target::Read(_) => Class::Read,
+        };
+        let AdmissionRequest { workspace, weight, cost, level, deadline, target } = request;
+        let queued = self.queue.push_urgent(
+            now,
+            QueuedRequest { ticket, workspace, weight, cost, deadline, class },
+            Urgency { level, target: None },
+        )?;
+        if let Some(dropped) = queued.dropped {
+            self.refuse(dropped.request.ticket, dropped.refusal);
+        }
+        self.pending.insert(ticket, PendingRequest { target, sender });
+        Ok(ticket)
+    }
+
     fn start_next(
         &mut self,
         now: Time,
