Count messages between VMs and calls to the store by kind

Cause: bytes of a VM grow with the square of the fleet, and nothing tells which messages carry them. Change: calls, request bytes and reply bytes by kind of request and side, and calls to the store by kind, on the metrics address of oleander-node.

--- a/oleander-agent/src/agent.rs
+++ b/oleander-agent/src/agent.rs
@@ -5,6 +5,7 @@
 use oleander_core::events::Event;
 use oleander_core::time::Span;
 use oleander_membership::node::Action;
+use oleander_peer::traffic::Traffic;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -138,7 +139,8 @@
         let shared = Arc::clone(&shared);
         move |incoming| server::handle(Arc::clone(&shared), incoming)
     };
-    tasks.spawn(oleander_peer::server::serve(listener, stopped, handler));
+    let traffic = Traffic::default();
+    tasks.spawn(oleander_peer::server::serve(listener, stopped, traffic, handler));
     let joined = tokio::select! {
         joined = platform::join(&shared) => joined,
         // The VM owns no shares yet, so there is nothing to hand over.
--- a/oleander-ctl/tests/tool/vms.rs
+++ b/oleander-ctl/tests/tool/vms.rs
@@ -10,6 +10,7 @@
 use oleander_peer::messages::Request;
 use oleander_peer::server;
 use oleander_peer::server::Incoming;
+use oleander_peer::traffic::Traffic;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -47,7 +48,7 @@
             let _ = incoming.responder.send(reply).await;
         }
     };
-    tokio::spawn(server::serve(listener, stopped, answer));
+    tokio::spawn(server::serve(listener, stopped, Traffic::default(), answer));
     Process { address, _stop: stop }
 }
 
--- a/oleander-load/src/capacity/wire.rs
+++ b/oleander-load/src/capacity/wire.rs
@@ -14,6 +14,7 @@
 use oleander_peer::messages::Request;
 use oleander_peer::server;
 use oleander_peer::server::Incoming;
+use oleander_peer::traffic::Traffic;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
@@ -93,7 +94,7 @@
         let reply = Reply::Status("x".repeat(usize::from(size)));
         let _ = incoming.responder.send(reply).await;
     };
-    tokio::spawn(server::serve(listener, stopped, answer));
+    tokio::spawn(server::serve(listener, stopped, Traffic::default(), answer));
     Ok(Peer { address, _stop: stop })
 }
 
--- a/oleander-node/src/control/relay.rs
+++ b/oleander-node/src/control/relay.rs
@@ -5,6 +5,7 @@
 //! a VM whose own calls succeed passes calls on, so that a store that is down for all is not called
 //! more often for it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -57,6 +58,8 @@
     fleet: Arc<Fleet>,
     peers: PeerClient,
     path: Mutex<Path>,
+    /// The number of calls of this VM to the store itself, by kind.
+    counts: Mutex<BTreeMap<&'static str, u64>>,
 }
 
 /// `Path` is what is known of this VM's own way to the store.
@@ -92,7 +95,21 @@
 impl RelayedStore {
     /// Creates a client that calls `own`, or other VMs of the fleet.
     pub fn new(own: Arc<dyn KeyValueStore>, fleet: Arc<Fleet>, peers: PeerClient) -> Self {
-        Self { own, fleet, peers, path: Mutex::default() }
+        Self { own, fleet, peers, path: Mutex::default(), counts: Mutex::default() }
+    }
+
+    /// Returns the number of calls of this VM to the store, by kind. Calls that it has passed on for
+    /// others are included, its own calls through others are not.
+    pub fn counts(&self) -> BTreeMap<&'static str, u64> {
+        self.lock_counts().clone()
+    }
+
+    fn count(&self, kind: &'static str) {
+        *self.lock_counts().entry(kind).or_default() += 1;
+    }
+
+    fn lock_counts(&self) -> MutexGuard<'_, BTreeMap<&'static str, u64>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Passes on a call of another VM.
@@ -123,6 +140,7 @@
     }
 
     async fn run_noted(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        self.count(call.into());
         let outcome = self.run(call).await;
         self.note(outcome.as_ref().err());
         outcome
@@ -219,6 +237,7 @@
 impl KeyValueStore for RelayedStore {
     /// Calls the store itself: other VMs tell its changes by `Request::Follow`.
     async fn read_all(&self) -> Result<ReadResponse, StoreError> {
+        self.count("read_all");
         let outcome = self.own.read_all().await;
         self.note(outcome.as_ref().err());
         outcome
@@ -241,6 +260,7 @@
 
     /// Calls the store itself, as `read_all` does.
     async fn watch(&self, after: StoreRevision, wait: Span) -> Result<Changes, StoreError> {
+        self.count("watch");
         let outcome = self.own.watch(after, wait).await;
         self.note(outcome.as_ref().err());
         outcome
@@ -252,6 +272,7 @@
         lease: Option<LeaseId>,
     ) -> Result<CommitOutcome, StoreError> {
         let Some(call) = commit_call(commit, lease) else {
+            self.count("commit");
             return self.own.commit(commit, lease).await;
         };
         match self.call(call).await? {
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -11,6 +11,7 @@
 use oleander_peer::client::PeerClient;
 use oleander_peer::connection::ConnectionOptions;
 use oleander_peer::server;
+use oleander_peer::traffic::Traffic;
 use oleander_ports::promotion::Promotions;
 use oleander_ports::sources::Sources;
 use oleander_ports::store::KeyValueStore;
@@ -88,7 +89,8 @@
     duties: Arc<Duties>,
     rates: Rates,
     journal: Journal,
-    store: Arc<dyn KeyValueStore>,
+    store: Arc<RelayedStore>,
+    traffic: Traffic,
     held_lease: watch::Receiver<Option<HeldLease>>,
     shedding: watch::Receiver<bool>,
     lease_task: JoinHandle<()>,
@@ -200,13 +202,15 @@
             journal: journal.clone(),
             status: Box::new(status::json(fleet.clone(), homes.clone())),
         });
+        let peer_traffic = peer_client.traffic().clone();
+        let traffic = peer_traffic.clone();
         let answer = move |incoming| peers::answer(server.clone(), incoming);
         let (stop, stopped) = watch::channel(false);
         let (shed, shedding) = watch::channel(false);
         let tasks = vec![
             tokio::spawn(shed::run(fleet.clone(), peer_client.clone(), shed)),
             tokio::spawn(async move {
-                server::serve(listener, stopped, answer).await;
+                server::serve(listener, stopped, traffic, answer).await;
                 drop(stop);
             }),
             tokio::spawn(follower.run()),
@@ -238,6 +242,7 @@
             rates,
             journal,
             store,
+            traffic: peer_traffic,
             held_lease,
             shedding,
             lease_task,
@@ -265,7 +270,10 @@
     pub fn metrics_text(&self) -> String {
         let outliers = &self.entry.forwarder.outliers;
         let ejected = outliers.as_ref().map(|outliers| outliers.text(&self.fleet.view()));
-        status::text(&self.fleet, &self.homes) + &ejected.unwrap_or_default() + &self.metrics.text()
+        status::text(&self.fleet, &self.homes)
+            + &status::traffic_text(&self.traffic, &self.store.counts())
+            + &ejected.unwrap_or_default()
+            + &self.metrics.text()
     }
 
     /// Returns the current state for operators.
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 
 use oleander_core::time::Span;
+use oleander_peer::traffic::Count;
+use oleander_peer::traffic::Traffic;
 use serde::Serialize;
 
 use crate::fleet::Fleet;
@@ -104,3 +106,17 @@
     let age = age_ms.map(|age| format!("store_age_ms {age}\n"));
     lines.into_iter().chain(age).chain(primaries).chain(zones).collect()
 }
+
+/// Returns the counts of messages between VMs and of calls to the store as metrics text.
+pub fn traffic_text(traffic: &Traffic, store_calls: &BTreeMap<&str, u64>) -> String {
+    let messages = traffic.counts().into_iter().map(|(kind, side, count)| {
+        let labels = format!("{{kind=\"{kind}\",side=\"{side}\"}}");
+        let Count { calls, requested, replied } = count;
+        format!(
+            "peer_calls{labels} {calls}\npeer_request_bytes{labels} {requested}\n\
+             peer_reply_bytes{labels} {replied}\n"
+        )
+    });
+    let calls = store_calls.iter().map(|(kind, n)| format!("store_calls{{kind=\"{kind}\"}} {n}\n"));
+    messages.chain(calls).collect()
+}
--- a/oleander-peer/src/client.rs
+++ b/oleander-peer/src/client.rs
@@ -18,12 +18,14 @@
 use crate::errors::timeout_error;
 use crate::messages::Reply;
 use crate::messages::Request;
+use crate::traffic::Traffic;
 
 /// `PeerClient` sends requests to peers; its clones share their connections.
 #[derive(Clone, Debug, Default)]
 pub struct PeerClient {
     connections: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
     options: ConnectionOptions,
+    traffic: Traffic,
 }
 
 /// `Slot` holds the connection to one address. It is locked while the connection is being opened,
@@ -33,7 +35,12 @@
 impl PeerClient {
     /// Creates a client without connections; they are opened on demand.
     pub fn new(options: ConnectionOptions) -> Self {
-        Self { connections: Arc::default(), options }
+        Self { connections: Arc::default(), options, traffic: Traffic::default() }
+    }
+
+    /// Returns the counters of the messages that are sent by this client and its clones.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
     /// Sends `request` to the peer at `address` and waits up to `limit` for its single reply.
@@ -52,7 +59,7 @@
     /// Sends `request` to the peer at `address` and returns the stream of its replies, which has no
     /// time limit.
     pub async fn subscribe(&self, address: SocketAddr, request: &Request) -> Result<ReplyStream> {
-        self.connection(address).await?.open_stream(request, None).await
+        self.connection(address).await?.open_stream(request, None, &self.traffic).await
     }
 
     async fn call_once(
@@ -66,7 +73,7 @@
         // A timeout here means that nothing was sent.
         let connection = connected.unwrap_or(Err(connect_error("no connection in time")))?;
         let exchange = async {
-            let mut replies = connection.open_stream(request, Some(limit)).await?;
+            let mut replies = connection.open_stream(request, Some(limit), &self.traffic).await?;
             replies.next().await?.ok_or(lost_error("the stream ended without a reply"))
         };
         time::timeout_at(deadline, exchange).await.unwrap_or(Err(timeout_error("no reply in time")))
--- a/oleander-peer/src/connection.rs
+++ b/oleander-peer/src/connection.rs
@@ -26,6 +26,8 @@
 use crate::errors::refused_error;
 use crate::messages::Reply;
 use crate::messages::Request;
+use crate::traffic::Side;
+use crate::traffic::Traffic;
 
 /// The request header with the time until the caller's deadline, in microseconds.
 pub const DEADLINE_HEADER: &str = "oleander-remaining-micros";
@@ -93,11 +95,13 @@
     }
 
     /// Opens a stream and sends `request`. `remaining` is the time until the caller's deadline,
-    /// which is sent to the peer; `None` for a stream without a deadline.
+    /// which is sent to the peer; `None` for a stream without a deadline. The request and its replies
+    /// are counted in `traffic`.
     pub async fn open_stream(
         &self,
         request: &Request,
         remaining: Option<Span>,
+        traffic: &Traffic,
     ) -> Result<ReplyStream> {
         let frame = codec::encode(request)?;
         let head = request_head(remaining)?;
@@ -105,11 +109,14 @@
         let (response, mut body) =
             sender.send_request(head, false).map_err(|_| self.mark_closed())?;
         let guard = StreamGuard::new(self.state.clone());
+        traffic.count_request(request, Side::Client, frame.len());
         body.send_data(frame, true).map_err(|_| lost_error("the stream broke in the request"))?;
         let response = response.await.map_err(|error| stream_error(&error))?;
         Ok(ReplyStream {
             body: response.into_body(),
             buffer: FrameBuffer::default(),
+            kind: request.into(),
+            traffic: traffic.clone(),
             _guard: guard,
         })
     }
@@ -143,6 +150,8 @@
 pub struct ReplyStream {
     body: RecvStream,
     buffer: FrameBuffer,
+    kind: &'static str,
+    traffic: Traffic,
     _guard: StreamGuard,
 }
 
@@ -161,6 +170,7 @@
                 };
             };
             let chunk = chunk.map_err(|error| stream_error(&error))?;
+            self.traffic.count_reply(self.kind, Side::Client, chunk.len());
             self.buffer.extend(&chunk)?;
             let _ = self.body.flow_control().release_capacity(chunk.len());
         }
--- a/oleander-peer/src/lib.rs
+++ b/oleander-peer/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod errors;
 pub mod messages;
 pub mod server;
+pub mod traffic;
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -29,9 +29,12 @@
 use oleander_session::work::HomeRequest;
 use serde::Deserialize;
 use serde::Serialize;
+use strum::IntoStaticStr;
 
-/// `Request` is the request of a stream, sent as its only frame.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// `Request` is the request of a stream, sent as its only frame. The names of its kinds label the
+/// counters of messages (`traffic`).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Request {
     /// The proxy that received a caller's request asks the home of the database to run it.
     Work(WorkRequest),
@@ -92,7 +95,8 @@
 }
 
 /// `StoreCall` is a call to the store that a VM passes on. Leases are given by number and era.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum StoreCall {
     /// Creates a lease.
     Grant {
--- a/oleander-peer/src/server.rs
+++ b/oleander-peer/src/server.rs
@@ -27,6 +27,8 @@
 use crate::errors::lost_error;
 use crate::messages::Reply;
 use crate::messages::Request;
+use crate::traffic::Side;
+use crate::traffic::Traffic;
 
 /// The maximum number of concurrent streams of one connection.
 const MAX_STREAMS: u32 = 4_096;
@@ -69,12 +71,14 @@
 }
 
 /// Serves peers on `listener` until `stop` becomes `true` or its sender is dropped, then stops
-/// accepting and waits for the open streams to finish.
+/// accepting and waits for the open streams to finish. Requests and replies are counted in
+/// `traffic`.
 ///
 /// The handler's future is dropped when its caller resets the stream.
 pub async fn serve<F>(
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
+    traffic: Traffic,
     handler: impl Fn(Incoming) -> F + Clone + Send + 'static,
 ) where
     F: Future<Output = ()> + Send + 'static,
@@ -84,7 +88,8 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, from)) => {
-                    connections.spawn(serve_connection(stream, from, stop.clone(), handler.clone()));
+                    let (stop, traffic) = (stop.clone(), traffic.clone());
+                    connections.spawn(serve_connection(stream, from, stop, traffic, handler.clone()));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
@@ -100,6 +105,7 @@
     stream: TcpStream,
     from: SocketAddr,
     mut stop: watch::Receiver<bool>,
+    traffic: Traffic,
     handler: impl Fn(Incoming) -> F + Clone + Send + 'static,
 ) where
     F: Future<Output = ()> + Send + 'static,
@@ -116,7 +122,7 @@
         tokio::select! {
             accepted = connection.accept() => {
                 let Some(Ok((request, respond))) = accepted else { break };
-                streams.spawn(serve_stream(request, respond, from, handler.clone()));
+                streams.spawn(serve_stream(request, respond, from, traffic.clone(), handler.clone()));
             }
             Some(_) = streams.join_next() => {}
             () = wait_for_stop(&mut stop), if !draining => {
@@ -133,20 +139,22 @@
     request: http::Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     from: SocketAddr,
+    traffic: Traffic,
     handler: impl Fn(Incoming) -> F,
 ) where
     F: Future<Output = ()>,
 {
     let remaining = remaining_time(request.headers());
-    let Ok(message) = read_request(request.into_body()).await else {
+    let Ok(message) = read_request(request.into_body(), &traffic).await else {
         return respond.send_reset(h2::Reason::PROTOCOL_ERROR);
     };
+    let kind = <&'static str>::from(&message);
     let (replies, mut queue) = mpsc::channel(REPLY_QUEUE_LEN);
     let work =
         handler(Incoming { from, remaining, request: message, responder: Responder { replies } });
     let mut work = std::pin::pin!(work);
     let mut working = true;
-    let mut stream = ReplyWriter { respond, sender: None };
+    let mut stream = ReplyWriter { respond, sender: None, kind, traffic };
     loop {
         tokio::select! {
             () = &mut work, if working => working = false,
@@ -168,6 +176,8 @@
 struct ReplyWriter {
     respond: SendResponse<Bytes>,
     sender: Option<SendStream<Bytes>>,
+    kind: &'static str,
+    traffic: Traffic,
 }
 
 impl ReplyWriter {
@@ -180,6 +190,7 @@
                 return Err(error);
             }
         };
+        self.traffic.count_reply(self.kind, Side::Server, frame.len());
         let sent = self.open_body()?.send_data(frame, false);
         sent.map_err(|_| lost_error("the caller has gone"))
     }
@@ -224,13 +235,16 @@
 }
 
 /// Reads the single request of a stream.
-async fn read_request(mut body: RecvStream) -> Result<Request> {
+async fn read_request(mut body: RecvStream, traffic: &Traffic) -> Result<Request> {
     let mut buffer = FrameBuffer::default();
+    let mut size = 0;
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(|_| lost_error("the stream broke in the request"))?;
+        size += chunk.len();
         buffer.extend(&chunk)?;
         let _ = body.flow_control().release_capacity(chunk.len());
         if let Some(request) = buffer.take()? {
+            traffic.count_request(&request, Side::Server, size);
             return if buffer.is_empty() {
                 Ok(request)
             } else {
--- a/oleander-peer/tests/calls.rs
+++ b/oleander-peer/tests/calls.rs
@@ -6,6 +6,7 @@
 use oleander_core::time::Span;
 use oleander_core::verdict::Verdict;
 use oleander_peer::client::PeerClient;
+use oleander_peer::codec;
 use oleander_peer::connection::ConnectionOptions;
 use oleander_peer::errors::Error;
 use oleander_peer::messages::ProxyReport;
@@ -13,6 +14,9 @@
 use oleander_peer::messages::Request;
 use oleander_peer::server;
 use oleander_peer::server::Incoming;
+use oleander_peer::traffic::Count;
+use oleander_peer::traffic::Side;
+use oleander_peer::traffic::Traffic;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -29,6 +33,7 @@
     entered: Arc<Notify>,
     left: Arc<Notify>,
     release: Arc<Notify>,
+    traffic: Traffic,
 }
 
 /// Starts a server that answers `Report` at once, `Status` after `release` is notified, and other
@@ -40,10 +45,11 @@
     let (stop, stopped) = watch::channel(false);
     let [entered, left, release] = [(); 3].map(|()| Arc::new(Notify::new()));
     let signals = (entered.clone(), left.clone(), release.clone());
-    let task = tokio::spawn(server::serve(listener, stopped, move |incoming| {
+    let traffic = Traffic::default();
+    let task = tokio::spawn(server::serve(listener, stopped, traffic.clone(), move |incoming| {
         answer(incoming, signals.clone())
     }));
-    Server { address, stop, task, entered, left, release }
+    Server { address, stop, task, entered, left, release, traffic }
 }
 
 async fn answer(
@@ -97,6 +103,25 @@
     }
 }
 
+/// Guards against counters by which an operator would look for the cause of a fleet's traffic at the
+/// wrong VM or kind of message.
+#[tokio::test]
+async fn both_sides_count_the_same_messages_and_bytes() {
+    let server = start_server().await;
+    let client = PeerClient::default();
+    for count in 0..3 {
+        client.call(server.address, &report(count), LIMIT).await.expect("a reply");
+    }
+    let reply = number(0);
+    let count = Count {
+        calls: 3,
+        requested: 3 * codec::encode(&report(0)).expect("a short message").len() as u64,
+        replied: 3 * codec::encode(&reply).expect("a short message").len() as u64,
+    };
+    assert_eq!(client.traffic().counts(), [("report", Side::Client, count)]);
+    assert_eq!(server.traffic.counts(), [("report", Side::Server, count)]);
+}
+
 #[tokio::test]
 async fn a_subscription_yields_all_replies_and_ends() {
     let server = start_server().await;
--- a/oleander-proxy/src/running.rs
+++ b/oleander-proxy/src/running.rs
@@ -7,6 +7,7 @@
 use oleander_core::time::Span;
 use oleander_node::rates::Rates;
 use oleander_peer::server;
+use oleander_peer::traffic::Traffic;
 use oleander_runtime::logs::Field;
 use oleander_runtime::metrics::Metrics;
 use oleander_runtime::timer::TimerService;
@@ -60,7 +61,7 @@
         let (stop_peers, stopped) = watch::channel(false);
         let handler = proxy.clone();
         let answer = move |incoming| peers::answer(handler.clone(), incoming);
-        let peer_task = tokio::spawn(server::serve(listener, stopped, answer));
+        let peer_task = tokio::spawn(server::serve(listener, stopped, Traffic::default(), answer));
         let tasks = vec![
             tokio::spawn(subscription::follow_views(proxy.clone())),
             tokio::spawn(subscription::report_state(proxy.clone())),
