Tell followers of the store large values by their differences

The routes grow with the fleet, and so do the followers of a watcher. Weighed: compression, which needs no earlier value. Change: a watcher keeps the value before of each key with a large value and tells a follower that has it the differences, with the revision they are from and a hash of the value. A follower without that value asks for whole ones. The version of the peer protocol rises.

--- a/oleander-node/src/control/feed.rs
+++ b/oleander-node/src/control/feed.rs
@@ -20,6 +20,7 @@
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_peer::messages::StoreChange;
+use oleander_peer::messages::StoreContent;
 use oleander_ports::store::Change;
 use oleander_ports::store::Changes;
 use oleander_ports::store::Entry;
@@ -27,6 +28,7 @@
 use rand::seq::IteratorRandom as _;
 use smallvec::SmallVec;
 
+use super::delta::Delta;
 use super::store_copy::StoreCopy;
 use crate::fleet::Fleet;
 
@@ -63,6 +65,15 @@
     adopted: Mutex<Option<(VmId, Time)>>,
 }
 
+/// `ValueForm` is the form in which large values are told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ValueForm {
+    /// By their differences from the values before, where the other VM should have these.
+    Deltas,
+    /// All of them whole.
+    Whole,
+}
+
 /// `Followed` is what a watcher has told: the changes, and a time at which a view with them was
 /// complete.
 #[derive(Clone, Debug)]
@@ -135,23 +146,28 @@
     ) -> Option<Followed> {
         for vm in sources {
             let Some(address) = self.fleet.present_address(*vm) else { continue };
-            let request = Request::Follow { after: after.0, wait };
-            let asked = self.fleet.now();
-            let called = self.peers.call(address, &request, wait + FOLLOW_SLACK).await;
-            // After one that did not answer, the view is old already.
-            wait = Span::ZERO;
-            let reply = match called {
-                Ok(Reply::Followed(reply)) => reply,
-                Ok(_) => continue,
-                Err(_) => {
-                    self.fleet.suspect(*vm);
-                    continue;
+            // The second request is for a VM that lacks an earlier value from which another differs.
+            for whole in [false, true] {
+                let request = Request::Follow { after: after.0, wait, whole };
+                let asked = self.fleet.now();
+                let called = self.peers.call(address, &request, wait + FOLLOW_SLACK).await;
+                // After one that did not answer, the view is old already.
+                wait = Span::ZERO;
+                let reply = match called {
+                    Ok(Reply::Followed(reply)) => reply,
+                    Ok(_) => break,
+                    Err(_) => {
+                        self.fleet.suspect(*vm);
+                        break;
+                    }
+                };
+                if reply.revision < after.0 || MAX_AGE < reply.age {
+                    break;
+                }
+                let synced = synced_time(asked, reply.held, reply.age);
+                if let Some(changes) = decode_changes(&self.copy(), reply) {
+                    return Some(Followed { vm: *vm, changes, synced });
                 }
-            };
-            let changes = changes(reply.changes, reply.revision);
-            let synced = synced_time(asked, reply.held, reply.age);
-            if after <= changes.revision && reply.age <= MAX_AGE {
-                return Some(Followed { vm: *vm, changes, synced });
             }
         }
         None
@@ -162,8 +178,13 @@
     }
 
     /// Answers a follower once there is a change after `after`, or at the end of its wait. Returns
-    /// `None` if this VM cannot tell all changes.
-    pub async fn answer(&self, after: StoreRevision, wait: Span) -> Option<FollowReply> {
+    /// `None` if this VM cannot tell all changes. Large values are told as `form` says.
+    pub async fn answer(
+        &self,
+        after: StoreRevision,
+        wait: Span,
+        form: ValueForm,
+    ) -> Option<FollowReply> {
         let arrived = self.fleet.now();
         if self.fleet.view_age().is_none_or(|age| MAX_AGE < age) {
             return None;
@@ -171,18 +192,15 @@
         let mut changes = self.fleet.changes();
         let changed = changes.wait_for(|revision| after < *revision);
         let _ = self.fleet.timers.within(wait.min(FOLLOW_WAIT), changed).await;
-        let found = self.copy().changes_after(after)?;
+        let mut copy = self.copy();
+        let found = copy.changes_after(after)?;
+        let changes = encode_changes(&mut copy, found.changes, after, form);
+        drop(copy);
         let age = self.fleet.view_age()?;
-        let size: usize = found.changes.iter().map(size_of_change).sum();
+        let size: usize = changes.iter().map(size_of_change).sum();
         let held = self.fleet.now().since(arrived);
-        let is_small = size <= MAX_ANSWER_BYTES;
-        let reply = || FollowReply {
-            revision: found.revision.0,
-            age,
-            held,
-            changes: found.changes.into_iter().map(store_change).collect(),
-        };
-        is_small.then(reply)
+        let reply = FollowReply { revision: found.revision.0, age, held, changes };
+        (size <= MAX_ANSWER_BYTES).then_some(reply)
     }
 }
 
@@ -193,30 +211,57 @@
     Time((asked + held).0.saturating_sub(age.0))
 }
 
-fn size_of_change(change: &Change) -> usize {
-    match change {
-        Change::Put(entry) => entry.value.len(),
-        Change::Deleted { .. } => 0,
-    }
-}
-
-fn store_change(change: Change) -> StoreChange {
-    match change {
+/// Returns changes after `after` in the form in which other VMs are told of them. `copy` has them.
+pub fn encode_changes(
+    copy: &mut StoreCopy,
+    changes: Vec<Change>,
+    after: StoreRevision,
+    form: ValueForm,
+) -> Vec<StoreChange> {
+    let mut encode = |change| match change {
         Change::Put(Entry { key, value, revision }) => {
-            StoreChange { key, value: Some(value), revision: revision.0 }
+            let delta = match form {
+                ValueForm::Deltas => copy.delta(&key, after),
+                ValueForm::Whole => None,
+            };
+            let content = match delta {
+                Some((base, Delta { bytes, hash })) => {
+                    StoreContent::Delta { base: base.0, delta: bytes.to_vec(), hash }
+                }
+                None => StoreContent::Value(value),
+            };
+            StoreChange { key, content, revision: revision.0 }
         }
-        Change::Deleted { key, revision } => StoreChange { key, value: None, revision: revision.0 },
-    }
+        Change::Deleted { key, revision } => {
+            StoreChange { key, content: StoreContent::Deleted, revision: revision.0 }
+        }
+    };
+    changes.into_iter().map(&mut encode).collect()
 }
 
-fn changes(changes: Vec<StoreChange>, revision: u64) -> Changes {
-    let change = |StoreChange { key, value, revision }| {
+/// Returns the changes in an answer. Returns `None` if a value differs from one that `copy`, the
+/// content before these changes, lacks.
+pub fn decode_changes(copy: &StoreCopy, reply: FollowReply) -> Option<Changes> {
+    let change = |StoreChange { key, content, revision }| {
         let revision = StoreRevision(revision);
-        match value {
-            Some(value) => Change::Put(Entry { key, value, revision }),
-            None => Change::Deleted { key, revision },
-        }
+        let value = match content {
+            StoreContent::Deleted => return Some(Change::Deleted { key, revision }),
+            StoreContent::Value(value) => value,
+            StoreContent::Delta { base, delta, hash } => {
+                let delta = Delta { bytes: delta.into(), hash };
+                copy.apply_delta(&key, StoreRevision(base), &delta)?
+            }
+        };
+        Some(Change::Put(Entry { key, value, revision }))
     };
-    let changes = changes.into_iter().map(change).collect();
-    Changes { revision: StoreRevision(revision), changes }
+    let changes = reply.changes.into_iter().map(change).collect::<Option<_>>()?;
+    Some(Changes { revision: StoreRevision(reply.revision), changes })
+}
+
+fn size_of_change(change: &StoreChange) -> usize {
+    match &change.content {
+        StoreContent::Deleted => 0,
+        StoreContent::Value(value) => value.len(),
+        StoreContent::Delta { delta, .. } => delta.len(),
+    }
 }
--- a/oleander-node/src/control/store_copy.rs
+++ b/oleander-node/src/control/store_copy.rs
@@ -9,6 +9,9 @@
 use oleander_ports::store::ReadResponse;
 use oleander_ports::store::StoreRevision;
 
+use super::delta;
+use super::delta::Delta;
+
 /// The number of deletions that are kept for followers; one that lacks older ones reads the store.
 const MAX_DELETED: usize = 2_048;
 
@@ -19,12 +22,24 @@
     entries: BTreeMap<String, Entry>,
     /// The deleted keys, oldest first; a key may be in `entries` again.
     deleted: VecDeque<(String, StoreRevision)>,
+    /// The value before the present one of each key with a large value.
+    former: BTreeMap<String, Former>,
     /// The revision from which on changes are known; 0 before a full read.
     base: StoreRevision,
     /// The revision up to which the copy is complete.
     revision: StoreRevision,
 }
 
+/// `Former` is an earlier value of a key.
+#[derive(Clone, Debug)]
+struct Former {
+    value: Vec<u8>,
+    revision: StoreRevision,
+    /// The differences of the present value from this one, once they were needed. The inner `None`
+    /// means that the value is told whole.
+    delta: Option<Option<Delta>>,
+}
+
 impl StoreCopy {
     /// Returns the revision up to which the copy is complete; 0 before a full read.
     pub fn revision(&self) -> StoreRevision {
@@ -37,17 +52,18 @@
         if self.revision.era() < reading.revision.era() {
             *self = Self::default();
         }
-        let former = std::mem::take(&mut self.entries);
+        let mut former = std::mem::take(&mut self.entries);
         for entry in &reading.entries {
+            if let Some(earlier) = former.remove(&entry.key) {
+                self.keep_former(earlier, entry);
+            }
             self.entries.insert(entry.key.clone(), entry.clone());
         }
         if self.base == StoreRevision(0) {
             self.base = reading.revision;
         } else {
             for key in former.into_keys() {
-                if !self.entries.contains_key(&key) {
-                    self.note_deleted(key, reading.revision);
-                }
+                self.note_deleted(key, reading.revision);
             }
         }
         self.revision = reading.revision;
@@ -58,7 +74,9 @@
         for change in &changes.changes {
             match change {
                 Change::Put(entry) => {
-                    self.entries.insert(entry.key.clone(), entry.clone());
+                    if let Some(earlier) = self.entries.insert(entry.key.clone(), entry.clone()) {
+                        self.keep_former(earlier, entry);
+                    }
                 }
                 Change::Deleted { key, revision } => {
                     self.entries.remove(key);
@@ -90,7 +108,37 @@
         Some(Changes { revision: self.revision, changes })
     }
 
+    /// Returns the differences of the present value of a key from the one before, with the revision
+    /// of that, for a VM that has all changes up to `after`. Returns `None` if such a VM may have
+    /// another value, or the value is told whole.
+    pub fn delta(&mut self, key: &str, after: StoreRevision) -> Option<(StoreRevision, Delta)> {
+        let present = self.entries.get(key)?;
+        let former = self.former.get_mut(key).filter(|former| former.revision <= after)?;
+        let delta = former
+            .delta
+            .get_or_insert_with(|| Delta::new(&former.value, &present.value))
+            .clone()?;
+        Some((former.revision, delta))
+    }
+
+    /// Returns the value that differs by `delta` from the present one of the key. Returns `None`
+    /// unless that was written at `base`.
+    pub fn apply_delta(&self, key: &str, base: StoreRevision, delta: &Delta) -> Option<Vec<u8>> {
+        let present = self.entries.get(key).filter(|entry| entry.revision == base)?;
+        delta.apply(&present.value)
+    }
+
+    /// Keeps the earlier value of a key that `entry` replaces.
+    fn keep_former(&mut self, earlier: Entry, entry: &Entry) {
+        let is_new = earlier.revision < entry.revision;
+        if is_new && delta::MIN_VALUE_SIZE <= entry.value.len() {
+            let Entry { key, value, revision } = earlier;
+            self.former.insert(key, Former { value, revision, delta: None });
+        }
+    }
+
     fn note_deleted(&mut self, key: String, revision: StoreRevision) {
+        self.former.remove(&key);
         self.deleted.push_back((key, revision));
         while MAX_DELETED < self.deleted.len() {
             if let Some((_, dropped)) = self.deleted.pop_front() {
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 
 use crate::control::feed::Feed;
+use crate::control::feed::ValueForm;
 use crate::control::relay::RelayedStore;
 use crate::control::shares::AppliedView;
 use crate::fleet::Fleet;
@@ -89,8 +90,9 @@
             }
             Request::Ready => Reply::Ready(server.fleet.is_ready()),
             Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
-            Request::Follow { after, wait } => {
-                match server.feed.answer(StoreRevision(after), wait).await {
+            Request::Follow { after, wait, whole } => {
+                let form = if whole { ValueForm::Whole } else { ValueForm::Deltas };
+                match server.feed.answer(StoreRevision(after), wait, form).await {
                     Some(reply) => Reply::Followed(reply),
                     None => Reply::Unsupported,
                 }
--- a/oleander-peer/src/codec.rs
+++ b/oleander-peer/src/codec.rs
@@ -13,7 +13,7 @@
 use crate::errors::encode_error;
 
 /// The protocol version, which covers the frame format and the messages.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 
 /// The maximum size of a frame's body, in bytes.
 pub const MAX_BODY_SIZE: usize = 8 * 1024 * 1024;
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -83,12 +83,14 @@
     Events,
     /// The operator tool asks a VM to drain.
     Drain,
-    /// A VM asks another of its availability zone for the store's changes.
+    /// A VM asks another for the store's changes.
     Follow {
         /// The revision up to which the asking VM has them.
         after: u64,
         /// The longest time for which the receiver may wait for a change.
         wait: Span,
+        /// `true` for an answer without differences to earlier values.
+        whole: bool,
     },
     /// A VM that does not reach the store asks another to pass a call on.
     Store(StoreCall),
@@ -239,12 +241,30 @@
 pub struct StoreChange {
     /// The key.
     pub key: String,
-    /// The value; `None` if the key was deleted.
-    pub value: Option<Vec<u8>>,
+    /// What the key holds since the change.
+    pub content: StoreContent,
     /// The revision of the change.
     pub revision: u64,
 }
 
+/// `StoreContent` is what a changed key of the store holds.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum StoreContent {
+    /// Nothing: the key was deleted.
+    Deleted,
+    /// This value.
+    Value(Vec<u8>),
+    /// A value that differs from an earlier one of the key.
+    Delta {
+        /// The revision of the earlier value.
+        base: u64,
+        /// The differences.
+        delta: Vec<u8>,
+        /// The hash of the whole value (`oleander_core::hash::stable_hash`).
+        hash: u64,
+    },
+}
+
 /// `EarlierUse` tells when shares of a VM that has joined were in use before, by earlier owners or
 /// as loans and grants of these, as far as one VM knows.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
