Let one VM of a region watch the store, with a standby

With standby the VMs with the most processor time, which have the fastest links, are the watchers, and the second one follows the first. A VM that cannot follow waits 200 ms for the second one, which proves its view within 100 ms. A watcher whose view becomes too old tells its followers at once.

--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -182,14 +182,21 @@
     }
 
     /// Ranks the VMs of a region for the watch of the store: those with a valid lease that are not
-    /// leaving and for which `is_up` returns `true`. They are ranked by rendezvous hashing, the first
-    /// one of each availability zone before the second ones.
-    pub fn watchers(&self, region: &str, is_up: impl Fn(VmId) -> bool) -> Vec<VmId> {
+    /// leaving and for which `is_up` returns `true`. The first one of each availability zone comes
+    /// before the second ones, then those with a greater `weight`, then the order is that of
+    /// rendezvous hashing.
+    pub fn watchers(
+        &self,
+        region: &str,
+        weight: impl Fn(&LeasedMember) -> u32,
+        is_up: impl Fn(VmId) -> bool,
+    ) -> Vec<VmId> {
         let members = self
             .present()
             .filter(|member| !member.leaving && member.place.region == region)
             .filter(|member| is_up(member.vm()));
-        let ranked = hash::rendezvous(hash::mix(WATCH_KEY), members, |member| member.vm().0);
+        let mut ranked = hash::rendezvous(hash::mix(WATCH_KEY), members, |member| member.vm().0);
+        ranked.sort_by_key(|member| Reverse(weight(member)));
         let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
         let mut ranked: Vec<(usize, VmId)> = ranked
             .into_iter()
--- a/oleander-node/src/control/feed.rs
+++ b/oleander-node/src/control/feed.rs
@@ -1,7 +1,8 @@
 //! Passes the store's changes on between the VMs of a region.
 //!
-//! In each region two VMs watch the store (`LeasedRoster::watchers`), in different availability zones
-//! if there are several, and the others follow one of these. So the calls to the store grow with the
+//! In each region two VMs are its watchers (`LeasedRoster::watchers`), in different availability zones
+//! if there are several, and the others follow one of these. `StoreWatch` says whether both call the
+//! store, or the second one only when the first is lost. So the calls to the store grow with the
 //! number of regions and not with the number of VMs.
 //! An answer says how long ago its view was known to be complete. A follower counts that from the
 //! sending of its own question, so that no delay on the way makes a view seem newer than it is.
@@ -31,6 +32,7 @@
 use super::delta::Delta;
 use super::store_copy::StoreCopy;
 use crate::fleet::Fleet;
+use crate::settings::StoreWatch;
 
 /// The number of VMs of a region that watch the store: the second takes over from a first one that
 /// is lost or has lost the store.
@@ -107,24 +109,42 @@
         }
         let place = &fleet.settings.place;
         let roster = &fleet.view().roster;
+        let weight = |member: &LeasedMember| match fleet.settings.watch {
+            StoreWatch::Pair => 0,
+            StoreWatch::Standby => member.cpu,
+        };
         let mut watchers: SmallVec<[VmId; WATCHERS]> = roster
-            .watchers(&place.region, |vm| vm == fleet.vm || fleet.is_up(vm))
+            .watchers(&place.region, weight, |vm| vm == fleet.vm || fleet.is_up(vm))
             .into_iter()
             .take(WATCHERS)
             .collect();
-        if watchers.contains(&fleet.vm) {
-            return SmallVec::new();
+        let rank = watchers.iter().position(|vm| *vm == fleet.vm);
+        match (fleet.settings.watch, rank) {
+            (StoreWatch::Pair, Some(_)) => watchers.clear(),
+            (StoreWatch::Pair, None) => watchers
+                .sort_by_key(|vm| roster.member(*vm).map(|member| member.place.distance(place))),
+            (StoreWatch::Standby, rank) => watchers.truncate(rank.unwrap_or(WATCHERS)),
         }
-        watchers.sort_by_key(|vm| roster.member(*vm).map(|member| member.place.distance(place)));
         watchers
     }
 
+    /// Returns `true` if the second of the VMs to follow takes over once the first is lost, and needs
+    /// a moment for that.
+    pub fn has_standby(&self, sources: &[VmId]) -> bool {
+        self.fleet.settings.watch == StoreWatch::Standby && sources.len() == WATCHERS
+    }
+
     /// Asks the VMs in turn for the changes after a revision. Returns `None` if none of them has a
     /// recent view.
     pub async fn follow(&self, sources: &[VmId], after: StoreRevision) -> Option<Followed> {
         self.ask(sources, after, FOLLOW_WAIT).await
     }
 
+    /// Asks the VMs in turn for the changes after a revision, without waiting for one.
+    pub async fn recheck(&self, sources: &[VmId], after: StoreRevision) -> Option<Followed> {
+        self.ask(sources, after, Span::ZERO).await
+    }
+
     /// Asks some VMs of the whole fleet, when neither the watchers nor the store answer. The one
     /// that answers is followed for a while.
     pub async fn follow_any(&self, after: StoreRevision) -> Option<Followed> {
@@ -186,17 +206,17 @@
         form: ValueForm,
     ) -> Option<FollowReply> {
         let arrived = self.fleet.now();
-        if self.fleet.view_age().is_none_or(|age| MAX_AGE < age) {
-            return None;
-        }
+        let valid_for = MAX_AGE.0.checked_sub(self.fleet.view_age()?.0).map(Span)?;
         let mut changes = self.fleet.changes();
         let changed = changes.wait_for(|revision| after < *revision);
-        let _ = self.fleet.timers.within(wait.min(FOLLOW_WAIT), changed).await;
+        // Followers of a VM that has lost the store learn of it as soon as its view is too old.
+        let wait = wait.min(FOLLOW_WAIT).min(valid_for);
+        let _ = self.fleet.timers.within(wait, changed).await;
         let mut copy = self.copy();
         let found = copy.changes_after(after)?;
         let changes = encode_changes(&mut copy, found.changes, after, form);
         drop(copy);
-        let age = self.fleet.view_age()?;
+        let age = self.fleet.view_age().filter(|age| *age <= MAX_AGE)?;
         let size: usize = changes.iter().map(size_of_change).sum();
         let held = self.fleet.now().since(arrived);
         let reply = FollowReply { revision: found.revision.0, age, held, changes };
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -36,6 +36,10 @@
 /// The time for which a VM watches the store itself after no other VM could be followed.
 const DIRECT_TIME: Span = Span::from_millis(3_000);
 
+/// The time for which VMs wait for the second watcher of their region when the first one is lost or
+/// has lost the store. The second one then calls the store itself (`RECOVERY_WAIT`).
+const STANDBY_TIME: Span = Span::from_millis(200);
+
 /// The time after a failed call to the store until a VM that is not one of its region's watchers calls
 /// it again. Meanwhile it asks the watchers, which call the store more often.
 const RETRY_TIME: Span = Span::from_millis(3_000);
@@ -74,6 +78,8 @@
     /// `false` after a failed call, until the store or another VM has told of changes again.
     reachable: bool,
     backoff: Backoff,
+    /// `true` if the view may be old, after VMs that were followed have not answered.
+    unproven: bool,
     pace: Pace,
     /// The time until which the store is watched though there are VMs to follow.
     direct_until: Time,
@@ -90,6 +96,7 @@
         let mut progress = Progress {
             complete: None,
             reachable: true,
+            unproven: false,
             backoff: Backoff::default(),
             pace: Pace::new(WATCH_INTERVAL, WATCH_BURST),
             direct_until: Time(0),
@@ -121,7 +128,13 @@
         if sources.is_empty() {
             return false;
         }
-        if let Some(followed) = self.feed.follow(&sources, after).await {
+        let mut followed = self.feed.follow(&sources, after).await;
+        if followed.is_none() && self.feed.has_standby(&sources) {
+            // The standby needs a moment to take over from the watcher.
+            self.fleet.timers.sleep(STANDBY_TIME).await;
+            followed = self.feed.recheck(&sources, after).await;
+        }
+        if let Some(followed) = followed {
             let revision = self.apply(&followed.changes, followed.synced);
             self.note_reached(progress, revision);
             return true;
@@ -131,12 +144,14 @@
             return true;
         }
         progress.direct_until = self.fleet.now() + DIRECT_TIME;
+        progress.unproven = true;
         false
     }
 
     async fn call_store(&self, progress: &mut Progress) -> Result<StoreRevision, StoreError> {
         if let Some(after) = progress.complete {
-            let wait = if progress.reachable { WATCH_WAIT } else { RECOVERY_WAIT };
+            let is_proven = progress.reachable && !std::mem::take(&mut progress.unproven);
+            let wait = if is_proven { WATCH_WAIT } else { RECOVERY_WAIT };
             self.fleet.timers.sleep_until(progress.pace.next(self.fleet.now())).await;
             return self.watch(after, wait).await;
         }
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -27,6 +27,18 @@
 /// lost their answer are executed up to 6 s late, and an order takes up to 1 s to have its effect.
 const ORDER_EXPIRY: Span = Span::from_millis(8_000);
 
+/// `StoreWatch` says which VMs of a region watch the store for the others.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoreWatch {
+    /// Two VMs, of which each other VM prefers the nearer one.
+    #[default]
+    Pair,
+    /// One VM, of those with the most processor time. A second one follows it like the others and
+    /// watches the store only while the first is lost or has lost the store.
+    Standby,
+}
+
 /// `HomePlacement` says which instances have the same VM as their home. It must be the same on all
 /// VMs.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
@@ -80,6 +92,9 @@
     /// Which instances have the same home.
     #[serde(default)]
     pub homes: HomePlacement,
+    /// Which VMs watch the store.
+    #[serde(default)]
+    pub watch: StoreWatch,
     /// The processor time that the VM may use, in cores; 0 if unknown.
     #[serde(default)]
     pub cpu: f64,
--- a/oleander-node/tests/follow.rs
+++ b/oleander-node/tests/follow.rs
@@ -163,7 +163,7 @@
 #[case::target(FleetSize { vms: 420, watchers: 6 })]
 fn the_calls_of_a_starting_fleet_do_not_grow_with_its_square(#[case] size: FleetSize) {
     let roster = roster(size.vms);
-    let of_region = |region| roster.watchers(region, |_| true).len().min(feed::WATCHERS);
+    let of_region = |region| roster.watchers(region, |_| 0, |_| true).len().min(feed::WATCHERS);
     let watchers: usize = ["r0", "r1", "r2"].map(of_region).iter().sum();
     assert_eq!(watchers, size.watchers);
     let joins =
@@ -184,13 +184,13 @@
 #[test]
 fn the_vms_of_a_region_agree_on_their_watchers() {
     let mut roster = roster(60);
-    let ranked = roster.watchers("r1", |_| true);
+    let ranked = roster.watchers("r1", |_| 0, |_| true);
     assert_eq!(ranked.len(), 20);
     let by_vm: BTreeMap<VmId, Place> =
         roster.present().map(|member| (member.vm(), member.place.clone())).collect();
     assert!(ranked.iter().all(|vm| by_vm[vm].region == "r1"));
     assert_ne!(by_vm[&ranked[0]].zone, by_vm[&ranked[1]].zone);
-    let others = |roster: &LeasedRoster| roster.watchers("r1", |vm| vm != ranked[0]);
+    let others = |roster: &LeasedRoster| roster.watchers("r1", |_| 0, |vm| vm != ranked[0]);
     let sorted = |vms: &[VmId]| vms.iter().copied().collect::<BTreeSet<VmId>>();
     assert_eq!(sorted(&others(&roster)), sorted(&ranked[1..]));
     assert!(others(&roster)[..feed::WATCHERS].contains(&ranked[1]));
@@ -199,6 +199,25 @@
     assert_ne!(by_vm[&others(&roster)[0]].zone, by_vm[&others(&roster)[1]].zone);
 }
 
+/// The pattern is a fleet of few large VMs and many small ones with slow links: a watcher answers all
+/// VMs of its region.
+#[test]
+fn large_vms_of_different_zones_watch_where_size_counts() {
+    let mut roster = roster(60);
+    for index in 0..12 {
+        let name = format!("vm-{index}");
+        let member = roster.member(VmId::from_name(&name)).expect("the VM is in the roster");
+        let large = LeasedMember { cpu: 500, ..member.clone() };
+        roster.put(large);
+    }
+    let ranked = roster.watchers("r1", |member| member.cpu, |_| true);
+    assert_eq!(ranked.len(), 20);
+    let members: Vec<&LeasedMember> = ranked.iter().filter_map(|vm| roster.member(*vm)).collect();
+    let sizes: Vec<u32> = members.iter().map(|member| member.cpu).collect();
+    assert_eq!(sizes[..5], [500, 500, 500, 500, 0]);
+    assert_ne!(members[0].place.zone, members[1].place.zone);
+}
+
 /// `PathCase` is the outcomes of this VM's own calls to the store, each with the milliseconds since
 /// the start, and what holds for its own calls and for those of others at `at`.
 struct PathCase {
--- a/oleander-node/tests/support/mod.rs
+++ b/oleander-node/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use oleander_core::time::Span;
 use oleander_node::settings::HomePlacement;
 use oleander_node::settings::NodeSettings;
+use oleander_node::settings::StoreWatch;
 
 /// Returns the settings of a VM without other VMs or zones.
 pub fn settings() -> NodeSettings {
@@ -20,6 +21,7 @@
         overload: false,
         outliers: false,
         homes: HomePlacement::Instance,
+        watch: StoreWatch::Pair,
         cpu: 0.0,
         evacuation: Span::from_secs(5),
     }
