Drop the delta of a value that has become small; wording

Cause: found at the reading of the diff. The previous value of a key stayed when the key got a value below the size from which deltas are sent, so that a follower was sent the delta of an earlier edit under the revision of the later one, and would have kept the earlier value. Change: the previous value is dropped. Comments and names of the delta encoding use the terms of the field.

--- a/oleander-node/src/control/delta.rs
+++ b/oleander-node/src/control/delta.rs
@@ -1,6 +1,6 @@
-//! Differences between two versions of a value of the store.
+//! Delta encoding of large store values between VMs.
 //!
-//! An edit changes a small part of a large configuration, which one VM tells to many others.
+//! An edit changes a small part of a large configuration, which one VM sends to many others.
 
 use std::sync::Arc;
 
@@ -8,30 +8,32 @@
 use fast_rsync::SignatureOptions;
 use oleander_core::hash;
 
-/// The size, in bytes, from which on a value is told by its differences.
+/// The size, in bytes, from which on a value is sent as a delta.
 pub const MIN_VALUE_SIZE: usize = 2_048;
 
-/// The size of the largest value that differences may give, in bytes.
+/// The size of the largest value that a delta may give, in bytes.
 pub const MAX_VALUE_SIZE: usize = 4 * 1024 * 1024;
 
-/// The size of the blocks that are looked for in the earlier value, in bytes.
+/// The size of the blocks that a delta copies from the earlier value, in bytes: an edit in the middle
+/// of a value then costs about one block.
 const BLOCK_SIZE: u32 = 64;
 
-/// The size of the hash of each block, in bytes; `Delta::hash` shows when two have the same one.
+/// The size of the hash of each block, in bytes. Blocks with the same hash are no danger, since
+/// `Delta::hash` covers the whole value.
 const BLOCK_HASH_SIZE: u32 = 8;
 
-/// `Delta` holds the differences of a value from an earlier one.
+/// `Delta` encodes a value relative to an earlier one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Delta {
-    /// The differences in the delta format of librsync.
+    /// The delta in the format of librsync.
     pub bytes: Arc<[u8]>,
     /// The hash of the whole value.
     pub hash: u64,
 }
 
 impl Delta {
-    /// Returns the differences of `value` from `former`; `None` if they are not smaller than half of
-    /// the value.
+    /// Encodes `value` relative to `former`. Returns `None` if that is not smaller than half of the
+    /// value.
     pub fn new(former: &[u8], value: &[u8]) -> Option<Self> {
         if value.len() < MIN_VALUE_SIZE || MAX_VALUE_SIZE < value.len() {
             return None;
@@ -45,7 +47,8 @@
         is_small.then(|| Self { bytes: bytes.into(), hash: hash::stable_hash(value) })
     }
 
-    /// Returns the value; `None` if these are not differences from `former`.
+    /// Returns the encoded value. Returns `None` if the delta is malformed or relative to another value
+    /// than `former`.
     pub fn apply(&self, former: &[u8]) -> Option<Vec<u8>> {
         let mut value = Vec::new();
         fast_rsync::apply_limited(former, &self.bytes, &mut value, MAX_VALUE_SIZE).ok()?;
--- a/oleander-node/src/control/feed.rs
+++ b/oleander-node/src/control/feed.rs
@@ -67,12 +67,12 @@
     adopted: Mutex<Option<(VmId, Time)>>,
 }
 
-/// `ValueForm` is the form in which large values are told.
+/// `ValueForm` is the form in which large values are sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ValueForm {
-    /// By their differences from the values before, where the other VM should have these.
+    /// As deltas to the previous values, if the receiver should have these.
     Deltas,
-    /// All of them whole.
+    /// Whole.
     Whole,
 }
 
@@ -128,8 +128,8 @@
         watchers
     }
 
-    /// Returns `true` if the second of the VMs to follow takes over once the first is lost, and needs
-    /// a moment for that.
+    /// Returns `true` if the second of `sources` is a standby: it starts to watch the store only once
+    /// the first is lost, and has no recent view until then.
     pub fn has_standby(&self, sources: &[VmId]) -> bool {
         self.fleet.settings.watch == StoreWatch::Standby && sources.len() == WATCHERS
     }
@@ -140,7 +140,7 @@
         self.ask(sources, after, FOLLOW_WAIT).await
     }
 
-    /// Asks the VMs in turn for the changes after a revision, without waiting for one.
+    /// Asks the VMs in turn for the changes after a revision that they have now.
     pub async fn recheck(&self, sources: &[VmId], after: StoreRevision) -> Option<Followed> {
         self.ask(sources, after, Span::ZERO).await
     }
@@ -166,7 +166,7 @@
     ) -> Option<Followed> {
         for vm in sources {
             let Some(address) = self.fleet.present_address(*vm) else { continue };
-            // The second request is for a VM that lacks an earlier value from which another differs.
+            // If this VM lacks the base of a delta, it asks again for whole values.
             for whole in [false, true] {
                 let request = Request::Follow { after: after.0, wait, whole };
                 let asked = self.fleet.now();
@@ -198,7 +198,7 @@
     }
 
     /// Answers a follower once there is a change after `after`, or at the end of its wait. Returns
-    /// `None` if this VM cannot tell all changes. Large values are told as `form` says.
+    /// `None` if this VM does not know all changes or its view is too old.
     pub async fn answer(
         &self,
         after: StoreRevision,
@@ -209,7 +209,8 @@
         let valid_for = MAX_AGE.0.checked_sub(self.fleet.view_age()?.0).map(Span)?;
         let mut changes = self.fleet.changes();
         let changed = changes.wait_for(|revision| after < *revision);
-        // Followers of a VM that has lost the store learn of it as soon as its view is too old.
+        // If this VM has lost the store, its followers are answered as soon as its view is too old, so
+        // that they turn to another one.
         let wait = wait.min(FOLLOW_WAIT).min(valid_for);
         let _ = self.fleet.timers.within(wait, changed).await;
         let mut copy = self.copy();
@@ -231,7 +232,7 @@
     Time((asked + held).0.saturating_sub(age.0))
 }
 
-/// Returns changes after `after` in the form in which other VMs are told of them. `copy` has them.
+/// Encodes the changes after `after`, which `copy` has applied, for a follower.
 pub fn encode_changes(
     copy: &mut StoreCopy,
     changes: Vec<Change>,
@@ -259,8 +260,8 @@
     changes.into_iter().map(&mut encode).collect()
 }
 
-/// Returns the changes in an answer. Returns `None` if a value differs from one that `copy`, the
-/// content before these changes, lacks.
+/// Decodes the changes in an answer. Returns `None` if `copy`, which has not applied them yet, lacks
+/// the base of a delta.
 pub fn decode_changes(copy: &StoreCopy, reply: FollowReply) -> Option<Changes> {
     let change = |StoreChange { key, content, revision }| {
         let revision = StoreRevision(revision);
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -36,8 +36,8 @@
 /// The time for which a VM watches the store itself after no other VM could be followed.
 const DIRECT_TIME: Span = Span::from_millis(3_000);
 
-/// The time for which VMs wait for the second watcher of their region when the first one is lost or
-/// has lost the store. The second one then calls the store itself (`RECOVERY_WAIT`).
+/// The time for which VMs wait for the standby of their region when its watcher is lost or has lost
+/// the store. The standby then calls the store and has a recent view after `RECOVERY_WAIT`.
 const STANDBY_TIME: Span = Span::from_millis(200);
 
 /// The time after a failed call to the store until a VM that is not one of its region's watchers calls
@@ -130,7 +130,6 @@
         }
         let mut followed = self.feed.follow(&sources, after).await;
         if followed.is_none() && self.feed.has_standby(&sources) {
-            // The standby needs a moment to take over from the watcher.
             self.fleet.timers.sleep(STANDBY_TIME).await;
             followed = self.feed.recheck(&sources, after).await;
         }
--- a/oleander-node/src/control/store_copy.rs
+++ b/oleander-node/src/control/store_copy.rs
@@ -22,7 +22,7 @@
     entries: BTreeMap<String, Entry>,
     /// The deleted keys, oldest first; a key may be in `entries` again.
     deleted: VecDeque<(String, StoreRevision)>,
-    /// The value before the present one of each key with a large value.
+    /// The previous value of each key with a large value.
     former: BTreeMap<String, Former>,
     /// The revision from which on changes are known; 0 before a full read.
     base: StoreRevision,
@@ -30,13 +30,13 @@
     revision: StoreRevision,
 }
 
-/// `Former` is an earlier value of a key.
+/// `Former` is the previous value of a key.
 #[derive(Clone, Debug)]
 struct Former {
     value: Vec<u8>,
     revision: StoreRevision,
-    /// The differences of the present value from this one, once they were needed. The inner `None`
-    /// means that the value is told whole.
+    /// The delta from this value to the present one, once it was needed. The inner `None` means that
+    /// the present value is sent whole.
     delta: Option<Option<Delta>>,
 }
 
@@ -54,8 +54,8 @@
         }
         let mut former = std::mem::take(&mut self.entries);
         for entry in &reading.entries {
-            if let Some(earlier) = former.remove(&entry.key) {
-                self.keep_former(earlier, entry);
+            if let Some(previous) = former.remove(&entry.key) {
+                self.keep_former(previous, entry);
             }
             self.entries.insert(entry.key.clone(), entry.clone());
         }
@@ -74,8 +74,8 @@
         for change in &changes.changes {
             match change {
                 Change::Put(entry) => {
-                    if let Some(earlier) = self.entries.insert(entry.key.clone(), entry.clone()) {
-                        self.keep_former(earlier, entry);
+                    if let Some(previous) = self.entries.insert(entry.key.clone(), entry.clone()) {
+                        self.keep_former(previous, entry);
                     }
                 }
                 Change::Deleted { key, revision } => {
@@ -108,9 +108,9 @@
         Some(Changes { revision: self.revision, changes })
     }
 
-    /// Returns the differences of the present value of a key from the one before, with the revision
-    /// of that, for a VM that has all changes up to `after`. Returns `None` if such a VM may have
-    /// another value, or the value is told whole.
+    /// Returns the delta from the previous value of a key to the present one, with the revision of the
+    /// previous one, for a VM that has all changes up to `after`. Returns `None` if such a VM may have
+    /// another value, or if the present value has to be sent whole.
     pub fn delta(&mut self, key: &str, after: StoreRevision) -> Option<(StoreRevision, Delta)> {
         let present = self.entries.get(key)?;
         let former = self.former.get_mut(key).filter(|former| former.revision <= after)?;
@@ -121,19 +121,22 @@
         Some((former.revision, delta))
     }
 
-    /// Returns the value that differs by `delta` from the present one of the key. Returns `None`
-    /// unless that was written at `base`.
+    /// Applies a delta to the present value of a key. Returns `None` unless that was written at `base`.
     pub fn apply_delta(&self, key: &str, base: StoreRevision, delta: &Delta) -> Option<Vec<u8>> {
         let present = self.entries.get(key).filter(|entry| entry.revision == base)?;
         delta.apply(&present.value)
     }
 
-    /// Keeps the earlier value of a key that `entry` replaces.
-    fn keep_former(&mut self, earlier: Entry, entry: &Entry) {
-        let is_new = earlier.revision < entry.revision;
-        if is_new && delta::MIN_VALUE_SIZE <= entry.value.len() {
-            let Entry { key, value, revision } = earlier;
+    /// Keeps the previous value of a key that `entry` replaces.
+    fn keep_former(&mut self, previous: Entry, entry: &Entry) {
+        let Entry { key, value, revision } = previous;
+        if revision == entry.revision {
+            return;
+        }
+        if delta::MIN_VALUE_SIZE <= entry.value.len() {
             self.former.insert(key, Former { value, revision, delta: None });
+        } else {
+            self.former.remove(&key);
         }
     }
 
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -89,7 +89,7 @@
         after: u64,
         /// The longest time for which the receiver may wait for a change.
         wait: Span,
-        /// `true` for an answer without differences to earlier values.
+        /// `true` for an answer without deltas.
         whole: bool,
     },
     /// A VM that does not reach the store asks another to pass a call on.
@@ -254,11 +254,11 @@
     Deleted,
     /// This value.
     Value(Vec<u8>),
-    /// A value that differs from an earlier one of the key.
+    /// A value, encoded relative to an earlier one of the key.
     Delta {
         /// The revision of the earlier value.
         base: u64,
-        /// The differences.
+        /// The delta, in the format of librsync.
         delta: Vec<u8>,
         /// The hash of the whole value (`oleander_core::hash::stable_hash`).
         hash: u64,
