--- a/oleander-agent/src/server.rs
+++ b/oleander-agent/src/server.rs
@@ -37,6 +37,7 @@
         | Request::Follow { .. }
         | Request::Store(_)
         | Request::Withdrawn { .. }
+        | Request::Withdraw { .. }
         | Request::Ready
         | Request::Work(_)
         | Request::Limit { .. } => Reply::Unsupported,
--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -87,6 +87,8 @@
     PrimaryWithdrawn = 411,
     /// No VM uses the former primary of a database any more.
     VmsInformed = 412,
+    /// A promotion waits, as no instance is shown to have each acknowledged commit.
+    PromotionUnproven = 413,
     /// An instance fails or is slow compared with the others of its database; reads try it last.
     InstanceEjected = 414,
     /// An ejected instance gets reads again as before.
--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -5,6 +5,9 @@
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
+use oleander_core::time::Time;
+use serde::Deserialize;
+use serde::Serialize;
 use smallvec::SmallVec;
 
 /// The number of instances of a database up to which lists of them need no allocation.
@@ -41,6 +44,10 @@
     pub confirm_time: Span,
     /// The time between an abandoned promotion and the next attempt.
     pub retry_delay: Span,
+    /// The time after which the directory lists each instance that runs and reaches the store: the
+    /// time by which entries are back after an outage of the store. A primary whose entry is missing
+    /// for longer is replaced although it answers.
+    pub listing_limit: Span,
     /// The time after which an unanswered order to resume replication can no longer take effect.
     pub resume_limit: Span,
     /// The time after which a promotion order without an answer can no longer take effect. `None`
@@ -68,6 +75,7 @@
             // Twice the longest time that the platform takes to carry out an order, about a second.
             confirm_time: Span::from_millis(2_000),
             retry_delay: Span::from_millis(500),
+            listing_limit: Span::from_millis(2_000),
             // Instances close a connection after 3 s without a sign of the peer.
             resume_limit: Span::from_millis(3_500),
             order_expiry: None,
@@ -97,6 +105,8 @@
 pub struct ListedInstance {
     /// The instance.
     pub key: InstanceKey,
+    /// Distinguishes the starts of the instance: every start has another value.
+    pub life: u64,
     /// `true` while the instance is about to shut down.
     pub leaving: bool,
     /// `true` while the availability zone of the instance is under evacuation.
@@ -115,6 +125,58 @@
     }
 }
 
+/// `MemberState` is one start of an instance that may have acknowledged commits, as the keeper record
+/// holds it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemberState {
+    /// The instance.
+    pub key: InstanceKey,
+    /// The start of the instance.
+    pub life: u64,
+    /// `true` if the instance was listed as primary last.
+    pub primary: bool,
+    /// `true` if the instance was listed as leaving last.
+    pub leaving: bool,
+    /// Whether this start of the instance runs.
+    pub liveness: Liveness,
+    /// A point of the primary's log that was read after the end: all that the member acknowledged
+    /// lies at or before it. `None` while no such point is known.
+    pub cover: Option<LogPoint>,
+}
+
+/// `Liveness` tells whether one start of an instance runs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Liveness {
+    /// It runs, or may do so.
+    #[default]
+    Running,
+    /// It did not run when it was last asked. It may run again without an entry of the directory.
+    Stopped,
+    /// It does not run again: the instance has left or started anew, or another has its address.
+    Gone,
+}
+
+impl From<&ListedInstance> for MemberState {
+    fn from(listed: &ListedInstance) -> Self {
+        let ListedInstance { key, life, primary, leaving, .. } = *listed;
+        Self { key, life, primary, leaving, liveness: Liveness::Running, cover: None }
+    }
+}
+
+/// `MemberAnswer` is the outcome of asking a member what it has received.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MemberAnswer {
+    /// The member runs and has received the log up to this point.
+    Received(LogPoint),
+    /// Nothing listens at the member's address.
+    NotRunning,
+    /// Another instance has the member's address.
+    Replaced,
+    /// The member did not answer in time, or its answer tells nothing.
+    NoAnswer,
+}
+
 /// `ProbeResult` is the outcome of asking an instance whether it is primary.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeResult {
@@ -150,8 +212,13 @@
     Tick,
     /// The directory's present list of the database's instances.
     Instances(SmallVec<[ListedInstance; INLINE_INSTANCES]>),
+    /// The last point of the log of an instance that has answered a probe as primary, and the time
+    /// before the probe was sent. Comes before the `Probed` of the same probe.
+    Reached(InstanceKey, LogPoint, Time),
     /// The answer to `Action::Probe`.
     Probed(InstanceKey, ProbeResult),
+    /// The answer to `Action::CheckMember`.
+    MemberChecked(InstanceKey, MemberAnswer),
     /// The answer to `Action::StopReplication`: the last point that the replica has received;
     /// `None` if it did not answer.
     ReplicationStopped(InstanceKey, Option<LogPoint>),
@@ -165,8 +232,14 @@
     /// The answer to `Action::AcquireToken`: the fencing token; `None` if the record could not be
     /// written.
     TokenAcquired(Option<u64>),
-    /// The answer to `Action::InformVms` for this token: no VM uses an older record any more.
-    VmsInformed(u64),
+    /// The answer to `Action::InformVms`: no VM uses an older record any more.
+    VmsInformed {
+        /// The token of the action.
+        token: u64,
+        /// A point at or after each commit that a VM has confirmed; `None` if a VM that may have
+        /// confirmed one did not tell.
+        confirmed: Option<LogPoint>,
+    },
     /// The answer to `Action::OrderPromotion`.
     PromotionOrdered(OrderOutcome),
 }
@@ -176,6 +249,8 @@
 pub enum Action {
     /// Asks an instance whether it is primary.
     Probe(InstanceKey),
+    /// Asks a member what it has received, at its last address if the directory does not list it.
+    CheckMember(InstanceKey),
     /// Checks whether all VMs answer.
     CheckVms,
     /// Writes the keeper record without a primary; the revision of the write is the fencing token.
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -6,10 +6,11 @@
 //! The platform promotes whichever instance it is ordered to, so an acknowledged commit survives
 //! only if the keeper chooses the right one. A commit is acknowledged once one replica has received
 //! it. The keeper therefore stops replication at all replicas, which also ends acknowledgements at
-//! the old primary, and promotes the replica that has received most. A replica that does not answer
-//! may hold the only copy of a commit: it is left out only once the directory no longer lists it. A
-//! replica that joins or restarts during the promotion receives and acknowledges all the same, so
-//! the keeper first waits until no VM accepts acknowledgements of the old primary any more.
+//! the old primary, and promotes a replica that is shown to have each acknowledged commit
+//! (`members`): it has what all members have received, or all that VMs have confirmed. Without such
+//! a proof it waits for the members or the primary. A replica that joins or restarts during the
+//! promotion receives and acknowledges all the same, so the keeper first waits until no VM accepts
+//! acknowledgements of the old primary any more.
 //!
 //! Each order carries a fencing token of its own, by which the platform decides between concurrent
 //! keepers. To get one, the keeper writes its record with the instance to promote and without a
@@ -26,6 +27,7 @@
 //! A replaced primary may go on as one until it is told to step down. It is told from its term,
 //! which the record holds as well: an instance that leads a lower term is never the primary.
 
+mod members;
 pub mod messages;
 mod phase;
 mod promotion;
@@ -36,14 +38,18 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 use smallvec::SmallVec;
 
+use self::members::Members;
 use self::messages::Action;
 use self::messages::INLINE_INSTANCES;
 use self::messages::Input;
 use self::messages::KeeperOptions;
 use self::messages::ListedInstance;
+use self::messages::Liveness;
+use self::messages::MemberState;
 use self::messages::ProbeResult;
 use self::messages::RecordState;
 use self::phase::Phase;
@@ -52,12 +58,19 @@
 use self::phase::UnresolvedOrder;
 use self::replaced::ReplacedPrimary;
 
+/// The version of the rules by which a keeper chooses the instance to promote. A VM with a later one
+/// takes the duty from one with an earlier one.
+pub const RULES_VERSION: u32 = 1;
+
 /// `Keeper` decides when to probe and when to replace the primary of one database.
 #[derive(Clone, Debug)]
 pub struct Keeper {
     options: KeeperOptions,
     instances: SmallVec<[ListedInstance; INLINE_INSTANCES]>,
+    members: Members,
     primary: Option<InstanceKey>,
+    /// The primary and the time since which the directory does not list it; `None` while it does.
+    unlisted: Option<(InstanceKey, Time)>,
     /// The highest term seen.
     term: Term,
     phase: Phase,
@@ -66,12 +79,16 @@
     next_probe: Time,
     /// Counts the probes without a known primary, to go through the instances in turn.
     rotation: usize,
+    /// `true` if the last probe while the primary was silent was of another instance.
+    probe_others: bool,
     /// The failed probes since the primary last answered.
     silence: Option<Silence>,
     /// The time before which no promotion starts.
     retry_at: Time,
     /// The time at which the primary was first seen to be leaving or in an evacuated zone.
     leaving_since: Option<Time>,
+    /// The start of the instance that was chosen last.
+    chosen_life: Option<u64>,
     /// The latest order that may still take effect.
     unresolved: Option<UnresolvedOrder>,
     /// The orders without an answer on a platform that does not check tokens; all of them are for
@@ -106,15 +123,19 @@
         let mut keeper = Self {
             options,
             instances: SmallVec::new(),
+            members: Members::new(now, &[], now + options.listing_limit, options.repeat_interval),
             primary: None,
+            unlisted: None,
             term: Term(0),
             phase: Phase::Watching,
             probing: None,
             next_probe: now,
             rotation: 0,
+            probe_others: false,
             silence: None,
             retry_at: now,
             leaving_since: None,
+            chosen_life: None,
             unresolved: None,
             unanswered: None,
             replaced: SmallVec::new(),
@@ -156,6 +177,27 @@
         Self { term, ..self }
     }
 
+    /// Sets the members that the keeper continues from. If the record names them, they are all that
+    /// has to be reckoned with, beside what the directory lists.
+    pub fn with_members(self, members: &[MemberState], now: Time, recorded: bool) -> Self {
+        let wait = if recorded { Span::ZERO } else { self.options.listing_limit };
+        let pause = self.options.repeat_interval;
+        Self { members: Members::new(now, members, now + wait, pause), ..self }
+    }
+
+    /// Sets the start of the instance whose promotion may have been ordered, as the record tells it;
+    /// `None` if it does not.
+    pub fn with_ordered_life(self, life: Option<u64>) -> Self {
+        let unresolved = self.unresolved.map(|order| UnresolvedOrder { life, ..order });
+        Self { unresolved, chosen_life: life, ..self }
+    }
+
+    /// Returns the start of the instance that was chosen last, which the record has to tell beside
+    /// the instance.
+    pub fn ordered_life(&self) -> Option<u64> {
+        self.chosen_life
+    }
+
     /// Returns the highest term seen.
     pub fn term(&self) -> Term {
         self.term
@@ -183,7 +225,7 @@
     /// Returns the time at which `Input::Tick` is needed next.
     pub fn next_due(&self) -> Time {
         let probe_due = if self.probing.is_some() { Time(u64::MAX) } else { self.next_probe };
-        let probe_due = probe_due.min(self.next_step_down());
+        let probe_due = probe_due.min(self.next_step_down()).min(self.next_check());
         match &self.phase {
             Phase::Watching
             | Phase::Scanning(_)
@@ -208,17 +250,23 @@
         match input {
             Input::Tick => {}
             Input::Instances(instances) => self.update_instances(now, instances),
+            Input::Reached(instance, point, asked) => self.handle_reached(instance, point, asked),
+            Input::MemberChecked(instance, answer) => self.handle_checked(now, instance, answer),
             Input::Probed(instance, result) => self.handle_probe(now, instance, result, out),
             Input::ReplicationStopped(instance, point) => self.handle_stopped(instance, point),
             Input::ReplicationResumed(instance, done) => self.handle_resumed(now, instance, done),
             Input::SteppedDown(instance, done) => self.handle_stepped_down(now, instance, done),
             Input::VmsChecked(all) => self.handle_vms_checked(now, all, out),
             Input::TokenAcquired(token) => self.handle_token(now, token, out),
-            Input::VmsInformed(token) => self.handle_vms_informed(now, token, out),
+            Input::VmsInformed { token, confirmed } => {
+                self.handle_vms_informed(now, token, confirmed, out);
+            }
             Input::PromotionOrdered(outcome) => self.handle_order_outcome(now, outcome, out),
         }
+        self.update_unlisted(now);
         self.advance(now, out);
         self.send_step_downs(now, out);
+        self.send_checks(now, out);
         self.send_probe(now, out);
     }
 
@@ -228,18 +276,21 @@
         instances: SmallVec<[ListedInstance; INLINE_INSTANCES]>,
     ) {
         self.instances = instances;
-        if self.primary.is_some_and(|primary| self.listed(primary).is_none()) {
-            // The directory no longer lists the primary, so no failed probes are needed to replace
-            // it.
-            self.primary = None;
-            self.silence.get_or_insert(Silence {
-                since: now,
-                misses: self.options.misses,
-                not_running: 0,
-            });
+        let restarted = self.members.update(now, &self.instances);
+        if let Phase::StoppingReplicas(stopping) = &mut self.phase {
+            stopping.stopped.retain(|(stopped, _)| !restarted.contains(stopped));
         }
     }
 
+    /// Records since when the directory does not list the primary. Its entry may have lapsed although
+    /// it runs, so that it is asked all the same.
+    fn update_unlisted(&mut self, now: Time) {
+        let unlisted = self.primary.filter(|primary| self.listed(*primary).is_none());
+        let known = self.unlisted;
+        let since = |key| known.filter(|(known, _)| *known == key).map_or(now, |(_, since)| since);
+        self.unlisted = unlisted.map(|key| (key, since(key)));
+    }
+
     fn handle_probe(
         &mut self,
         now: Time,
@@ -331,10 +382,11 @@
                 if is_down { self.options.not_running_limit } else { self.options.silence_limit };
             self.options.misses <= silence.misses && limit <= now.since(silence.since)
         });
-        let leaving =
-            self.primary.and_then(|primary| self.listed(primary)).is_some_and(|primary| {
-                !primary.stays() && self.instances.iter().any(ListedInstance::stays)
-            });
+        let limit = self.options.listing_limit;
+        let is_missing = self.unlisted.is_some_and(|(_, since)| limit <= now.since(since));
+        let listed = self.primary.and_then(|primary| self.listed(primary));
+        let leaving = (is_missing || listed.is_some_and(|primary| !primary.stays()))
+            && self.instances.iter().any(ListedInstance::stays);
         let since = leaving.then(|| self.leaving_since.unwrap_or(now));
         self.leaving_since = since;
         if !self.instances.iter().any(|listed| self.primary != Some(listed.key)) {
@@ -365,7 +417,7 @@
         let target = match &self.phase {
             Phase::Takeover(takeover) => Some(takeover.instance),
             Phase::Scanning(_) => self.next_candidate(),
-            _ => self.primary.or_else(|| self.next_candidate()),
+            _ => self.primary.filter(|_| !self.takes_turn()).or_else(|| self.next_candidate()),
         };
         let Some(target) = target else {
             self.next_probe = now + self.options.probe_interval;
@@ -375,11 +427,23 @@
         out.push(Action::Probe(target));
     }
 
+    /// Returns `true` for each second probe while the primary is silent and the directory lists
+    /// another instance as primary: it may be the same one that is back under another name.
+    fn takes_turn(&mut self) -> bool {
+        let is_other = |listed: &ListedInstance| listed.primary && self.primary != Some(listed.key);
+        if self.silence.is_none() || !self.instances.iter().any(is_other) {
+            return false;
+        }
+        self.probe_others = !self.probe_others;
+        self.probe_others
+    }
+
     /// Returns the next instance to probe while the primary is unknown; instances that the
-    /// directory lists as primary come first.
+    /// directory listed as primary last come first.
     fn next_candidate(&mut self) -> Option<InstanceKey> {
-        let mut candidates = self.instances.clone();
-        candidates.sort_by_key(|listed| !listed.primary);
+        let mut candidates = self.members();
+        candidates.retain(|member| member.liveness == Liveness::Running);
+        candidates.sort_by_key(|member| !member.primary);
         let candidate = candidates.get(self.rotation % candidates.len().max(1))?;
         self.rotation += 1;
         Some(candidate.key)
@@ -397,21 +461,6 @@
         }
     }
 
-    /// Returns the listed instances other than the primary.
-    fn replicas(&self) -> impl Iterator<Item = InstanceKey> {
-        let primary = self.primary.or_else(|| self.sole_listed_primary());
-        self.instances.iter().map(|listed| listed.key).filter(move |key| primary != Some(*key))
-    }
-
-    /// Returns the instance that the directory lists as primary, if there is exactly one. It
-    /// stands in for an unknown primary: a keeper that started after the primary was lost would
-    /// otherwise wait for it as for a replica.
-    fn sole_listed_primary(&self) -> Option<InstanceKey> {
-        let mut listed = self.instances.iter().filter(|listed| listed.primary);
-        let sole = listed.next()?;
-        listed.next().is_none().then_some(sole.key)
-    }
-
     fn listed(&self, key: InstanceKey) -> Option<ListedInstance> {
         self.instances.iter().copied().find(|listed| listed.key == key)
     }
--- a/oleander-failover/src/keeper/phase.rs
+++ b/oleander-failover/src/keeper/phase.rs
@@ -59,6 +59,15 @@
     pub(super) sent_at: Time,
     /// The replicas that have stopped, with the last point that each has received.
     pub(super) stopped: SmallVec<[(InstanceKey, LogPoint); INLINE_INSTANCES]>,
+    /// A point at or after each commit that a VM has confirmed; `None` while none is known.
+    pub(super) bound: Option<LogPoint>,
+}
+
+impl StoppingReplicas {
+    /// Returns the last point that a replica has received; `None` unless it has stopped.
+    pub(super) fn point_of(&self, key: InstanceKey) -> Option<LogPoint> {
+        self.stopped.iter().find(|(stopped, _)| *stopped == key).map(|(_, point)| *point)
+    }
 }
 
 /// `Takeover` is the state after the platform has accepted the promotion of an instance.
@@ -81,6 +90,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct UnresolvedOrder {
     pub(super) instance: InstanceKey,
+    /// The start of the instance that was chosen; `None` if it is not known.
+    pub(super) life: Option<u64>,
     /// `true` if orders for other instances may still take effect, too.
     pub(super) has_others: bool,
     /// `true` if a later order for the instance was refused or had no effect.
@@ -91,7 +102,7 @@
     /// Creates the state for an order that the record names. An earlier keeper may have sent it
     /// after orders for other instances.
     pub(super) fn from_record(instance: InstanceKey) -> Self {
-        Self { instance, has_others: true, retry_failed: false }
+        Self { instance, life: None, has_others: true, retry_failed: false }
     }
 
     /// Returns the instance that the order promotes.
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -12,6 +12,7 @@
 use super::log_event;
 use super::messages::Action;
 use super::messages::INLINE_INSTANCES;
+use super::messages::ListedInstance;
 use super::messages::OrderOutcome;
 use super::phase::Phase;
 use super::phase::StoppingReplicas;
@@ -28,6 +29,9 @@
         }
         let Phase::StoppingReplicas(stopping) = &mut self.phase else { return };
         let Some(point) = point else { return };
+        if !self.members.running().any(|running| running == instance) {
+            return;
+        }
         stopping.stopped.retain(|(stopped, _)| *stopped != instance);
         stopping.stopped.push((instance, point));
         self.term = self.term.max(point.term);
@@ -83,9 +87,12 @@
                 self.record_ordered = self.unresolved.is_some();
                 let reason = match self.primary {
                     _ if !planned => "the primary is silent",
-                    Some(primary) if !self.is_leaving(primary) => {
+                    Some(primary) if self.is_evacuated(primary) && !self.is_leaving(primary) => {
                         "the zone of the primary is evacuated"
                     }
+                    Some(primary) if self.listed(primary).is_none() => {
+                        "the directory does not list the primary"
+                    }
                     _ => "the primary leaves",
                 };
                 let term = self.next_term();
@@ -114,11 +121,17 @@
     }
 
     /// Tells the replicas to stop once no VM uses a record older than that of the token `informed`.
-    pub(super) fn handle_vms_informed(&mut self, now: Time, informed: u64, out: &mut Vec<Action>) {
+    pub(super) fn handle_vms_informed(
+        &mut self,
+        now: Time,
+        informed: u64,
+        confirmed: Option<LogPoint>,
+        out: &mut Vec<Action>,
+    ) {
         if let Phase::InformingVms { planned, token } = self.phase
             && token == informed
         {
-            self.stop_replicas(now, planned, out);
+            self.stop_replicas(now, planned, confirmed, out);
         }
     }
 
@@ -157,8 +170,9 @@
             }
             OrderOutcome::Unknown => {
                 self.note_unanswered(now, instance);
+                let life = self.chosen_life;
                 self.unresolved =
-                    Some(UnresolvedOrder { instance, has_others, retry_failed: false });
+                    Some(UnresolvedOrder { instance, life, has_others, retry_failed: false });
                 self.record_choice(now, instance, out);
             }
         }
@@ -171,10 +185,11 @@
             Phase::Watching => self.start_if_needed(now, out),
             Phase::Scanning(_) => self.finish_scan(now, out),
             Phase::StoppingReplicas(stopping) => {
-                if self.all_stopped(stopping) {
-                    self.choose_replica(now, out);
+                if let Some(required) = self.choice_bound(now, stopping) {
+                    self.choose_replica(now, required, out);
                 } else if stopping.since + self.options.stop_limit <= now {
-                    self.abandon(now, "a replica does not answer", out);
+                    self.log_missing_proof(now, out);
+                    self.abandon(now, "no instance is shown to have all commits", out);
                 } else if stopping.sent_at + self.options.repeat_interval <= now {
                     self.repeat_stops(now, out);
                 }
@@ -182,7 +197,10 @@
             Phase::RecordingChoice { until, .. } if *until <= now && self.unresolved.is_none() => {
                 self.abandon(now, "the store did not answer", out);
             }
-            Phase::RecordingChoice { instance, .. } if self.listed(*instance).is_none() => {
+            Phase::RecordingChoice { instance, .. }
+            | Phase::OrderingPromotion { instance, resend_at: Some(_), .. }
+                if !self.is_chosen_listed(*instance) =>
+            {
                 let (instance, reason) = (*instance, "the directory no longer names the instance");
                 match self.unresolved {
                     Some(order) => self.leave_pending(now, instance, order.has_others, reason, out),
@@ -228,23 +246,21 @@
                 if takeover.needs_confirmation && !takeover.seen_replica && !is_confirmed {
                     return;
                 }
-                // The order may be for the instance that was already primary, which leaves the
-                // replicas stopped.
-                let resumes = takeover.needs_confirmation;
                 out.push(log_event(Event::PrimaryPromoted, Some(instance), term, "leads"));
                 self.complete_promotion();
+                self.members.start_term(instance);
                 if self.is_evacuated(instance) {
                     // Before it is replaced in turn, the others have to receive what it has.
                     self.retry_at = now + self.options.retry_delay;
                 }
-                if resumes {
-                    self.resume_all(out);
-                }
+                // The order may be for the instance that was already primary, which leaves the
+                // replicas stopped.
+                self.resume_all(out);
             }
             Phase::StoppingReplicas(StoppingReplicas { planned: false, .. })
             | Phase::InformingVms { planned: false, .. } => match self.unresolved {
                 None => self.abandon(now, "the primary answers again", out),
-                Some(_) if self.may_order(now, instance) => self.record_choice(now, instance, out),
+                Some(_) if self.may_order(now, instance) => self.order(now, instance, out),
                 Some(_) => self.abandon(now, "an earlier order may still be executed", out),
             },
             Phase::Watching if self.unresolved.is_none() && self.stopped => self.resume_all(out),
@@ -278,12 +294,15 @@
         order: UnresolvedOrder,
         out: &mut Vec<Action>,
     ) -> bool {
-        let candidate = (!order.retry_failed && self.listed(order.instance).is_some())
+        // An instance that has started again may lack what it had when it was chosen.
+        let is_same = |listed: ListedInstance| order.life.is_none_or(|life| life == listed.life);
+        let is_chosen = self.listed(order.instance).is_some_and(is_same);
+        let candidate = (!order.retry_failed && is_chosen)
             .then_some(order.instance)
             .or(self.primary.filter(|_| self.silence.is_none()));
         let candidate = candidate.filter(|instance| self.may_order(now, *instance));
         let Some(instance) = candidate else { return false };
-        self.record_choice(now, instance, out);
+        self.order(now, instance, out);
         true
     }
 
@@ -305,34 +324,61 @@
         Term(self.term.0 + 1)
     }
 
-    fn stop_replicas(&mut self, now: Time, planned: bool, out: &mut Vec<Action>) {
+    fn stop_replicas(
+        &mut self,
+        now: Time,
+        planned: bool,
+        bound: Option<LogPoint>,
+        out: &mut Vec<Action>,
+    ) {
         let term = self.next_term();
         let stopped = SmallVec::new();
-        let stopping = StoppingReplicas { planned, term, since: now, sent_at: now, stopped };
+        let stopping = StoppingReplicas { planned, term, since: now, sent_at: now, stopped, bound };
         self.phase = Phase::StoppingReplicas(stopping);
         self.send_stops(out);
     }
 
-    /// Returns `true` once every replica that the directory lists has stopped receiving; `false` if
-    /// there is none.
-    fn all_stopped(&self, stopping: &StoppingReplicas) -> bool {
-        let mut has_replicas = false;
-        for replica in self.replicas() {
-            if !stopping.stopped.iter().any(|(stopped, _)| *stopped == replica) {
-                return false;
-            }
-            has_replicas = true;
+    /// Returns the point that the promoted instance must have received, once a listed replica has.
+    /// The other listed replicas have a moment to answer as well, since one may be the better choice.
+    fn choice_bound(&self, now: Time, stopping: &StoppingReplicas) -> Option<LogPoint> {
+        let required = self.required_point(now, stopping)?;
+        let is_silent = |listed: &ListedInstance| {
+            self.assumed_primary() != Some(listed.key) && stopping.point_of(listed.key).is_none()
+        };
+        let is_awaited = now < stopping.since + self.options.repeat_interval
+            && self.instances.iter().any(is_silent);
+        let has_required = |(key, point): &(InstanceKey, LogPoint)| {
+            required <= *point && self.listed(*key).is_some()
+        };
+        (!is_awaited && stopping.stopped.iter().any(has_required)).then_some(required)
+    }
+
+    /// Logs why no instance can be promoted: the members whose acknowledgements are not accounted
+    /// for, or that no listed instance has received what is required.
+    fn log_missing_proof(&self, now: Time, out: &mut Vec<Action>) {
+        let Phase::StoppingReplicas(stopping) = &self.phase else { return };
+        let event = Event::PromotionUnproven;
+        if let Some(required) = self.required_point(now, stopping) {
+            let holder = stopping.stopped.iter().find(|(_, point)| required <= *point);
+            let (holder, reason) = match holder {
+                Some((key, _)) => (Some(*key), "has what is required, but is not listed"),
+                None => (None, "no instance that answers has what is required"),
+            };
+            return out.push(log_event(event, holder, self.term, reason));
         }
-        has_replicas
+        let missing = self.missing_members(stopping).into_iter();
+        let reason = "what it has acknowledged is not accounted for";
+        out.extend(missing.map(|key| log_event(event, Some(key), self.term, reason)));
     }
 
-    /// Chooses the replica that has received most; among equals one that neither leaves nor is in an
-    /// evacuated zone.
-    fn choose_replica(&mut self, now: Time, out: &mut Vec<Action>) {
+    /// Chooses, among the listed replicas that have received `required`, the one that has received
+    /// most; among equals one that neither leaves nor is in an evacuated zone.
+    fn choose_replica(&mut self, now: Time, required: LogPoint, out: &mut Vec<Action>) {
         let Phase::StoppingReplicas(stopping) = &self.phase else { return };
         let planned = stopping.planned;
         let listed = stopping.stopped.iter().filter(|(key, _)| self.listed(*key).is_some());
-        let best = listed.max_by_key(|(key, point)| {
+        let proved = listed.filter(|(_, point)| required <= *point);
+        let best = proved.max_by_key(|(key, point)| {
             (*point, self.stays(*key), !self.is_leaving(*key), self.allowing_routes(*key))
         });
         let Some((instance, _)) = best.copied() else {
@@ -341,13 +387,27 @@
         if planned && self.is_leaving(instance) {
             return self.abandon(now, "the replica that has received most leaves too", out);
         }
-        // A leaving primary still serves for a while, which an instance in an evacuated zone does
-        // not.
-        let primary_serves = self.primary.is_some_and(|primary| !self.is_evacuated(primary));
+        // A leaving primary still serves for a while, which an instance in an evacuated zone or
+        // without an entry does not.
+        let primary = self.primary.and_then(|primary| self.listed(primary));
+        let primary_serves = primary.is_some_and(|primary| !primary.evacuated);
         if planned && self.is_evacuated(instance) && primary_serves {
             let reason = "the zone of the replica that has received most is evacuated";
             return self.abandon(now, reason, out);
         }
+        self.order(now, instance, out);
+    }
+
+    /// Returns `true` if the directory lists the chosen instance with the start that was chosen: an
+    /// instance that has started again may lack what it had.
+    fn is_chosen_listed(&self, instance: InstanceKey) -> bool {
+        let listed = self.listed(instance);
+        listed.is_some_and(|listed| self.chosen_life.is_none_or(|life| life == listed.life))
+    }
+
+    /// Starts the order for an instance as the directory lists it.
+    fn order(&mut self, now: Time, instance: InstanceKey, out: &mut Vec<Action>) {
+        self.chosen_life = self.listed(instance).map(|listed| listed.life);
         self.record_choice(now, instance, out);
     }
 
@@ -388,7 +448,8 @@
         reason: &'static str,
         out: &mut Vec<Action>,
     ) {
-        self.unresolved = Some(UnresolvedOrder { instance, has_others, retry_failed: true });
+        let life = self.chosen_life;
+        self.unresolved = Some(UnresolvedOrder { instance, life, has_others, retry_failed: true });
         self.abandon(now, reason, out);
     }
 
@@ -433,6 +494,7 @@
         let is_resuming = |key| self.resuming.iter().any(|(resuming, _)| *resuming == key);
         let missing = self.replicas().filter(|key| !is_stopped(*key) && !is_resuming(*key));
         out.extend(missing.map(|key| Action::StopReplication(key, stopping.term)));
+        out.extend(self.members.stopped().map(Action::CheckMember));
     }
 
     /// Repeats the orders to stop, also to replicas whose order to resume can no longer take
--- a/oleander-failover/src/keeper/scan.rs
+++ b/oleander-failover/src/keeper/scan.rs
@@ -30,16 +30,19 @@
     }
 
     /// Ends the scan once every listed instance has answered. One that does not answer is waited
-    /// for until the directory drops it, as it may lead the latest term.
+    /// for until the directory drops it, as it may lead the latest term. If a replaced primary may
+    /// go on as one, members that are not listed are waited for as well.
     pub(super) fn finish_scan(&mut self, now: Time, out: &mut Vec<Action>) {
         let Phase::Scanning(scan) = &self.phase else { return };
         let has_answered = |key| scan.answers.iter().any(|(answered, _)| *answered == key);
-        if self.instances.is_empty() || !self.instances.iter().all(|known| has_answered(known.key))
+        let may_lead_unlisted = self.options.order_expiry.is_some();
+        if self.instances.is_empty()
+            || !self.instances.iter().all(|known| has_answered(known.key))
+            || (may_lead_unlisted && !self.members.running().all(has_answered))
         {
             return;
         }
-        let listed = scan.answers.iter().filter(|(key, _)| self.listed(*key).is_some());
-        let leading = listed.filter_map(|(key, term)| Some(((*term)?, *key))).max();
+        let leading = scan.answers.iter().filter_map(|(key, term)| Some(((*term)?, *key))).max();
         self.phase = Phase::Watching;
         self.unanswered = None;
         match leading {
--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -44,6 +44,10 @@
     pub cpu: u32,
     /// `true` once the VM is stopping; it then owns no shares and is no home.
     pub leaving: bool,
+    /// The version of the promotion rules that the VM follows as a keeper; 0 for a build that goes by
+    /// the directory alone.
+    #[serde(default)]
+    pub promotion: u32,
     /// How long after this record was written other VMs may still use rate limit capacity lent by
     /// this VM or an earlier owner of its shares. Set only while the VM is leaving.
     pub lent: Option<Span>,
@@ -65,6 +69,8 @@
 pub struct LeasedRoster {
     members: BTreeMap<VmId, Entry>,
     last_expiry: Option<Time>,
+    /// The number of VMs that were removed.
+    removed: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -86,6 +92,7 @@
         let Some(entry) = self.members.get_mut(&vm) else { return };
         if entry.member.leaving {
             self.members.remove(&vm);
+            self.removed += 1;
         } else {
             entry.ended_at.get_or_insert(now);
             self.last_expiry = self.last_expiry.max(Some(now));
@@ -103,7 +110,9 @@
 
     /// Removes the VMs whose lease ended `grace` ago or earlier.
     pub fn drop_ended(&mut self, now: Time, grace: Span) {
+        let count = self.members.len();
         self.members.retain(|_, entry| entry.ended_at.is_none_or(|at| now.since(at) < grace));
+        self.removed += (count - self.members.len()) as u64;
     }
 
     /// Returns the record of `vm`, also within the grace time after its lease ended.
@@ -111,6 +120,16 @@
         self.members.get(&vm).map(|entry| &entry.member)
     }
 
+    /// Returns `true` if each process that has been a member since `former` is one that has a valid
+    /// lease in `former`, so that no other process can have served since.
+    pub fn has_no_others_since(&self, former: &LeasedRoster) -> bool {
+        let is_known = |entry: &Entry| {
+            let known = former.members.get(&entry.member.vm());
+            known.is_some_and(|known| known.member.life == entry.member.life)
+        };
+        self.removed == former.removed && self.members.values().all(is_known)
+    }
+
     /// Returns the VMs with a valid lease except `own`.
     pub fn others(&self, own: VmId) -> impl Iterator<Item = &LeasedMember> {
         self.present().filter(move |member| member.vm() != own)
@@ -238,6 +257,15 @@
         hash::rendezvous(key, vms, |vm| vm.0)
     }
 
+    /// Ranks the VMs that may be the keeper of the database `key` as `candidates` does. While builds
+    /// of different age run side by side, only those with the latest promotion rules are candidates.
+    pub fn keepers(&self, key: u64) -> Vec<VmId> {
+        let members = || self.present().filter(|member| !member.leaving);
+        let latest = members().map(|member| member.promotion).max();
+        let vms = members().filter(|member| Some(member.promotion) == latest);
+        hash::rendezvous(key, vms.map(LeasedMember::vm), |vm| vm.0)
+    }
+
     /// Returns the longest time for which rate limit capacity lent by VMs that owned shares in
     /// `former` and no longer do may still be in use. `unknown` is assumed for a VM that announced
     /// no time itself; the result is `None` if no VM stopped being an owner.
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::home::warmup;
 use oleander_limits::home::warmup::Registration;
@@ -45,6 +46,9 @@
     format!("{}{KEEPER_PREFIX}{database}", sources.own_prefix)
 }
 
+/// The time for which an instance is remembered that the directory no longer names.
+const DEPARTED_TIME: Span = Span::from_secs(600);
+
 /// `Applier` builds the next view from the former one and what the store returned, and logs each
 /// change. Values that cannot be decoded are logged as well and never fail the whole update.
 #[derive(Debug)]
@@ -125,13 +129,15 @@
     }
 
     fn drop_absent(&self, draft: &mut Draft, present: &HashSet<&str>, revision: StoreRevision) {
-        let view = &mut draft.view;
+        let view = &draft.view;
         let directory = self.sources.directory_prefix;
         let is_listed = |instance: &Instance| {
             present.contains(format!("{directory}{}", instance.entry.instance).as_str())
         };
-        if !view.instances.values().all(is_listed) {
-            Arc::make_mut(&mut view.instances).retain(|_, instance| is_listed(instance));
+        let dropped = view.instances.values().filter(|instance| !is_listed(instance));
+        let dropped: Vec<InstanceKey> = dropped.map(|instance| instance.key).collect();
+        for key in dropped {
+            drop_instance(draft, key);
         }
         let prefix = self.sources.evacuation_prefix;
         let is_requested = |zone: &str| present.contains(format!("{prefix}{zone}").as_str());
@@ -180,8 +186,7 @@
     fn delete(&self, draft: &mut Draft, key: &str, revision: StoreRevision) {
         let view = &mut draft.view;
         if let Some(name) = key.strip_prefix(self.sources.directory_prefix) {
-            let instances = Arc::make_mut(&mut view.instances);
-            if instances.remove(&InstanceKey::from_name(name)).is_some() {
+            if drop_instance(draft, InstanceKey::from_name(name)) {
                 let fields = [
                     Field::text("instance", name),
                     Field::text("state", "gone"),
@@ -276,7 +281,7 @@
                     revision_field(entry.revision),
                 ];
                 self.journal.record(Event::EntryRejected, &fields);
-                Arc::make_mut(&mut draft.view.instances).remove(&key);
+                drop_instance(draft, key);
                 return;
             }
         };
@@ -316,6 +321,9 @@
             self.journal.record(Event::InstanceCold, &fields);
         }
         Arc::make_mut(&mut draft.view.instances).insert(key, instance);
+        if draft.view.departed.contains_key(&key) {
+            Arc::make_mut(&mut draft.view.departed).remove(&key);
+        }
     }
 
     /// Returns the time since which an instance that is first seen leaving counts as leaving.
@@ -387,6 +395,19 @@
     }
 }
 
+/// Drops an instance that the directory no longer names, and remembers it for a while. Returns
+/// `true` if it was known.
+fn drop_instance(draft: &mut Draft, key: InstanceKey) -> bool {
+    if !draft.view.instances.contains_key(&key) {
+        return false;
+    }
+    let dropped = Arc::make_mut(&mut draft.view.instances).remove(&key);
+    let departed = Arc::make_mut(&mut draft.view.departed);
+    departed.retain(|_, (_, since)| draft.now.since(*since) < DEPARTED_TIME);
+    departed.extend(dropped.map(|instance| (key, (instance, draft.now))));
+    true
+}
+
 /// Returns `true` if a reading is the first one of a new era of the store.
 pub fn is_restored(former: &View, reading: &ReadResponse) -> bool {
     former.revision != StoreRevision(0) && former.revision.era() < reading.revision.era()
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -7,6 +7,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_failover::keeper::RULES_VERSION;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
 use oleander_membership::leased::LeasedMember;
 use oleander_peer::client::PeerClient;
@@ -170,6 +171,7 @@
             life: self.life,
             cpu: settings.cpu_millis(),
             leaving: lent.is_some(),
+            promotion: RULES_VERSION,
             lent,
         };
         let value = serde_json::to_vec(&member).map_err(|_| StoreError::Refused)?;
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -17,8 +17,12 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
 use oleander_core::places::Place;
+use oleander_core::terms::LogPoint;
+use oleander_core::terms::Position;
+use oleander_core::terms::Term;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_failover::keeper::messages::Liveness;
 use oleander_failover::keeper::messages::RecordState;
 use oleander_limits::rates::ownership::ShareLayout;
 use oleander_membership::leased::LeasedRoster;
@@ -48,11 +52,14 @@
 /// refuse callers, so that they are sent to other VMs before that.
 const READY_AGE: Span = Span::from_millis(2_900);
 
+/// The point of a commit whose place in the log is not known: after all others.
+const UNKNOWN_POINT: LogPoint = LogPoint { term: Term(u64::MAX), position: Position(u64::MAX) };
+
 /// `KeeperRecord` is the stored record of a database's keeper: the VM whose duty it is to watch the
 /// database's primary and to replace it.
 ///
 /// It is not bound to a lease, so that what it says of the primary outlasts its holder.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct KeeperRecord {
     /// The name of the VM that has the duty; `None` once that VM has handed it over.
     pub holder: Option<String>,
@@ -73,6 +80,31 @@
     /// the primary yet.
     #[serde(default)]
     pub restored: bool,
+    /// The instances that may have acknowledged commits; `None` if an earlier build wrote the record.
+    #[serde(default)]
+    pub members: Option<Vec<MemberRecord>>,
+    /// The start of the instance that `ordered` names; `None` if it is not known.
+    #[serde(default)]
+    pub ordered_life: Option<u64>,
+}
+
+/// `MemberRecord` is one start of an instance that may have acknowledged commits.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The name of the instance.
+    pub instance: String,
+    /// The start of the instance.
+    pub life: u64,
+    /// The address at which it was listed last.
+    pub address: SocketAddr,
+    /// `true` if it was listed as primary last.
+    pub primary: bool,
+    /// `true` if it was listed as leaving last.
+    pub leaving: bool,
+    /// Whether it runs.
+    pub liveness: Liveness,
+    /// A point at or after all that it has acknowledged, once it has ended and such a point is known.
+    pub cover: Option<LogPoint>,
 }
 
 /// `KeeperEntry` is a decoded keeper record with the revision at which it was written.
@@ -107,6 +139,8 @@
     pub configuration_revision: StoreRevision,
     /// The instances that the directory names, of all databases.
     pub instances: Arc<HashMap<InstanceKey, Instance>>,
+    /// The instances that the directory no longer names, each with the time at which it was dropped.
+    pub departed: Arc<HashMap<InstanceKey, (Instance, Time)>>,
     /// The VMs with a lease, and for a while those whose lease has ended.
     pub roster: Arc<LeasedRoster>,
     /// The keepers of the databases.
@@ -172,6 +206,12 @@
 }
 
 impl View {
+    /// Returns the instances of a database that the directory no longer names, in no order.
+    pub fn departed_of(&self, database: DatabaseId) -> impl Iterator<Item = &Instance> {
+        let departed = self.departed.values().map(|(instance, _)| instance);
+        departed.filter(move |instance| instance.database == database)
+    }
+
     /// Returns the instances of a database, in no order.
     pub fn instances_of(&self, database: DatabaseId) -> impl Iterator<Item = &Instance> {
         self.instances.values().filter(move |instance| instance.database == database)
@@ -184,6 +224,7 @@
 pub struct Fleet {
     /// The identifier of this VM.
     pub vm: VmId,
+    life: u64,
     /// The settings of this VM.
     pub settings: Arc<NodeSettings>,
     /// The clock and timers.
@@ -206,6 +247,8 @@
     suspected_until: Mutex<HashMap<VmId, Time>>,
     /// The revision as of which the keeper record of a database is known to name no primary.
     withdrawn: Mutex<HashMap<DatabaseId, StoreRevision>>,
+    /// A point at or after each commit of a database that this VM has confirmed.
+    confirmed: Mutex<HashMap<DatabaseId, LogPoint>>,
 }
 
 impl Fleet {
@@ -213,6 +256,7 @@
     pub fn new(settings: Arc<NodeSettings>, timers: TimerService) -> Self {
         Self {
             vm: VmId::from_name(&settings.name),
+            life: 0,
             home_regions: settings.home_regions(),
             settings,
             started: timers.now(),
@@ -228,9 +272,20 @@
             draining: watch::Sender::new(false),
             suspected_until: Mutex::default(),
             withdrawn: Mutex::default(),
+            confirmed: Mutex::default(),
         }
     }
 
+    /// Sets the number that identifies this run of the process.
+    pub fn with_life(self, life: u64) -> Self {
+        Self { life, ..self }
+    }
+
+    /// Returns the number that identifies this run of the process.
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Time {
         self.timers.now()
@@ -342,6 +397,33 @@
         self.primary(database) == Some(instance) && self.may_confirm()
     }
 
+    /// Confirms a commit that an instance has acknowledged, with the last point of its log, unless
+    /// this VM may not rely on the instance as the primary. Returns `true` if it is confirmed.
+    pub fn confirm(
+        &self,
+        database: DatabaseId,
+        instance: InstanceKey,
+        point: Option<LogPoint>,
+    ) -> bool {
+        // Held for the check as well, so that `confirmed` includes all commits that were confirmed
+        // before the primary was withdrawn.
+        let mut confirmed = self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_confirmed = self.confirms(database, instance);
+        if is_confirmed {
+            let known = confirmed.entry(database).or_default();
+            // Nothing is known to have a commit whose place in the log is not known.
+            *known = point.unwrap_or(UNKNOWN_POINT).max(*known);
+        }
+        is_confirmed
+    }
+
+    /// Returns a point at or after each commit of a database that this VM has confirmed; `None` if it
+    /// has confirmed none.
+    pub fn confirmed(&self, database: DatabaseId) -> Option<LogPoint> {
+        let confirmed = self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        confirmed.get(&database).copied()
+    }
+
     /// Allows the use of own shares from `from` on, once all VMs know that this one has joined:
     /// until then other VMs may use what earlier owners of the shares lent to them.
     pub fn enable_shares(&self, from: Time) {
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -239,7 +239,7 @@
         let answer = answer(&permit, reply?)?;
         self.record_position(asked, &answer);
         match check {
-            _ if request.work.is_write() => self.check_commit()?,
+            _ if request.work.is_write() => self.confirm_commit(&answer)?,
             FreshnessCheck::Primary => self.check_latest()?,
             FreshnessCheck::After(_) => {}
         }
@@ -364,18 +364,18 @@
             .and_then(|reply| answer(permit, reply))
             .map_err(|refusal| transaction_refusal(request, refusal))?;
         match request.work {
-            Work::Commit if transaction.wrote => self.check_commit()?,
+            Work::Commit if transaction.wrote => self.confirm_commit(&answer)?,
             _ => transaction.wrote |= request.work.is_write(),
         }
         Ok(answer)
     }
 
-    /// Checks, after a commit at this instance, that this VM may confirm the commit to the caller.
+    /// Confirms a commit at this instance, if this VM may confirm it to the caller.
     ///
     /// While the primary is being replaced, the commit may have been confirmed by a new or
     /// restarted replica that the promotion does not take into account, so that it could be lost.
-    fn check_commit(&self) -> Result<(), Refusal> {
-        if self.confirms() {
+    fn confirm_commit(&self, answer: &HomeAnswer) -> Result<(), Refusal> {
+        if self.context.primaries.fleet().confirm(self.database, self.key, answer.point) {
             return Ok(());
         }
         let detail = "the primary was replaced while the write ran, or may have been";
--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -12,6 +12,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
+use oleander_failover::keeper::RULES_VERSION;
 use oleander_failover::keeper::messages::RecordState;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::PrimaryReport;
@@ -25,6 +26,7 @@
 use tokio::task::JoinHandle;
 
 use super::links::Links;
+use super::members::Members;
 use super::watcher::Watcher;
 use super::watcher::WrittenRecord;
 use crate::control::apply;
@@ -147,12 +149,21 @@
     }
 
     fn should_take(&self, view: &View, database: DatabaseId) -> bool {
-        let holder = view.keepers.get(&database).and_then(|keeper| keeper.holder);
-        match holder {
+        let keeper = view.keepers.get(&database);
+        let is_first = || view.roster.keepers(database.0).first() == Some(&self.fleet.vm);
+        match keeper.and_then(|keeper| keeper.holder) {
             // The record is left from an earlier process or lease of this VM.
             Some(vm) if vm == self.fleet.vm => true,
-            Some(vm) if view.roster.is_present(vm) => false,
-            _ => view.roster.candidates(database.0).first() == Some(&self.fleet.vm),
+            Some(vm) if view.roster.is_present(vm) => {
+                // An earlier build promotes by the directory alone. Its next write of the record
+                // fails, and it sends no order without one. An order that it may have sent is left
+                // to it.
+                let rules = view.roster.member(vm).map_or(0, |member| member.promotion);
+                rules < RULES_VERSION
+                    && keeper.is_some_and(|keeper| keeper.ordered.is_none())
+                    && is_first()
+            }
+            _ => is_first(),
         }
     }
 
@@ -172,7 +183,7 @@
             sources: self.sources,
             promotions: self.promotions.clone(),
             peers: self.peers.clone(),
-            links: Links::new(self.fleet.clone(), self.upstreams.clone()),
+            links: Links::new(self.fleet.clone(), self.upstreams.clone(), name.clone()),
             journal: self.journal.clone(),
             database: name,
             duty,
@@ -180,6 +191,7 @@
             record: tokio::sync::Mutex::new(WrittenRecord::at(revision)),
             primary_sample: Mutex::default(),
             term: AtomicU64::new(keeper.map_or(0, |keeper| keeper.record.term)),
+            members: Mutex::new(Members::new(keeper.map(|keeper| keeper.record.as_ref()))),
         });
         if let (Some(keeper), RecordState::Settled(primary)) = (keeper, record_state)
             && keeper.record.term != 0
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -12,6 +12,7 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Verdict;
+use oleander_failover::keeper::messages::MemberAnswer;
 use oleander_failover::keeper::messages::ProbeResult;
 use oleander_ports::upstream::FailureKind;
 use oleander_ports::upstream::InstanceCommand;
@@ -22,6 +23,7 @@
 use oleander_ports::upstream::Target;
 use oleander_ports::upstream::Upstreams;
 
+use super::members::Listing;
 use crate::fleet::Fleet;
 
 /// The workspace name under which the keeper connects; no real workspace can have it.
@@ -55,7 +57,11 @@
 pub struct Links {
     fleet: Arc<Fleet>,
     upstreams: Arc<dyn Upstreams>,
+    /// The name of the database.
+    database: String,
     idle: Mutex<IdleLinks>,
+    /// Where the instances were listed last that the directory no longer names.
+    unlisted: Mutex<HashMap<InstanceKey, Listing>>,
     /// The terms that instances lead, each with the `life` of the instance. Their log positions
     /// show a new term only from the first commit on.
     leading: Mutex<HashMap<InstanceKey, (u64, Term)>>,
@@ -63,8 +69,14 @@
 
 impl Links {
     /// Creates an empty table; connections are opened on demand.
-    pub fn new(fleet: Arc<Fleet>, upstreams: Arc<dyn Upstreams>) -> Self {
-        Self { fleet, upstreams, idle: Mutex::default(), leading: Mutex::default() }
+    pub fn new(fleet: Arc<Fleet>, upstreams: Arc<dyn Upstreams>, database: String) -> Self {
+        let (idle, unlisted, leading) = (Mutex::default(), Mutex::default(), Mutex::default());
+        Self { fleet, upstreams, database, idle, unlisted, leading }
+    }
+
+    /// Sets where the instances were listed last that the directory no longer names.
+    pub fn set_unlisted(&self, unlisted: HashMap<InstanceKey, Listing>) {
+        *self.unlisted.lock().unwrap_or_else(PoisonError::into_inner) = unlisted;
     }
 
     /// Probes an instance: asks whether it is the primary, and for its term unless it is known.
@@ -97,11 +109,27 @@
         ProbeAnswer { asked, result, reached: Some(reached) }
     }
 
+    /// Asks a member what it has received.
+    pub async fn check_member(&self, key: InstanceKey) -> MemberAnswer {
+        let message = Message::internal(InstanceCommand::Status);
+        match self.exchange(key, &[message]).await {
+            Ok(replies) => {
+                let received =
+                    replies.first().and_then(|reply| self.upstreams.received_point(reply));
+                received.map_or(MemberAnswer::NoAnswer, MemberAnswer::Received)
+            }
+            Err(LinkError::NotListening) => MemberAnswer::NotRunning,
+            Err(LinkError::Refused(failure)) if failure.kind == FailureKind::WrongInstance => {
+                MemberAnswer::Replaced
+            }
+            Err(_) => MemberAnswer::NoAnswer,
+        }
+    }
+
     /// Notes the term that the record of a settled primary tells, which need not be asked for.
     pub fn note_term(&self, key: InstanceKey, term: Term) {
-        let view = self.fleet.view();
-        let Some(instance) = view.instances.get(&key) else { return };
-        self.lock_leading().insert(key, (instance.entry.life, term));
+        let Some(listing) = self.listing(key) else { return };
+        self.lock_leading().insert(key, (listing.life, term));
     }
 
     /// Forgets the term that an instance leads; called when it is about to lead another one.
@@ -111,7 +139,7 @@
 
     /// Returns the term that a primary leads; `None` if it does not tell it.
     async fn leading_term(&self, key: InstanceKey) -> Option<Term> {
-        let life = self.fleet.view().instances.get(&key)?.entry.life;
+        let life = self.listing(key)?.life;
         let known = self.lock_leading().get(&key).copied();
         if let Some((_, term)) = known.filter(|(known, _)| *known == life) {
             return Some(term);
@@ -182,24 +210,26 @@
     }
 
     async fn take(&self, key: InstanceKey) -> Result<(u64, Box<dyn Link>), LinkError> {
-        let view = self.fleet.view();
-        let Some(instance) = view.instances.get(&key) else {
-            return Err(LinkError::Connect("the directory does not name the instance"));
+        let Some(Listing { instance, life, address }) = self.listing(key) else {
+            return Err(LinkError::Connect("the instance is not known"));
         };
-        let entry = &instance.entry;
         let idle = self.lock().remove(&key);
-        if let Some((life, mut link)) = idle
-            && life == entry.life
+        if let Some((opened_to, mut link)) = idle
+            && opened_to == life
             && link.is_open()
         {
             return Ok((life, link));
         }
-        let target = Target {
-            address: entry.address,
-            database: entry.database.clone(),
-            instance: entry.instance.clone(),
-        };
-        Ok((entry.life, self.upstreams.open(&target, KEEPER_NAME).await?))
+        let target = Target { address, database: self.database.clone(), instance };
+        Ok((life, self.upstreams.open(&target, KEEPER_NAME).await?))
+    }
+
+    /// Returns where an instance is listed, or was listed last.
+    fn listing(&self, key: InstanceKey) -> Option<Listing> {
+        if let Some(instance) = self.fleet.view().instances.get(&key) {
+            return Some(Listing::from(&instance.entry));
+        }
+        self.unlisted.lock().unwrap_or_else(PoisonError::into_inner).get(&key).cloned()
     }
 
     fn lock_leading(&self) -> MutexGuard<'_, HashMap<InstanceKey, (u64, Term)>> {
--- a/oleander-node/src/keeper/notify.rs
+++ b/oleander-node/src/keeper/notify.rs
@@ -1,18 +1,24 @@
 //! Tells the other VMs that a database's primary is withdrawn, and checks that they answer.
 
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::VmId;
+use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_failover::keeper::RULES_VERSION;
+use oleander_membership::leased::LeasedMember;
+use oleander_membership::leased::LeasedRoster;
 use oleander_peer::client::PeerClient;
+use oleander_peer::messages::Confirmations;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
 use oleander_ports::store::StoreRevision;
 use tokio::task::JoinSet;
 
+use super::watcher::PrimarySample;
 use crate::control::Backoff;
 use crate::fleet::Fleet;
 
@@ -22,8 +28,18 @@
 /// The time within which a VM must answer one attempt to notify it.
 const ANSWER_TIMEOUT: Span = Span::from_millis(1_000);
 
+/// `Withdrawal` is the outcome of telling all VMs that a record names no primary.
+#[derive(Clone, Copy, Debug)]
+pub struct Withdrawal {
+    /// The number of VMs that did not answer.
+    pub silent: usize,
+    /// A point at or after each commit that a VM has confirmed; `None` unless each process that may
+    /// have confirmed one since the sample has told.
+    pub confirmed: Option<LogPoint>,
+}
+
 /// Tells all VMs that the keeper record written at `revision` names no primary, and waits until
-/// none of them confirms writes by an older record. Returns the number of VMs that did not answer.
+/// none of them confirms writes by an older record. `sample` is the latest answer of the primary.
 ///
 /// Each VM is told directly, since it may have lost the store. One that does not answer stops
 /// confirming writes by itself once its lease has ended or it has not heard from the store for
@@ -33,8 +49,10 @@
     peers: &PeerClient,
     database: DatabaseId,
     revision: StoreRevision,
-) -> usize {
+    sample: Option<PrimarySample>,
+) -> Withdrawal {
     fleet.withdraw_primary(database, revision);
+    let own = Confirmations { life: fleet.life(), point: fleet.confirmed(database) };
     let limit = fleet.now() + fleet.settings.currency_ttl();
     let mut changes = fleet.changes();
     // From this revision on the roster names all VMs that may have read the earlier record.
@@ -42,12 +60,31 @@
     let _ = fleet.timers.within(fleet.settings.currency_ttl(), viewed).await;
     let mut calls = JoinSet::new();
     for member in fleet.view().roster.others(fleet.vm) {
-        let (fleet, peers) = (fleet.clone(), peers.clone());
-        let request = Request::Withdrawn { database, revision: revision.0 };
-        calls.spawn(notify_vm(fleet, peers, member.vm(), member.peers, request, limit));
+        let (fleet, peers, vm) = (fleet.clone(), peers.clone(), member.vm());
+        let notice = Notice { database, revision, limit };
+        calls.spawn(async move { (vm, notify_vm(fleet, peers, vm, notice).await) });
     }
-    let notified = calls.join_all().await;
-    notified.into_iter().filter(|notified| !notified).count()
+    let answers = calls.join_all().await;
+    let silent = answers.iter().filter(|(_, answer)| *answer == Notified::Silent).count();
+    let told = answers.into_iter().filter_map(|(vm, answer)| Some((vm, answer.confirmations()?)));
+    let told: HashMap<VmId, Confirmations> = told.chain([(fleet.vm, own)]).collect();
+    Withdrawal { silent, confirmed: confirmed_point(&fleet.view().roster, sample, &told) }
+}
+
+/// Returns a point at or after each confirmed commit, if each process has told that may have
+/// confirmed one since the sample. Commits confirmed before lie at or before the sample.
+fn confirmed_point(
+    roster: &LeasedRoster,
+    sample: Option<PrimarySample>,
+    told: &HashMap<VmId, Confirmations>,
+) -> Option<LogPoint> {
+    let sample = sample?;
+    let has_told =
+        |member: &LeasedMember| told.get(&member.vm()).is_some_and(|told| told.life == member.life);
+    let is_complete =
+        roster.has_no_others_since(&sample.roster) && sample.roster.present().all(has_told);
+    let points = told.values().filter_map(|told| told.point);
+    is_complete.then(|| points.fold(sample.point, LogPoint::max))
 }
 
 /// Returns `true` if all other VMs with a running lease answer.
@@ -65,30 +102,59 @@
     true
 }
 
-/// Notifies a VM until it answers or its lease has ended. Returns `false` if neither happens before
-/// `limit`.
-async fn notify_vm(
-    fleet: Arc<Fleet>,
-    peers: PeerClient,
-    vm: VmId,
-    address: SocketAddr,
-    request: Request,
+/// `Notice` is what VMs are told, and until when they are tried.
+#[derive(Clone, Copy, Debug)]
+struct Notice {
+    database: DatabaseId,
+    revision: StoreRevision,
     limit: Time,
-) -> bool {
+}
+
+/// `Notified` is the outcome of telling a VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Notified {
+    /// The VM has told what it has confirmed.
+    Told(Confirmations),
+    /// The VM confirms nothing more, but does not tell what it has confirmed.
+    Stopped,
+    /// The VM did not answer in time.
+    Silent,
+}
+
+impl Notified {
+    fn confirmations(self) -> Option<Confirmations> {
+        match self {
+            Notified::Told(confirmations) => Some(confirmations),
+            Notified::Stopped | Notified::Silent => None,
+        }
+    }
+}
+
+/// Notifies a VM until it answers or its lease has ended.
+async fn notify_vm(fleet: Arc<Fleet>, peers: PeerClient, vm: VmId, notice: Notice) -> Notified {
+    let Notice { database, revision: StoreRevision(revision), limit } = notice;
     let mut backoff = Backoff::default();
     loop {
         let left = limit.since(fleet.now());
         if left == Span::ZERO {
             // By now the VM has stopped confirming writes by itself.
-            return false;
+            return Notified::Silent;
         }
-        if !fleet.view().roster.is_present(vm) {
+        let view = fleet.view();
+        let Some(member) = view.roster.member(vm).filter(|_| view.roster.is_present(vm)) else {
             // Without a lease the VM confirms no writes.
-            return true;
-        }
-        if let Ok(Reply::Accepted) = peers.call(address, &request, ANSWER_TIMEOUT.min(left)).await {
-            return true;
+            return Notified::Stopped;
+        };
+        // An earlier build does not know the request that asks for confirmations.
+        let request = if member.promotion < RULES_VERSION {
+            Request::Withdrawn { database, revision }
+        } else {
+            Request::Withdraw { database, revision }
+        };
+        match peers.call(member.peers, &request, ANSWER_TIMEOUT.min(left)).await {
+            Ok(Reply::Withdrawn(confirmations)) => return Notified::Told(confirmations),
+            Ok(Reply::Accepted) => return Notified::Stopped,
+            _ => fleet.timers.sleep(backoff.next_pause().min(left)).await,
         }
-        fleet.timers.sleep(backoff.next_pause().min(left)).await;
     }
 }
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -19,6 +20,7 @@
 use oleander_failover::keeper::messages::OrderOutcome;
 use oleander_failover::keeper::messages::ProbeResult;
 use oleander_failover::keeper::messages::RecordState;
+use oleander_membership::leased::LeasedRoster;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::PrimaryReport;
 use oleander_ports::promotion::PromotionOrder;
@@ -39,7 +41,9 @@
 
 use super::links::Links;
 use super::links::ProbeAnswer;
+use super::members::Members;
 use super::notify;
+use super::notify::Withdrawal;
 use crate::control::apply;
 use crate::fleet::Fleet;
 use crate::fleet::KeeperEntry;
@@ -80,6 +84,8 @@
     pub primary_sample: Mutex<Option<PrimarySample>>,
     /// The highest term that the keeper has seen, which is written into the record.
     pub term: AtomicU64,
+    /// What the record says of the members.
+    pub members: Mutex<Members>,
 }
 
 /// `WrittenRecord` is the keeper record as this VM last wrote it, with its revision.
@@ -99,18 +105,21 @@
     }
 }
 
-/// `PrimarySample` is a log point of the primary and the time before it was asked for.
-#[derive(Clone, Copy, Debug)]
+/// `PrimarySample` is a log point of the primary, and the time and the roster from before it was
+/// asked for.
+#[derive(Clone, Debug)]
 pub struct PrimarySample {
-    point: LogPoint,
+    /// The last point of the primary's log.
+    pub point: LogPoint,
     asked: Time,
+    /// The VMs that could confirm commits.
+    pub roster: Arc<LeasedRoster>,
 }
 
 impl Watcher {
     /// Returns the newest log point of the primary and its age; `None` before the first answer.
     pub fn report(&self) -> Option<PrimaryReport> {
-        let sample = *self.primary_sample.lock().unwrap_or_else(PoisonError::into_inner);
-        let PrimarySample { point, asked } = sample?;
+        let PrimarySample { point, asked, .. } = self.sample()?;
         let age = self.fleet.now().since(asked);
         Some(PrimaryReport { point, age })
     }
@@ -159,7 +168,12 @@
         let holder = Some(self.fleet.settings.name.clone());
         let term = self.term.load(Ordering::Acquire);
         let era = self.fleet.view().revision.era();
-        KeeperRecord { holder, duty: self.duty, primary, ordered, term, era, restored: false }
+        let members = self.lock_members();
+        let ordered_life = members.ordered_life.filter(|_| ordered.is_some());
+        let members = members.records.clone();
+        let duty = self.duty;
+        let restored = false;
+        KeeperRecord { holder, duty, primary, ordered, term, era, restored, members, ordered_life }
     }
 
     async fn write(
@@ -258,13 +272,24 @@
         let (answers, mut inputs) = mpsc::channel(INPUT_QUEUE);
         let options = self.fleet.settings.keeper_options();
         let term = Term(self.term.load(Ordering::Acquire));
-        let mut keeper = Keeper::new(options, record_state, self.fleet.now()).with_term(term);
+        let now = self.fleet.now();
+        let (states, recorded, ordered_life) = {
+            let mut members = self.lock_members();
+            let recorded = members.records.is_some();
+            (members.states(&self.fleet.view(), database), recorded, members.ordered_life)
+        };
+        let mut keeper = Keeper::new(options, record_state, now)
+            .with_term(term)
+            .with_members(&states, now, recorded)
+            .with_ordered_life(ordered_life);
         let mut changes = self.fleet.changes();
         let mut input = self.instances_input(database);
         loop {
             let mut actions = Vec::new();
             keeper.handle(self.fleet.now(), input, &mut actions);
             self.term.store(keeper.term().0, Ordering::Release);
+            let unlisted = self.lock_members().update(&keeper, &self.fleet.view(), database);
+            self.links.set_unlisted(unlisted);
             for action in actions {
                 self.start_action(action, &answers);
             }
@@ -325,6 +350,9 @@
         let watcher = self.clone();
         let answers = answers.clone();
         tokio::spawn(async move {
+            if let Action::Probe(key) = action {
+                return watcher.probe(key, &answers).await;
+            }
             if let Some(input) = watcher.run_action(action).await {
                 // The receiver is gone if the duty has ended meanwhile.
                 let _ = answers.send(input).await;
@@ -332,19 +360,26 @@
         });
     }
 
+    /// Probes an instance and passes its answer to the keeper, after the last point of a primary.
+    async fn probe(&self, key: InstanceKey, answers: &mpsc::Sender<Input>) {
+        let roster = self.fleet.view().roster.clone();
+        let ProbeAnswer { asked, result, reached } = self.links.probe(key).await;
+        if let (ProbeResult::Primary(_), Some(point)) = (result, reached) {
+            // A primary that has been replaced may go on as one, and its position does not tell what
+            // has been committed since. While this VM may confirm commits there, no other instance
+            // leads.
+            if self.fleet.confirms(DatabaseId::from_name(&self.database), key) {
+                self.update_primary_sample(PrimarySample { point, asked, roster });
+            }
+            let _ = answers.send(Input::Reached(key, point, asked)).await;
+        }
+        let _ = answers.send(Input::Probed(key, result)).await;
+    }
+
     async fn run_action(&self, action: Action) -> Option<Input> {
         match action {
-            Action::Probe(key) => {
-                let ProbeAnswer { asked, result, reached } = self.links.probe(key).await;
-                // A primary that has been replaced may go on as one, and its position does not tell
-                // what has been committed since. While this VM may confirm commits there, no other
-                // instance leads.
-                if let (ProbeResult::Primary(_), Some(point)) = (result, reached)
-                    && self.fleet.confirms(DatabaseId::from_name(&self.database), key)
-                {
-                    self.update_primary_sample(point, asked);
-                }
-                Some(Input::Probed(key, result))
+            Action::CheckMember(key) => {
+                Some(Input::MemberChecked(key, self.links.check_member(key).await))
             }
             // If this process was paused, another VM may have the duty, and these would undo its
             // orders.
@@ -374,26 +409,32 @@
                 let database = DatabaseId::from_name(&self.database);
                 let asked = self.fleet.now();
                 let revision = StoreRevision(token);
-                let silent =
-                    notify::primary_withdrawn(&self.fleet, &self.peers, database, revision).await;
+                let (fleet, peers, sample) = (&self.fleet, &self.peers, self.sample());
+                let Withdrawal { silent, confirmed } =
+                    notify::primary_withdrawn(fleet, peers, database, revision, sample).await;
+                let point = confirmed.map_or("unknown".to_owned(), |point| {
+                    format!("{}.{}", point.term.0, point.position.0)
+                });
                 let fields = [
                     Field::text("database", &self.database),
                     Field::number("at", token),
                     Field::number("silent", silent as u64),
+                    Field::text("confirmed", point),
                     Field::millis("waited", self.fleet.now().since(asked)),
                 ];
                 self.journal.record(Event::VmsInformed, &fields);
-                Some(Input::VmsInformed(token))
+                Some(Input::VmsInformed { token, confirmed })
             }
             Action::OrderPromotion { instance, token } => {
                 Some(Input::PromotionOrdered(self.order_promotion(instance, token).await))
             }
-            Action::LogEvent { .. } => None,
+            // `start_action` handles these.
+            Action::Probe(_) | Action::LogEvent { .. } => None,
         }
     }
 
     async fn order_promotion(&self, key: InstanceKey, token: u64) -> OrderOutcome {
-        let Some(instance) = self.instance_name(key) else { return OrderOutcome::Rejected };
+        let Some(instance) = self.listed_name(key) else { return OrderOutcome::Rejected };
         if !self.lease_is_valid() {
             return OrderOutcome::Rejected;
         }
@@ -422,18 +463,26 @@
         self.journal.record(Event::StoreUnreachable, &fields);
     }
 
-    fn update_primary_sample(&self, point: LogPoint, asked: Time) {
+    fn update_primary_sample(&self, newest: PrimarySample) {
         let mut sample = self.primary_sample.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_newer = sample.is_none_or(|sample| sample.point.term <= point.term);
-        if is_newer {
-            *sample = Some(PrimarySample { point, asked });
+        if sample.as_ref().is_none_or(|sample| sample.point.term <= newest.point.term) {
+            *sample = Some(newest);
         }
     }
 
+    fn sample(&self) -> Option<PrimarySample> {
+        self.primary_sample.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn lock_members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn instances_input(&self, database: DatabaseId) -> Input {
         let view = self.fleet.view();
         let instances = view.instances_of(database).map(|instance| ListedInstance {
             key: instance.key,
+            life: instance.entry.life,
             leaving: instance.entry.leaving,
             evacuated: view.evacuated.contains_key(&instance.entry.zone),
             primary: instance.entry.primary,
@@ -446,7 +495,12 @@
         Input::Instances(instances.collect())
     }
 
+    /// Returns the name of an instance, also if the directory no longer names it.
     fn instance_name(&self, key: InstanceKey) -> Option<String> {
+        self.listed_name(key).or_else(|| self.lock_members().name_of(key))
+    }
+
+    fn listed_name(&self, key: InstanceKey) -> Option<String> {
         self.fleet.view().instances.get(&key).map(|instance| instance.entry.instance.clone())
     }
 }
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -114,7 +114,7 @@
         let life: u64 = rand::random();
         let journal = Journal::new("oleander-node", timers.clock());
         let metrics = Metrics::local();
-        let fleet = Arc::new(Fleet::new(settings.clone(), timers.clone()));
+        let fleet = Arc::new(Fleet::new(settings.clone(), timers.clone()).with_life(life));
         let peer_client = PeerClient::new(PEER_OPTIONS);
         let store =
             Arc::new(RelayedStore::new(ports.store.clone(), fleet.clone(), peer_client.clone()));
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
+use oleander_peer::messages::Confirmations;
 use oleander_peer::messages::EarlierUse;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
@@ -88,6 +89,11 @@
                 server.handle_withdrawn(database, StoreRevision(revision));
                 Reply::Accepted
             }
+            Request::Withdraw { database, revision } => {
+                server.handle_withdrawn(database, StoreRevision(revision));
+                let point = server.fleet.confirmed(database);
+                Reply::Withdrawn(Confirmations { life: server.fleet.life(), point })
+            }
             Request::Ready => Reply::Ready(server.fleet.is_ready()),
             Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
             Request::Follow { after, wait, whole } => {
--- a/oleander-node/tests/regions.rs
+++ b/oleander-node/tests/regions.rs
@@ -97,6 +97,7 @@
         life: 1,
         cpu: 0,
         leaving: false,
+        promotion: 0,
         lent: None,
     }
 }
--- a/oleander-node/tests/restored.rs
+++ b/oleander-node/tests/restored.rs
@@ -160,6 +160,7 @@
         life: 1,
         cpu: 0,
         leaving: false,
+        promotion: 0,
         lent: None,
     };
     let value = serde_json::to_vec(&member).unwrap();
@@ -180,6 +181,8 @@
         term: 1,
         era,
         restored: false,
+        members: None,
+        ordered_life: None,
     };
     serde_json::to_vec(&record).unwrap()
 }
--- a/oleander-node/tests/shares.rs
+++ b/oleander-node/tests/shares.rs
@@ -37,6 +37,7 @@
         life: 1,
         cpu: 0,
         leaving: lent.is_some(),
+        promotion: 0,
         lent,
     });
     View { revision: StoreRevision(revision), roster: Arc::new(roster), ..View::default() }
--- a/oleander-node/tests/support/record.rs
+++ b/oleander-node/tests/support/record.rs
@@ -20,6 +20,8 @@
         term: 1,
         era: 0,
         restored: false,
+        members: None,
+        ordered_life: None,
     };
     let keeper = KeeperEntry {
         holder: None,
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -94,6 +94,13 @@
     },
     /// A VM that does not reach the store asks another to pass a call on.
     Store(StoreCall),
+    /// As `Withdrawn`, sent to VMs that answer with the commits that they have confirmed.
+    Withdraw {
+        /// The database.
+        database: DatabaseId,
+        /// The store revision at which the keeper's record no longer names a primary.
+        revision: u64,
+    },
 }
 
 /// `StoreCall` is a call to the store that a VM passes on. Leases are given by number and era.
@@ -180,6 +187,17 @@
     /// The result of `Request::Home` with a report on the instance, from a VM that detects outliers,
     /// and the levels that the home admits now.
     Reported(Result<HomeAnswer, Refusal>, InstanceReport, Horizon),
+    /// The reply to `Request::Withdraw`.
+    Withdrawn(Confirmations),
+}
+
+/// `Confirmations` tells which commits of a database a VM has confirmed to callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Confirmations {
+    /// Identifies the run of the VM's process; a restart knows nothing of earlier ones.
+    pub life: u64,
+    /// A point of the log at or after each of these commits; `None` if there are none.
+    pub point: Option<LogPoint>,
 }
 
 /// `StoreReply` is the result of a call that was passed on to the store.
--- a/oleander-ports/src/upstream.rs
+++ b/oleander-ports/src/upstream.rs
@@ -210,8 +210,8 @@
 #[async_trait]
 pub trait Upstreams: Send + Sync {
     /// Returns the last log point that an instance has received, taken from its reply to
-    /// [`InstanceCommand::StopReceiving`] or [`InstanceCommand::ResumeReceiving`]; `None` if the
-    /// reply does not contain it.
+    /// [`InstanceCommand::Status`], [`InstanceCommand::StopReceiving`] or
+    /// [`InstanceCommand::ResumeReceiving`]; `None` if the reply does not contain it.
     fn received_point(&self, reply: &Reply) -> Option<LogPoint>;
 
     /// Returns the term that an instance leads, taken from its reply to
--- a/oleander-proxy/src/peers.rs
+++ b/oleander-proxy/src/peers.rs
@@ -39,6 +39,7 @@
             | Request::Store(_)
             | Request::Ready
             | Request::Withdrawn { .. }
+            | Request::Withdraw { .. }
             | Request::Member(_)
             | Request::Failover(_)
             | Request::Subscribe(_)
--- a/oleander-runtime/src/logs.rs
+++ b/oleander-runtime/src/logs.rs
@@ -262,6 +262,7 @@
         | Event::PeerSuspected
         | Event::InstanceSuspected
         | Event::PromotionAbandoned
+        | Event::PromotionUnproven
         | Event::ConnectionSilent
         | Event::ConnectionPoisoned
         | Event::ConnectionFailed => Level::Warn,
