--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -69,7 +69,7 @@
 pub struct LeasedRoster {
     members: BTreeMap<VmId, Entry>,
     last_expiry: Option<Time>,
-    /// The number of VMs that were removed.
+    /// The number of processes that were removed or replaced by another one of their VM.
     removed: u64,
 }
 
@@ -83,7 +83,9 @@
 impl LeasedRoster {
     /// Adds or replaces the record of a VM and marks its lease as valid.
     pub fn put(&mut self, member: LeasedMember) {
-        self.members.insert(member.vm(), Entry { member, ended_at: None });
+        let life = member.life;
+        let former = self.members.insert(member.vm(), Entry { member, ended_at: None });
+        self.removed += u64::from(former.is_some_and(|former| former.member.life != life));
     }
 
     /// Marks the lease of `vm` as ended. A VM that announced that it is leaving is removed at
@@ -120,14 +122,18 @@
         self.members.get(&vm).map(|entry| &entry.member)
     }
 
-    /// Returns `true` if each process that has been a member since `former` is one that has a valid
-    /// lease in `former`, so that no other process can have served since.
-    pub fn has_no_others_since(&self, former: &LeasedRoster) -> bool {
-        let is_known = |entry: &Entry| {
+    /// Returns the processes that have become members since `former`; `None` if one that is not among
+    /// them may have been a member since and is gone.
+    pub fn joined_since(&self, former: &LeasedRoster) -> Option<Vec<&LeasedMember>> {
+        let is_known = |entry: &&Entry| {
             let known = former.members.get(&entry.member.vm());
             known.is_some_and(|known| known.member.life == entry.member.life)
         };
-        self.removed == former.removed && self.members.values().all(is_known)
+        let joined = self.members.values().filter(|entry| !is_known(entry));
+        let joined: Vec<&Entry> = joined.collect();
+        let is_complete =
+            self.removed == former.removed && joined.iter().all(|entry| entry.ended_at.is_none());
+        is_complete.then(|| joined.into_iter().map(|entry| &entry.member).collect())
     }
 
     /// Returns the VMs with a valid lease except `own`.
--- a/oleander-membership/tests/leased.rs
+++ b/oleander-membership/tests/leased.rs
@@ -214,3 +214,68 @@
     let cpu = if index.is_multiple_of(5) { 500 } else { 120 };
     LeasedMember { place, cpu, ..member(name, false, None) }
 }
+
+/// `Since` is what happens to a roster of `a` and `b`, and the processes that have joined since; `None`
+/// if one may be gone that was a member meanwhile.
+struct Since {
+    change: fn(&mut LeasedRoster),
+    joined: Option<&'static [&'static str]>,
+}
+
+fn started_again(name: &str) -> LeasedMember {
+    LeasedMember { life: 2, ..member(name, false, None) }
+}
+
+/// Guards against a process that has confirmed commits and is forgotten.
+#[rstest]
+#[case::nothing(Since { change: |_| {}, joined: Some(&[]) })]
+#[case::renewed(Since { change: |roster| roster.put(member("a", false, None)), joined: Some(&[]) })]
+#[case::leaving(Since { change: |roster| roster.put(member("a", true, None)), joined: Some(&[]) })]
+#[case::lapsed(Since {
+    change: |roster| roster.end_lease(VmId::from_name("a"), Time(5)),
+    joined: Some(&[]),
+})]
+#[case::joined(Since {
+    change: |roster| roster.put(member("c", false, None)),
+    joined: Some(&["c"]),
+})]
+#[case::joined_and_lapsed(Since {
+    change: |roster| {
+        roster.put(member("c", false, None));
+        roster.end_lease(VmId::from_name("c"), Time(5));
+    },
+    joined: None,
+})]
+#[case::joined_and_left(Since {
+    change: |roster| {
+        roster.put(member("c", true, None));
+        roster.end_lease(VmId::from_name("c"), Time(5));
+    },
+    joined: None,
+})]
+#[case::joined_and_started_again(Since {
+    change: |roster| {
+        roster.put(member("c", false, None));
+        roster.put(started_again("c"));
+    },
+    joined: None,
+})]
+#[case::started_again(Since { change: |roster| roster.put(started_again("a")), joined: None })]
+#[case::dropped(Since {
+    change: |roster| {
+        roster.end_lease(VmId::from_name("a"), Time(5));
+        roster.drop_ended(Time(500), Span(1));
+    },
+    joined: None,
+})]
+fn each_process_since_an_earlier_roster_is_known(#[case] case: Since) {
+    let mut roster = LeasedRoster::default();
+    roster.put(member("a", false, None));
+    roster.put(member("b", false, None));
+    let former = roster.clone();
+    (case.change)(&mut roster);
+    let joined = roster.joined_since(&former);
+    let names =
+        joined.map(|joined| joined.into_iter().map(|member| member.name.as_str()).collect());
+    assert_eq!(names, case.joined.map(<[&str]>::to_vec));
+}
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -117,6 +117,9 @@
         self.fleet.set_leased_until(asked + ttl);
         self.wait_for_first_view().await;
         let former = self.former_owner();
+        if self.may_have_predecessor() {
+            self.fleet.note_predecessor();
+        }
         let join_revision = self.write_record(None, lease).await?;
         self.fleet.set_join_revision(join_revision);
         self.held_lease.send_replace(Some(HeldLease { lease, join_revision }));
@@ -191,6 +194,13 @@
         let _ = self.fleet.timers.within(FIRST_VIEW_WAIT, viewed).await;
     }
 
+    /// Returns `true` unless the view shows that no earlier process of this VM has a lease.
+    fn may_have_predecessor(&self) -> bool {
+        let view = self.fleet.view();
+        let member = view.roster.member(self.fleet.vm);
+        view.revision == StoreRevision(0) || member.is_some_and(|member| member.life != self.life)
+    }
+
     /// Returns this VM if the record of its earlier process still gives it its shares.
     ///
     /// A record that is marked as leaving has already passed them on to other VMs, which may have
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -26,6 +27,7 @@
 use oleander_failover::keeper::messages::RecordState;
 use oleander_limits::rates::ownership::ShareLayout;
 use oleander_membership::leased::LeasedRoster;
+use oleander_peer::messages::Confirmations;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::store::StoreRevision;
 use oleander_runtime::timer::TimerService;
@@ -225,6 +227,7 @@
     /// The identifier of this VM.
     pub vm: VmId,
     life: u64,
+    has_predecessor: AtomicBool,
     /// The settings of this VM.
     pub settings: Arc<NodeSettings>,
     /// The clock and timers.
@@ -257,6 +260,7 @@
         Self {
             vm: VmId::from_name(&settings.name),
             life: 0,
+            has_predecessor: AtomicBool::new(false),
             home_regions: settings.home_regions(),
             settings,
             started: timers.now(),
@@ -281,11 +285,6 @@
         Self { life, ..self }
     }
 
-    /// Returns the number that identifies this run of the process.
-    pub fn life(&self) -> u64 {
-        self.life
-    }
-
     /// Returns the current time.
     pub fn now(&self) -> Time {
         self.timers.now()
@@ -417,11 +416,17 @@
         is_confirmed
     }
 
-    /// Returns a point at or after each commit of a database that this VM has confirmed; `None` if it
-    /// has confirmed none.
-    pub fn confirmed(&self, database: DatabaseId) -> Option<LogPoint> {
+    /// Returns which commits of a database this process has confirmed.
+    pub fn confirmations(&self, database: DatabaseId) -> Confirmations {
         let confirmed = self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
-        confirmed.get(&database).copied()
+        let point = confirmed.get(&database).copied();
+        let first = !self.has_predecessor.load(Ordering::Acquire);
+        Confirmations { life: self.life, first, point }
+    }
+
+    /// Records that an earlier process of this VM may have had a lease shortly before this one.
+    pub fn note_predecessor(&self) {
+        self.has_predecessor.store(true, Ordering::Release);
     }
 
     /// Allows the use of own shares from `from` on, once all VMs know that this one has joined:
--- a/oleander-node/src/keeper/notify.rs
+++ b/oleander-node/src/keeper/notify.rs
@@ -52,7 +52,7 @@
     sample: Option<PrimarySample>,
 ) -> Withdrawal {
     fleet.withdraw_primary(database, revision);
-    let own = Confirmations { life: fleet.life(), point: fleet.confirmed(database) };
+    let own = fleet.confirmations(database);
     let limit = fleet.now() + fleet.settings.currency_ttl();
     let mut changes = fleet.changes();
     // From this revision on the roster names all VMs that may have read the earlier record.
@@ -79,10 +79,13 @@
     told: &HashMap<VmId, Confirmations>,
 ) -> Option<LogPoint> {
     let sample = sample?;
-    let has_told =
-        |member: &LeasedMember| told.get(&member.vm()).is_some_and(|told| told.life == member.life);
+    let told_by =
+        |member: &LeasedMember| told.get(&member.vm()).filter(|told| told.life == member.life);
+    // An earlier process of a VM that has joined may have confirmed commits since, too.
+    let joined = roster.joined_since(&sample.roster)?;
     let is_complete =
-        roster.has_no_others_since(&sample.roster) && sample.roster.present().all(has_told);
+        joined.into_iter().all(|member| told_by(member).is_some_and(|told| told.first))
+            && sample.roster.present().all(|member| told_by(member).is_some());
     let points = told.values().filter_map(|told| told.point);
     is_complete.then(|| points.fold(sample.point, LogPoint::max))
 }
--- a/oleander-node/src/peers.rs
+++ b/oleander-node/src/peers.rs
@@ -9,7 +9,6 @@
 use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
-use oleander_peer::messages::Confirmations;
 use oleander_peer::messages::EarlierUse;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
@@ -91,8 +90,7 @@
             }
             Request::Withdraw { database, revision } => {
                 server.handle_withdrawn(database, StoreRevision(revision));
-                let point = server.fleet.confirmed(database);
-                Reply::Withdrawn(Confirmations { life: server.fleet.life(), point })
+                Reply::Withdrawn(server.fleet.confirmations(database))
             }
             Request::Ready => Reply::Ready(server.fleet.is_ready()),
             Request::Limit { from, request } => Reply::Limit(server.rates.answer(from, request)),
--- a/oleander-node/tests/builds.rs
+++ b/oleander-node/tests/builds.rs
@@ -159,6 +159,6 @@
 fn new_messages_come_after_the_earlier_ones() {
     let request = Request::Withdraw { database: DatabaseId(7), revision: 9 };
     assert_eq!(&codec::encode(&request).unwrap()[..], [5, 0, 0, 0, 3, 16, 7, 9]);
-    let reply = Reply::Withdrawn(Confirmations { life: 3, point: None });
-    assert_eq!(&codec::encode(&reply).unwrap()[..], [5, 0, 0, 0, 3, 17, 3, 0]);
+    let reply = Reply::Withdrawn(Confirmations { life: 3, first: true, point: None });
+    assert_eq!(&codec::encode(&reply).unwrap()[..], [5, 0, 0, 0, 4, 17, 3, 1, 0]);
 }
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -196,6 +196,8 @@
 pub struct Confirmations {
     /// Identifies the run of the VM's process; a restart knows nothing of earlier ones.
     pub life: u64,
+    /// `true` if the process found no record of an earlier one of its VM when it joined.
+    pub first: bool,
     /// A point of the log at or after each of these commits; `None` if there are none.
     pub point: Option<LogPoint>,
 }
