Keep only connections without an open transaction in the pool

A transaction that was refused between BEGIN and its first statement was dropped without a rollback, and the pool took its connection back, since its last exchange had succeeded.

What the pool keeps is now a type of its own, which a connection becomes only if its last exchange left it idle. A refused first statement rolls its transaction back. A connection in an unknown state is closed at once instead of after a rollback that cannot succeed. The keeper keeps a link only if no transaction is open on it.

--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -26,6 +26,7 @@
 use oleander_session::work::HomeRequest;
 
 use super::upstream;
+use super::upstream::IdleConnection;
 use super::upstream::UpstreamConnection;
 
 /// The number of an instance's connections reserved for the keeper and for connections that are
@@ -55,7 +56,7 @@
 
 #[derive(Default)]
 struct State {
-    pool: Pool<UpstreamConnection>,
+    pool: Pool<IdleConnection>,
     /// `true` once returned connections are closed instead of kept.
     closed: bool,
     proof: ProcessProof,
@@ -65,7 +66,7 @@
     /// Drops idle connections that the instance has closed. Records, unless an idle one is still
     /// open, that the instance may have been restarted.
     fn record_lost(&mut self, now: Time) {
-        self.pool.retain_idle(UpstreamConnection::is_open);
+        self.pool.retain_idle(IdleConnection::is_open);
         if self.pool.idle() == 0 {
             self.proof.record_lost(now);
         }
@@ -132,15 +133,13 @@
         loop {
             let pick = self.lock().pool.pick(self.context.timers.now(), workspace, settings_hash);
             match pick {
-                Pick::Reuse(mut connection) => {
-                    if connection.is_reusable() {
-                        return Ok(PooledConnection::new(self, request, connection));
+                Pick::Reuse(mut idle) => {
+                    if idle.is_open() {
+                        return Ok(PooledConnection::new(self, request, idle.into_connection()));
                     }
                     let mut state = self.lock();
                     state.pool.record_closed();
-                    if !connection.is_open() {
-                        state.record_lost(self.context.timers.now());
-                    }
+                    state.record_lost(self.context.timers.now());
                 }
                 Pick::Open { close } => {
                     drop(close);
@@ -194,7 +193,7 @@
         let now = self.context.timers.now();
         let mut state = self.lock();
         let idle = state.pool.idle();
-        state.pool.retain_idle(UpstreamConnection::is_open);
+        state.pool.retain_idle(IdleConnection::is_open);
         if state.pool.idle() < idle {
             state.record_lost(now);
         }
@@ -204,30 +203,33 @@
         }
     }
 
-    /// Returns a connection, last used at `level`, to the pool, which closes it if it is not
-    /// reusable.
-    pub(super) fn put_back(
-        &self,
-        workspace: &str,
-        level: Level,
-        mut connection: UpstreamConnection,
-    ) {
-        let reusable = connection.is_reusable();
-        let settings_hash = connection.settings_hash();
+    /// Returns a connection, last used at `level`, to the pool, or closes it if it may not serve
+    /// another caller.
+    pub(super) fn put_back(&self, workspace: &str, level: Level, connection: UpstreamConnection) {
+        let now = self.context.timers.now();
         let mut state = self.lock();
-        let surplus = if reusable && !state.closed {
-            let now = self.context.timers.now();
-            let workspace = WorkspaceId::from_name(workspace);
-            state.pool.put_at_level(now, level, workspace, settings_hash, connection)
-        } else {
-            state.pool.record_closed();
-            if !connection.is_open() {
-                state.record_lost(self.context.timers.now());
+        match connection.into_idle() {
+            Ok(idle) if !state.closed => {
+                let settings_hash = idle.settings_hash();
+                let workspace = WorkspaceId::from_name(workspace);
+                let surplus = state.pool.put_at_level(now, level, workspace, settings_hash, idle);
+                drop(state);
+                drop(surplus);
             }
-            Some(connection)
-        };
-        drop(state);
-        drop(surplus);
+            Ok(idle) => {
+                state.pool.record_closed();
+                drop(state);
+                drop(idle);
+            }
+            Err(mut connection) => {
+                state.pool.record_closed();
+                if !connection.is_open() {
+                    state.record_lost(now);
+                }
+                drop(state);
+                drop(connection);
+            }
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -289,7 +289,14 @@
         permit.keep_connection();
         let mut transaction = OpenTransaction::new(pooled, self.slots.clone(), request.rest);
         let asked = self.context.links.timers.now();
-        let answer = self.run_in_transaction(&mut transaction, request, &permit).await?;
+        let answer = match self.run_in_transaction(&mut transaction, request, &permit).await {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                drop(permit);
+                transaction.roll_back().await;
+                return Err(refusal);
+            }
+        };
         self.record_position(asked, &answer);
         // The reads of the transaction need the commits from before its start, so that one check
         // after the start suffices for all of them.
--- a/oleander-node/src/home/open.rs
+++ b/oleander-node/src/home/open.rs
@@ -16,8 +16,8 @@
 
 /// `OpenTransaction` is a transaction with the connection reserved for it.
 ///
-/// Dropping it returns the connection to the pool, which closes the connection if its state is not
-/// known. The owner has to end the transaction by a commit or `roll_back` before that.
+/// Dropping it closes the connection, unless the transaction has ended by a commit or `roll_back`: the
+/// connection then goes back to the pool.
 pub struct OpenTransaction {
     /// The name of the workspace that the connection belongs to.
     pub workspace: String,
@@ -43,10 +43,13 @@
         self.connection.as_mut()
     }
 
-    /// Rolls back the transaction and returns its connection to the pool.
+    /// Rolls back the transaction and returns its connection to the pool. A connection whose state is
+    /// not known is closed at once.
     pub async fn roll_back(mut self) {
         let pool = self.pool.clone();
-        let Some(connection) = self.connection() else { return };
+        let Some(connection) = self.connection().filter(|connection| connection.is_known()) else {
+            return;
+        };
         // If this fails, the connection is closed, which rolls back the transaction as well.
         let _ = pool.timers().within(ROLLBACK_LIMIT, connection.roll_back()).await;
     }
--- a/oleander-node/src/home/upstream.rs
+++ b/oleander-node/src/home/upstream.rs
@@ -35,6 +35,30 @@
     serial: u32,
     /// `false` once an exchange has left the connection in an unknown or unexpected state.
     reusable: bool,
+    /// The transaction state after the last exchange.
+    state: TransactionState,
+}
+
+/// `IdleConnection` is a connection on which no transaction is open and whose session state is known,
+/// so that it may serve a statement of any caller of its workspace. Only the pool keeps these.
+#[derive(Debug)]
+pub struct IdleConnection(UpstreamConnection);
+
+impl IdleConnection {
+    /// Returns `true` if the instance has not closed the link.
+    pub fn is_open(&mut self) -> bool {
+        self.0.is_open()
+    }
+
+    /// Returns the hash of the session settings that the connection holds.
+    pub fn settings_hash(&self) -> SettingsHash {
+        hash_settings(&self.0.settings)
+    }
+
+    /// Takes the connection into use.
+    pub fn into_connection(self) -> UpstreamConnection {
+        self.0
+    }
 }
 
 impl std::fmt::Debug for UpstreamConnection {
@@ -69,13 +93,24 @@
 impl UpstreamConnection {
     /// Wraps a newly opened link.
     pub fn new(link: Box<dyn Link>) -> Self {
-        Self { link, settings: Vec::new(), prepared: HashMap::new(), serial: 0, reusable: true }
+        let state = TransactionState::Idle;
+        let (settings, prepared) = (Vec::new(), HashMap::new());
+        Self { link, settings, prepared, serial: 0, reusable: true, state }
     }
 
-    /// Returns `true` if the link is open and no exchange has left it in an unknown or unexpected
-    /// state, so that the connection may serve another statement.
-    pub fn is_reusable(&mut self) -> bool {
-        self.reusable && self.link.is_open()
+    /// Returns the connection as one that may serve another caller, if the link is open, no exchange
+    /// has left it in an unknown or unexpected state, and no transaction is open.
+    ///
+    /// # Errors
+    /// Returns the connection itself otherwise; dropping it closes the link, which rolls back a
+    /// transaction.
+    pub fn into_idle(mut self) -> Result<IdleConnection, Self> {
+        let is_idle = self.state == TransactionState::Idle;
+        if self.reusable && is_idle && self.link.is_open() {
+            Ok(IdleConnection(self))
+        } else {
+            Err(self)
+        }
     }
 
     /// Returns `true` if the instance has not closed the link.
@@ -83,9 +118,9 @@
         self.link.is_open()
     }
 
-    /// Returns the hash of the session settings that the connection holds.
-    pub fn settings_hash(&self) -> SettingsHash {
-        hash_settings(&self.settings)
+    /// Returns `true` unless an exchange has left the connection in an unknown or unexpected state.
+    pub fn is_known(&self) -> bool {
+        self.reusable
     }
 
     /// Runs a statement outside a transaction.
@@ -250,10 +285,11 @@
         // connection counts as not reusable until it has succeeded.
         let was_reusable = std::mem::replace(&mut self.reusable, false);
         let replies = self.link.exchange(messages).await.map_err(|error| link_refusal(&error))?;
-        self.reusable = was_reusable && replies.len() == messages.len();
         if replies.len() != messages.len() {
             return Err(link_refusal(&LinkError::Lost("answers are missing")));
         }
+        self.reusable = was_reusable;
+        self.state = replies.last().map_or(self.state, |reply| reply.state);
         Ok(replies)
     }
 
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -21,6 +21,7 @@
 use oleander_ports::upstream::Message;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::Target;
+use oleander_ports::upstream::TransactionState;
 use oleander_ports::upstream::Upstreams;
 
 use super::members::Listing;
@@ -202,7 +203,10 @@
         let exchanging = async {
             let (life, mut link) = self.take(key).await?;
             let replies = link.exchange(messages).await?;
-            self.lock().insert(key, (life, link));
+            // A link with an open transaction is closed, which rolls it back.
+            if replies.last().is_some_and(|reply| reply.state == TransactionState::Idle) {
+                self.lock().insert(key, (life, link));
+            }
             Ok(replies)
         };
         let answered = self.fleet.timers.within(ANSWER_TIMEOUT, exchanging).await;
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -79,6 +79,8 @@
     open: AtomicUsize,
     /// The number of attempts to open a connection.
     connect_attempts: AtomicUsize,
+    /// The number of reads that ran in an open transaction.
+    reads_in_transaction: AtomicUsize,
     /// Called while a statement runs.
     on_exchange: Mutex<Option<Box<dyn Fn() + Send>>>,
 }
@@ -126,6 +128,9 @@
                 InstanceCommand::Commit | InstanceCommand::Rollback => {
                     self.state = TransactionState::Idle;
                 }
+                InstanceCommand::Read(_) if self.state == TransactionState::Open => {
+                    self.instance.reads_in_transaction.fetch_add(1, Ordering::AcqRel);
+                }
                 _ => {}
             }
             let outcome = Ok("signature".to_owned());
@@ -606,3 +611,56 @@
     let expected = (RefusalCode::UpstreamUnavailable, Verdict::NotRun);
     assert_eq!(refused, (!case.runs).then_some(expected));
 }
+
+/// `Ending` is how a transaction ends that was opened for a first statement which does not run to its
+/// end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    /// The zone of the instance is evacuated while the transaction is being opened.
+    Refused,
+    /// The caller leaves while the first statement runs.
+    Cancelled,
+    /// The transaction is dropped while it rests.
+    Dropped,
+}
+
+/// Guards against a connection that goes back to the pool with a transaction open: statements of other
+/// callers ran in it.
+#[rstest]
+#[case::refused(Ending::Refused)]
+#[case::cancelled(Ending::Cancelled)]
+#[case::dropped(Ending::Dropped)]
+#[tokio::test]
+async fn no_read_runs_in_the_transaction_of_another_caller(
+    #[case] ending: Ending,
+    #[values(false, true)] read_only: bool,
+) {
+    let fake = Arc::new(FakeInstance::default());
+    let (home, timers, fleet) = home_with_fleet(&fake);
+    let read = HomeRequest { work: Work::Read("loaf".to_owned()), ..write() };
+    let first = HomeRequest { scope: Scope::First { read_only }, ..read.clone() };
+    let before = View::clone(&fleet.view());
+    let changed = fleet.clone();
+    let instance = Arc::downgrade(&fake);
+    *fake.on_exchange.lock().unwrap() = Some(Box::new(move || match ending {
+        Ending::Refused => evacuate(&changed, &[(ZONE, Time(0))]),
+        // The next exchange is the one of the first statement.
+        Ending::Cancelled => instance.upgrade().unwrap().hangs.store(true, Ordering::Release),
+        Ending::Dropped => {}
+    }));
+    let deadline = timers.now() + Span::from_millis(300);
+    let opening = home.run_first(&first, read_only, deadline);
+    let opened = timers.within(Span::from_millis(100), opening).await;
+    match ending {
+        Ending::Refused => assert!(opened.is_some_and(|opened| opened.is_err())),
+        Ending::Cancelled => assert!(opened.is_none()),
+        Ending::Dropped => drop(opened.and_then(Result::ok).and_then(|ran| ran.open).unwrap()),
+    }
+    *fake.on_exchange.lock().unwrap() = None;
+    fake.hangs.store(false, Ordering::Release);
+    fleet.set_view(before);
+    let ran = fake.reads_in_transaction.load(Ordering::Acquire);
+    let deadline = timers.now() + Span::from_millis(300);
+    assert!(home.run_single(&read, deadline).await.is_ok());
+    assert_eq!(fake.reads_in_transaction.load(Ordering::Acquire), ran);
+}
