Hold a configuration back that may come from a copy of the store

Only a process that has seen a later version refuses an earlier one, and this one had seen none.

A process that starts in a store which was restored at some time asks the other VMs for their version, in words that the build before answers too. It goes by what it has read once none of them knows a later version and one of them has followed the restored store for 4.5 s, or after that time by itself. It is not ready meanwhile and says what it waits for.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -37,6 +37,10 @@
     EvacuationStarted = 206,
     /// The evacuation of an availability zone has ended.
     EvacuationEnded = 207,
+    /// This VM has started after the store was restored and does not go by the configuration yet.
+    ConfigurationHeld = 208,
+    /// No other VM knows a later configuration than the one that this VM has read.
+    ConfigurationConfirmed = 209,
     /// An instance has started and warms up.
     InstanceCold = 210,
     /// This VM, as the home of an instance, refused a statement that may not run in its region.
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -207,6 +207,10 @@
         let synced = self.fleet.synced_at();
         eligibility::shorten_window(&mut view, &former, synced, now, &self.fleet.settings);
         self.feed.copy().apply_reading(&reading);
+        if former.revision == StoreRevision(0) && 0 < revision.era() {
+            // The copy may lack the latest configuration, which other VMs know.
+            self.fleet.hold_configuration();
+        }
         self.fleet.set_view(view);
         self.fleet.mark_synced(asked);
         Ok(revision)
--- a/oleander-node/src/control/mod.rs
+++ b/oleander-node/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! rate shares that follow from both.
 
 pub mod apply;
+pub mod confirm;
 pub mod delta;
 pub mod feed;
 pub mod follow;
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -35,6 +35,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::control::follow::SETTLE_TIME;
 use crate::eligibility::EvacuationCounts;
 use crate::settings::HomePlacement;
 use crate::settings::NodeSettings;
@@ -240,6 +241,10 @@
     view: ArcSwap<View>,
     changed: watch::Sender<StoreRevision>,
     synced_at: AtomicU64,
+    /// The time since which this process has followed the present era of the store.
+    era_since: AtomicU64,
+    /// `true` while the configuration must not be gone by, as it may come from a copy of the store.
+    held: watch::Sender<bool>,
     /// The time of the last answer of the store to this VM itself.
     contact_at: AtomicU64,
     leased_until: AtomicU64,
@@ -269,6 +274,8 @@
             view: ArcSwap::default(),
             changed: watch::Sender::new(StoreRevision(0)),
             synced_at: AtomicU64::new(0),
+            era_since: AtomicU64::new(0),
+            held: watch::Sender::new(false),
             contact_at: AtomicU64::new(0),
             leased_until: AtomicU64::new(0),
             join_revision: AtomicU64::new(0),
@@ -303,6 +310,9 @@
     /// Replaces the view and tells the receivers of `changes`.
     pub fn set_view(&self, view: View) {
         let revision = view.revision;
+        if self.view.load().revision.era() != revision.era() {
+            self.era_since.store(self.now().0, Ordering::Release);
+        }
         self.view.store(Arc::new(view));
         self.changed.send_replace(revision);
     }
@@ -336,11 +346,41 @@
         (synced_at != Time(0)).then(|| self.now().since(synced_at))
     }
 
-    /// Returns the last time at which the view was known to be complete; 0 before the first view.
+    /// Returns the last time at which the view was known to be complete; 0 before the first view, and
+    /// while the configuration is held back.
     pub fn synced_at(&self) -> Time {
+        if *self.held.borrow() {
+            return Time(0);
+        }
         Time(self.synced_at.load(Ordering::Acquire))
     }
 
+    /// Holds the configuration back: requests that need it are refused, and no callers are taken.
+    pub fn hold_configuration(&self) {
+        self.held.send_replace(true);
+    }
+
+    /// Goes by the configuration again.
+    pub fn release_configuration(&self) {
+        self.held.send_replace(false);
+    }
+
+    /// Returns a receiver that is `true` while the configuration is held back.
+    pub fn held(&self) -> watch::Receiver<bool> {
+        self.held.subscribe()
+    }
+
+    /// Returns `true` if the configuration in force is that of the store, and this process has followed
+    /// the store since it was restored, if ever, for so long that all VMs must have registered there
+    /// again.
+    pub fn is_settled(&self) -> bool {
+        let view = self.view.load();
+        let since = Time(self.era_since.load(Ordering::Acquire));
+        !*self.held.borrow()
+            && view.configuration_revision.era() == view.revision.era()
+            && SETTLE_TIME <= self.now().since(since)
+    }
+
     /// Returns the time until which the configuration counts as current; 0 before the first view.
     pub fn current_until(&self) -> Time {
         match self.synced_at() {
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -26,6 +26,7 @@
 
 use crate::charges::Charges;
 use crate::control::apply::Applier;
+use crate::control::confirm::Confirmation;
 use crate::control::feed::Feed;
 use crate::control::follow::Follower;
 use crate::control::lease::HeldLease;
@@ -179,6 +180,11 @@
             applier: Applier::new(ports.sources, settings.clone(), journal.clone()),
             journal: journal.clone(),
         };
+        let confirmation = Confirmation {
+            fleet: fleet.clone(),
+            peers: peer_client.clone(),
+            journal: journal.clone(),
+        };
         let leaseholder = Leaseholder {
             fleet: fleet.clone(),
             store: store.clone(),
@@ -214,6 +220,7 @@
                 drop(stop);
             }),
             tokio::spawn(follower.run()),
+            tokio::spawn(confirmation.run()),
             tokio::spawn(shares::follow(
                 fleet.clone(),
                 rates.clone(),
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -27,6 +27,12 @@
     pub age_ms: Option<u64>,
     /// `true` if requests with a key may start.
     pub current: bool,
+    /// `true` unless the VM has started after a restore of the store and does not go by the
+    /// configuration yet.
+    pub confirmed: bool,
+    /// `true` if the configuration in force is that of the store, which the VM has followed for long
+    /// enough since it was restored.
+    pub settled: bool,
     /// `true` if the VM may use its own shares of the rates.
     pub shares: bool,
     /// `true` once the VM is draining.
@@ -62,6 +68,8 @@
         store: view.revision.0,
         age_ms: fleet.view_age().map(Span::as_millis),
         current: fleet.is_current(),
+        confirmed: !*fleet.held().borrow(),
+        settled: fleet.is_settled(),
         shares: now < fleet.shares_until(),
         draining: fleet.is_draining(),
         vms: view.roster.present().count(),
@@ -88,6 +96,7 @@
         ("configuration_version", configuration),
         ("store_revision", store),
         ("current", u64::from(status.current)),
+        ("configuration_confirmed", u64::from(status.confirmed)),
         ("shares_in_use", u64::from(status.shares)),
         ("draining", u64::from(status.draining)),
         ("vms", vms as u64),
