Register a VM again whose record was replaced or removed in the store

The late write binds the record to the earlier lease, which nobody renews.

The VM now compares its record in its own view with what it has written, and registers under a new lease if the record is gone or that of another process.

--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -131,6 +131,30 @@
         tokio::select! {
             lost = renewing => lost,
             () = activating => Ok(()),
+            () = self.wait_displaced(join_revision) => Ok(()),
+        }
+    }
+
+    /// Waits until the store no longer holds the record that this process wrote at `join_revision`.
+    ///
+    /// An earlier write whose answer was lost may be carried out after a later one. It binds the record
+    /// to its own lease, which nobody renews, or puts back the record of an earlier process.
+    async fn wait_displaced(&self, join_revision: StoreRevision) {
+        let mut changes = self.fleet.changes();
+        loop {
+            let view = self.fleet.view();
+            let own = view.roster.member(self.fleet.vm).filter(|member| member.life == self.life);
+            let is_held = own.is_some() && view.roster.is_present(self.fleet.vm);
+            if join_revision <= view.revision && !is_held {
+                let fields = [
+                    Field::text("reason", "the record of this VM was replaced or removed"),
+                    Field::number("at", view.revision.0),
+                ];
+                return self.journal.record(Event::SharesSuspended, &fields);
+            }
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
         }
     }
 
