Require confirmations of a VM that has taken another lease since the last probe

A process whose lease had ended before the primary was probed, and which took another one after that, could confirm a commit without being asked for it. It now counts as one that has joined.

--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -125,9 +125,13 @@
     /// Returns the processes that have become members since `former`; `None` if one that is not among
     /// them may have been a member since and is gone.
     pub fn joined_since(&self, former: &LeasedRoster) -> Option<Vec<&LeasedMember>> {
+        // A process whose lease had ended may have taken another one since.
         let is_known = |entry: &&Entry| {
             let known = former.members.get(&entry.member.vm());
-            known.is_some_and(|known| known.member.life == entry.member.life)
+            known.is_some_and(|known| {
+                let is_same = known.member.life == entry.member.life;
+                is_same && (known.ended_at.is_none() || known.ended_at == entry.ended_at)
+            })
         };
         let joined = self.members.values().filter(|entry| !is_known(entry));
         let joined: Vec<&Entry> = joined.collect();
--- a/oleander-membership/tests/leased.rs
+++ b/oleander-membership/tests/leased.rs
@@ -268,10 +268,23 @@
     },
     joined: None,
 })]
+#[case::taken_another_lease(Since {
+    change: |roster| roster.put(member("lapsed", false, None)),
+    joined: Some(&["lapsed"]),
+})]
+#[case::taken_another_lease_that_ended(Since {
+    change: |roster| {
+        roster.put(member("lapsed", false, None));
+        roster.end_lease(VmId::from_name("lapsed"), Time(7));
+    },
+    joined: None,
+})]
 fn each_process_since_an_earlier_roster_is_known(#[case] case: Since) {
     let mut roster = LeasedRoster::default();
     roster.put(member("a", false, None));
     roster.put(member("b", false, None));
+    roster.put(member("lapsed", false, None));
+    roster.end_lease(VmId::from_name("lapsed"), Time(5));
     let former = roster.clone();
     (case.change)(&mut roster);
     let joined = roster.joined_since(&former);
--- a/oleander-node/src/keeper/notify.rs
+++ b/oleander-node/src/keeper/notify.rs
@@ -68,17 +68,18 @@
     let silent = answers.iter().filter(|(_, answer)| *answer == Notified::Silent).count();
     let told = answers.into_iter().filter_map(|(vm, answer)| Some((vm, answer.confirmations()?)));
     let told: HashMap<VmId, Confirmations> = told.chain([(fleet.vm, own)]).collect();
-    Withdrawal { silent, confirmed: confirmed_point(&fleet.view().roster, sample, &told) }
+    let roster = fleet.view().roster.clone();
+    let confirmed = sample.and_then(|sample| confirmed_point(&roster, &sample, &told));
+    Withdrawal { silent, confirmed }
 }
 
 /// Returns a point at or after each confirmed commit, if each process has told that may have
 /// confirmed one since the sample. Commits confirmed before lie at or before the sample.
-fn confirmed_point(
+pub fn confirmed_point(
     roster: &LeasedRoster,
-    sample: Option<PrimarySample>,
+    sample: &PrimarySample,
     told: &HashMap<VmId, Confirmations>,
 ) -> Option<LogPoint> {
-    let sample = sample?;
     let told_by =
         |member: &LeasedMember| told.get(&member.vm()).filter(|told| told.life == member.life);
     // An earlier process of a VM that has joined may have confirmed commits since, too.
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -111,7 +111,8 @@
 pub struct PrimarySample {
     /// The last point of the primary's log.
     pub point: LogPoint,
-    asked: Time,
+    /// The time before it was asked for.
+    pub asked: Time,
     /// The VMs that could confirm commits.
     pub roster: Arc<LeasedRoster>,
 }
