--- a/oleander-failover/src/keeper/members.rs
+++ b/oleander-failover/src/keeper/members.rs
@@ -18,8 +18,8 @@
 use super::phase::Phase;
 use super::phase::StoppingReplicas;
 
-/// The number of members from which on those that ended first are dropped. A database has a few
-/// instances, so that this many follow from instances that were lost without a trace.
+/// The number of members from which on those with a cover are dropped that ended first. A database has
+/// a few instances, so that this many follow from instances that were lost without a trace.
 const MAX_MEMBERS: usize = 16;
 
 /// The longest pause between two checks of a member.
@@ -126,15 +126,15 @@
         restarted
     }
 
-    /// Drops the member that has ended first. Returns `false` if all of them may run.
+    /// Drops the member with a cover that has ended first. Returns `false` if there is none.
     fn drop_oldest(&mut self) -> bool {
-        let ended = self.known.iter().filter_map(|member| member.ended_at);
-        let Some(first) = ended.min() else { return false };
-        let index = self.known.iter().position(|member| member.ended_at == Some(first));
-        index.is_some_and(|index| {
-            self.known.remove(index);
-            true
-        })
+        let covered = self.known.iter().enumerate();
+        let covered = covered.filter(|(_, member)| member.state.cover.is_some());
+        let Some((oldest, _)) = covered.min_by_key(|(_, member)| member.ended_at) else {
+            return false;
+        };
+        self.known.remove(oldest);
+        true
     }
 
     /// Returns what the record says of the members.
