Repeat an order to resume that was not answered

A replica that missed the order to receive again stayed stopped until it started again or another promotion took place: the keeper noted that the order was not answered and never repeated it. With the other replicas gone, no commit of the database would be acknowledged. Found while looking for the ways on which a replica stays stopped, after a promotion of the instance that already led had left both of them so.

The keeper repeats the order once the lost one can no longer arrive. The new test fails on the former code.

--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -226,6 +226,7 @@
     pub fn next_due(&self) -> Time {
         let probe_due = if self.probing.is_some() { Time(u64::MAX) } else { self.next_probe };
         let probe_due = probe_due.min(self.next_step_down()).min(self.next_check());
+        let probe_due = probe_due.min(self.next_resume());
         match &self.phase {
             Phase::Watching
             | Phase::Scanning(_)
@@ -266,6 +267,7 @@
         self.update_unlisted(now);
         self.advance(now, out);
         self.send_step_downs(now, out);
+        self.repeat_resumes(now, out);
         self.send_checks(now, out);
         self.send_probe(now, out);
     }
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -486,6 +486,29 @@
         }
     }
 
+    /// Repeats the orders to resume that were not answered. A replica that misses its order would stay
+    /// stopped, and once the others are gone no commit could be acknowledged.
+    pub(super) fn repeat_resumes(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.is_promoting() {
+            return;
+        }
+        let replicas: SmallVec<[InstanceKey; INLINE_INSTANCES]> = self.replicas().collect();
+        let is_over = |until: Option<Time>| until.is_some_and(|until| until <= now);
+        self.resuming.retain(|(key, until)| !is_over(*until) || replicas.contains(key));
+        for (key, until) in self.resuming.iter_mut().filter(|(_, until)| is_over(*until)) {
+            *until = None;
+            out.push(Action::ResumeReplication(*key));
+        }
+    }
+
+    /// Returns the time at which the next order to resume is repeated.
+    pub(super) fn next_resume(&self) -> Time {
+        if self.is_promoting() {
+            return Time(u64::MAX);
+        }
+        self.resuming.iter().filter_map(|(_, until)| *until).min().unwrap_or(Time(u64::MAX))
+    }
+
     /// Tells the replicas that have not stopped yet to stop.
     fn send_stops(&self, out: &mut Vec<Action>) {
         let Phase::StoppingReplicas(stopping) = &self.phase else { return };
--- a/oleander-failover/tests/keeper_proof.rs
+++ b/oleander-failover/tests/keeper_proof.rs
@@ -47,6 +47,8 @@
     queue: Vec<Action>,
     /// The point that VMs have confirmed, as they answer the keeper.
     confirmed: Option<u64>,
+    /// The number of orders to resume that are lost.
+    lost_resumes: usize,
     /// The instances that the keeper has chosen, and all actions.
     chosen: Vec<InstanceKey>,
     actions: Vec<Action>,
@@ -89,6 +91,7 @@
             instances,
             queue: Vec::new(),
             confirmed: None,
+            lost_resumes: 0,
             chosen: Vec::new(),
             actions: Vec::new(),
         };
@@ -168,7 +171,11 @@
                 let received = self.instance(key).received.map(point);
                 self.handle(Input::ReplicationStopped(key, received));
             }
-            Action::ResumeReplication(key) => self.handle(Input::ReplicationResumed(key, true)),
+            Action::ResumeReplication(key) => {
+                let is_lost = 0 < self.lost_resumes;
+                self.lost_resumes -= usize::from(is_lost);
+                self.handle(Input::ReplicationResumed(key, !is_lost));
+            }
             Action::CheckVms => self.handle(Input::VmsChecked(true)),
             Action::InformVms(token) => {
                 let confirmed = self.confirmed.map(point);
@@ -443,3 +450,25 @@
     assert!(!harness.keeper.is_promoting());
     assert!(harness.actions.contains(&Action::ResumeReplication(NEAR)));
 }
+
+/// Guards against a replica that stays stopped because the order to resume was lost: once the other
+/// one is gone, no commit is acknowledged any more.
+#[test]
+fn a_lost_order_to_resume_is_repeated() {
+    let mut harness = Harness::settled();
+    harness.silence(PRIMARY);
+    harness.silence(FAR);
+    harness.pass(2_000);
+    harness.change(FAR, |far| far.received = Some(20));
+    harness.lost_resumes = 3;
+    harness.change(PRIMARY, |primary| primary.received = Some(20));
+    harness.pass(20_000);
+    assert_eq!(harness.lost_resumes, 0);
+    let resumes = |key| {
+        let resumed =
+            harness.actions.iter().filter(|action| **action == Action::ResumeReplication(key));
+        resumed.count()
+    };
+    assert_eq!((resumes(NEAR) + resumes(FAR)), 5, "two orders, and three again");
+    assert!(!harness.keeper.is_promoting());
+}
