--- a/oleander-standin/src/lib.rs
+++ b/oleander-standin/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod group;
 pub mod http;
 pub mod platform;
+pub mod replicas;
 pub mod store;
 pub mod vms;
