Count a member's point only for the start that the directory lists

Callers lost acknowledged commits: a replica that had them started again under its identifier without its log, while it did not reach the store, and the primary was lost. The directory still listed the former start, the replica's answer to the order to stop was taken for that of the former start, and a replica that had received less was promoted.

With the check taken out, four cases of keeper_proof fail.

Change: the keeper also gets the greatest position of the primary that its last probe and the answering VMs know.

--- a/oleander-failover/src/keeper/members.rs
+++ b/oleander-failover/src/keeper/members.rs
@@ -359,13 +359,20 @@
         now: Time,
         stopping: &StoppingReplicas,
     ) -> Option<LogPoint> {
-        let by_members = self.members.bound(now, self.assumed_primary(), stopping);
+        let by_members = self.members_point(now, stopping);
+        let by_members = by_members.filter(|point| self.is_of_listed(*point, stopping));
         match (by_members, stopping.bound) {
             (Some(members), Some(bound)) => Some(members.min(bound)),
             (members, bound) => members.or(bound),
         }
     }
 
+    /// Returns the least point such that an instance which has received it has all that the members
+    /// have told or are covered by; `None` if one of them is not accounted for.
+    pub(super) fn members_point(&self, now: Time, stopping: &StoppingReplicas) -> Option<LogPoint> {
+        self.members.bound(now, self.assumed_primary(), stopping)
+    }
+
     /// Returns the members whose acknowledgements are not accounted for.
     pub(super) fn missing_members(
         &self,
--- a/oleander-failover/src/keeper/messages.rs
+++ b/oleander-failover/src/keeper/messages.rs
@@ -48,6 +48,9 @@
     /// time by which entries are back after an outage of the store. A primary whose entry is missing
     /// for longer is replaced although it answers.
     pub listing_limit: Span,
+    /// The time after which the directory no longer lists the start of an instance that has ended,
+    /// even if entries did not expire during a short outage of the store.
+    pub entry_ttl: Span,
     /// The time after which an unanswered order to resume replication can no longer take effect.
     pub resume_limit: Span,
     /// The time after which a promotion order without an answer can no longer take effect. `None`
@@ -76,6 +79,7 @@
             confirm_time: Span::from_millis(2_000),
             retry_delay: Span::from_millis(500),
             listing_limit: Span::from_millis(2_000),
+            entry_ttl: Span::from_millis(6_600),
             // Instances close a connection after 3 s without a sign of the peer.
             resume_limit: Span::from_millis(3_500),
             order_expiry: None,
@@ -239,6 +243,9 @@
         /// A point at or after each commit that a VM has confirmed; `None` if a VM that may have
         /// confirmed one did not tell.
         confirmed: Option<LogPoint>,
+        /// The greatest position that the last probe of the primary and the VMs that answered have
+        /// told; `None` if none of them has.
+        mark: Option<LogPoint>,
     },
     /// The answer to `Action::OrderPromotion`.
     PromotionOrdered(OrderOutcome),
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -7,8 +7,9 @@
 //! only if the keeper chooses the right one. A commit is acknowledged once one replica has received
 //! it. The keeper therefore stops replication at all replicas, which also ends acknowledgements at
 //! the old primary, and promotes a replica that is shown to have each acknowledged commit
-//! (`members`): it has what all members have received, or all that VMs have confirmed. Without such
-//! a proof it waits for the members or the primary. A replica that joins or restarts during the
+//! (`members`): it has what all members have received, or all that VMs have confirmed. An answer of
+//! a member counts only if it is that of the listed start (`starts`). Without a proof the keeper waits
+//! for the members or the primary. A replica that joins or restarts during the
 //! promotion receives and acknowledges all the same, so the keeper first waits until no VM accepts
 //! acknowledgements of the old primary any more.
 //!
@@ -33,6 +34,7 @@
 mod promotion;
 mod replaced;
 mod scan;
+mod starts;
 
 use oleander_core::events::Event;
 use oleander_core::ids::InstanceKey;
@@ -56,7 +58,9 @@
 use self::phase::Scan;
 use self::phase::UnansweredOrder;
 use self::phase::UnresolvedOrder;
+use self::promotion::VmPoints;
 use self::replaced::ReplacedPrimary;
+use self::starts::ListingSpan;
 
 /// The version of the rules by which a keeper chooses the instance to promote. A VM with a later one
 /// takes the duty from one with an earlier one.
@@ -68,6 +72,7 @@
     options: KeeperOptions,
     instances: SmallVec<[ListedInstance; INLINE_INSTANCES]>,
     members: Members,
+    listing: ListingSpan,
     primary: Option<InstanceKey>,
     /// The primary and the time since which the directory does not list it; `None` while it does.
     unlisted: Option<(InstanceKey, Time)>,
@@ -124,6 +129,7 @@
             options,
             instances: SmallVec::new(),
             members: Members::new(now, &[], now + options.listing_limit, options.repeat_interval),
+            listing: ListingSpan::default(),
             primary: None,
             unlisted: None,
             term: Term(0),
@@ -222,8 +228,13 @@
         !is_watching || self.unresolved.is_some() || self.stopped
     }
 
+    /// Records the time at which the list of instances was last known to be complete.
+    pub fn note_synced(&mut self, synced_at: Time) {
+        self.listing.extend(synced_at);
+    }
+
     /// Returns the time at which `Input::Tick` is needed next.
-    pub fn next_due(&self) -> Time {
+    pub fn next_due(&self, now: Time) -> Time {
         let probe_due = if self.probing.is_some() { Time(u64::MAX) } else { self.next_probe };
         let probe_due = probe_due.min(self.next_step_down()).min(self.next_check());
         let probe_due = probe_due.min(self.next_resume());
@@ -235,7 +246,7 @@
             | Phase::InformingVms { .. } => probe_due,
             Phase::StoppingReplicas(stopping) => probe_due
                 .min(stopping.sent_at + self.options.repeat_interval)
-                .min(stopping.since + self.options.stop_limit),
+                .min(self.stop_until(now, stopping)),
             Phase::RecordingChoice { retry_at, .. } | Phase::ClearingRecord { retry_at } => {
                 retry_at.map_or(probe_due, |at| probe_due.min(at))
             }
@@ -254,13 +265,15 @@
             Input::Reached(instance, point, asked) => self.handle_reached(instance, point, asked),
             Input::MemberChecked(instance, answer) => self.handle_checked(now, instance, answer),
             Input::Probed(instance, result) => self.handle_probe(now, instance, result, out),
-            Input::ReplicationStopped(instance, point) => self.handle_stopped(instance, point),
+            Input::ReplicationStopped(instance, point) => {
+                self.handle_stopped(now, instance, point);
+            }
             Input::ReplicationResumed(instance, done) => self.handle_resumed(now, instance, done),
             Input::SteppedDown(instance, done) => self.handle_stepped_down(now, instance, done),
             Input::VmsChecked(all) => self.handle_vms_checked(now, all, out),
             Input::TokenAcquired(token) => self.handle_token(now, token, out),
-            Input::VmsInformed { token, confirmed } => {
-                self.handle_vms_informed(now, token, confirmed, out);
+            Input::VmsInformed { token, confirmed, mark } => {
+                self.handle_vms_informed(now, token, VmPoints { confirmed, mark }, out);
             }
             Input::PromotionOrdered(outcome) => self.handle_order_outcome(now, outcome, out),
         }
@@ -280,7 +293,7 @@
         self.instances = instances;
         let restarted = self.members.update(now, &self.instances);
         if let Phase::StoppingReplicas(stopping) = &mut self.phase {
-            stopping.stopped.retain(|(stopped, _)| !restarted.contains(stopped));
+            stopping.stopped.retain(|stopped| !restarted.contains(&stopped.key));
         }
     }
 
--- a/oleander-failover/src/keeper/phase.rs
+++ b/oleander-failover/src/keeper/phase.rs
@@ -58,15 +58,32 @@
     /// The time at which the replicas were last told to stop.
     pub(super) sent_at: Time,
     /// The replicas that have stopped, with the last point that each has received.
-    pub(super) stopped: SmallVec<[(InstanceKey, LogPoint); INLINE_INSTANCES]>,
+    pub(super) stopped: SmallVec<[Stopped; INLINE_INSTANCES]>,
     /// A point at or after each commit that a VM has confirmed; `None` while none is known.
     pub(super) bound: Option<LogPoint>,
+    /// The greatest position of the primary that was told before the replicas were stopped.
+    pub(super) mark: Option<LogPoint>,
+}
+
+/// `Stopped` is the answer of a replica that has stopped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Stopped {
+    pub(super) key: InstanceKey,
+    /// The last point that it has received.
+    pub(super) point: LogPoint,
+    /// The time of the answer.
+    pub(super) at: Time,
 }
 
 impl StoppingReplicas {
     /// Returns the last point that a replica has received; `None` unless it has stopped.
     pub(super) fn point_of(&self, key: InstanceKey) -> Option<LogPoint> {
-        self.stopped.iter().find(|(stopped, _)| *stopped == key).map(|(_, point)| *point)
+        self.answer_of(key).map(|stopped| stopped.point)
+    }
+
+    /// Returns the answer of a replica; `None` unless it has stopped.
+    pub(super) fn answer_of(&self, key: InstanceKey) -> Option<Stopped> {
+        self.stopped.iter().copied().find(|stopped| stopped.key == key)
     }
 }
 
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -15,14 +15,28 @@
 use super::messages::ListedInstance;
 use super::messages::OrderOutcome;
 use super::phase::Phase;
+use super::phase::Stopped;
 use super::phase::StoppingReplicas;
 use super::phase::Takeover;
 use super::phase::UnansweredOrder;
 use super::phase::UnresolvedOrder;
 
+/// `VmPoints` are the points that VMs told when the primary was withdrawn, as in
+/// `Input::VmsInformed`.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct VmPoints {
+    pub(super) confirmed: Option<LogPoint>,
+    pub(super) mark: Option<LogPoint>,
+}
+
 impl Keeper {
     /// Records the last point that a stopped replica has received; `None` if it did not answer.
-    pub(super) fn handle_stopped(&mut self, instance: InstanceKey, point: Option<LogPoint>) {
+    pub(super) fn handle_stopped(
+        &mut self,
+        now: Time,
+        instance: InstanceKey,
+        point: Option<LogPoint>,
+    ) {
         if self.resuming.iter().any(|(resuming, _)| *resuming == instance) {
             // An order to resume may still arrive and undo the stop.
             return;
@@ -32,8 +46,8 @@
         if !self.members.running().any(|running| running == instance) {
             return;
         }
-        stopping.stopped.retain(|(stopped, _)| *stopped != instance);
-        stopping.stopped.push((instance, point));
+        stopping.stopped.retain(|stopped| stopped.key != instance);
+        stopping.stopped.push(Stopped { key: instance, point, at: now });
         self.term = self.term.max(point.term);
     }
 
@@ -125,13 +139,13 @@
         &mut self,
         now: Time,
         informed: u64,
-        confirmed: Option<LogPoint>,
+        points: VmPoints,
         out: &mut Vec<Action>,
     ) {
         if let Phase::InformingVms { planned, token } = self.phase
             && token == informed
         {
-            self.stop_replicas(now, planned, confirmed, out);
+            self.stop_replicas(now, planned, points, out);
         }
     }
 
@@ -187,7 +201,7 @@
             Phase::StoppingReplicas(stopping) => {
                 if let Some(required) = self.choice_bound(now, stopping) {
                     self.choose_replica(now, required, out);
-                } else if stopping.since + self.options.stop_limit <= now {
+                } else if self.stop_until(now, stopping) <= now {
                     self.log_missing_proof(now, out);
                     self.abandon(now, "no instance is shown to have all commits", out);
                 } else if stopping.sent_at + self.options.repeat_interval <= now {
@@ -324,16 +338,11 @@
         Term(self.term.0 + 1)
     }
 
-    fn stop_replicas(
-        &mut self,
-        now: Time,
-        planned: bool,
-        bound: Option<LogPoint>,
-        out: &mut Vec<Action>,
-    ) {
-        let term = self.next_term();
-        let stopped = SmallVec::new();
-        let stopping = StoppingReplicas { planned, term, since: now, sent_at: now, stopped, bound };
+    fn stop_replicas(&mut self, now: Time, planned: bool, points: VmPoints, out: &mut Vec<Action>) {
+        let VmPoints { confirmed: bound, mark } = points;
+        let (term, stopped) = (self.next_term(), SmallVec::new());
+        let stopping =
+            StoppingReplicas { planned, term, since: now, sent_at: now, stopped, bound, mark };
         self.phase = Phase::StoppingReplicas(stopping);
         self.send_stops(out);
     }
@@ -347,9 +356,8 @@
         };
         let is_awaited = now < stopping.since + self.options.repeat_interval
             && self.instances.iter().any(is_silent);
-        let has_required = |(key, point): &(InstanceKey, LogPoint)| {
-            required <= *point && self.listed(*key).is_some()
-        };
+        let has_required =
+            |stopped: &Stopped| required <= stopped.point && self.listed(stopped.key).is_some();
         (!is_awaited && stopping.stopped.iter().any(has_required)).then_some(required)
     }
 
@@ -359,13 +367,17 @@
         let Phase::StoppingReplicas(stopping) = &self.phase else { return };
         let event = Event::PromotionUnproven;
         if let Some(required) = self.required_point(now, stopping) {
-            let holder = stopping.stopped.iter().find(|(_, point)| required <= *point);
+            let holder = stopping.stopped.iter().find(|stopped| required <= stopped.point);
             let (holder, reason) = match holder {
-                Some((key, _)) => (Some(*key), "has what is required, but is not listed"),
+                Some(stopped) => (Some(stopped.key), "has what is required, but is not listed"),
                 None => (None, "no instance that answers has what is required"),
             };
             return out.push(log_event(event, holder, self.term, reason));
         }
+        if self.members_point(now, stopping).is_some() {
+            let reason = "a member may have started again without its log";
+            return out.push(log_event(event, None, self.term, reason));
+        }
         let missing = self.missing_members(stopping).into_iter();
         let reason = "what it has acknowledged is not accounted for";
         out.extend(missing.map(|key| log_event(event, Some(key), self.term, reason)));
@@ -376,12 +388,12 @@
     fn choose_replica(&mut self, now: Time, required: LogPoint, out: &mut Vec<Action>) {
         let Phase::StoppingReplicas(stopping) = &self.phase else { return };
         let planned = stopping.planned;
-        let listed = stopping.stopped.iter().filter(|(key, _)| self.listed(*key).is_some());
-        let proved = listed.filter(|(_, point)| required <= *point);
-        let best = proved.max_by_key(|(key, point)| {
+        let listed = stopping.stopped.iter().filter(|stopped| self.listed(stopped.key).is_some());
+        let proved = listed.filter(|stopped| required <= stopped.point);
+        let best = proved.max_by_key(|Stopped { key, point, .. }| {
             (*point, self.stays(*key), !self.is_leaving(*key), self.allowing_routes(*key))
         });
-        let Some((instance, _)) = best.copied() else {
+        let Some(Stopped { key: instance, .. }) = best.copied() else {
             return self.abandon(now, "no replica is left", out);
         };
         if planned && self.is_leaving(instance) {
@@ -512,7 +524,7 @@
     /// Tells the replicas that have not stopped yet to stop.
     fn send_stops(&self, out: &mut Vec<Action>) {
         let Phase::StoppingReplicas(stopping) = &self.phase else { return };
-        let is_stopped = |key| stopping.stopped.iter().any(|(stopped, _)| *stopped == key);
+        let is_stopped = |key| stopping.answer_of(key).is_some();
         // An order to resume that arrives after the order to stop would silently undo it.
         let is_resuming = |key| self.resuming.iter().any(|(resuming, _)| *resuming == key);
         let missing = self.replicas().filter(|key| !is_stopped(*key) && !is_resuming(*key));
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -67,7 +67,7 @@
         let actions = self.handle(Input::TokenAcquired(Some(token)));
         assert!(actions.contains(&Action::InformVms(token)));
         assert_eq!(stopped_replicas(&actions), []);
-        self.handle(Input::VmsInformed { token, confirmed: None })
+        self.handle(Input::VmsInformed { token, confirmed: None, mark: None })
     }
 
     /// Lets probes of the primary fail until the keeper requests a token.
@@ -552,7 +552,7 @@
                 }
                 // What VMs have confirmed shows that the remaining instance lacks nothing.
                 Action::InformVms(token) => {
-                    Input::VmsInformed { token, confirmed: Some(point(1, 11)) }
+                    Input::VmsInformed { token, confirmed: Some(point(1, 11)), mark: None }
                 }
                 Action::StopReplication(FAR, _) => {
                     Input::ReplicationStopped(FAR, Some(point(1, 11)))
--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -502,7 +502,7 @@
                 self.group.take_effect(self.now)?;
                 if let Some((token, _)) = self.informed_at.take_if(|(_, due)| *due <= self.now) {
                     // A VM has not answered.
-                    self.handle(Input::VmsInformed { token, confirmed: None });
+                    self.handle(Input::VmsInformed { token, confirmed: None, mark: None });
                 }
                 self.handle(Input::Tick);
             }
@@ -710,7 +710,7 @@
             Action::CheckVms => Input::VmsChecked(true),
             Action::InformVms(token) => {
                 self.former_primaries.clear();
-                Input::VmsInformed { token, confirmed: self.confirmed() }
+                Input::VmsInformed { token, confirmed: self.confirmed(), mark: None }
             }
             Action::StopReplication(key, _) => {
                 let member = &mut self.group.members[index_of(key)];
--- a/oleander-failover/tests/keeper_proof.rs
+++ b/oleander-failover/tests/keeper_proof.rs
@@ -47,6 +47,10 @@
     queue: Vec<Action>,
     /// The point that VMs have confirmed, as they answer the keeper.
     confirmed: Option<u64>,
+    /// The greatest position of the primary that the keeper and the VMs know.
+    mark: Option<u64>,
+    /// `false` while the VM of the keeper does not reach the store.
+    synced: bool,
     /// The number of orders to resume that are lost.
     lost_resumes: usize,
     /// The instances that the keeper has chosen, and all actions.
@@ -91,6 +95,8 @@
             instances,
             queue: Vec::new(),
             confirmed: None,
+            mark: None,
+            synced: true,
             lost_resumes: 0,
             chosen: Vec::new(),
             actions: Vec::new(),
@@ -137,6 +143,9 @@
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis / 20 {
             self.now = self.now + Span::from_millis(20);
+            if self.synced {
+                self.keeper.note_synced(self.now);
+            }
             self.handle(Input::Tick);
             for action in std::mem::take(&mut self.queue) {
                 self.answer(action);
@@ -178,8 +187,8 @@
             }
             Action::CheckVms => self.handle(Input::VmsChecked(true)),
             Action::InformVms(token) => {
-                let confirmed = self.confirmed.map(point);
-                self.handle(Input::VmsInformed { token, confirmed });
+                let (confirmed, mark) = (self.confirmed.map(point), self.mark.map(point));
+                self.handle(Input::VmsInformed { token, confirmed, mark });
             }
             Action::AcquireToken { ordered } => {
                 self.chosen.extend(ordered.filter(|key| !self.chosen.contains(key)));
@@ -265,6 +274,52 @@
     assert_eq!(harness.chosen, expected);
 }
 
+/// `RebornCase` is what VMs have told when the replica `FAR`, which had all commits, has started again
+/// without its log and the directory still lists the former start.
+struct RebornCase {
+    confirmed: Option<u64>,
+    received: u64,
+}
+
+/// Guards against the loss of acknowledged commits because the answer of a replica that has started
+/// again behind a cut from the store is taken for that of its former start.
+#[rstest]
+#[case::all_vms_tell(RebornCase { confirmed: Some(20), received: 0 })]
+#[case::a_vm_is_lost(RebornCase { confirmed: None, received: 0 })]
+#[case::it_has_received_a_part(RebornCase { confirmed: None, received: 15 })]
+fn an_answer_after_a_start_that_is_not_listed_proves_nothing(#[case] case: RebornCase) {
+    let mut harness = Harness::settled();
+    (harness.confirmed, harness.mark) = (case.confirmed, Some(20));
+    harness.silence(PRIMARY);
+    harness.instance(FAR).received = Some(case.received);
+    harness.pass(3_500);
+    harness.change(FAR, |far| far.listed = false);
+    harness.pass(10_000);
+    harness.change(FAR, |far| (far.listed, far.life) = (true, 2));
+    harness.pass(10_000);
+    assert_eq!(harness.chosen, [], "nobody but the primary has all commits");
+    harness.change(PRIMARY, |primary| primary.received = Some(20));
+    harness.pass(1_000);
+    assert!(!harness.keeper.is_promoting());
+}
+
+/// Guards against a database without writes because the primary was known to have commits that no
+/// replica had received, and against trust in a list that is not followed.
+#[test]
+fn members_whose_entries_last_prove_what_lies_before_the_mark() {
+    let mut harness = Harness::settled();
+    (harness.confirmed, harness.mark) = (Some(21), Some(21));
+    harness.silence(PRIMARY);
+    harness.synced = false;
+    harness.pass(12_000);
+    assert_eq!(harness.chosen, [], "the entries may have lapsed");
+    harness.synced = true;
+    harness.pass(6_000);
+    assert_eq!(harness.chosen, [], "a start that has ended may still be listed");
+    harness.pass(14_000);
+    assert_eq!(harness.chosen, [FAR]);
+}
+
 /// `Recovery` is what ends the wait for a proof, and the instance that is chosen then.
 struct Recovery {
     far: fn(&mut Instance),
--- a/oleander-node/src/keeper/notify.rs
+++ b/oleander-node/src/keeper/notify.rs
@@ -36,6 +36,8 @@
     /// A point at or after each commit that a VM has confirmed; `None` unless each process that may
     /// have confirmed one since the sample has told.
     pub confirmed: Option<LogPoint>,
+    /// The greatest position of the primary that the sample and the VMs that answered have told.
+    pub mark: Option<LogPoint>,
 }
 
 /// Tells all VMs that the keeper record written at `revision` names no primary, and waits until
@@ -69,8 +71,10 @@
     let told = answers.into_iter().filter_map(|(vm, answer)| Some((vm, answer.confirmations()?)));
     let told: HashMap<VmId, Confirmations> = told.chain([(fleet.vm, own)]).collect();
     let roster = fleet.view().roster.clone();
+    let points = told.values().filter_map(|told| told.point);
+    let mark = points.chain(sample.as_ref().map(|sample| sample.point)).max();
     let confirmed = sample.and_then(|sample| confirmed_point(&roster, &sample, &told));
-    Withdrawal { silent, confirmed }
+    Withdrawal { silent, confirmed, mark }
 }
 
 /// Returns a point at or after each confirmed commit, if each process has told that may have
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -287,6 +287,7 @@
         let mut input = self.instances_input(database);
         loop {
             let mut actions = Vec::new();
+            keeper.note_synced(self.fleet.synced_at());
             keeper.handle(self.fleet.now(), input, &mut actions);
             self.term.store(keeper.term().0, Ordering::Release);
             let unlisted = self.lock_members().update(&keeper, &self.fleet.view(), database);
@@ -303,7 +304,7 @@
                     Ok(()) => self.instances_input(database),
                     Err(_) => return,
                 },
-                () = self.fleet.timers.sleep_until(keeper.next_due()) => Input::Tick,
+                () = self.fleet.timers.sleep_until(keeper.next_due(self.fleet.now())) => Input::Tick,
             };
         }
     }
@@ -411,20 +412,23 @@
                 let asked = self.fleet.now();
                 let revision = StoreRevision(token);
                 let (fleet, peers, sample) = (&self.fleet, &self.peers, self.sample());
-                let Withdrawal { silent, confirmed } =
+                let Withdrawal { silent, confirmed, mark } =
                     notify::primary_withdrawn(fleet, peers, database, revision, sample).await;
-                let point = confirmed.map_or("unknown".to_owned(), |point| {
-                    format!("{}.{}", point.term.0, point.position.0)
-                });
+                let text = |point: Option<LogPoint>| {
+                    point.map_or("unknown".to_owned(), |point| {
+                        format!("{}.{}", point.term.0, point.position.0)
+                    })
+                };
                 let fields = [
                     Field::text("database", &self.database),
                     Field::number("at", token),
                     Field::number("silent", silent as u64),
-                    Field::text("confirmed", point),
+                    Field::text("confirmed", text(confirmed)),
+                    Field::text("mark", text(mark)),
                     Field::millis("waited", self.fleet.now().since(asked)),
                 ];
                 self.journal.record(Event::VmsInformed, &fields);
-                Some(Input::VmsInformed { token, confirmed })
+                Some(Input::VmsInformed { token, confirmed, mark })
             }
             Action::OrderPromotion { instance, token } => {
                 Some(Input::PromotionOrdered(self.order_promotion(instance, token).await))
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -27,6 +27,10 @@
 /// lost their answer are executed up to 6 s late, and an order takes up to 1 s to have its effect.
 const ORDER_EXPIRY: Span = Span::from_millis(8_000);
 
+/// The time that is added to the life of an entry, since entries may not expire while the store is
+/// unavailable for less.
+const PAUSED_EXPIRY: Span = Span::from_secs(3);
+
 /// `StoreWatch` says which VMs of a region watch the store for the others.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -102,6 +106,10 @@
     /// operator has requested its evacuation.
     #[serde(with = "span", default = "default_evacuation")]
     pub evacuation: Span,
+    /// The time between two reports of an instance to the directory. Its entry lapses after three of
+    /// them without one.
+    #[serde(with = "span", default = "default_reports")]
+    pub reports: Span,
 }
 
 /// Returns the time for an evacuation where the platform states none.
@@ -109,6 +117,11 @@
     Span::from_secs(5)
 }
 
+/// Returns the time between two reports of an instance where the platform states none.
+fn default_reports() -> Span {
+    Span::from_secs(3)
+}
+
 impl NodeSettings {
     /// Returns the time for which the configuration counts as current, counted from the sending of
     /// the last request that the store answered.
@@ -152,7 +165,8 @@
     /// Returns the options of the keepers.
     pub fn keeper_options(&self) -> KeeperOptions {
         let order_expiry = (!self.fenced).then_some(ORDER_EXPIRY);
-        KeeperOptions { order_expiry, ..KeeperOptions::default() }
+        let entry_ttl = self.reports.times(3) + PAUSED_EXPIRY;
+        KeeperOptions { order_expiry, entry_ttl, ..KeeperOptions::default() }
     }
 
     /// Returns the place of an availability zone; an unknown zone gets an empty region.
--- a/oleander-node/tests/support/mod.rs
+++ b/oleander-node/tests/support/mod.rs
@@ -24,5 +24,6 @@
         watch: StoreWatch::Pair,
         cpu: 0.0,
         evacuation: Span::from_secs(5),
+        reports: Span::from_millis(1_200),
     }
 }
