Pause before an order that was not answered is repeated

If the platform closed the connection of an order without an answer, the keeper ordered again at once, each time with a new token and a write of its record.

The platform takes 50 a second from all VMs together, so that orders of other databases were refused meanwhile.

Change: the owner of the keeper waits 25 to 50 ms before it passes on that an order was not answered or not taken, doubling up to 400 to 800 ms; an answer resets it. The proof is unchanged: nothing else is ordered meanwhile.

--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -192,6 +192,7 @@
             primary_sample: Mutex::default(),
             term: AtomicU64::new(keeper.map_or(0, |keeper| keeper.record.term)),
             members: Mutex::new(Members::new(keeper.map(|keeper| keeper.record.as_ref()))),
+            order_backoff: Mutex::default(),
         });
         if let (Some(keeper), RecordState::Settled(primary)) = (keeper, record_state)
             && keeper.record.term != 0
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -12,6 +12,7 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
+use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_failover::keeper::Keeper;
 use oleander_failover::keeper::messages::Action;
@@ -44,6 +45,7 @@
 use super::members::Members;
 use super::notify;
 use super::notify::Withdrawal;
+use crate::control::Backoff;
 use crate::control::apply;
 use crate::fleet::Fleet;
 use crate::fleet::KeeperEntry;
@@ -86,6 +88,8 @@
     pub term: AtomicU64,
     /// What the record says of the members.
     pub members: Mutex<Members>,
+    /// The pauses between orders that the platform does not answer or take.
+    pub(crate) order_backoff: Mutex<Backoff>,
 }
 
 /// `WrittenRecord` is the keeper record as this VM last wrote it, with its revision.
@@ -431,7 +435,9 @@
                 Some(Input::VmsInformed { token, confirmed, mark })
             }
             Action::OrderPromotion { instance, token } => {
-                Some(Input::PromotionOrdered(self.order_promotion(instance, token).await))
+                let outcome = self.order_promotion(instance, token).await;
+                self.pause_after(outcome).await;
+                Some(Input::PromotionOrdered(outcome))
             }
             // `start_action` handles these.
             Action::Probe(_) | Action::LogEvent { .. } => None,
@@ -458,6 +464,22 @@
         }
     }
 
+    /// Waits before an order that the platform did not answer or did not take is repeated. It takes a
+    /// limited number of orders from all VMs together.
+    async fn pause_after(&self, outcome: OrderOutcome) {
+        let pause = {
+            let mut backoff = self.order_backoff.lock().unwrap_or_else(PoisonError::into_inner);
+            match outcome {
+                OrderOutcome::Unknown | OrderOutcome::NotRun => backoff.next_pause(),
+                OrderOutcome::Accepted | OrderOutcome::Rejected => {
+                    *backoff = Backoff::default();
+                    Span::ZERO
+                }
+            }
+        };
+        self.fleet.timers.sleep(pause).await;
+    }
+
     /// Returns `true` while the lease runs: no other VM can take the duty before it has ended.
     fn lease_is_valid(&self) -> bool {
         self.fleet.now() < self.fleet.leased_until()
