Let VMs take a duty from builds that trust any answer of a member

While builds run side by side, a VM of the build before that has the duty of a database promotes by answers whose start is not shown.

Change: the version of the promotion rules is 2. VMs of this build take the duty from one with a lower version; VMs are asked for their confirmations from version 1 on, as before.

--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -64,7 +64,13 @@
 
 /// The version of the rules by which a keeper chooses the instance to promote. A VM with a later one
 /// takes the duty from one with an earlier one.
-pub const RULES_VERSION: u32 = 1;
+///
+/// Version 0 goes by the directory alone, and version 1 takes the answer of any member for that of the
+/// start that the directory lists.
+pub const RULES_VERSION: u32 = 2;
+
+/// The version from which on a VM tells which commits it has confirmed.
+pub const CONFIRMATIONS_VERSION: u32 = 1;
 
 /// `Keeper` decides when to probe and when to replace the primary of one database.
 #[derive(Clone, Debug)]
--- a/oleander-node/src/keeper/notify.rs
+++ b/oleander-node/src/keeper/notify.rs
@@ -8,7 +8,7 @@
 use oleander_core::terms::LogPoint;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
-use oleander_failover::keeper::RULES_VERSION;
+use oleander_failover::keeper::CONFIRMATIONS_VERSION;
 use oleander_membership::leased::LeasedMember;
 use oleander_membership::leased::LeasedRoster;
 use oleander_peer::client::PeerClient;
@@ -154,7 +154,7 @@
             return Notified::Stopped;
         };
         // An earlier build does not know the request that asks for confirmations.
-        let request = if member.promotion < RULES_VERSION {
+        let request = if member.promotion < CONFIRMATIONS_VERSION {
             Request::Withdrawn { database, revision }
         } else {
             Request::Withdraw { database, revision }
