--- a/oleander-standin/src/replicas.rs
+++ b/oleander-standin/src/replicas.rs
@@ -279,9 +279,9 @@
     }
 
     /// Promotes an instance: it leads the next term with what it had received, and what others had
-    /// received beyond that is rolled back.
+    /// received beyond that is rolled back. One that no longer runs is not promoted.
     pub fn promote(&mut self, name: &str) {
-        if self.primary == name {
+        if self.primary == name || self.find(name).is_none_or(|member| member.down) {
             return;
         }
         self.term += 1;
