review: add a case of a lease that the store applies for a shorter time

The VM counts its lease by the TTL that it has asked for and ignores the one that the store answers. Partitioned with the former primary, it answers reads without a commit that was acknowledged elsewhere.

--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,252 @@
+//! What each case does and checks.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::Outcome;
+use crate::fleet::Caller;
+use crate::fleet::Fleet;
+use crate::fleet::Options;
+use crate::group::Group;
+use crate::record;
+use crate::store::Store;
+
+/// The key of the only tenant.
+const KEY: &str = "u6wsjnbanfqasnmgkcuy";
+
+/// The name under which callers open sessions.
+const DATABASE: &str = "lepu270";
+
+/// Runs a case.
+pub fn run(case: &str, program: &Path, folder: &Path, trouble: bool) -> Outcome {
+    match case {
+        "moved-route" => moved_route(program, folder, trouble),
+        "short-lease" => short_lease(program, folder, trouble),
+        _ => Outcome::NotRun,
+    }
+}
+
+/// Writes a configuration with one route, as the operator does.
+fn publish(store: &Store, version: u64, kind: &str, service: &str, services: &[&str]) {
+    let services = services.iter().map(|name| {
+        format!("{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConnections\":36,\"Protocol\":\"h1\",\"Tls\":false,\"SyncReplicas\":1}}")
+    });
+    let services: Vec<String> = services.collect();
+    let staleness = if kind == "own_writes" { ",\"MaxStalenessMs\":2500" } else { "" };
+    let text = format!(
+        "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-1\",\"Database\":\"{DATABASE}\",\"Prefix\":\"/\",\"RouteType\":\"{kind}\",\"TimeoutMs\":1000,\"TargetLatencyMs\":1000,\"Priority\":1,\"Backend\":\"{service}\",\"Attempts\":2{staleness},\"Public\":false}}],\"Backends\":[{}],\"Limits\":{{\"TxIdleMs\":3000}},\"Tenants\":[{{\"Name\":\"nypu920\",\"ApiKeys\":[\"{KEY}\"],\"Priority\":1,\"RatePerS\":400,\"Burst\":400}}]}}",
+        services.join(",")
+    );
+    store.put("op/config", text.as_bytes());
+    record(&format!("operator: version {version} is confirmed, {DATABASE} ({kind}) leads to {service}"));
+}
+
+fn zones() -> Vec<String> {
+    ["burnaby-a", "kelowna-a", "nanaimo-a"].map(str::to_owned).to_vec()
+}
+
+/// Runs `attempt` until it succeeds, for 15 s at most.
+fn until_served<T>(mut attempt: impl FnMut() -> Result<T, String>) -> Option<T> {
+    let until = Instant::now() + Duration::from_secs(15);
+    while Instant::now() < until {
+        if let Ok(value) = attempt() {
+            return Some(value);
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+    None
+}
+
+/// A session writes at one service, its route is moved to another one and back, and it reads what it
+/// wrote.
+fn moved_route(program: &Path, folder: &Path, trouble: bool) -> Outcome {
+    let store = Store::start(0);
+    let services = ["ledger", "archive"];
+    let zones = zones();
+    let places: Vec<&str> = zones.iter().map(String::as_str).collect();
+    let groups = [
+        Group::start(&store, services[0], &places, 5, 1200),
+        Group::start(&store, services[1], &places, 3, 700),
+    ];
+    publish(&store, 3, "own_writes", services[0], &services);
+    let promote = Duration::from_millis(1000);
+    let options = Options { zones, fenced: true, promote, mbps: 0.0 };
+    let mut fleet = Fleet::prepare(&store, &groups, program, folder, &options);
+    for index in 0..fleet.vms.len() {
+        fleet.start(index);
+    }
+    if !fleet.wait_ready() {
+        return Outcome::NotRun;
+    }
+    let vm = fleet.vms[1].callers;
+    let opened = until_served(|| {
+        let mut caller = Caller::open(vm, "start", DATABASE, KEY)?;
+        caller.run("WRITE start 1")?;
+        caller.run("READ start")
+    });
+    if opened.is_none() {
+        return Outcome::NotRun;
+    }
+    if trouble {
+        record("a replica in the callers' zone applies commits 1.5 s late");
+        groups[0].set_lag(1, Duration::from_millis(1500));
+    }
+    let (mut version, mut broken, mut read) = (3, 0, 0);
+    let mut move_to = |service: &str| {
+        version += 2;
+        publish(&store, version, "own_writes", service, &services);
+        thread::sleep(Duration::from_millis(330));
+    };
+    for round in 0..6 {
+        thread::sleep(Duration::from_millis(2000));
+        let Ok(mut caller) = Caller::open(vm, &format!("round{round}"), DATABASE, KEY) else {
+            continue;
+        };
+        let first = format!("first{round}");
+        if caller.run(&format!("WRITE booking {first}")).is_err() {
+            continue;
+        }
+        // Without a move, the session reads its own write on the late replica or elsewhere.
+        let moved = trouble && round % 2 == 1;
+        if moved {
+            move_to(services[1]);
+        }
+        let second = caller.run(&format!("WRITE other second{round}"));
+        if moved {
+            move_to(services[0]);
+        }
+        if second.is_err() {
+            continue;
+        }
+        match caller.run("READ booking") {
+            Ok(rows) if rows == [first.clone()] => read += 1,
+            Ok(rows) => {
+                read += 1;
+                broken += 1;
+                record(&format!("STALE: the session wrote {first} and read {rows:?}"));
+            }
+            Err(_) => {}
+        }
+    }
+    record(&format!("{read} reads, {broken} of them without the session's own commit"));
+    match (broken, read) {
+        (_, 0) => Outcome::NotRun,
+        (0, _) => Outcome::Held,
+        _ => Outcome::Broken,
+    }
+}
+
+/// The store applies a shorter lease than asked for. A VM and the primary are then partitioned from
+/// the others, which replace the primary.
+fn short_lease(program: &Path, folder: &Path, trouble: bool) -> Outcome {
+    let ttl = std::env::var("TTL").ok().and_then(|ttl| ttl.parse().ok()).unwrap_or(2000);
+    let store = Store::start(ttl);
+    let zones = zones();
+    let places: Vec<&str> = zones.iter().map(String::as_str).collect();
+    let groups = [Group::start(&store, "counts", &places, 3, 1200)];
+    let group = &groups[0];
+    group.set_fenced(false);
+    publish(&store, 3, "primary", "counts", &["counts"]);
+    let promote = Duration::from_millis(600);
+    let options = Options { zones, fenced: false, promote, mbps: 0.0 };
+    let mut fleet = Fleet::prepare(&store, &groups, program, folder, &options);
+    // The VM beside the primary starts last, so that another one has the keeper's duty.
+    fleet.start(1);
+    fleet.start(2);
+    thread::sleep(Duration::from_millis(2500));
+    fleet.start(0);
+    if !fleet.wait_ready() {
+        return Outcome::NotRun;
+    }
+    let (near, far) = (fleet.vms[0].callers, fleet.vms[1].callers);
+    let opened = until_served(|| {
+        let mut near = Caller::open(near, "near-start", DATABASE, KEY)?;
+        near.run("WRITE count before")?;
+        let mut far = Caller::open(far, "far-start", DATABASE, KEY)?;
+        far.run("READ count")
+    });
+    let keeper = store.get("oleander/keeper/counts").unwrap_or_default();
+    if opened.is_none() || keeper.contains(&fleet.vms[0].name) {
+        record(&format!("not served, or the keeper is beside the primary: {keeper}"));
+        return Outcome::NotRun;
+    }
+    thread::sleep(Duration::from_millis(3000));
+    let acknowledged: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let ended = Arc::new(AtomicBool::new(false));
+    let reading = {
+        let (acknowledged, ended) = (acknowledged.clone(), ended.clone());
+        thread::spawn(move || {
+            let (mut late, mut reads) = (0, 0);
+            let mut session = None;
+            while !ended.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(40));
+                if session.is_none() {
+                    session = Caller::open(near, "near", DATABASE, KEY).ok();
+                }
+                let Some(caller) = &mut session else { continue };
+                let known = *acknowledged.lock().expect("no thread has failed");
+                match caller.run("READ count") {
+                    Ok(rows) => {
+                        reads += 1;
+                        if known.is_some() && rows != ["after"] {
+                            late += 1;
+                            record(&format!("STALE: read {rows:?} after another write was acknowledged"));
+                        }
+                    }
+                    Err(error) if error.contains("closed") || error.contains("os error") => {
+                        session = None;
+                    }
+                    Err(_) => {}
+                }
+            }
+            (reads, late)
+        })
+    };
+    thread::sleep(Duration::from_millis(500));
+    if trouble {
+        record("the primary and the VM in its zone are partitioned from the others");
+        fleet.isolate(0, true);
+        group.set_unreported(0, true);
+        group.cut(0, 1);
+        group.cut(0, 2);
+        for (index, vm) in fleet.vms.iter().enumerate() {
+            for (instance, link) in vm.to_instances[0].iter().enumerate() {
+                if (index == 0) != (instance == 0) {
+                    link.cut.store(true, Ordering::SeqCst);
+                }
+            }
+        }
+    }
+    let cut_at = Instant::now();
+    let mut session = None;
+    let mut is_written = false;
+    while !is_written && cut_at.elapsed() < Duration::from_secs(10) {
+        if session.is_none() {
+            session = Caller::open(far, "far", DATABASE, KEY).ok();
+        }
+        let Some(caller) = &mut session else { continue };
+        is_written = caller.run("WRITE count after").is_ok();
+        if is_written {
+            *acknowledged.lock().expect("no thread has failed") = Some(Instant::now());
+            record("the write of 'after' is acknowledged");
+        } else {
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+    thread::sleep(Duration::from_millis(3000));
+    ended.store(true, Ordering::SeqCst);
+    drop(session);
+    let (reads, late) = reading.join().unwrap_or((0, 0));
+    record(&format!("{reads} reads beside the former primary, {late} of them without a commit that had been acknowledged before"));
+    match (is_written, reads, late) {
+        (false, ..) | (_, 0, _) => Outcome::NotRun,
+        (_, _, 0) => Outcome::Held,
+        _ => Outcome::Broken,
+    }
+}
