review: add a case of a statement that waits while its VM stops

A statement of an open transaction that waits for a slot is neither answered nor refused when the grace period ends: the connection is closed 5 s after SIGTERM.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -27,6 +27,7 @@
 pub fn run(case: &str, program: &Path, folder: &Path, trouble: bool) -> Outcome {
     match case {
         "moved-route" => moved_route(program, folder, trouble),
+        "stopped-waiting" => stopped_waiting(program, folder, trouble),
         "short-lease" => short_lease(program, folder, trouble),
         _ => Outcome::NotRun,
     }
@@ -34,13 +35,25 @@
 
 /// Writes a configuration with one route, as the operator does.
 fn publish(store: &Store, version: u64, kind: &str, service: &str, services: &[&str]) {
+    publish_with(store, version, kind, service, services, 1000);
+}
+
+/// Writes a configuration as `publish` does, with another timeout of the route in milliseconds.
+fn publish_with(
+    store: &Store,
+    version: u64,
+    kind: &str,
+    service: &str,
+    services: &[&str],
+    timeout: u64,
+) {
     let services = services.iter().map(|name| {
         format!("{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConnections\":36,\"Protocol\":\"h1\",\"Tls\":false,\"SyncReplicas\":1}}")
     });
     let services: Vec<String> = services.collect();
     let staleness = if kind == "own_writes" { ",\"MaxStalenessMs\":2500" } else { "" };
     let text = format!(
-        "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-1\",\"Database\":\"{DATABASE}\",\"Prefix\":\"/\",\"RouteType\":\"{kind}\",\"TimeoutMs\":1000,\"TargetLatencyMs\":1000,\"Priority\":1,\"Backend\":\"{service}\",\"Attempts\":2{staleness},\"Public\":false}}],\"Backends\":[{}],\"Limits\":{{\"TxIdleMs\":3000}},\"Tenants\":[{{\"Name\":\"nypu920\",\"ApiKeys\":[\"{KEY}\"],\"Priority\":1,\"RatePerS\":400,\"Burst\":400}}]}}",
+        "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-1\",\"Database\":\"{DATABASE}\",\"Prefix\":\"/\",\"RouteType\":\"{kind}\",\"TimeoutMs\":{timeout},\"TargetLatencyMs\":1000,\"Priority\":1,\"Backend\":\"{service}\",\"Attempts\":2{staleness},\"Public\":false}}],\"Backends\":[{}],\"Limits\":{{\"TxIdleMs\":3000}},\"Tenants\":[{{\"Name\":\"nypu920\",\"ApiKeys\":[\"{KEY}\"],\"Priority\":1,\"RatePerS\":400,\"Burst\":400}}]}}",
         services.join(",")
     );
     store.put("op/config", text.as_bytes());
@@ -250,3 +263,73 @@
         _ => Outcome::Broken,
     }
 }
+
+/// A VM is stopped by SIGTERM while a statement of an open transaction, which it has read, waits for a
+/// slot of the instance.
+fn stopped_waiting(program: &Path, folder: &Path, trouble: bool) -> Outcome {
+    let store = Store::start(0);
+    let zones = zones();
+    let places: Vec<&str> = zones.iter().map(String::as_str).collect();
+    let groups = [Group::start(&store, "ledger", &places, 3, 1200)];
+    publish_with(&store, 3, "primary", "ledger", &["ledger"], 3000);
+    let promote = Duration::from_millis(1000);
+    let options = Options { zones, fenced: true, promote, mbps: 0.0 };
+    let mut fleet = Fleet::prepare(&store, &groups, program, folder, &options);
+    for index in 0..fleet.vms.len() {
+        fleet.start(index);
+    }
+    if !fleet.wait_ready() {
+        return Outcome::NotRun;
+    }
+    // The primary and its home are in the first zone; the VM of the second zone is stopped.
+    let (stopped, other) = (fleet.vms[1].callers, fleet.vms[2].callers);
+    let opened = until_served(|| {
+        let mut caller = Caller::open(stopped, "start", DATABASE, KEY)?;
+        caller.run("WRITE start 1")?;
+        let mut caller = Caller::open(other, "start", DATABASE, KEY)?;
+        caller.run("READ start")
+    });
+    if opened.is_none() {
+        return Outcome::NotRun;
+    }
+    thread::sleep(Duration::from_millis(6000));
+    let Ok(mut caller) = Caller::open(stopped, "booking", DATABASE, KEY) else {
+        return Outcome::NotRun;
+    };
+    if trouble {
+        fleet.vms[1].signal("TERM");
+    }
+    let stopped_at = Instant::now();
+    let wait_until = |millis| {
+        thread::sleep(Duration::from_millis(millis).saturating_sub(stopped_at.elapsed()));
+    };
+    wait_until(1000);
+    let began = caller.run("BEGIN").and_then(|_| caller.run("READ start"));
+    if began.is_err() {
+        return Outcome::NotRun;
+    }
+    wait_until(2300);
+    let long = (0..3).map(|number| {
+        thread::spawn(move || {
+            let name = format!("long{number}");
+            let mut caller = Caller::open(other, &name, DATABASE, KEY)?;
+            caller.run("READ long-2800")
+        })
+    });
+    let long: Vec<_> = long.collect();
+    wait_until(2600);
+    // Sent 2.6 s after the signal: an open transaction has 3 s to end.
+    let sent = Instant::now();
+    let outcome = caller.run("WRITE booking chair-7");
+    let took = sent.elapsed();
+    for caller in long {
+        let _ = caller.join();
+    }
+    match outcome {
+        Err(error) if error == "closed" || error.contains("os error") => {
+            record(&format!("LOST: the connection ended without an answer after {} ms; the route's timeout is 3000 ms", took.as_millis()));
+            Outcome::Broken
+        }
+        _ => Outcome::Held,
+    }
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -246,6 +246,15 @@
 }
 
 impl Vm {
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            record(&format!("{} gets SIG{name}", self.name));
+            let command = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").arg("-c").arg(command).status();
+        }
+    }
+
     /// Returns `true` if the readiness probe succeeds.
     pub fn is_ready(&self) -> bool {
         let asked = || -> std::io::Result<String> {
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -453,7 +453,9 @@
         session: &Session,
         item: &str,
     ) -> Result<(Vec<String>, String), String> {
-        thread::sleep(WORK_TIME);
+        // An item of this name is a statement that works for long.
+        let long = item.strip_prefix("long-").and_then(|millis| millis.parse().ok());
+        thread::sleep(long.map_or(WORK_TIME, Duration::from_millis));
         let own = session.transaction.iter().flat_map(|open| open.writes.iter().rev());
         let own = own.clone().find(|(name, _)| name == item).map(|(_, data)| data.clone());
         let state = self.lock();
