review: add a case of an acknowledged commit that a promotion loses

A VM confirms commits after the lease that the store applies has ended, while the keeper no longer reckons with it.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 standin=target/review-2/review-2
 program=target/release/oleanderrudder
 [ -x "$standin" ] && [ -x "$program" ] || exit 2
-exec "$standin" short-lease "$program" "$here/record.txt"
+exec "$standin" lost-commit "$program" "$here/record.txt"
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -20,6 +20,9 @@
 /// The key of the only tenant.
 const KEY: &str = "u6wsjnbanfqasnmgkcuy";
 
+/// A second key of the tenant.
+const SECOND_KEY: &str = "j8pjbvk9m68k7b2ex5wa";
+
 /// The name under which callers open sessions.
 const DATABASE: &str = "lepu270";
 
@@ -27,6 +30,8 @@
 pub fn run(case: &str, program: &Path, folder: &Path, trouble: bool) -> Outcome {
     match case {
         "moved-route" => moved_route(program, folder, trouble),
+        "lost-commit" => lost_commit(program, folder, trouble),
+        "restored-key" => restored_key(program, folder, trouble),
         "stopped-waiting" => stopped_waiting(program, folder, trouble),
         "short-lease" => short_lease(program, folder, trouble),
         _ => Outcome::NotRun,
@@ -38,6 +43,11 @@
     publish_with(store, version, kind, service, services, 1000);
 }
 
+/// Writes a configuration with a primary route, in which the tenant has `keys`.
+fn publish_keys(store: &Store, version: u64, keys: &[&str]) {
+    publish_whole(store, version, "primary", "ledger", &["ledger"], 1000, keys);
+}
+
 /// Writes a configuration as `publish` does, with another timeout of the route in milliseconds.
 fn publish_with(
     store: &Store,
@@ -47,13 +57,26 @@
     services: &[&str],
     timeout: u64,
 ) {
+    publish_whole(store, version, kind, service, services, timeout, &[KEY]);
+}
+
+fn publish_whole(
+    store: &Store,
+    version: u64,
+    kind: &str,
+    service: &str,
+    services: &[&str],
+    timeout: u64,
+    keys: &[&str],
+) {
+    let keys = keys.join("\",\"");
     let services = services.iter().map(|name| {
         format!("{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConnections\":36,\"Protocol\":\"h1\",\"Tls\":false,\"SyncReplicas\":1}}")
     });
     let services: Vec<String> = services.collect();
     let staleness = if kind == "own_writes" { ",\"MaxStalenessMs\":2500" } else { "" };
     let text = format!(
-        "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-1\",\"Database\":\"{DATABASE}\",\"Prefix\":\"/\",\"RouteType\":\"{kind}\",\"TimeoutMs\":{timeout},\"TargetLatencyMs\":1000,\"Priority\":1,\"Backend\":\"{service}\",\"Attempts\":2{staleness},\"Public\":false}}],\"Backends\":[{}],\"Limits\":{{\"TxIdleMs\":3000}},\"Tenants\":[{{\"Name\":\"nypu920\",\"ApiKeys\":[\"{KEY}\"],\"Priority\":1,\"RatePerS\":400,\"Burst\":400}}]}}",
+        "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-1\",\"Database\":\"{DATABASE}\",\"Prefix\":\"/\",\"RouteType\":\"{kind}\",\"TimeoutMs\":{timeout},\"TargetLatencyMs\":1000,\"Priority\":1,\"Backend\":\"{service}\",\"Attempts\":2{staleness},\"Public\":false}}],\"Backends\":[{}],\"Limits\":{{\"TxIdleMs\":3000}},\"Tenants\":[{{\"Name\":\"nypu920\",\"ApiKeys\":[\"{keys}\"],\"Priority\":1,\"RatePerS\":400,\"Burst\":400}}]}}",
         services.join(",")
     );
     store.put("op/config", text.as_bytes());
@@ -333,3 +356,138 @@
         _ => Outcome::Held,
     }
 }
+
+/// A key is taken away, the store comes back from a copy that still has it, and all processes are killed
+/// meanwhile. The operator writes again some seconds later.
+fn restored_key(program: &Path, folder: &Path, trouble: bool) -> Outcome {
+    let store = Store::start(0);
+    let zones = zones();
+    let places: Vec<&str> = zones.iter().map(String::as_str).collect();
+    let groups = [Group::start(&store, "ledger", &places, 3, 1200)];
+    publish_keys(&store, 3, &[KEY, SECOND_KEY]);
+    let promote = Duration::from_millis(1000);
+    let options = Options { zones, fenced: true, promote, mbps: 0.0 };
+    let mut fleet = Fleet::prepare(&store, &groups, program, folder, &options);
+    for index in 0..fleet.vms.len() {
+        fleet.start(index);
+    }
+    if !fleet.wait_ready() {
+        return Outcome::NotRun;
+    }
+    let vm = fleet.vms[1].callers;
+    let opened = until_served(|| Caller::open(vm, "start", DATABASE, SECOND_KEY)?.run("READ start"));
+    if opened.is_none() {
+        return Outcome::NotRun;
+    }
+    thread::sleep(Duration::from_millis(3000));
+    store.copy();
+    thread::sleep(Duration::from_millis(1000));
+    publish_keys(&store, 5, &[KEY]);
+    let revoked = Instant::now();
+    thread::sleep(Duration::from_millis(500));
+    if trouble {
+        fleet.kill_all();
+        store.restore(Duration::from_millis(500));
+        for index in 0..fleet.vms.len() {
+            fleet.start(index);
+        }
+    }
+    let rewrite = revoked + Duration::from_millis(7500);
+    let (mut is_rewritten, mut late, mut refused) = (false, 0, 0);
+    while revoked.elapsed() < Duration::from_secs(10) {
+        if !is_rewritten && rewrite <= Instant::now() {
+            is_rewritten = true;
+            publish_keys(&store, 5, &[KEY]);
+        }
+        thread::sleep(Duration::from_millis(100));
+        let sent = revoked.elapsed();
+        let ran = Caller::open(vm, "withdrawn", DATABASE, SECOND_KEY)
+            .and_then(|mut caller| caller.run("READ start"));
+        match ran {
+            Ok(_) if Duration::from_secs(5) < sent => {
+                late += 1;
+                record(&format!("CONFIG: a request with the withdrawn key ran, sent {} ms after the confirmation", sent.as_millis()));
+            }
+            Ok(_) => {}
+            Err(_) => refused += 1,
+        }
+    }
+    record(&format!("{refused} requests with the withdrawn key refused, {late} ran too late"));
+    match (late, refused) {
+        (0, 0) => Outcome::NotRun,
+        (0, _) => Outcome::Held,
+        _ => Outcome::Broken,
+    }
+}
+
+/// The store applies a shorter lease than asked for. A VM is cut off from the store and the other VMs; a
+/// little later, the primary and one replica are partitioned from all but this VM, which confirms a write.
+fn lost_commit(program: &Path, folder: &Path, trouble: bool) -> Outcome {
+    let ttl = std::env::var("TTL").ok().and_then(|ttl| ttl.parse().ok()).unwrap_or(2000);
+    let store = Store::start(ttl);
+    let zones = zones();
+    let places: Vec<&str> = zones.iter().map(String::as_str).collect();
+    let groups = [Group::start(&store, "counts", &places, 3, 1200)];
+    let group = &groups[0];
+    group.set_fenced(false);
+    publish(&store, 3, "primary", "counts", &["counts"]);
+    let promote = Duration::from_millis(600);
+    let options = Options { zones, fenced: false, promote, mbps: 0.0 };
+    let mut fleet = Fleet::prepare(&store, &groups, program, folder, &options);
+    // The VM beside the primary starts last, so that another one has the keeper's duty.
+    fleet.start(1);
+    fleet.start(2);
+    thread::sleep(Duration::from_millis(2500));
+    fleet.start(0);
+    if !fleet.wait_ready() {
+        return Outcome::NotRun;
+    }
+    let (near, far) = (fleet.vms[0].callers, fleet.vms[1].callers);
+    let opened = until_served(|| {
+        let mut near = Caller::open(near, "near-start", DATABASE, KEY)?;
+        near.run("WRITE count before")?;
+        let mut far = Caller::open(far, "far-start", DATABASE, KEY)?;
+        far.run("READ count")
+    });
+    let keeper = store.get("oleander/keeper/counts").unwrap_or_default();
+    if opened.is_none() || keeper.contains(&fleet.vms[0].name) {
+        record(&format!("not served, or the keeper is beside the primary: {keeper}"));
+        return Outcome::NotRun;
+    }
+    thread::sleep(Duration::from_millis(3000));
+    let Ok(mut caller) = Caller::open(near, "near", DATABASE, KEY) else {
+        return Outcome::NotRun;
+    };
+    if trouble {
+        record("the VM beside the primary is cut off from the store and the other VMs");
+        fleet.isolate(0, true);
+    }
+    thread::sleep(Duration::from_millis(2400));
+    if trouble {
+        record("the primary and the second instance are partitioned from the other VMs, the third instance and the store");
+        for instance in 0..2 {
+            group.set_unreported(instance, true);
+            group.cut(instance, 2);
+            for vm in 1..3 {
+                fleet.vms[vm].to_instances[0][instance].cut.store(true, Ordering::SeqCst);
+            }
+        }
+    }
+    thread::sleep(Duration::from_millis(50));
+    let acknowledged = caller.run("WRITE count booked").is_ok();
+    let until = Instant::now() + Duration::from_secs(12);
+    let mut promoted = group.leader_has("booked");
+    while trouble && promoted.1 == 3 && Instant::now() < until {
+        thread::sleep(Duration::from_millis(50));
+        promoted = group.leader_has("booked");
+    }
+    let (leader, term, has) = promoted;
+    record(&format!("acknowledged: {acknowledged}; {leader} leads term {term}; its log has the write: {has}"));
+    match (acknowledged, has) {
+        (true, false) => Outcome::Broken,
+        (true, true) => Outcome::Held,
+        // Not acknowledged, so that nothing can be lost.
+        (false, _) if trouble => Outcome::Held,
+        (false, _) => Outcome::NotRun,
+    }
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -161,7 +161,7 @@
             drop(links);
             let zone = &options.zones[index];
             let name = format!("front-{zone}-1");
-            let address = store.serve(&name, reader.clone());
+            let address = store.serve(reader.clone());
             let (callers, ready, metrics) = (free_port(index), free_port(index), free_port(index));
             let zones = options.zones.iter().map(|zone| format!("\"{zone}\":\"region-{zone}\""));
             let zones: Vec<String> = zones.collect();
@@ -206,6 +206,17 @@
         record(&format!("{} started", vm.name));
     }
 
+    /// Kills all processes at once.
+    pub fn kill_all(&mut self) {
+        for vm in &mut self.vms {
+            if let Some(mut child) = vm.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        record("all VMs are killed");
+    }
+
     /// Waits until all VMs are ready; `false` if they are not within 15 s.
     pub fn wait_ready(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(15);
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -159,6 +159,17 @@
         self.lock().cut.push((one, other));
     }
 
+    /// Returns the identifier and the term of the instance that leads the newest term, and whether its log
+    /// has a write of `data`.
+    pub fn leader_has(&self, data: &str) -> (String, u64, bool) {
+        let state = self.lock();
+        let leader = state.instances.iter().max_by_key(|instance| instance.leads);
+        let leader = leader.expect("a group has instances");
+        let mut writes = leader.log.iter().flat_map(|commit| &commit.writes);
+        let has = writes.any(|(_, written)| written == data);
+        (leader.id.clone(), leader.leads.unwrap_or_default(), has)
+    }
+
     /// Handles `POST /promote`. Returns the status of the answer.
     pub fn promote(&self, id: &str, token: u64, delay: Duration) -> u16 {
         let mut state = self.lock();
@@ -250,7 +261,7 @@
         let mut reports = Vec::new();
         {
             let mut state = self.lock();
-            for instance in &mut state.instances {
+            for (index, instance) in state.instances.iter_mut().enumerate() {
                 let age = instance.reported.elapsed();
                 let key = format!("servers/{}", instance.id);
                 if instance.unreported || !instance.up {
@@ -262,7 +273,9 @@
                 if !now && age < REPORT_INTERVAL {
                     continue;
                 }
-                instance.reported = Instant::now();
+                // The instances report at different times.
+                let offset = if now { REPORT_INTERVAL / 3 * index as u32 } else { Duration::ZERO };
+                instance.reported = Instant::now() - offset;
                 instance.sequence += 1;
                 let Instance { address, zone, sequence, .. } = instance;
                 let role = if instance.leads.is_some() { "primary" } else { "replica" };
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -36,6 +36,8 @@
 /// `Answer` is a status and a body, or silence until the end of the connection.
 pub enum Answer {
     Reply(u16, String),
+    /// A reply of the store, with its era.
+    Stored(u16, String, u64),
     Silence,
 }
 
@@ -68,10 +70,15 @@
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader)? {
-        match handler(&request) {
-            Answer::Reply(status, body) => {
+        let answer = handler(&request);
+        let era = match &answer {
+            Answer::Stored(_, _, era) => format!("Store-Era: {era}\r\n"),
+            _ => String::new(),
+        };
+        match answer {
+            Answer::Reply(status, body) | Answer::Stored(status, body, _) => {
                 let head = format!(
-                    "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                    "HTTP/1.1 {status} X\r\n{era}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                     body.len()
                 );
                 let whole = head + &body;
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -50,6 +50,12 @@
     last_lease: u64,
     /// The longest lease that the store grants, in milliseconds; 0 if it grants what is asked.
     max_ttl: u64,
+    /// Rises by one each time the store comes back from a copy.
+    era: u64,
+    /// The copy from which the store may come back.
+    copy: Option<(u64, BTreeMap<String, Item>)>,
+    /// `true` while the store is away.
+    away: bool,
 }
 
 /// `Store` is the store; clones share it.
@@ -75,6 +81,7 @@
     pub fn start(max_ttl: u64) -> Self {
         let store = Self::default();
         store.lock().max_ttl = max_ttl;
+        store.lock().era = 1;
         let ending = store.clone();
         thread::spawn(move || {
             loop {
@@ -86,8 +93,8 @@
     }
 
     /// Serves one VM at an address of its own.
-    pub fn serve(&self, name: &str, reader: Reader) -> SocketAddr {
-        let (store, name) = (self.clone(), name.to_owned());
+    pub fn serve(&self, reader: Reader) -> SocketAddr {
+        let store = self.clone();
         http::serve(reader.mbps, move |request| {
             if reader.cut.load(Ordering::SeqCst) {
                 return Answer::Silence;
@@ -96,13 +103,12 @@
             if reader.cut.load(Ordering::SeqCst) {
                 return Answer::Silence;
             }
-            if let Answer::Reply(status, body) = &answer
-                && *status == 200
-                && 1 << 20 < body.len()
-            {
-                record(&format!("store answers {name} with {} bytes: {}", body.len(), request.path));
+            let state = store.lock();
+            match answer {
+                _ if state.away => Answer::Silence,
+                Answer::Reply(status, body) => Answer::Stored(status, body, state.era),
+                other => other,
             }
-            answer
         })
     }
 
@@ -129,6 +135,34 @@
         String::from_utf8(item.value).ok()
     }
 
+    /// Makes the copy from which `restore` comes back.
+    pub fn copy(&self) {
+        let mut state = self.lock();
+        state.copy = Some((state.revision, state.items.clone()));
+        record("store: the copy is made");
+    }
+
+    /// Takes the store away for a moment and brings it back from the copy, without leases.
+    pub fn restore(&self, away: Duration) {
+        self.lock().away = true;
+        record("store: away");
+        thread::sleep(away);
+        let mut state = self.lock();
+        if let Some((revision, items)) = state.copy.take() {
+            state.revision = revision;
+            state.items = items;
+            state.items.retain(|_, item| item.lease == 0);
+            state.history.clear();
+            state.compacted = revision;
+            state.leases.clear();
+            state.era += 1;
+            record(&format!("store: back from the copy, in era {}", state.era));
+        }
+        state.away = false;
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no thread has failed")
     }
