--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -80,7 +80,9 @@
         services.join(",")
     );
     store.put("op/config", text.as_bytes());
-    record(&format!("operator: version {version} is confirmed, {DATABASE} ({kind}) leads to {service}"));
+    record(&format!(
+        "operator: version {version} is confirmed, {DATABASE} ({kind}) leads to {service}"
+    ));
 }
 
 fn zones() -> Vec<String> {
@@ -232,7 +234,9 @@
                         reads += 1;
                         if known.is_some() && rows != ["after"] {
                             late += 1;
-                            record(&format!("STALE: read {rows:?} after another write was acknowledged"));
+                            record(&format!(
+                                "STALE: read {rows:?} after another write was acknowledged"
+                            ));
                         }
                     }
                     Err(error) if error.contains("closed") || error.contains("os error") => {
@@ -279,7 +283,9 @@
     ended.store(true, Ordering::SeqCst);
     drop(session);
     let (reads, late) = reading.join().unwrap_or((0, 0));
-    record(&format!("{reads} reads beside the former primary, {late} of them without a commit that had been acknowledged before"));
+    record(&format!(
+        "{reads} reads beside the former primary, {late} of them without a commit that had been acknowledged before"
+    ));
     match (is_written, reads, late) {
         (false, ..) | (_, 0, _) => Outcome::NotRun,
         (_, _, 0) => Outcome::Held,
@@ -350,7 +356,10 @@
     }
     match outcome {
         Err(error) if error == "closed" || error.contains("os error") => {
-            record(&format!("LOST: the connection ended without an answer after {} ms; the route's timeout is 3000 ms", took.as_millis()));
+            record(&format!(
+                "LOST: the connection ended without an answer after {} ms; the route's timeout is 3000 ms",
+                took.as_millis()
+            ));
             Outcome::Broken
         }
         _ => Outcome::Held,
@@ -375,7 +384,8 @@
         return Outcome::NotRun;
     }
     let vm = fleet.vms[1].callers;
-    let opened = until_served(|| Caller::open(vm, "start", DATABASE, SECOND_KEY)?.run("READ start"));
+    let opened =
+        until_served(|| Caller::open(vm, "start", DATABASE, SECOND_KEY)?.run("READ start"));
     if opened.is_none() {
         return Outcome::NotRun;
     }
@@ -406,7 +416,10 @@
         match ran {
             Ok(_) if Duration::from_secs(5) < sent => {
                 late += 1;
-                record(&format!("CONFIG: a request with the withdrawn key ran, sent {} ms after the confirmation", sent.as_millis()));
+                record(&format!(
+                    "CONFIG: a request with the withdrawn key ran, sent {} ms after the confirmation",
+                    sent.as_millis()
+                ));
             }
             Ok(_) => {}
             Err(_) => refused += 1,
@@ -464,7 +477,9 @@
     }
     thread::sleep(Duration::from_millis(2400));
     if trouble {
-        record("the primary and the second instance are partitioned from the other VMs, the third instance and the store");
+        record(
+            "the primary and the second instance are partitioned from the other VMs, the third instance and the store",
+        );
         for instance in 0..2 {
             group.set_unreported(instance, true);
             group.cut(instance, 2);
@@ -482,7 +497,9 @@
         promoted = group.leader_has("booked");
     }
     let (leader, term, has) = promoted;
-    record(&format!("acknowledged: {acknowledged}; {leader} leads term {term}; its log has the write: {has}"));
+    record(&format!(
+        "acknowledged: {acknowledged}; {leader} leads term {term}; its log has the write: {has}"
+    ));
     match (acknowledged, has) {
         (true, false) => Outcome::Broken,
         (true, true) => Outcome::Held,
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -238,9 +238,8 @@
             let term = state.instances[leader].leads.unwrap_or_default();
             let follower = &mut state.instances[replica];
             follower.term = term;
-            let is_same = |(own, led): &(&Commit, &Commit)| {
-                own.term == led.term && own.number == led.number
-            };
+            let is_same =
+                |(own, led): &(&Commit, &Commit)| own.term == led.term && own.number == led.number;
             let same = follower.log.iter().zip(&log).take_while(is_same).count();
             if same < follower.log.len() {
                 follower.log.truncate(same);
@@ -452,7 +451,10 @@
                 let (term, number) = instance.last();
                 let row = format!("{role} {} {term}.{number} 0 0 0 1", instance.term);
                 if word != "STATUS" {
-                    record(&format!("{} is told {word} {rest} by {}: {row}", instance.id, session.who));
+                    record(&format!(
+                        "{} is told {word} {rest} by {}: {row}",
+                        instance.id, session.who
+                    ));
                 }
                 done(vec![row])
             }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -243,7 +243,9 @@
                 let lease = state.last_lease;
                 let length = Duration::from_millis(ttl);
                 state.leases.insert(lease, (Instant::now() + length, length));
-                record(&format!("store grants lease {lease}: asked {asked:?} ms, applies {ttl} ms"));
+                record(&format!(
+                    "store grants lease {lease}: asked {asked:?} ms, applies {ttl} ms"
+                ));
                 Answer::Reply(200, format!("{{\"Lease\":{lease},\"TtlMs\":{ttl}}}"))
             }
             ("POST", "/kv-txn") => self.commit(request),
@@ -294,7 +296,8 @@
                 .collect();
             let now = Instant::now();
             if !rows.is_empty() || until <= now || reader.cut.load(Ordering::SeqCst) {
-                let body = format!("{{\"events\":[{}],\"AsOf\":{}}}", rows.join(","), state.revision);
+                let body =
+                    format!("{{\"events\":[{}],\"AsOf\":{}}}", rows.join(","), state.revision);
                 return Answer::Reply(200, body);
             }
             let left = (until - now).min(Duration::from_millis(50));
@@ -307,7 +310,8 @@
             return Answer::Reply(400, "{}".to_owned());
         };
         let mut state = self.lock();
-        let key_of = |row: &Json| row.get("Key").and_then(Json::text).unwrap_or_default().to_owned();
+        let key_of =
+            |row: &Json| row.get("Key").and_then(Json::text).unwrap_or_default().to_owned();
         for row in body.get("ExpectedRev").map_or(&[][..], Json::list) {
             let found = state.items.get(&key_of(row)).map_or(0, |item| item.revision);
             if row.get("Revision").and_then(Json::number) != Some(found) {
