--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -81,7 +81,6 @@
     pub fn start(max_ttl: u64) -> Self {
         let store = Self::default();
         store.lock().max_ttl = max_ttl;
-        store.lock().era = 1;
         let ending = store.clone();
         thread::spawn(move || {
             loop {
