Tell the TTL that the store applies to a lease, in the log and through other VMs

Cause: the store answers a lease call with the TTL that applies, but the answer's field was not decoded, the port returned the lease alone, and `StoreReply::Granted` had no place for it. Neither a log nor another VM could tell the requested TTL from the one that applies.

Change: `KeyValueStore::grant` and `renew` return the TTL that applies, and `lease-granted` (310) logs it beside the requested one. Between VMs it takes the new calls `GrantLease` and `RenewLease`, sent only to VMs whose record has `leases` 1. A VM of an earlier build that asks by `Grant` or `Renew` is refused if the store applies less than it counts by. How long a lease counts is unchanged here.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -65,6 +65,8 @@
     JoinKnown = 308,
     /// The platform's store was restored from a copy and has lost its latest changes.
     StoreRestored = 309,
+    /// The store has granted this VM a lease.
+    LeaseGranted = 310,
     /// An instance stopped answering pings.
     InstanceSuspected = 400,
     /// An instance answers pings again.
--- a/oleander-membership/src/leased.rs
+++ b/oleander-membership/src/leased.rs
@@ -17,6 +17,10 @@
 /// VMs that serve one workspace.
 pub const SHARE_COUNT: usize = 64;
 
+/// The version of the lease rules: a VM counts its lease by the TTL that the store applies, and tells
+/// this TTL to VMs for which it passes lease calls on.
+pub const LEASE_RULES: u32 = 1;
+
 /// The key of the rendezvous hash that ranks the VMs of a region for the watch of the store.
 const WATCH_KEY: u64 = 0x0077_6174_6368;
 
@@ -48,6 +52,10 @@
     /// the directory alone.
     #[serde(default)]
     pub promotion: u32,
+    /// The version of the lease rules that the VM follows (`LEASE_RULES`); 0 for a build that counts
+    /// its lease by the TTL that it has requested.
+    #[serde(default)]
+    pub leases: u32,
     /// How long after this record was written other VMs may still use rate limit capacity lent by
     /// this VM or an earlier owner of its shares. Set only while the VM is leaving.
     pub lent: Option<Span>,
--- a/oleander-membership/tests/leased.rs
+++ b/oleander-membership/tests/leased.rs
@@ -40,7 +40,17 @@
 fn member(name: &str, leaving: bool, lent: Option<Span>) -> LeasedMember {
     let place = Place { region: "r".into(), zone: "z".into() };
     let peers = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
-    LeasedMember { name: name.into(), place, peers, life: 1, cpu: 0, leaving, promotion: 0, lent }
+    LeasedMember {
+        name: name.into(),
+        place,
+        peers,
+        life: 1,
+        cpu: 0,
+        leaving,
+        promotion: 0,
+        leases: 0,
+        lent,
+    }
 }
 
 fn apply(roster: &mut LeasedRoster, change: Change) {
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -9,6 +9,7 @@
 use oleander_core::time::Time;
 use oleander_failover::keeper::RULES_VERSION;
 use oleander_limits::rates::owner::LOAN_EXPIRY_WAIT;
+use oleander_membership::leased::LEASE_RULES;
 use oleander_membership::leased::LeasedMember;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::EarlierUse;
@@ -18,6 +19,7 @@
 use oleander_ports::store::Commit;
 use oleander_ports::store::CommitOutcome;
 use oleander_ports::store::KeyValueStore;
+use oleander_ports::store::LeaseGrant;
 use oleander_ports::store::LeaseId;
 use oleander_ports::store::StoreError;
 use oleander_ports::store::StoreRevision;
@@ -33,11 +35,6 @@
 use crate::fleet::Fleet;
 use crate::rates::Rates;
 
-/// The TTL of the lease. Shares are used for at most this long without the store, so it is close to
-/// the time for which the configuration counts as current. A lost VM leaves the roster when its
-/// lease has expired.
-const LEASE_TTL: Span = Span::from_millis(4_000);
-
 /// The number of renewal intervals within one TTL: after two renewals that fail at once, a third
 /// still reaches the store before the lease ends.
 const RENEWALS_PER_LEASE: u64 = 4;
@@ -111,9 +108,15 @@
     /// # Errors
     /// Fails if the lease cannot be acquired or the record cannot be written.
     async fn hold_lease(&self) -> Result<(), StoreError> {
-        let ttl = Span(LEASE_TTL.0.max(self.fleet.settings.lease.0));
+        let ttl = self.fleet.settings.lease_ttl();
         let asked = self.fleet.now();
-        let lease = self.store.grant(ttl).await?;
+        let LeaseGrant { lease, ttl: applied } = self.store.grant(ttl).await?;
+        let fields = [
+            Field::number("lease", lease.number.unsigned_abs()),
+            Field::millis("asked", ttl),
+            Field::millis("applied", applied),
+        ];
+        self.journal.record(Event::LeaseGranted, &fields);
         self.fleet.set_leased_until(asked + ttl);
         self.wait_for_first_view().await;
         let former = self.former_owner();
@@ -165,7 +168,7 @@
             self.fleet.timers.sleep(interval).await;
             let asked = self.fleet.now();
             match self.store.renew(lease).await {
-                Ok(()) => {
+                Ok(_) => {
                     self.fleet.set_leased_until(asked + ttl);
                     failing = false;
                 }
@@ -199,6 +202,7 @@
             cpu: settings.cpu_millis(),
             leaving: lent.is_some(),
             promotion: RULES_VERSION,
+            leases: LEASE_RULES,
             lent,
         };
         let value = serde_json::to_vec(&member).map_err(|_| StoreError::Refused)?;
--- a/oleander-node/src/control/relay.rs
+++ b/oleander-node/src/control/relay.rs
@@ -16,6 +16,7 @@
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_core::verdict::Verdict;
+use oleander_membership::leased::LEASE_RULES;
 use oleander_peer::client::PeerClient;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
@@ -28,6 +29,7 @@
 use oleander_ports::store::Entry;
 use oleander_ports::store::Expectation;
 use oleander_ports::store::KeyValueStore;
+use oleander_ports::store::LeaseGrant;
 use oleander_ports::store::LeaseId;
 use oleander_ports::store::ReadResponse;
 use oleander_ports::store::StoreError;
@@ -148,7 +150,7 @@
 
     /// Sends a call through other VMs, one after the other.
     async fn relay(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
-        for address in self.relays() {
+        for address in self.relays(call) {
             let request = Request::Store(call.clone());
             match self.peers.call(address, &request, RELAY_TIMEOUT).await {
                 Ok(Reply::Store(StoreReply::Failed(failure))) => {
@@ -169,13 +171,33 @@
     async fn run(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         match call {
             StoreCall::Grant { ttl } => {
-                let LeaseId { number, era } = self.own.grant(*ttl).await?;
+                let granted = self.own.grant(*ttl).await?;
+                if granted.ttl < *ttl {
+                    // The VM that asks would count the lease by the TTL that it has requested. If this
+                    // fails, the lease expires by itself.
+                    let _ = self.own.revoke(granted.lease).await;
+                    return Err(StoreError::Refused);
+                }
+                let LeaseId { number, era } = granted.lease;
                 Ok(StoreReply::Granted { number, era })
             }
             StoreCall::Renew { number, era } => {
-                self.own.renew(LeaseId { number: *number, era: *era }).await?;
+                let applied = self.own.renew(LeaseId { number: *number, era: *era }).await?;
+                if applied.is_some_and(|ttl| ttl < self.fleet.settings.lease_ttl()) {
+                    // As above; the VM lets its own count of the lease run out.
+                    return Err(StoreError::Refused);
+                }
                 Ok(StoreReply::Done)
             }
+            StoreCall::GrantLease { ttl } => {
+                let LeaseGrant { lease: LeaseId { number, era }, ttl } =
+                    self.own.grant(*ttl).await?;
+                Ok(StoreReply::Leased { number, era, ttl })
+            }
+            StoreCall::RenewLease { number, era } => {
+                let ttl = self.own.renew(LeaseId { number: *number, era: *era }).await?;
+                Ok(StoreReply::Renewed { ttl })
+            }
             StoreCall::Revoke { number, era } => {
                 self.own.revoke(LeaseId { number: *number, era: *era }).await?;
                 Ok(StoreReply::Done)
@@ -208,11 +230,14 @@
         }
     }
 
-    /// Returns the addresses of VMs that may pass a call on, chosen at random.
-    fn relays(&self) -> SmallVec<[SocketAddr; RELAYS]> {
+    /// Returns the addresses of VMs that may pass a call on, chosen at random. Builds that do not tell
+    /// the TTL that applies pass no lease calls of this VM on.
+    fn relays(&self, call: &StoreCall) -> SmallVec<[SocketAddr; RELAYS]> {
         let fleet = &self.fleet;
         let view = fleet.view();
-        let others = view.roster.others(fleet.vm).filter(|member| fleet.is_up(member.vm()));
+        let others = view.roster.others(fleet.vm).filter(|member| {
+            fleet.is_up(member.vm()) && (!call.asks_ttl() || LEASE_RULES <= member.leases)
+        });
         let chosen = others.sample(&mut rand::rng(), RELAYS);
         chosen.into_iter().map(|member| member.peers).collect()
     }
@@ -284,16 +309,21 @@
         }
     }
 
-    async fn grant(&self, ttl: Span) -> Result<LeaseId, StoreError> {
-        match self.call(StoreCall::Grant { ttl }).await? {
-            StoreReply::Granted { number, era } => Ok(LeaseId { number, era }),
+    async fn grant(&self, ttl: Span) -> Result<LeaseGrant, StoreError> {
+        match self.call(StoreCall::GrantLease { ttl }).await? {
+            StoreReply::Leased { number, era, ttl } => {
+                Ok(LeaseGrant { lease: LeaseId { number, era }, ttl })
+            }
             _ => Err(StoreError::Refused),
         }
     }
 
-    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+    async fn renew(&self, lease: LeaseId) -> Result<Option<Span>, StoreError> {
         let LeaseId { number, era } = lease;
-        self.call(StoreCall::Renew { number, era }).await.map(drop)
+        match self.call(StoreCall::RenewLease { number, era }).await? {
+            StoreReply::Renewed { ttl } => Ok(ttl),
+            _ => Err(StoreError::Refused),
+        }
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -15,6 +15,11 @@
 /// up between reading the clock and sending its answer.
 const CURRENCY_MARGIN: Span = Span::from_millis(300);
 
+/// The TTL that is requested for a lease. Shares are used for at most this long without the store, so
+/// it is close to the time for which the configuration counts as current. A lost VM leaves the roster
+/// when its lease has expired.
+const LEASE_TTL: Span = Span::from_millis(4_000);
+
 /// The part of `NodeSettings::drain` reserved for the change to travel through the store and for a
 /// statement to pass a queue.
 const DRAIN_MARGIN: Span = Span::from_millis(1_500);
@@ -129,6 +134,12 @@
         self.revocation.saturating_sub(CURRENCY_MARGIN)
     }
 
+    /// Returns the TTL that is requested for the VM's lease. The store may apply another one; the VM
+    /// counts its lease by the shorter of the two.
+    pub fn lease_ttl(&self) -> Span {
+        LEASE_TTL.max(self.lease)
+    }
+
     /// Returns the time for which a leaving instance still gets new work that no other instance can
     /// do.
     pub fn drain_window(&self) -> Span {
--- a/oleander-node/tests/builds.rs
+++ b/oleander-node/tests/builds.rs
@@ -9,6 +9,7 @@
 use oleander_core::time::Span;
 use oleander_failover::keeper::RULES_VERSION;
 use oleander_failover::keeper::messages::Liveness;
+use oleander_membership::leased::LEASE_RULES;
 use oleander_membership::leased::LeasedMember;
 use oleander_node::fleet::KeeperRecord;
 use oleander_node::fleet::MemberRecord;
@@ -16,6 +17,9 @@
 use oleander_peer::messages::Confirmations;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
+use oleander_peer::messages::StoreCall;
+use oleander_peer::messages::StoreFailure;
+use oleander_peer::messages::StoreReply;
 use rstest::rstest;
 use serde::Deserialize;
 use serde::Serialize;
@@ -38,7 +42,16 @@
     restored: bool,
 }
 
-/// `EarlierMember` is a VM's record as the build before reads and writes it.
+/// `FormerMember` is a VM's record as the build before reads and writes it.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct FormerMember {
+    #[serde(flatten)]
+    earlier: EarlierMember,
+    #[serde(default)]
+    promotion: u32,
+}
+
+/// `EarlierMember` is a VM's record as builds without rules of promotion read and write it.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 struct EarlierMember {
     name: String,
@@ -83,6 +96,7 @@
         cpu: 250,
         leaving: false,
         promotion: RULES_VERSION,
+        leases: LEASE_RULES,
         lent: None,
     }
 }
@@ -109,7 +123,8 @@
     let expected = without(&record, &["members", "ordered_life"]);
     assert_eq!(rewritten::<EarlierKeeperRecord>(&record), expected);
     let member = leased_member();
-    assert_eq!(rewritten::<EarlierMember>(&member), without(&member, &["promotion"]));
+    assert_eq!(rewritten::<FormerMember>(&member), without(&member, &["leases"]));
+    assert_eq!(rewritten::<EarlierMember>(&member), without(&member, &["promotion", "leases"]));
 }
 
 /// Guards against a VM that takes what an earlier build cannot tell for something that it told.
@@ -118,8 +133,11 @@
     let record = without(&keeper_record(), &["members", "ordered_life"]);
     let expected = KeeperRecord { members: None, ordered_life: None, ..keeper_record() };
     assert_eq!(serde_json::from_value::<KeeperRecord>(record).unwrap(), expected);
-    let member = without(&leased_member(), &["promotion"]);
-    let expected = LeasedMember { promotion: 0, ..leased_member() };
+    let member = without(&leased_member(), &["leases"]);
+    let expected = LeasedMember { leases: 0, ..leased_member() };
+    assert_eq!(serde_json::from_value::<LeasedMember>(member).unwrap(), expected);
+    let member = without(&leased_member(), &["promotion", "leases"]);
+    let expected = LeasedMember { promotion: 0, ..expected };
     assert_eq!(serde_json::from_value::<LeasedMember>(member).unwrap(), expected);
 }
 
@@ -139,6 +157,8 @@
 #[rstest]
 #[case::withdrawn(&Request::Withdrawn { database: DatabaseId(7), revision: 9 }, WITHDRAWN)]
 #[case::ready(&Request::Ready, READY)]
+#[case::grant(&Request::Store(StoreCall::Grant { ttl: Span(9) }), &[5, 0, 0, 0, 3, 15, 0, 9])]
+#[case::renew(&Request::Store(StoreCall::Renew { number: 3, era: 1 }), &[5, 0, 0, 0, 4, 15, 1, 6, 1])]
 fn earlier_requests_keep_their_bytes(#[case] request: &Request, #[case] bytes: &[u8]) {
     assert_eq!(&codec::encode(request).unwrap()[..], bytes);
 }
@@ -149,6 +169,8 @@
 #[rstest]
 #[case::accepted(&Reply::Accepted, &[5, 0, 0, 0, 1, 11])]
 #[case::unsupported(&Reply::Unsupported, &[5, 0, 0, 0, 1, 12])]
+#[case::granted(&Reply::Store(StoreReply::Granted { number: 3, era: 1 }), &[5, 0, 0, 0, 4, 14, 1, 6, 1])]
+#[case::failed(&Reply::Store(StoreReply::Failed(StoreFailure::Refused)), &[5, 0, 0, 0, 3, 14, 5, 3])]
 fn earlier_replies_keep_their_bytes(#[case] reply: &Reply, #[case] bytes: &[u8]) {
     assert_eq!(&codec::encode(reply).unwrap()[..], bytes);
 }
@@ -161,4 +183,12 @@
     assert_eq!(&codec::encode(&request).unwrap()[..], [5, 0, 0, 0, 3, 16, 7, 9]);
     let reply = Reply::Withdrawn(Confirmations { life: 3, first: true, point: None });
     assert_eq!(&codec::encode(&reply).unwrap()[..], [5, 0, 0, 0, 4, 17, 3, 1, 0]);
+    let call = Request::Store(StoreCall::GrantLease { ttl: Span(9) });
+    assert_eq!(&codec::encode(&call).unwrap()[..], [5, 0, 0, 0, 3, 15, 5, 9]);
+    let call = Request::Store(StoreCall::RenewLease { number: 3, era: 1 });
+    assert_eq!(&codec::encode(&call).unwrap()[..], [5, 0, 0, 0, 4, 15, 6, 6, 1]);
+    let reply = Reply::Store(StoreReply::Leased { number: 3, era: 1, ttl: Span(9) });
+    assert_eq!(&codec::encode(&reply).unwrap()[..], [5, 0, 0, 0, 5, 14, 6, 6, 1, 9]);
+    let reply = Reply::Store(StoreReply::Renewed { ttl: None });
+    assert_eq!(&codec::encode(&reply).unwrap()[..], [5, 0, 0, 0, 3, 14, 7, 0]);
 }
--- a/oleander-node/tests/confirmations.rs
+++ b/oleander-node/tests/confirmations.rs
@@ -40,6 +40,7 @@
         cpu: 0,
         leaving: false,
         promotion: 1,
+        leases: 0,
         lent: None,
     }
 }
--- a/oleander-node/tests/follow.rs
+++ b/oleander-node/tests/follow.rs
@@ -154,6 +154,7 @@
             cpu: 0,
             leaving: false,
             promotion: 0,
+            leases: 0,
             lent: None,
         };
         roster.put(member);
--- a/oleander-node/tests/regions.rs
+++ b/oleander-node/tests/regions.rs
@@ -98,6 +98,7 @@
         cpu: 0,
         leaving: false,
         promotion: 0,
+        leases: 0,
         lent: None,
     }
 }
--- a/oleander-node/tests/restored.rs
+++ b/oleander-node/tests/restored.rs
@@ -161,6 +161,7 @@
         cpu: 0,
         leaving: false,
         promotion: 0,
+        leases: 0,
         lent: None,
     };
     let value = serde_json::to_vec(&member).unwrap();
--- a/oleander-node/tests/shares.rs
+++ b/oleander-node/tests/shares.rs
@@ -38,6 +38,7 @@
         cpu: 0,
         leaving: lent.is_some(),
         promotion: 0,
+        leases: 0,
         lent,
     });
     View { revision: StoreRevision(revision), roster: Arc::new(roster), ..View::default() }
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -107,12 +107,13 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum StoreCall {
-    /// Creates a lease.
+    /// Creates a lease; the answer does not tell the TTL that applies. Sent by earlier builds, which
+    /// go by the TTL that they request.
     Grant {
         /// The time after which it ends without renewal.
         ttl: Span,
     },
-    /// Renews a lease.
+    /// Renews a lease; the answer does not tell the TTL that applies. Sent by earlier builds.
     Renew {
         /// The number of the lease.
         number: i64,
@@ -140,9 +141,28 @@
         /// The lease of the written keys.
         lease: Option<(i64, u64)>,
     },
+    /// Creates a lease, as `Grant` does; sent to VMs that answer with the TTL that applies.
+    #[strum(serialize = "grant")]
+    GrantLease {
+        /// The requested TTL.
+        ttl: Span,
+    },
+    /// Renews a lease, as `Renew` does; sent to VMs that answer with the TTL that applies.
+    #[strum(serialize = "renew")]
+    RenewLease {
+        /// The number of the lease.
+        number: i64,
+        /// The era in which it was granted.
+        era: u64,
+    },
 }
 
 impl StoreCall {
+    /// Returns `true` if the answer must tell the TTL that applies to a lease.
+    pub fn asks_ttl(&self) -> bool {
+        matches!(self, StoreCall::GrantLease { .. } | StoreCall::RenewLease { .. })
+    }
+
     /// Returns `true` if a call that may have been executed can be sent once more.
     pub fn is_repeatable(&self) -> bool {
         !matches!(self, StoreCall::Commit { .. })
@@ -227,6 +247,20 @@
     Conflict,
     /// The call failed.
     Failed(StoreFailure),
+    /// The result of `StoreCall::GrantLease`.
+    Leased {
+        /// The number of the lease.
+        number: i64,
+        /// The era of the store.
+        era: u64,
+        /// The TTL that applies.
+        ttl: Span,
+    },
+    /// The result of `StoreCall::RenewLease`.
+    Renewed {
+        /// The TTL that applies; `None` if the store did not tell.
+        ttl: Option<Span>,
+    },
 }
 
 /// `StoreFailure` is the reason why a call that was passed on failed.
--- a/oleander-ports/src/store.rs
+++ b/oleander-ports/src/store.rs
@@ -108,6 +108,15 @@
     pub era: u64,
 }
 
+/// `LeaseGrant` is a lease that the store has granted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LeaseGrant {
+    /// The lease.
+    pub lease: LeaseId,
+    /// The TTL that applies, which may differ from the one that was requested.
+    pub ttl: Span,
+}
+
 /// `Change` is one event of a watch.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -184,11 +193,13 @@
         lease: Option<LeaseId>,
     ) -> Result<CommitOutcome, StoreError>;
 
-    /// Creates a lease that expires after `ttl` without renewal.
-    async fn grant(&self, ttl: Span) -> Result<LeaseId, StoreError>;
+    /// Creates a lease, requesting that it expire after `ttl` without renewal. The store may apply
+    /// another TTL, which the grant tells; it counts from the arrival of the call at the store.
+    async fn grant(&self, ttl: Span) -> Result<LeaseGrant, StoreError>;
 
-    /// Renews a lease for its full duration, counted from the arrival of the call at the store.
-    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError>;
+    /// Renews a lease, whose TTL counts from the arrival of the call at the store. Returns the TTL
+    /// that applies from now on; `None` if the answer does not tell, and it stays as it was.
+    async fn renew(&self, lease: LeaseId) -> Result<Option<Span>, StoreError>;
 
     /// Ends a lease at once and removes its keys.
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError>;
