Count a lease by the TTL that the store applies

Cause: the VM counted its lease by the TTL that it had requested, 4,000 ms, while the store applied 2,000 and said so. The keeper takes the end of the lease for the time from which the VM confirms nothing.

Change: the lease counts by the shorter of the applied and the requested TTL, from the sending of the last answered call; a renewal that tells another TTL is followed. Renewals are sent each quarter of it, whether or not the one before is answered or the record is written, since leases of 1 s ended while the store was slow. After its end is reported a lease counts for nothing.

--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -35,10 +35,6 @@
 use crate::fleet::Fleet;
 use crate::rates::Rates;
 
-/// The number of renewal intervals within one TTL: after two renewals that fail at once, a third
-/// still reaches the store before the lease ends.
-const RENEWALS_PER_LEASE: u64 = 4;
-
 /// The longest wait for the first view; the VM's record is then written without it.
 const FIRST_VIEW_WAIT: Span = Span::from_millis(500);
 
@@ -87,6 +83,8 @@
             tokio::select! {
                 ended = self.hold_lease() => {
                     self.held_lease.send_replace(None);
+                    // Nothing of this VM goes by the lease any more, also if it was to run for longer.
+                    self.fleet.set_leased_until(Time(0));
                     self.fleet.set_join_revision(StoreRevision(0));
                     self.fleet.disable_shares();
                     if ended.is_err() {
@@ -101,23 +99,36 @@
         self.mark_leaving().await;
     }
 
-    /// Acquires a lease, writes the record and renews the lease until it has ended.
+    /// Acquires a lease, and renews it until it has ended. The record is written meanwhile, since a
+    /// short lease might end before.
     ///
     /// Returns `Ok` if the store reports the lease as ended.
     ///
     /// # Errors
     /// Fails if the lease cannot be acquired or the record cannot be written.
     async fn hold_lease(&self) -> Result<(), StoreError> {
-        let ttl = self.fleet.settings.lease_ttl();
+        let requested = self.fleet.settings.lease_ttl();
         let asked = self.fleet.now();
-        let LeaseGrant { lease, ttl: applied } = self.store.grant(ttl).await?;
+        let LeaseGrant { lease, ttl } = self.store.grant(requested).await?;
         let fields = [
             Field::number("lease", lease.number.unsigned_abs()),
-            Field::millis("asked", ttl),
-            Field::millis("applied", applied),
+            Field::millis("asked", requested),
+            Field::millis("applied", ttl),
         ];
         self.journal.record(Event::LeaseGranted, &fields);
-        self.fleet.set_leased_until(asked + ttl);
+        tokio::select! {
+            lost = self.renew(lease, asked, ttl) => lost,
+            displaced = self.register(lease) => displaced,
+        }
+    }
+
+    /// Writes the record under the lease, and enables the shares once all other VMs know of it.
+    ///
+    /// Returns `Ok` if the store no longer holds the record.
+    ///
+    /// # Errors
+    /// Fails if the record cannot be written.
+    async fn register(&self, lease: LeaseId) -> Result<(), StoreError> {
         self.wait_for_first_view().await;
         let former = self.former_owner();
         if self.may_have_predecessor() {
@@ -126,16 +137,15 @@
         let join_revision = self.write_record(None, lease).await?;
         self.fleet.set_join_revision(join_revision);
         self.held_lease.send_replace(Some(HeldLease { lease, join_revision }));
-        let renewing = self.renew(lease, ttl);
         let activating = async {
             self.announce_and_enable(join_revision, former).await;
             std::future::pending::<()>().await;
         };
         tokio::select! {
-            lost = renewing => lost,
-            () = activating => Ok(()),
-            () = self.wait_displaced(join_revision) => Ok(()),
+            () = activating => {}
+            () = self.wait_displaced(join_revision) => {}
         }
+        Ok(())
     }
 
     /// Waits until the store no longer holds the record that this process wrote at `join_revision`.
@@ -161,26 +171,49 @@
         }
     }
 
-    async fn renew(&self, lease: LeaseId, ttl: Span) -> Result<(), StoreError> {
-        let interval = Span(ttl.0 / RENEWALS_PER_LEASE);
+    /// Renews a lease that was requested at `asked` and granted for `ttl`, until it has ended.
+    ///
+    /// The lease counts by the TTL that applies, from the sending of the last call that the store has
+    /// answered. Other VMs reckon with the requested TTL at most, so that a longer one is not used.
+    /// A renewal does not wait for the answer to the one before: under a short TTL the lease would
+    /// end while the store is slow.
+    async fn renew(&self, lease: LeaseId, asked: Time, ttl: Span) -> Result<(), StoreError> {
+        let settings = &self.fleet.settings;
+        let requested = settings.lease_ttl();
+        let (mut counted_from, mut ttl) = (asked, ttl.min(requested));
+        self.fleet.set_leased_until(counted_from + ttl);
+        let mut due = asked + settings.renewal_interval(ttl);
         let mut failing = false;
+        let mut calls = JoinSet::new();
         loop {
-            self.fleet.timers.sleep(interval).await;
-            let asked = self.fleet.now();
-            match self.store.renew(lease).await {
-                Ok(_) => {
-                    self.fleet.set_leased_until(asked + ttl);
-                    failing = false;
+            tokio::select! {
+                () = self.fleet.timers.sleep_until(due) => {
+                    let (store, sent) = (self.store.clone(), self.fleet.now());
+                    calls.spawn(async move { (sent, store.renew(lease).await) });
+                    due = sent + settings.renewal_interval(ttl);
                 }
-                Err(StoreError::LeaseEnded) => return Ok(()),
-                // The lease may still run; the next renewal will show.
-                Err(error) => {
-                    if !std::mem::replace(&mut failing, true) {
-                        let left = self.fleet.leased_until().since(self.fleet.now());
-                        let fields = [Field::text("reason", error), Field::millis("leased", left)];
-                        self.journal.record(Event::StoreUnreachable, &fields);
+                Some(Ok((sent, outcome))) = calls.join_next() => match outcome {
+                    Ok(applied) => {
+                        failing = false;
+                        // Answers may overtake each other.
+                        if counted_from < sent {
+                            counted_from = sent;
+                            ttl = applied.map_or(ttl, |applied| applied.min(requested));
+                            self.fleet.set_leased_until(sent + ttl);
+                            due = due.min(sent + settings.renewal_interval(ttl));
+                        }
                     }
-                }
+                    Err(StoreError::LeaseEnded) => return Ok(()),
+                    // The lease may still run; the next renewal will show.
+                    Err(error) => {
+                        if !std::mem::replace(&mut failing, true) {
+                            let left = self.fleet.leased_until().since(self.fleet.now());
+                            let fields =
+                                [Field::text("reason", error), Field::millis("leased", left)];
+                            self.journal.record(Event::StoreUnreachable, &fields);
+                        }
+                    }
+                },
             }
         }
     }
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -20,6 +20,10 @@
 /// when its lease has expired.
 const LEASE_TTL: Span = Span::from_millis(4_000);
 
+/// The number of renewal intervals within one TTL: after two renewals that fail at once, a third
+/// still reaches the store before the lease ends.
+const RENEWALS_PER_LEASE: u64 = 4;
+
 /// The part of `NodeSettings::drain` reserved for the change to travel through the store and for a
 /// statement to pass a queue.
 const DRAIN_MARGIN: Span = Span::from_millis(1_500);
@@ -140,6 +144,12 @@
         LEASE_TTL.max(self.lease)
     }
 
+    /// Returns the time between two renewals of a lease with this TTL. They are no rarer under a longer
+    /// lease, since they also show that the VM reaches the store.
+    pub fn renewal_interval(&self, ttl: Span) -> Span {
+        Span(ttl.min(LEASE_TTL).0 / RENEWALS_PER_LEASE)
+    }
+
     /// Returns the time for which a leaving instance still gets new work that no other instance can
     /// do.
     pub fn drain_window(&self) -> Span {
--- a/oleander-node/tests/relay.rs
+++ b/oleander-node/tests/relay.rs
@@ -3,10 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use async_trait::async_trait;
 use oleander_core::places::Place;
 use oleander_core::time::Span;
 use oleander_membership::leased::LEASE_RULES;
@@ -24,80 +22,26 @@
 use oleander_peer::messages::StoreReply;
 use oleander_peer::server;
 use oleander_peer::traffic::Traffic;
-use oleander_ports::store::Changes;
-use oleander_ports::store::Commit;
-use oleander_ports::store::CommitOutcome;
 use oleander_ports::store::KeyValueStore;
 use oleander_ports::store::LeaseGrant;
 use oleander_ports::store::LeaseId;
-use oleander_ports::store::ReadResponse;
 use oleander_ports::store::StoreError;
-use oleander_ports::store::StoreRevision;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::timer::TimerService;
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+#[path = "support/lease_store.rs"]
+mod lease_store;
 mod support;
 
+use lease_store::LeaseStore;
+
 const REQUESTED: Span = Span::from_secs(4);
 const SHORTER: Span = Span::from_secs(2);
 const LEASE: LeaseId = LeaseId { number: 7, era: 0 };
 
-/// `LeaseStore` grants leases with a TTL of its own.
-struct LeaseStore {
-    applied: Span,
-    away: AtomicBool,
-    revoked: Mutex<Vec<LeaseId>>,
-}
-
-impl LeaseStore {
-    fn new(applied: Span) -> Arc<Self> {
-        Arc::new(Self { applied, away: AtomicBool::new(false), revoked: Mutex::default() })
-    }
-
-    fn answer<T>(&self, value: T) -> Result<T, StoreError> {
-        if self.away.load(Ordering::Acquire) { Err(StoreError::Unavailable) } else { Ok(value) }
-    }
-}
-
-#[async_trait]
-impl KeyValueStore for LeaseStore {
-    async fn read_all(&self) -> Result<ReadResponse, StoreError> {
-        self.answer(ReadResponse::default())
-    }
-
-    async fn read(&self, _key: &str) -> Result<ReadResponse, StoreError> {
-        self.answer(ReadResponse::default())
-    }
-
-    async fn watch(&self, _after: StoreRevision, _wait: Span) -> Result<Changes, StoreError> {
-        self.answer(Changes::default())
-    }
-
-    async fn commit(
-        &self,
-        _commit: &Commit,
-        _lease: Option<LeaseId>,
-    ) -> Result<CommitOutcome, StoreError> {
-        self.answer(CommitOutcome::Committed(StoreRevision(1)))
-    }
-
-    async fn grant(&self, _ttl: Span) -> Result<LeaseGrant, StoreError> {
-        self.answer(LeaseGrant { lease: LEASE, ttl: self.applied })
-    }
-
-    async fn renew(&self, _lease: LeaseId) -> Result<Option<Span>, StoreError> {
-        self.answer(Some(self.applied))
-    }
-
-    async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.revoked.lock().unwrap().push(lease);
-        self.answer(())
-    }
-}
-
 fn fleet_of(members: Vec<LeasedMember>) -> Arc<Fleet> {
     let fleet = Fleet::new(Arc::new(support::settings()), TimerService::start(Clock::new()));
     let mut roster = LeasedRoster::default();
@@ -161,8 +105,9 @@
 })]
 #[tokio::test]
 async fn a_lease_call_for_another_vm_tells_the_ttl_that_applies(#[case] case: PassedCase) {
-    let own = LeaseStore::new(case.applied);
-    let store = RelayedStore::new(own.clone(), fleet_of(Vec::new()), peer_client());
+    let fleet = fleet_of(Vec::new());
+    let own = LeaseStore::new(fleet.timers.clone(), case.applied, Span::ZERO);
+    let store = RelayedStore::new(own.clone(), fleet, peer_client());
     // Only a VM whose own calls succeed passes calls on.
     store.read("key").await.unwrap();
     assert_eq!(store.serve(case.call).await, case.reply);
@@ -216,9 +161,9 @@
 async fn lease_calls_go_through_vms_that_tell_the_ttl() {
     let (earlier, earlier_member) = start_relay("earlier", 0).await;
     let (present, present_member) = start_relay("present", LEASE_RULES).await;
-    let own = LeaseStore::new(REQUESTED);
-    own.away.store(true, Ordering::Release);
     let fleet = fleet_of(vec![earlier_member.clone(), present_member]);
+    let own = LeaseStore::new(fleet.timers.clone(), REQUESTED, Span::ZERO);
+    own.away.store(true, Ordering::Release);
     let store = RelayedStore::new(own.clone(), fleet, peer_client());
     for _ in 0..8 {
         let granted = LeaseGrant { lease: LEASE, ttl: SHORTER };
