Settle a restored store only once no lost lease is in use

Could happen: the requested TTL is `MinTtlMs` where that is above 4 s, but what stood for the longest lease after a restore of the store was 4.5 s. A VM that does not know of the restore used shares and confirmed commits for up to 4.7 s with `RevokeMs` 5,000, and for the whole lease with a longer one, while others had taken over what it had. Found by reading, no run of the program shows it.

Change: the second reading, and the start of the shares of a VM that joins a restored store, wait for the longest use of a lost lease and 0.5 s more, but no less than 4.5 s, so that nothing changes with `MinTtlMs` up to 4,000. What waits for others to write again (`REWRITE_TIME`) stays at 4.5 s. `ROSTER_GRACE` only places homes and does not depend on the TTL; its comment said otherwise. `LOAN_EXPIRY_WAIT` is the life of a loan, not of a lease.

Tests in oleander-node/tests/lease.rs: 3 of 4 fail with the former constant.

--- a/oleander-node/src/control/confirm.rs
+++ b/oleander-node/src/control/confirm.rs
@@ -19,7 +19,7 @@
 use serde::Deserialize;
 use tokio::task::JoinSet;
 
-use super::follow::SETTLE_TIME;
+use super::follow::REWRITE_TIME;
 use crate::fleet::Fleet;
 
 /// The time within which a VM must tell its version: a few round trips between regions.
@@ -68,7 +68,7 @@
             let is_settled =
                 view.roster.others(self.fleet.vm).all(|vm| told.contains_key(&vm.vm()))
                     && told.values().any(|known| known.settled);
-            if newest <= read && (is_settled || SETTLE_TIME <= waited) {
+            if newest <= read && (is_settled || REWRITE_TIME <= waited) {
                 self.log(Event::ConfigurationConfirmed, read, newest, waited);
                 return self.fleet.release_configuration();
             }
--- a/oleander-node/src/control/follow.rs
+++ b/oleander-node/src/control/follow.rs
@@ -44,17 +44,17 @@
 /// it again. Meanwhile it asks the watchers, which call the store more often.
 const RETRY_TIME: Span = Span::from_millis(3_000);
 
-/// The time from the first reading of a store that was restored from a copy to the next one, which
-/// counts in full. By then all VMs, instances and operators have written again, and the leases that
-/// the store has lost have ended as their holders count them.
-pub const SETTLE_TIME: Span = Span::from_millis(4_500);
+/// The time after the first reading of a store that was restored from a copy by which VMs, instances
+/// and operators have written again.
+pub const REWRITE_TIME: Span = Span::from_millis(4_500);
 
 /// The wait of the first watch after a failure; short, so that its answer soon shows whether the
 /// view is complete.
 const RECOVERY_WAIT: Span = Span::from_millis(100);
 
-/// The time for which a VM whose lease has ended still counts for the placement of homes: about as
-/// long as a lease, so that all VMs have time to renew theirs after an outage of the store.
+/// The time for which a VM whose lease has ended still counts for the placement of homes: three
+/// renewal intervals at least, so that all VMs have time to take a new lease after an outage of the
+/// store. It does not depend on the TTL, and nothing that must be exclusive rests on it.
 const ROSTER_GRACE: Span = Span::from_millis(3_000);
 
 /// `Follower` keeps the fleet's view up to date with the store.
@@ -157,7 +157,7 @@
         let former = self.fleet.view().revision;
         let revision = self.read().await?;
         if former != StoreRevision(0) && former.era() < revision.era() {
-            progress.settle_at = Some(self.fleet.now() + SETTLE_TIME);
+            progress.settle_at = Some(self.fleet.now() + self.fleet.settings.settle_time());
         }
         Ok(revision)
     }
--- a/oleander-node/src/control/lease.rs
+++ b/oleander-node/src/control/lease.rs
@@ -31,7 +31,6 @@
 
 use super::Backoff;
 use super::apply;
-use super::follow::SETTLE_TIME;
 use crate::fleet::Fleet;
 use crate::rates::Rates;
 
@@ -306,7 +305,7 @@
         if former.is_none() && is_restored {
             // VMs whose leases the store has lost may use their shares until these would have
             // ended, and this process knows none of them.
-            longest = now + SETTLE_TIME;
+            longest = now + self.fleet.settings.settle_time();
             lent_until = longest;
         }
         // With no record of an earlier process and no other VM to ask, it is unknown what was lent
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -35,7 +35,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
-use crate::control::follow::SETTLE_TIME;
+use crate::control::follow::REWRITE_TIME;
 use crate::eligibility::EvacuationCounts;
 use crate::settings::HomePlacement;
 use crate::settings::NodeSettings;
@@ -378,7 +378,7 @@
         let since = Time(self.era_since.load(Ordering::Acquire));
         !*self.held.borrow()
             && view.configuration_revision.era() == view.revision.era()
-            && SETTLE_TIME <= self.now().since(since)
+            && REWRITE_TIME <= self.now().since(since)
     }
 
     /// Returns the time until which the configuration counts as current; 0 before the first view.
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::control::follow::REWRITE_TIME;
+
 /// The part of `NodeSettings::revocation` reserved for clock drift and for a process that is held
 /// up between reading the clock and sending its answer.
 const CURRENCY_MARGIN: Span = Span::from_millis(300);
@@ -24,6 +26,9 @@
 /// still reaches the store before the lease ends.
 const RENEWALS_PER_LEASE: u64 = 4;
 
+/// The time added to the longest use of a lost lease, for a VM that is held up while it acts.
+const LOST_LEASE_MARGIN: Span = Span::from_millis(500);
+
 /// The part of `NodeSettings::drain` reserved for the change to travel through the store and for a
 /// statement to pass a queue.
 const DRAIN_MARGIN: Span = Span::from_millis(1_500);
@@ -144,6 +149,14 @@
         LEASE_TTL.max(self.lease)
     }
 
+    /// Returns the time from the first reading of a store that was restored from a copy to the next
+    /// one, which counts in full: all have written again by then, and nobody goes by a lease that the
+    /// store has lost. A VM does so until the requested TTL is over or it has no current configuration.
+    pub fn settle_time(&self) -> Span {
+        let longest_use = self.lease_ttl().min(self.currency_ttl());
+        REWRITE_TIME.max(longest_use + LOST_LEASE_MARGIN)
+    }
+
     /// Returns the time between two renewals of a lease with this TTL. They are no rarer under a longer
     /// lease, since they also show that the VM reaches the store.
     pub fn renewal_interval(&self, ttl: Span) -> Span {
--- a/oleander-node/tests/lease.rs
+++ b/oleander-node/tests/lease.rs
@@ -4,10 +4,14 @@
 use std::sync::atomic::Ordering;
 
 use oleander_config::snapshot::Snapshot;
+use oleander_core::places::Place;
 use oleander_core::time::Span;
 use oleander_limits::rates::limiter::RateLimiter;
+use oleander_membership::leased::LEASE_RULES;
+use oleander_membership::leased::LeasedMember;
 use oleander_node::control::lease::Leaseholder;
 use oleander_node::fleet::Fleet;
+use oleander_node::fleet::View;
 use oleander_node::rates::Rates;
 use oleander_node::settings::NodeSettings;
 use oleander_peer::client::PeerClient;
@@ -21,6 +25,8 @@
 
 #[path = "support/lease_store.rs"]
 mod lease_store;
+#[path = "support/record.rs"]
+mod record;
 mod support;
 
 use lease_store::LeaseStore;
@@ -34,17 +40,26 @@
     decode_entry: |_, _| Err("none".to_owned()),
 };
 
+/// The number of the run of the VM's process.
+const LIFE: u64 = 1;
+
 const POLL_INTERVAL: Span = Span::from_millis(5);
 
 /// `Holder` is a VM that holds a lease of a store.
 struct Holder {
     fleet: Arc<Fleet>,
     store: Arc<LeaseStore>,
-    task: JoinHandle<()>,
+    holder: Option<Leaseholder>,
+    task: Option<JoinHandle<()>>,
 }
 
 impl Holder {
     fn start(settings: NodeSettings, applied: Span, answer_delay: Span) -> Self {
+        Self::prepare(settings, applied, answer_delay).run()
+    }
+
+    /// Creates a VM that takes no lease yet.
+    fn prepare(settings: NodeSettings, applied: Span, answer_delay: Span) -> Self {
         let timers = TimerService::start(Clock::new());
         let store = LeaseStore::new(timers.clone(), applied, answer_delay);
         let fleet = Arc::new(Fleet::new(Arc::new(settings), timers.clone()));
@@ -56,11 +71,16 @@
             sources: SOURCES,
             peers: peers.clone(),
             journal: Journal::new("test", timers.clock()),
-            life: 1,
+            life: LIFE,
             rates: Rates::new(fleet.vm, limiter, timers, peers, Box::new(|_| None)),
             held_lease: watch::Sender::new(None),
         };
-        Self { fleet, store, task: tokio::spawn(holder.run()) }
+        Self { fleet, store, holder: Some(holder), task: None }
+    }
+
+    fn run(mut self) -> Self {
+        self.task = self.holder.take().map(|holder| tokio::spawn(holder.run()));
+        self
     }
 
     /// Compares the two counts of the lease for a time. Returns the time without a lease since the
@@ -86,7 +106,7 @@
 
 impl Drop for Holder {
     fn drop(&mut self) {
-        self.task.abort();
+        self.task.iter().for_each(JoinHandle::abort);
     }
 }
 
@@ -146,3 +166,66 @@
     holder.compare(Span::from_millis(2_500)).await;
     assert!(2 <= holder.store.renewals.lock().unwrap().len());
 }
+
+/// `SettleCase` is the shortest TTL that the store grants, the time within which a withdrawn key stops
+/// working, and the time for which a VM may go by a lease that the store has lost.
+struct SettleCase {
+    shortest: Span,
+    revocation: Span,
+    in_use: Span,
+}
+
+/// Guards against shares, duties and commits of a VM that does not know of a restore yet, after others
+/// have taken over what it had: the requested TTL may be longer than usual.
+#[rstest]
+#[case::usual(SettleCase {
+    shortest: Span::from_secs(1),
+    revocation: Span::from_secs(5),
+    in_use: Span::from_secs(4),
+})]
+#[case::until_the_configuration_is_old(SettleCase {
+    shortest: Span::from_secs(8),
+    revocation: Span::from_secs(5),
+    in_use: Span::from_millis(4_700),
+})]
+#[case::until_the_lease_ends(SettleCase {
+    shortest: Span::from_secs(8),
+    revocation: Span::from_secs(15),
+    in_use: Span::from_secs(8),
+})]
+fn a_restored_store_settles_once_lost_leases_are_out_of_use(#[case] case: SettleCase) {
+    let SettleCase { shortest: lease, revocation, in_use } = case;
+    let settings = NodeSettings { lease, revocation, ..support::settings() };
+    assert!(in_use < settings.settle_time(), "{}", settings.settle_time());
+}
+
+/// Guards against a VM that joins a restored store and uses shares that a VM which does not know of the
+/// restore uses, too.
+#[tokio::test]
+async fn a_vm_that_joins_waits_for_the_lost_leases() {
+    let lease = Span::from_secs(8);
+    let settings = NodeSettings { lease, revocation: Span::from_secs(15), ..support::settings() };
+    let holder = Holder::prepare(settings, lease, Span::ZERO);
+    record::set_primary(&holder.fleet, None);
+    let mut view = View::clone(&holder.fleet.view());
+    Arc::make_mut(&mut view.keepers).values_mut().for_each(|keeper| keeper.restored = true);
+    let own = LeasedMember {
+        name: holder.fleet.settings.name.clone(),
+        place: Place::default(),
+        peers: holder.fleet.settings.peers,
+        life: LIFE,
+        // Another rank than before, so that the shares may have had other owners.
+        cpu: 500,
+        leaving: false,
+        promotion: 0,
+        leases: LEASE_RULES,
+        lent: None,
+    };
+    Arc::make_mut(&mut view.roster).put(own);
+    holder.fleet.set_view(view);
+    let restored_at = holder.fleet.now();
+    let holder = holder.run();
+    let mut shares = holder.fleet.share_changes();
+    let from = shares.wait_for(Option::is_some).await.unwrap().unwrap();
+    assert!(lease < from.since(restored_at), "from {}", from.since(restored_at));
+}
