Tell the TTL that applies to leases of oleander-store

Change: both return the TTL that applies. The stand-in of the store can apply a shorter one.

Test: oleander-store/tests/store.rs, a_lease_tells_the_ttl_that_applies; the former code has nothing to compare with.

--- a/oleander-standin/src/store/engine.rs
+++ b/oleander-standin/src/store/engine.rs
@@ -51,6 +51,9 @@
 pub struct Engine {
     /// The request counters, which the caller of the engine updates.
     pub calls: Calls,
+    /// The longest TTL that applies to a lease, in seconds, from its next grant or renewal on; `None`
+    /// for the one that is requested.
+    pub longest_ttl: Option<i64>,
     revision: i64,
     keys: BTreeMap<Bytes64, KeyValue>,
     history: Vec<Event>,
@@ -69,6 +72,7 @@
     pub fn new() -> Self {
         Self {
             calls: Calls::default(),
+            longest_ttl: None,
             revision: 1,
             keys: BTreeMap::new(),
             history: Vec::new(),
@@ -152,7 +156,7 @@
             id = self.next_lease;
             self.next_lease += 1;
         }
-        let ttl = request.ttl.0.max(1);
+        let ttl = request.ttl.0.max(1).min(self.longest_ttl.unwrap_or(i64::MAX));
         self.leases.insert(id, Lease { ttl, expires: now + seconds(ttl) });
         LeaseResponse { header: self.header(), id: Int64(id), ttl: Int64(ttl) }
     }
@@ -163,6 +167,7 @@
         let Some(lease) = self.leases.get_mut(&request.id.0) else {
             return LeaseResponse { header, id: request.id, ttl: Int64(0) };
         };
+        lease.ttl = lease.ttl.min(self.longest_ttl.unwrap_or(i64::MAX));
         lease.expires = now + seconds(lease.ttl);
         LeaseResponse { header, id: request.id, ttl: Int64(lease.ttl) }
     }
--- a/oleander-standin/src/store/server.rs
+++ b/oleander-standin/src/store/server.rs
@@ -97,6 +97,11 @@
         &self.relay
     }
 
+    /// Sets the longest TTL that applies to a lease, in seconds, from its next grant or renewal on.
+    pub fn limit_leases(&self, longest_ttl: i64) {
+        lock(&self.shared.engine).longest_ttl = Some(longest_ttl);
+    }
+
     /// Returns the request counters.
     pub fn calls(&self) -> Calls {
         lock(&self.shared.engine).calls
--- a/oleander-store/src/json.rs
+++ b/oleander-store/src/json.rs
@@ -3,6 +3,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use oleander_core::time::Span;
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serialize;
@@ -162,6 +163,13 @@
     pub(crate) ttl: Int64,
 }
 
+impl LeaseResponse {
+    /// Returns the time to live; zero if the lease has expired.
+    pub(crate) fn time_to_live(&self) -> Span {
+        Span::from_secs(u64::try_from(self.ttl.0).unwrap_or(0))
+    }
+}
+
 /// `Streamed` wraps each message of a streaming call.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Streamed<T> {
--- a/oleander-store/src/store.rs
+++ b/oleander-store/src/store.rs
@@ -5,6 +5,7 @@
 pub use oleander_ports::store::CommitOutcome;
 pub use oleander_ports::store::Entry;
 pub use oleander_ports::store::Expectation;
+pub use oleander_ports::store::LeaseGrant;
 pub use oleander_ports::store::LeaseId;
 pub use oleander_ports::store::ReadResponse;
 pub use oleander_ports::store::StoreRevision;
@@ -124,20 +125,23 @@
         Ok(CommitOutcome::Committed(revision(response.header.revision)))
     }
 
-    /// Requests a lease of the given duration, rounded up to whole seconds, at least one.
-    pub async fn grant_lease(&self, duration: Span) -> Result<LeaseId> {
+    /// Requests a lease of the given duration, rounded up to whole seconds, at least one. The store may
+    /// apply another TTL, which the grant tells; it counts from the arrival of the call at the store.
+    pub async fn grant_lease(&self, duration: Span) -> Result<LeaseGrant> {
         let seconds = duration.as_millis().div_ceil(1_000).max(1);
         let ttl = Some(Int64(i64::try_from(seconds).unwrap_or(i64::MAX)));
         let request = LeaseRequest { id: Int64(0), ttl };
         let response: LeaseResponse = self.call("/v3/lease/grant", &request).await?;
-        Ok(LeaseId { number: response.id.0, era: 0 })
+        let lease = LeaseId { number: response.id.0, era: 0 };
+        Ok(LeaseGrant { lease, ttl: response.time_to_live() })
     }
 
-    /// Renews a lease. Returns `false` if it has already expired.
-    pub async fn renew_lease(&self, lease: LeaseId) -> Result<bool> {
+    /// Renews a lease. Returns the TTL that applies from the arrival of the call at the store; `None`
+    /// if the lease has already expired.
+    pub async fn renew_lease(&self, lease: LeaseId) -> Result<Option<Span>> {
         let request = LeaseRequest { id: Int64(lease.number), ttl: None };
         let response: Streamed<LeaseResponse> = self.call("/v3/lease/keepalive", &request).await?;
-        Ok(0 < response.result.ttl.0)
+        Ok(Some(response.result.time_to_live()).filter(|ttl| *ttl != Span::ZERO))
     }
 
     /// Ends a lease at once; the store then deletes its keys.
--- a/oleander-store/tests/store.rs
+++ b/oleander-store/tests/store.rs
@@ -65,6 +65,25 @@
     assert_eq!(write(&store).await, case.second);
 }
 
+/// Guards against a holder that counts a lease by the duration that it has requested.
+#[tokio::test]
+async fn a_lease_tells_the_ttl_that_applies() {
+    let standin = Standin::start().await.unwrap();
+    let store = client(&standin);
+    let rounded = store.grant_lease(Span::from_millis(1_500)).await.unwrap();
+    assert_eq!(rounded.ttl, Span::from_secs(2));
+    standin.limit_leases(3);
+    let granted = store.grant_lease(Span::from_secs(60)).await.unwrap();
+    assert_eq!(granted.ttl, Span::from_secs(3));
+    let renewed = store.renew_lease(granted.lease).await.unwrap();
+    assert_eq!(renewed, Some(Span::from_secs(3)));
+    standin.limit_leases(1);
+    let renewed = store.renew_lease(granted.lease).await.unwrap();
+    assert_eq!(renewed, Some(Span::from_secs(1)));
+    store.revoke_lease(granted.lease).await.unwrap();
+    assert_eq!(store.renew_lease(granted.lease).await.unwrap(), None);
+}
+
 #[tokio::test]
 async fn write_over_a_refused_connection_has_not_run() {
     let closed_port = "http://127.0.0.1:1".to_owned();
