Keep a session's last commit for each database that it has written to

Cause: the session kept one log point, whatever the database, and an older one if a commit was acknowledged without a point.

Change: one point for each database, 16 at most. Where the point is not known, or was dropped at the bound, reads of the session go to the primary for the latest data.

--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -19,6 +19,7 @@
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
 use oleander_session::command::Command;
+use oleander_session::state::OwnCommits;
 use oleander_session::state::SessionState;
 use oleander_session::state::Step;
 use oleander_session::state::TransactionPhase;
@@ -199,8 +200,8 @@
         let now = self.entry.fleet.now();
         match &outcome {
             Ok((_, point)) => {
-                self.state.succeeded(&work, *point);
                 if let Some(operation) = &self.operation {
+                    self.state.succeeded(&work, operation.admitted.database, *point);
                     let latency = now.since(operation.started);
                     self.entry.record_served(statement, &self.name, &operation.admitted, latency);
                 }
@@ -282,9 +283,18 @@
             (None, TransactionPhase::Begun { .. }) => Scope::First { read_only },
             (None, _) => Scope::Single,
         };
-        let uses_session = route.consistency == Consistency::Session;
-        let seen = self.state.written().filter(|_| uses_session);
-        let freshness = Freshness { latest: route::needs_latest(route), age: route.max_age, seen };
+        let own_commits = match route.consistency {
+            Consistency::Session => self.state.own_commits(operation.admitted.database),
+            _ => OwnCommits::None,
+        };
+        let freshness = Freshness {
+            latest: route::needs_latest(route) || own_commits == OwnCommits::Unknown,
+            age: route.max_age,
+            seen: match own_commits {
+                OwnCommits::UpTo(point) => Some(point),
+                OwnCommits::None | OwnCommits::Unknown => None,
+            },
+        };
         HomeRequest {
             statement: statement.to_owned(),
             workspace: operation.admitted.name.clone(),
--- a/oleander-session/src/state.rs
+++ b/oleander-session/src/state.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use oleander_core::ids::DatabaseId;
 use oleander_core::terms::LogPoint;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
+use smallvec::SmallVec;
 
 use crate::command::Command;
 use crate::work::Prepared;
@@ -15,6 +17,22 @@
 /// memory of the session.
 pub const MAX_NAMES: usize = 1_024;
 
+/// The maximum number of databases of which a session keeps its last commit. A session writes to
+/// another database only if its route moves.
+pub const MAX_WRITTEN: usize = 16;
+
+/// `OwnCommits` tells which commits of its own a session's reads of a database must include.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnCommits {
+    /// The session has not written to the database.
+    None,
+    /// All commits up to this point of the database's log.
+    UpTo(LogPoint),
+    /// The session may have written to the database, but the point is not known. Only a read of the
+    /// latest data includes its commits.
+    Unknown,
+}
+
 /// `TransactionPhase` is the state of the session's transaction.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum TransactionPhase {
@@ -56,7 +74,11 @@
     values: BTreeMap<String, String>,
     prepared: HashMap<String, Prepared>,
     phase: TransactionPhase,
-    written: Option<LogPoint>,
+    /// The databases that the session has written to, the latest last, each with the point of its last
+    /// commit there; `None` if the point is not known.
+    written: SmallVec<[(DatabaseId, Option<LogPoint>); 1]>,
+    /// `true` once a database had to be dropped from `written`.
+    forgotten: bool,
 }
 
 impl SessionState {
@@ -70,10 +92,14 @@
         self.values.iter().map(|(name, value)| (name.clone(), value.clone())).collect()
     }
 
-    /// Returns the log point of the session's last commit with a known point; `None` if there is
-    /// none.
-    pub fn written(&self) -> Option<LogPoint> {
-        self.written
+    /// Returns which commits of its own a read of `database` must include.
+    pub fn own_commits(&self, database: DatabaseId) -> OwnCommits {
+        match self.written.iter().find(|(written, _)| *written == database) {
+            Some((_, Some(point))) => OwnCommits::UpTo(*point),
+            Some((_, None)) => OwnCommits::Unknown,
+            None if self.forgotten => OwnCommits::Unknown,
+            None => OwnCommits::None,
+        }
     }
 
     /// Handles a command and returns the next step.
@@ -106,12 +132,12 @@
         }
     }
 
-    /// Records that a statement succeeded; `point` is the log point after it, if known.
-    pub fn succeeded(&mut self, work: &Work, point: Option<LogPoint>) {
+    /// Records that a statement succeeded on `database`; `point` is the log point after it, if known.
+    pub fn succeeded(&mut self, work: &Work, database: DatabaseId, point: Option<LogPoint>) {
         match self.phase {
             TransactionPhase::Idle => {
                 if work.is_write() {
-                    self.record_write(point);
+                    self.record_write(database, point);
                 }
             }
             TransactionPhase::Begun { read_only }
@@ -123,7 +149,7 @@
             TransactionPhase::Open { wrote, .. } if work.is_end() => {
                 self.phase = TransactionPhase::Idle;
                 if wrote {
-                    self.record_write(point);
+                    self.record_write(database, point);
                 }
             }
             TransactionPhase::Begun { .. } if work.is_end() => self.phase = TransactionPhase::Idle,
@@ -193,10 +219,15 @@
         Step::Done
     }
 
-    fn record_write(&mut self, point: Option<LogPoint>) {
+    fn record_write(&mut self, database: DatabaseId, point: Option<LogPoint>) {
         // A promotion may have dropped the earlier point, so the newer one replaces it even if it
         // is not further.
-        self.written = point.or(self.written);
+        self.written.retain(|(written, _)| *written != database);
+        if self.written.len() == MAX_WRITTEN {
+            self.written.remove(0);
+            self.forgotten = true;
+        }
+        self.written.push((database, point));
     }
 }
 
