Run a read on the latest data if the primary's log lacks the session's commit

Callers saw: all reads of a session are refused as LAGGING until it writes, once its commit is in no log any more: its service was added again under the same name, or a promotion dropped the commit.

Cause: the session's point lies after everything in the present log.

Change: a read that the primary refuses for that is run there once more on the latest data, which holds all that is left of the session's commits.

Test: platform/tests/whole_path.rs, a_session_reads_on_after_its_commit_is_gone; failed before (refused), passes now.

--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -25,6 +25,7 @@
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
 use oleander_session::report::InstanceReport;
+use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Scope;
@@ -145,8 +146,19 @@
             request.patience = deadline.min(target).since(now);
             request.limit = if self.fleet.settings.overload { deadline.since(now) } else { limit };
             let sent = reads.map(|reads| reads.start(&mut plan, instance.key, &mut request));
-            let outcome = self.run_at(instance, &request).await;
+            let mut outcome = self.run_at(instance, &request).await;
             self.record_lag(instance.key, &request, &outcome);
+            if let Err(refusal) = &outcome
+                && Some(instance.key) == primary
+                && lacks_own_commit(&request, refusal)
+            {
+                // A promotion has dropped the commit, or it belongs to an earlier database of this
+                // name. The latest data has all that is left of the session's commits.
+                self.log_refusal(Event::RequestRetried, &request, refusal);
+                request.charge = charges::remaining_charge(request.charge, refusal);
+                request.freshness = Freshness { latest: true, age: None, seen: None };
+                outcome = self.run_at(instance, &request).await;
+            }
             if let (Some(reads), Some(sent)) = (reads, sent) {
                 reads.finish(&sent, &self.fleet.view(), &plan, outcome.as_ref().err());
             }
@@ -426,6 +438,13 @@
     }
 }
 
+/// Returns `true` if an instance refused a read since its log lacks the session's own commit.
+fn lacks_own_commit(request: &HomeRequest, refusal: &Refusal) -> bool {
+    request.freshness.seen.is_some()
+        && refusal.code == RefusalCode::ReplicaBehind
+        && refusal.verdict == Verdict::NotRun
+}
+
 /// Returns `true` if another instance may answer although this one did not.
 fn is_transient(refusal: &Refusal) -> bool {
     matches!(
