Answer each statement that a VM has read before the VM stops as planned

Cause: the VM exited 1 s before the end of its grace whatever its sessions were doing, a session ended only between two statements, and a statement may wait for the whole timeout of its route.

Change: the patience of a statement ends when its VM stops serving, so that its home refuses it in time with a true "not run". Homes of a VM that stops refuse what waits there, and senders try another home.

Counts under load with VMs stopped one after the other were not made.

--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -72,6 +72,9 @@
     operation: Option<Operation>,
     /// The open transaction at its home; `None` unless a statement of it has run.
     transaction: Option<TransactionHandle>,
+    /// `true` while the effect of the running statement is unknown: a commit, or a write outside a
+    /// transaction, has been sent to a home.
+    in_doubt: bool,
 }
 
 /// `Operation` is an admitted statement or transaction; a transaction is admitted once as a whole.
@@ -114,6 +117,7 @@
             state: SessionState::default(),
             operation: None,
             transaction: None,
+            in_doubt: false,
         })
     }
 }
@@ -177,6 +181,23 @@
         self.operation = None;
     }
 
+    /// Gives up a statement whose run was dropped, and its transaction. Returns the refusal, which says
+    /// whether the statement may have run.
+    pub fn interrupt(&mut self, statement: &str) -> Refusal {
+        let (code, detail) = (RefusalCode::Draining, "this VM is stopping");
+        let refusal = if std::mem::take(&mut self.in_doubt) {
+            Refusal::may_have_run(code, detail)
+        } else {
+            // What was sent only read, or belongs to a transaction that is rolled back.
+            Refusal::not_run(code, detail)
+        };
+        let admitted = self.operation.as_ref().map(|operation| &operation.admitted);
+        self.entry.record_refusal(statement, &self.name, admitted, &refusal);
+        self.abandon();
+        self.state.failed(&Work::Read(String::new()));
+        refusal
+    }
+
     /// Admits an operation by route, and by rate unless the home of its first statement does that.
     ///
     /// `operation` is set even if the rate limiter then refuses it, so that the refusal is recorded
@@ -239,10 +260,13 @@
             return Err(Refusal::not_run(RefusalCode::Internal, "no operation was admitted"));
         };
         let request = self.request(statement, work, operation);
+        let is_single = request.scope == Scope::Single;
+        self.in_doubt = *work == Work::Commit || (is_single && work.is_write());
         let outcome = match &self.transaction {
             Some(transaction) => self.run_next(transaction, request).await,
             None => self.run_first(operation, request).await,
         };
+        self.in_doubt = false;
         let (answer, home, instance) = outcome?;
         self.entry.record_wait(operation.admitted.level, answer.queued);
         self.transaction = answer.transaction.map(|id| TransactionHandle { home, id, instance });
@@ -319,23 +343,29 @@
     fn limit(&self, operation: &Operation, scope: Scope) -> Span {
         let fleet = &self.entry.fleet;
         let deadline = operation.admitted.route.deadline;
-        if fleet.settings.overload && scope == Scope::Single {
-            deadline.saturating_sub(fleet.now().since(operation.started))
-        } else {
-            deadline
+        if !fleet.settings.overload {
+            return deadline;
         }
+        let spent = match scope {
+            Scope::Single => fleet.now().since(operation.started),
+            Scope::First { .. } | Scope::Within(_) => Span::ZERO,
+        };
+        deadline.saturating_sub(spent).min(fleet.serving_left())
     }
 
     /// Returns the time for which a statement may wait for a slot: the rest of the target latency,
     /// after which the answer would be late. Statements of an open transaction may wait for as long
-    /// as they may run.
+    /// as they may run. None waits for longer than this VM serves, so that the home refuses it in time.
     fn patience(&self, operation: &Operation) -> Span {
+        let fleet = &self.entry.fleet;
         let route = &operation.admitted.route;
-        if self.transaction.is_some() {
-            return route.deadline;
-        }
-        let spent = self.entry.fleet.now().since(operation.started);
-        route.target_latency.saturating_sub(spent).min(route.deadline)
+        let patience = if self.transaction.is_some() {
+            route.deadline
+        } else {
+            let spent = fleet.now().since(operation.started);
+            route.target_latency.saturating_sub(spent).min(route.deadline)
+        };
+        patience.min(fleet.serving_left())
     }
 
     async fn run_first(
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -252,6 +252,8 @@
     join_revision: AtomicU64,
     shares_from: watch::Sender<Option<Time>>,
     draining: watch::Sender<bool>,
+    /// The time until which statements may wait, as this VM then stops; `u64::MAX` if it does not.
+    serving_until: AtomicU64,
     suspected_until: Mutex<HashMap<VmId, Time>>,
     /// The revision as of which the keeper record of a database is known to name no primary.
     withdrawn: Mutex<HashMap<DatabaseId, StoreRevision>>,
@@ -281,6 +283,7 @@
             join_revision: AtomicU64::new(0),
             shares_from: watch::Sender::new(None),
             draining: watch::Sender::new(false),
+            serving_until: AtomicU64::new(u64::MAX),
             suspected_until: Mutex::default(),
             withdrawn: Mutex::default(),
             confirmed: Mutex::default(),
@@ -510,6 +513,20 @@
         self.draining.send_replace(true);
     }
 
+    /// Sets the time until which statements may wait, as this VM then stops.
+    pub fn set_serving_until(&self, until: Time) {
+        self.serving_until.store(until.0, Ordering::Release);
+    }
+
+    /// Returns the time for which statements may wait before this VM stops; `Span::MAX` unless it is
+    /// about to.
+    pub fn serving_left(&self) -> Span {
+        match self.serving_until.load(Ordering::Acquire) {
+            u64::MAX => Span::MAX,
+            until => Time(until).since(self.now()),
+        }
+    }
+
     /// Returns `true` once this VM is draining.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -184,6 +184,11 @@
         self.pool.close_idle();
     }
 
+    /// Refuses the statements that wait for a slot.
+    pub fn refuse_waiting(&self) {
+        self.slots.refuse_waiting();
+    }
+
     /// Closes the idle connections now and the others when their statements end.
     pub fn close(&self) {
         self.pool.close();
--- a/oleander-node/src/home/registry.rs
+++ b/oleander-node/src/home/registry.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
@@ -35,6 +37,7 @@
 use super::instance::TransactionResult;
 use super::measure::Meters;
 use super::open::OpenTransaction;
+use super::slots;
 use super::transactions::Transactions;
 use crate::fleet::Fleet;
 use crate::fleet::Instance;
@@ -60,6 +63,8 @@
     context: Arc<HomeContext>,
     transactions: Transactions,
     table: Mutex<HashMap<InstanceKey, HomeEntry>>,
+    /// `true` once this VM stops and runs no further statements.
+    stopping: AtomicBool,
     /// The instances that had a home here and left the directory or restarted, each with the time at
     /// which this VM noticed it.
     away: Mutex<HashMap<InstanceKey, Time>>,
@@ -80,7 +85,8 @@
         let meters = fleet.settings.outliers.then(|| Meters::new(fleet.timers.clone()));
         let context = Arc::new(context);
         let (table, away) = (Mutex::default(), Mutex::default());
-        Self { fleet, context, transactions, table, away, meters }
+        let stopping = AtomicBool::new(false);
+        Self { fleet, context, transactions, table, stopping, away, meters }
     }
 
     /// Runs a statement at the home of the instance that it names.
@@ -122,9 +128,16 @@
                 transaction.roll_back().await;
                 return Err(refusal);
             }
+            if self.stopping.load(Ordering::Acquire) && request.work != Work::Rollback {
+                transaction.roll_back().await;
+                return Err(slots::stopping_refusal());
+            }
             let ran = home.run_next(transaction, request, start).await?;
             return Ok(self.store_open(&home, ran, &caller, || id).await);
         }
+        if self.stopping.load(Ordering::Acquire) {
+            return Err(slots::stopping_refusal());
+        }
         self.check_region(request)?;
         let home = self.home(request)?;
         let running = async {
@@ -281,6 +294,14 @@
         self.transactions.len()
     }
 
+    /// Refuses the statements that wait for a slot, and all further ones, as this VM stops.
+    pub fn refuse_waiting(&self) {
+        self.stopping.store(true, Ordering::Release);
+        for entry in self.lock().values() {
+            entry.home.refuse_waiting();
+        }
+    }
+
     /// Rolls back all resting transactions and closes all connections, for the end of the process.
     pub async fn close(&self) {
         let mut rollbacks = JoinSet::new();
--- a/oleander-node/src/home/slots.rs
+++ b/oleander-node/src/home/slots.rs
@@ -192,6 +192,16 @@
         }
     }
 
+    /// Refuses all statements that wait.
+    pub fn refuse_waiting(&self) {
+        let mut state = self.lock();
+        let tickets: Vec<Ticket> = state.waiting.keys().copied().collect();
+        for ticket in tickets {
+            state.queue.cancel(ticket);
+            state.refuse(ticket, stopping_refusal());
+        }
+    }
+
     /// Frees the connection of a transaction that has ended.
     pub fn release_connection(&self) {
         let mut state = self.lock();
@@ -305,6 +315,11 @@
     }
 }
 
+/// Returns the refusal of a statement at a VM that stops. Another VM may be the home.
+pub(super) fn stopping_refusal() -> Refusal {
+    Refusal::not_run(RefusalCode::HomeUnreachable, "home: the VM is stopping")
+}
+
 fn connection(keep: bool) -> Connection {
     if keep { Connection::Kept } else { Connection::Free }
 }
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -299,6 +299,12 @@
         }
     }
 
+    /// Refuses the statements that wait for a slot of an instance at this VM, and all further ones. The
+    /// VMs that sent them try other homes.
+    pub fn refuse_waiting(&self) {
+        self.homes.refuse_waiting();
+    }
+
     /// Stops the node after the drain: rolls open transactions back, closes all connections and
     /// ends the lease.
     pub async fn stop(&self) {
