Wait for operators after a restore as long as the recovery allows

Cause: a new process waited 4.5 s for operators, whatever came. It cannot know whether the copy lacks a version.

Change: it waits until operators have written since it first saw the era, or for `node.recovery` (RecoveryS, 12 s if left out) less 2 s. One VM records in the store that the era was confirmed, so that later starts of all VMs do not wait; that was 4.5 s each. A build that does not know the record ignores it, and a build before it leaves none.

--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -23,6 +23,8 @@
 use oleander_ports::store::StoreRevision;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::fleet::Instance;
 use crate::fleet::KeeperEntry;
@@ -36,6 +38,22 @@
 /// The key prefix of keeper records, below `Sources::own_prefix`.
 const KEEPER_PREFIX: &str = "keeper/";
 
+/// The key of the record of the confirmed era, below `Sources::own_prefix`.
+const ERA_KEY: &str = "era";
+
+/// `EraRecord` is the stored record of the latest era of the store whose configuration may be gone by:
+/// operators have written it again, or VMs have waited for that. A copy has a record of an earlier era.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EraRecord {
+    /// The era.
+    pub era: u64,
+}
+
+/// Returns the store key of the record of the confirmed era.
+pub fn era_key(sources: &Sources) -> String {
+    format!("{}{ERA_KEY}", sources.own_prefix)
+}
+
 /// Returns the store key of the record of the VM `name`.
 pub fn vm_key(sources: &Sources, name: &str) -> String {
     format!("{}{VM_PREFIX}{name}", sources.own_prefix)
@@ -179,6 +197,11 @@
                 self.put_vm(draft, entry);
             } else if let Some(database) = suffix.strip_prefix(KEEPER_PREFIX) {
                 self.put_keeper(draft, database, entry);
+            } else if suffix == ERA_KEY {
+                match serde_json::from_slice::<EraRecord>(&entry.value) {
+                    Ok(record) => draft.view.confirmed_era = record.era,
+                    Err(_) => self.log_rejected(entry),
+                }
             }
         }
     }
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -151,6 +151,8 @@
     /// The availability zones that an operator has asked to evacuate, by name, each with the time at
     /// which this VM learned of it; an earlier time if it may have learned late.
     pub evacuated: Arc<HashMap<String, Time>>,
+    /// The latest era of the store of which a VM has recorded that its configuration may be gone by.
+    pub confirmed_era: u64,
 }
 
 /// `Instance` is an entry of the directory with the values derived from it.
@@ -243,6 +245,8 @@
     synced_at: AtomicU64,
     /// The time since which this process has followed the present era of the store.
     era_since: AtomicU64,
+    /// The revision of this process's first view of the present era.
+    era_start: AtomicU64,
     /// `true` while the configuration must not be gone by, as it may come from a copy of the store.
     held: watch::Sender<bool>,
     /// The time of the last answer of the store to this VM itself.
@@ -277,6 +281,7 @@
             changed: watch::Sender::new(StoreRevision(0)),
             synced_at: AtomicU64::new(0),
             era_since: AtomicU64::new(0),
+            era_start: AtomicU64::new(0),
             held: watch::Sender::new(false),
             contact_at: AtomicU64::new(0),
             leased_until: AtomicU64::new(0),
@@ -315,6 +320,7 @@
         let revision = view.revision;
         if self.view.load().revision.era() != revision.era() {
             self.era_since.store(self.now().0, Ordering::Release);
+            self.era_start.store(revision.0, Ordering::Release);
         }
         self.view.store(Arc::new(view));
         self.changed.send_replace(revision);
@@ -384,6 +390,14 @@
             && REWRITE_TIME <= self.now().since(since)
     }
 
+    /// Returns `true` if operators have written the configuration in force since this process saw the
+    /// present era of the store for the first time, so that it does not come from a copy.
+    pub fn operators_wrote(&self) -> bool {
+        let view = self.view.load();
+        let written = view.configuration_revision;
+        written.era() == view.revision.era() && self.era_start.load(Ordering::Acquire) < written.0
+    }
+
     /// Returns the time until which the configuration counts as current; 0 before the first view.
     pub fn current_until(&self) -> Time {
         match self.synced_at() {
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -183,6 +183,9 @@
         let confirmation = Confirmation {
             fleet: fleet.clone(),
             peers: peer_client.clone(),
+            store: store.clone(),
+            sources: ports.sources,
+            confirmed: AtomicU64::new(0),
             journal: journal.clone(),
         };
         let leaseholder = Leaseholder {
--- a/oleander-node/src/settings.rs
+++ b/oleander-node/src/settings.rs
@@ -29,6 +29,9 @@
 /// The time added to the longest use of a lost lease, for a VM that is held up while it acts.
 const LOST_LEASE_MARGIN: Span = Span::from_millis(500);
 
+/// The part of `NodeSettings::recovery` reserved for the start of a process and the return of callers.
+const RECOVERY_MARGIN: Span = Span::from_millis(2_000);
+
 /// The part of `NodeSettings::drain` reserved for the change to travel through the store and for a
 /// statement to pass a queue.
 const DRAIN_MARGIN: Span = Span::from_millis(1_500);
@@ -124,6 +127,9 @@
     /// them without one.
     #[serde(with = "span", default = "default_reports")]
     pub reports: Span,
+    /// The time within which callers must be served again after all VMs have started anew.
+    #[serde(with = "span", default = "default_recovery")]
+    pub recovery: Span,
 }
 
 /// Returns the time for an evacuation where the platform states none.
@@ -136,6 +142,11 @@
     Span::from_secs(3)
 }
 
+/// Returns the time for a recovery where the platform states none.
+fn default_recovery() -> Span {
+    Span::from_secs(12)
+}
+
 impl NodeSettings {
     /// Returns the time for which the configuration counts as current, counted from the sending of
     /// the last request that the store answered.
@@ -157,6 +168,12 @@
         REWRITE_TIME.max(longest_use + LOST_LEASE_MARGIN)
     }
 
+    /// Returns the longest time for which a process that starts after the store was restored waits for
+    /// operators to write again.
+    pub fn operator_wait(&self) -> Span {
+        REWRITE_TIME.max(self.recovery.saturating_sub(RECOVERY_MARGIN))
+    }
+
     /// Returns the time between two renewals of a lease with this TTL. They are no rarer under a longer
     /// lease, since they also show that the VM reaches the store.
     pub fn renewal_interval(&self, ttl: Span) -> Span {
--- a/oleander-node/tests/builds.rs
+++ b/oleander-node/tests/builds.rs
@@ -11,6 +11,7 @@
 use oleander_failover::keeper::messages::Liveness;
 use oleander_membership::leased::LEASE_RULES;
 use oleander_membership::leased::LeasedMember;
+use oleander_node::control::apply::EraRecord;
 use oleander_node::fleet::KeeperRecord;
 use oleander_node::fleet::MemberRecord;
 use oleander_peer::codec;
@@ -141,6 +142,12 @@
     assert_eq!(serde_json::from_value::<LeasedMember>(member).unwrap(), expected);
 }
 
+/// Guards against fields that are spelled in another way by the next build.
+#[test]
+fn the_confirmed_era_is_written_as_documented() {
+    assert_eq!(serde_json::to_value(EraRecord { era: 3 }).unwrap(), json!({ "era": 3 }));
+}
+
 /// Guards against fields that are spelled in another way by the next build.
 #[test]
 fn a_member_is_written_as_documented() {
--- a/oleander-node/tests/support/mod.rs
+++ b/oleander-node/tests/support/mod.rs
@@ -25,5 +25,6 @@
         cpu: 0.0,
         evacuation: Span::from_secs(5),
         reports: Span::from_millis(1_200),
+        recovery: Span::from_secs(12),
     }
 }
