End a transaction whose commit is given up as in doubt

Callers saw: in a planned stop, a commit that was given up got INDOUBT and then the state E, which says that the transaction has failed and would be rolled back; the commit may have run.

Cause: the state after a statement that was given up was that after a failed statement inside the transaction, also for a commit.

Change: after a commit in doubt the session is idle. Found by reading.

--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -185,16 +185,16 @@
     /// whether the statement may have run.
     pub fn interrupt(&mut self, statement: &str) -> Refusal {
         let (code, detail) = (RefusalCode::Draining, "this VM is stopping");
-        let refusal = if std::mem::take(&mut self.in_doubt) {
-            Refusal::may_have_run(code, detail)
+        let (refusal, work) = if std::mem::take(&mut self.in_doubt) {
+            (Refusal::may_have_run(code, detail), Work::Commit)
         } else {
             // What was sent only read, or belongs to a transaction that is rolled back.
-            Refusal::not_run(code, detail)
+            (Refusal::not_run(code, detail), Work::Read(String::new()))
         };
         let admitted = self.operation.as_ref().map(|operation| &operation.admitted);
         self.entry.record_refusal(statement, &self.name, admitted, &refusal);
         self.abandon();
-        self.state.failed(&Work::Read(String::new()));
+        self.state.failed(&work);
         refusal
     }
 
