Take a keeper's duty only for databases that the configuration names

Cause: the duties took the list of databases from the directory, so that a VM became the keeper of any name in it: it wrote a record to the store, connected to the address of the entry and started promotions. Ruled out: homes, reads and warm-up, which find databases by routes.

Change: a duty is taken and kept only while the configuration in force names the database. The entry stays in the view, so that a database that is added, or removed and added again, gets its keeper with the configuration. New are the event instance-unused, the gauge unused_instances and `unused` of /status. Records and messages are unchanged; the record that a VM of the build before wrote for such a duty stays as it is.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -45,6 +45,9 @@
     InstanceCold = 210,
     /// This VM, as the home of an instance, refused a statement that may not run in its region.
     RegionRefused = 211,
+    /// An instance is listed for a database that the configuration in force does not name, and is not
+    /// used.
+    InstanceUnused = 212,
     /// A VM joined the roster.
     VmJoined = 300,
     /// A VM left the roster or was removed from it.
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -108,6 +108,7 @@
             self.put(&mut draft, entry);
         }
         draft.view.revision = reading.revision;
+        self.log_unused(former, &draft.view);
         draft.view
     }
 
@@ -127,6 +128,7 @@
             Field::number("known", former.revision.0),
         ];
         self.journal.record(Event::StoreRestored, &fields);
+        self.log_unused(former, &draft.view);
         draft.view
     }
 
@@ -143,9 +145,36 @@
             }
         }
         draft.view.revision = changes.revision;
+        self.log_unused(former, &draft.view);
         Some(draft.view)
     }
 
+    /// Logs the instances whose database the configuration does not name, once for as long as that
+    /// stays so.
+    fn log_unused(&self, former: &View, view: &View) {
+        if Arc::ptr_eq(&former.instances, &view.instances)
+            && Arc::ptr_eq(&former.snapshot, &view.snapshot)
+        {
+            return;
+        }
+        let is_unused = |view: &View, instance: &Instance| !view.is_configured(instance.database);
+        for instance in view.instances.values().filter(|instance| is_unused(view, instance)) {
+            let known = former.instances.get(&instance.key);
+            if known.is_some_and(|known| {
+                known.database == instance.database && is_unused(former, known)
+            }) {
+                continue;
+            }
+            let fields = [
+                Field::text("instance", &instance.entry.instance),
+                Field::text("database", &instance.entry.database),
+                Field::text("reason", "the configuration does not name the database"),
+                revision_field(view.revision),
+            ];
+            self.journal.record(Event::InstanceUnused, &fields);
+        }
+    }
+
     fn drop_absent(&self, draft: &mut Draft, present: &HashSet<&str>, revision: StoreRevision) {
         let view = &draft.view;
         let directory = self.sources.directory_prefix;
@@ -445,8 +474,13 @@
     Field::number("at", revision.0)
 }
 
-/// Returns the identifier and name of each database that has an instance in the view.
-pub fn databases(view: &View) -> HashMap<DatabaseId, String> {
-    let named = |instance: &Instance| (instance.database, instance.entry.database.clone());
-    view.instances.values().map(named).collect()
+/// Returns the identifier and name of each database that the configuration names and that has an
+/// instance in the view. A database that only the directory names has no keeper: what another writer
+/// has left there must not be probed, promoted or written to the store.
+pub fn served_databases(view: &View) -> HashMap<DatabaseId, String> {
+    let named = |instance: &Instance| {
+        let database = view.snapshot.database(instance.database)?;
+        Some((instance.database, database.name.clone()))
+    };
+    view.instances.values().filter_map(named).collect()
 }
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -217,6 +217,11 @@
         departed.filter(move |instance| instance.database == database)
     }
 
+    /// Returns `true` if the configuration in force names the database.
+    pub fn is_configured(&self, database: DatabaseId) -> bool {
+        self.snapshot.database(database).is_some()
+    }
+
     /// Returns the instances of a database, in no order.
     pub fn instances_of(&self, database: DatabaseId) -> impl Iterator<Item = &Instance> {
         self.instances.values().filter(move |instance| instance.database == database)
@@ -613,11 +618,23 @@
         suspected_until.get(&vm).is_none_or(|until| *until <= self.now())
     }
 
-    /// Returns the names of databases and of their primaries, without databases that have none.
+    /// Returns the names of the instances whose database the configuration does not name.
+    pub fn unused_instances(&self) -> Vec<String> {
+        let view = self.view.load();
+        let unused =
+            view.instances.values().filter(|instance| !view.is_configured(instance.database));
+        let mut names: Vec<String> = unused.map(|unused| unused.entry.instance.clone()).collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// Returns the names of databases and of their primaries, without databases that have none or that
+    /// the configuration does not name.
     pub fn primaries(&self) -> Vec<(String, String)> {
         let view = self.view.load();
         let primary = |database: &DatabaseId| view.instances.get(&self.primary(*database)?);
-        let primaries = view.keepers.keys().filter_map(primary);
+        let configured = view.keepers.keys().filter(|database| view.is_configured(**database));
+        let primaries = configured.filter_map(primary);
         primaries
             .map(|instance| (instance.entry.database.clone(), instance.entry.instance.clone()))
             .collect()
--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -125,7 +125,7 @@
         let Some(lease) = held else {
             return self.stop();
         };
-        let databases = apply::databases(&view);
+        let databases = apply::served_databases(&view);
         // Once the lease has ended under which a duty was taken, another VM may have taken it over.
         self.lock().retain(|database, running| {
             databases.contains_key(database)
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -48,6 +48,9 @@
     pub primaries: BTreeMap<String, String>,
     /// The names of the instances that this VM takes to be warming up.
     pub cold: Vec<String>,
+    /// The names of the instances that the directory lists for databases which the configuration does
+    /// not name.
+    pub unused: Vec<String>,
     /// The availability zones under evacuation, by name.
     pub evacuated: BTreeSet<String>,
     /// The number of statements of this VM's callers refused because of evacuations.
@@ -77,6 +80,7 @@
         transactions: homes.resting_transactions(),
         primaries: fleet.primaries().into_iter().collect(),
         cold: fleet.cold_instances(),
+        unused: fleet.unused_instances(),
         evacuated: view.evacuated.keys().cloned().collect(),
         evacuation_refused_at_entry: counts.at_entry.load(Ordering::Relaxed),
         evacuation_refused_at_home: counts.at_home.load(Ordering::Relaxed),
@@ -102,6 +106,7 @@
         ("vms", vms as u64),
         ("instances", instances as u64),
         ("cold_instances", status.cold.len() as u64),
+        ("unused_instances", status.unused.len() as u64),
         ("resting_transactions", transactions as u64),
         ("evacuation_refused_at_entry", status.evacuation_refused_at_entry),
         ("evacuation_refused_at_home", status.evacuation_refused_at_home),
