Write lines only from fields that cannot hold a line end

Cause: names and texts were written to the line protocol as they were, and each decoder had to know what a line cannot hold. The one of the directory checked the identifier of an entry but not its service; configuration, frames of other VMs and records of the store were not checked at all.

Change: a line is written by LineWriter from a Word (not empty; no blank, CR or LF) or, as the last field, a Tail (no CR LF). Target, Message and InstanceCommand hold these types. A bad entry is refused and logged with the reason, a bad edit of the configuration is refused as a whole, a bad frame is refused as not run before it takes a slot or a token, and its transaction is rolled back. A member in a record whose name cannot be sent counts as silent. A row or signature with a line end is answered with INDOUBT instead of a success. Callers' identifiers and names with a CR or LF are MALFORMED; texts go on unchanged. No message or record changes its form.

Ruled out: promotions, store calls and logs, which are JSON or percent-encoded; zone and version of an entry, which are on no line.

--- a/oleander-core/src/lib.rs
+++ b/oleander-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod hash;
 pub mod ids;
 pub mod level;
+pub mod line;
 pub mod places;
 pub mod statement;
 pub mod terms;
--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -9,6 +9,7 @@
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
+use oleander_core::line::Name;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_limits::home::warmup;
@@ -477,10 +478,7 @@
 /// Returns the identifier and name of each database that the configuration names and that has an
 /// instance in the view. A database that only the directory names has no keeper: what another writer
 /// has left there must not be probed, promoted or written to the store.
-pub fn served_databases(view: &View) -> HashMap<DatabaseId, String> {
-    let named = |instance: &Instance| {
-        let database = view.snapshot.database(instance.database)?;
-        Some((instance.database, database.name.clone()))
-    };
-    view.instances.values().filter_map(named).collect()
+pub fn served_databases(view: &View) -> HashMap<DatabaseId, Name> {
+    let served = view.instances.values().filter(|instance| view.is_configured(instance.database));
+    served.map(|instance| (instance.database, instance.entry.database.clone())).collect()
 }
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -142,7 +142,7 @@
             if deadline <= now {
                 break;
             }
-            request.instance.clone_from(&instance.entry.instance);
+            instance.entry.instance.as_str().clone_into(&mut request.instance);
             request.patience = deadline.min(target).since(now);
             request.limit = if self.fleet.settings.overload { deadline.since(now) } else { limit };
             let sent = reads.map(|reads| reads.start(&mut plan, instance.key, &mut request));
@@ -306,7 +306,7 @@
         for home in homes.into_iter().take(MAX_HOME_ATTEMPTS) {
             match self.call(home, request).await {
                 Ok(answer) => {
-                    let instance = instance.entry.instance.clone();
+                    let instance = instance.entry.instance.to_string();
                     return Ok(ForwardResult { answer, home, instance });
                 }
                 Err(refusal) if refusal.code == RefusalCode::HomeUnreachable => {
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -597,7 +597,7 @@
     pub fn cold_instances(&self) -> Vec<String> {
         let view = self.view.load();
         let cold = view.instances.values().filter(|instance| self.is_cold(instance));
-        let mut names: Vec<String> = cold.map(|cold| cold.entry.instance.clone()).collect();
+        let mut names: Vec<String> = cold.map(|cold| cold.entry.instance.to_string()).collect();
         names.sort_unstable();
         names
     }
@@ -623,7 +623,8 @@
         let view = self.view.load();
         let unused =
             view.instances.values().filter(|instance| !view.is_configured(instance.database));
-        let mut names: Vec<String> = unused.map(|unused| unused.entry.instance.clone()).collect();
+        let mut names: Vec<String> =
+            unused.map(|unused| unused.entry.instance.to_string()).collect();
         names.sort_unstable();
         names
     }
@@ -636,7 +637,9 @@
         let configured = view.keepers.keys().filter(|database| view.is_configured(**database));
         let primaries = configured.filter_map(primary);
         primaries
-            .map(|instance| (instance.entry.database.clone(), instance.entry.instance.clone()))
+            .map(|instance| {
+                (instance.entry.database.to_string(), instance.entry.instance.to_string())
+            })
             .collect()
     }
 
--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -155,8 +155,9 @@
 
     async fn open(self: &Arc<Self>, request: &HomeRequest) -> Result<PooledConnection, Refusal> {
         let count = CountGuard { pool: self, armed: true };
+        let workspace = upstream::word(&request.workspace)?;
         self.prepare_opening();
-        let opening = self.context.upstreams.open(&self.target, &request.workspace);
+        let opening = self.context.upstreams.open(&self.target, workspace);
         let opened = match self.context.timers.within(OPEN_LIMIT, opening).await {
             Some(opened) => opened,
             None => Err(LinkError::Connect("the instance did not answer in time")),
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -210,6 +210,7 @@
         start: impl Into<StartCondition>,
     ) -> Result<HomeAnswer, Refusal> {
         let start = start.into();
+        let statement = Statement::new(request)?;
         self.check_evacuation(StatementKind::New)?;
         let is_write = request.work.is_write();
         let check = if is_write {
@@ -221,7 +222,7 @@
             self.admit_at_primary()?;
         }
         let charged = self.charge(request, &start).await?;
-        let ran = self.run_charged(request, check, &start).await;
+        let ran = self.run_charged(request, statement, check, &start).await;
         ran.map_err(|refusal| Refusal { charged, ..refusal })
     }
 
@@ -229,6 +230,7 @@
     async fn run_charged(
         &self,
         request: &HomeRequest,
+        statement: Statement<'_>,
         check: FreshnessCheck,
         start: &StartCondition,
     ) -> Result<HomeAnswer, Refusal> {
@@ -238,7 +240,7 @@
         self.check_evacuation(StatementKind::New)?;
         self.admit_warmup().await?;
         let asked = self.context.links.timers.now();
-        let running = pooled.connection.run_single(statement(request), check);
+        let running = pooled.connection.run_single(statement, check);
         let reply = self.measure(class, running).await;
         drop(pooled);
         let answer = answer(&permit, reply?)?;
@@ -262,6 +264,7 @@
         start: impl Into<StartCondition>,
     ) -> Result<TransactionResult, Refusal> {
         let start = start.into();
+        Statement::new(request)?;
         self.check_evacuation(StatementKind::New)?;
         let (read_only, after) = match (read_only, self.freshness_check(request).await) {
             (true, Ok(FreshnessCheck::After(after))) => (true, after),
@@ -359,6 +362,7 @@
         request: &HomeRequest,
         permit: &Permit,
     ) -> Result<HomeAnswer, Refusal> {
+        let statement = Statement::new(request)?;
         self.check_evacuation(StatementKind::InTransaction)?;
         let Some(connection) = transaction.connection() else {
             return Err(Refusal::not_run(
@@ -367,7 +371,7 @@
             ));
         };
         let class = if request.work.is_write() { Class::Write } else { Class::Read };
-        let running = self.measure(class, connection.run_in_transaction(statement(request)));
+        let running = self.measure(class, connection.run_in_transaction(statement));
         let reply = match self.context.links.timers.within(request.limit, running).await {
             Some(reply) => reply,
             None => Err(Refusal::may_have_run(RefusalCode::Timeout, "no answer in time")),
@@ -570,10 +574,6 @@
     }
 }
 
-fn statement(request: &HomeRequest) -> Statement<'_> {
-    Statement { id: &request.statement, settings: &request.values, work: &request.work }
-}
-
 fn answer(permit: &Permit, reply: Reply) -> Result<HomeAnswer, Refusal> {
     let Reply { rows, outcome, point, .. } = reply;
     let signature =
--- a/oleander-node/src/home/upstream.rs
+++ b/oleander-node/src/home/upstream.rs
@@ -5,6 +5,9 @@
 use std::hash::Hash as _;
 use std::hash::Hasher as _;
 
+use oleander_core::line::FieldError;
+use oleander_core::line::Tail;
+use oleander_core::line::Word;
 use oleander_core::terms::LogPoint;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
@@ -18,6 +21,7 @@
 use oleander_ports::upstream::Message;
 use oleander_ports::upstream::Reply;
 use oleander_ports::upstream::TransactionState;
+use oleander_session::work::HomeRequest;
 use oleander_session::work::Prepared;
 use oleander_session::work::Work;
 
@@ -69,15 +73,38 @@
     }
 }
 
-/// `Statement` is a statement to run for a caller's session.
+/// `Statement` is a statement to run for a caller's session. All its texts can be sent to an instance.
 #[derive(Clone, Copy, Debug)]
 pub struct Statement<'a> {
     /// The caller's identifier of the statement, which is passed to the instance.
-    pub id: &'a str,
+    id: Word<'a>,
     /// The settings of the caller's session, in the order of their names.
-    pub settings: &'a [(String, String)],
+    settings: &'a [(String, String)],
     /// What the instance has to do.
-    pub work: &'a Work,
+    work: &'a Work,
+}
+
+impl<'a> Statement<'a> {
+    /// Checks the texts of a request, which another VM may have sent.
+    ///
+    /// # Errors
+    /// Fails with verdict `NotRun` if a text cannot be sent to an instance as one field.
+    pub fn new(request: &'a HomeRequest) -> Result<Self, Refusal> {
+        let HomeRequest { statement, workspace, values, work, .. } = request;
+        word(workspace)?;
+        for pair in values {
+            set_command(pair)?;
+        }
+        match work {
+            Work::Read(text) | Work::Write(text) => drop(tail(text)?),
+            Work::Execute { prepared, arguments } => {
+                tail(&prepared.shape)?;
+                tail(arguments)?;
+            }
+            Work::Commit | Work::Rollback => {}
+        }
+        Ok(Self { id: word(statement)?, settings: values, work })
+    }
 }
 
 /// `FreshnessCheck` is the condition under which an instance may run a single statement.
@@ -198,23 +225,23 @@
         if !reset && !is_missing && self.settings == statement.settings {
             return Ok(());
         }
-        let held = if reset { Vec::new() } else { std::mem::take(&mut self.settings) };
-        if reset {
-            self.prepared.clear();
-        }
+        let name = format!("s{}", self.serial);
+        let wanted = executed.filter(|_| reset || is_missing);
         let mut messages = Vec::new();
         if reset {
             messages.push(Message::internal(InstanceCommand::Reset));
         }
-        let missing = statement.settings.iter().filter(|pair| !held.contains(pair));
-        messages.extend(
-            missing.map(|(name, value)| Message::internal(InstanceCommand::Set { name, value })),
-        );
-        let name = format!("s{}", self.serial);
-        let wanted = executed.filter(|_| reset || is_missing);
-        if let Some(Prepared { access, shape }) = wanted {
-            let command = InstanceCommand::Prepare { name: &name, access: *access, shape };
-            messages.push(Message::internal(command));
+        let held: &[(String, String)] = if reset { &[] } else { &self.settings };
+        for pair in statement.settings.iter().filter(|pair| !held.contains(pair)) {
+            messages.push(Message::internal(set_command(pair)?));
+        }
+        if let Some(prepared) = wanted {
+            messages.push(Message::internal(prepare_command(prepared, &name)?));
+        }
+        // Until the exchange has ended, the connection counts as one that holds nothing.
+        self.settings.clear();
+        if reset {
+            self.prepared.clear();
         }
         let replies = self.exchange(&messages).await?;
         if let Some(failure) = replies.iter().find_map(|reply| reply.outcome.as_ref().err()) {
@@ -237,8 +264,8 @@
         state: TransactionState,
     ) -> Result<Reply, Refusal> {
         let name = self.prepared_name(statement.work);
-        let message =
-            Message { id: Some(statement.id), after, command: command(statement.work, &name) };
+        let command = command(statement.work, &name)?;
+        let message = Message { id: Some(statement.id), after, command };
         let reply = self.exchange(&[message]).await?.remove(0);
         self.check_reply(reply, state)
     }
@@ -246,11 +273,8 @@
     /// Runs a read in the open transaction and rolls the transaction back in the same round trip.
     async fn run_and_roll_back(&mut self, statement: Statement<'_>) -> Result<Reply, Refusal> {
         let name = self.prepared_name(statement.work);
-        let message = Message {
-            id: Some(statement.id),
-            after: None,
-            command: command(statement.work, &name),
-        };
+        let command = command(statement.work, &name)?;
+        let message = Message { id: Some(statement.id), after: None, command };
         let mut replies =
             self.exchange(&[message, Message::internal(InstanceCommand::Rollback)]).await?;
         let end = replies.pop().map(|reply| reply.state);
@@ -324,14 +348,43 @@
     SettingsHash(hasher.finish())
 }
 
-fn command<'a>(work: &'a Work, name: &'a str) -> InstanceCommand<'a> {
-    match work {
-        Work::Read(text) => InstanceCommand::Read(text),
-        Work::Write(text) => InstanceCommand::Write(text),
-        Work::Execute { arguments, .. } => InstanceCommand::Execute { name, arguments },
+/// Returns the command for a statement; `name` is that of the prepared statement to execute.
+fn command<'a>(work: &'a Work, name: &'a str) -> Result<InstanceCommand<'a>, Refusal> {
+    Ok(match work {
+        Work::Read(text) => InstanceCommand::Read(tail(text)?),
+        Work::Write(text) => InstanceCommand::Write(tail(text)?),
+        Work::Execute { arguments, .. } => {
+            InstanceCommand::Execute { name: word(name)?, arguments: tail(arguments)? }
+        }
         Work::Commit => InstanceCommand::Commit,
         Work::Rollback => InstanceCommand::Rollback,
-    }
+    })
+}
+
+fn set_command((name, value): &(String, String)) -> Result<InstanceCommand<'_>, Refusal> {
+    Ok(InstanceCommand::Set { name: word(name)?, value: tail(value)? })
+}
+
+fn prepare_command<'a>(
+    prepared: &'a Prepared,
+    name: &'a str,
+) -> Result<InstanceCommand<'a>, Refusal> {
+    let Prepared { access, shape } = prepared;
+    Ok(InstanceCommand::Prepare { name: word(name)?, access: *access, shape: tail(shape)? })
+}
+
+/// Checks a text that other fields follow.
+pub fn word(text: &str) -> Result<Word<'_>, Refusal> {
+    Word::new(text).map_err(field_refusal)
+}
+
+fn tail(text: &str) -> Result<Tail<'_>, Refusal> {
+    Tail::new(text).map_err(field_refusal)
+}
+
+fn field_refusal(error: FieldError) -> Refusal {
+    let detail = format!("home: a text of the statement {error}");
+    Refusal::not_run(RefusalCode::BadRequest, detail)
 }
 
 /// Returns the refusal of a statement that an instance answered with an error.
--- a/oleander-node/src/keeper/duties.rs
+++ b/oleander-node/src/keeper/duties.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU64;
 
 use oleander_core::ids::DatabaseId;
+use oleander_core::line::Name;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
 use oleander_failover::keeper::RULES_VERSION;
@@ -167,7 +168,7 @@
         }
     }
 
-    async fn take(&self, view: &View, database: DatabaseId, name: String, lease: HeldLease) {
+    async fn take(&self, view: &View, database: DatabaseId, name: Name, lease: HeldLease) {
         let keeper = view.keepers.get(&database);
         let revision = keeper.map_or(StoreRevision(0), |keeper| keeper.revision);
         // What this process has written itself is not outdated, whatever the store has lost.
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -7,6 +7,8 @@
 use std::sync::PoisonError;
 
 use oleander_core::ids::InstanceKey;
+use oleander_core::line::Name;
+use oleander_core::line::Word;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
@@ -28,7 +30,10 @@
 use crate::fleet::Fleet;
 
 /// The workspace name under which the keeper connects; no real workspace can have it.
-const KEEPER_NAME: &str = "oleander-keeper";
+const KEEPER_NAME: Word<'static> = match Word::new("oleander-keeper") {
+    Ok(name) => name,
+    Err(_) => panic!("the name is a word"),
+};
 
 /// The time within which an instance must answer, including the opening of a connection: a few
 /// round trips between regions.
@@ -59,7 +64,7 @@
     fleet: Arc<Fleet>,
     upstreams: Arc<dyn Upstreams>,
     /// The name of the database.
-    database: String,
+    database: Name,
     idle: Mutex<IdleLinks>,
     /// Where the instances were listed last that the directory no longer names.
     unlisted: Mutex<HashMap<InstanceKey, Listing>>,
@@ -70,7 +75,7 @@
 
 impl Links {
     /// Creates an empty table; connections are opened on demand.
-    pub fn new(fleet: Arc<Fleet>, upstreams: Arc<dyn Upstreams>, database: String) -> Self {
+    pub fn new(fleet: Arc<Fleet>, upstreams: Arc<dyn Upstreams>, database: Name) -> Self {
         let (idle, unlisted, leading) = (Mutex::default(), Mutex::default(), Mutex::default());
         Self { fleet, upstreams, database, idle, unlisted, leading }
     }
@@ -224,6 +229,10 @@
         {
             return Ok((life, link));
         }
+        // The name may come from a record of the store, which nothing has checked.
+        let Ok(instance) = Name::new(instance) else {
+            return Err(LinkError::Connect("the name of the instance cannot be sent"));
+        };
         let target = Target { address, database: self.database.clone(), instance };
         Ok((life, self.upstreams.open(&target, KEEPER_NAME).await?))
     }
--- a/oleander-node/src/keeper/members.rs
+++ b/oleander-node/src/keeper/members.rs
@@ -37,7 +37,7 @@
 
 impl From<&DirectoryEntry> for Listing {
     fn from(entry: &DirectoryEntry) -> Self {
-        Self { instance: entry.instance.clone(), life: entry.life, address: entry.address }
+        Self { instance: entry.instance.to_string(), life: entry.life, address: entry.address }
     }
 }
 
--- a/oleander-node/src/keeper/watcher.rs
+++ b/oleander-node/src/keeper/watcher.rs
@@ -10,6 +10,7 @@
 use oleander_core::events::Event;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
+use oleander_core::line::Name;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
@@ -74,7 +75,7 @@
     /// Logs the decisions of the keeper.
     pub journal: Journal,
     /// The name of the database.
-    pub database: String,
+    pub database: Name,
     /// The random number in `KeeperRecord::duty` by which this VM recognises its own writes.
     pub duty: u64,
     /// `true` if the duty continues from a record that may be outdated, as the store was restored
@@ -450,7 +451,7 @@
             return OrderOutcome::Rejected;
         }
         let order = PromotionOrder {
-            database: self.database.clone(),
+            database: self.database.to_string(),
             instance,
             holder: self.fleet.settings.name.clone(),
             token,
@@ -528,6 +529,6 @@
     }
 
     fn listed_name(&self, key: InstanceKey) -> Option<String> {
-        self.fleet.view().instances.get(&key).map(|instance| instance.entry.instance.clone())
+        self.fleet.view().instances.get(&key).map(|instance| instance.entry.instance.to_string())
     }
 }
--- a/oleander-node/tests/apply.rs
+++ b/oleander-node/tests/apply.rs
@@ -31,9 +31,9 @@
         decode_configuration: |_| Ok(Snapshot::default()),
         decode_entry: |_, value| {
             Ok(DirectoryEntry {
-                instance: "i-1".to_owned(),
+                instance: support::name("i-1"),
                 life: 1,
-                database: "ledger".to_owned(),
+                database: support::name("ledger"),
                 address: "127.0.0.1:1".parse().unwrap(),
                 zone: String::new(),
                 slots: 2,
--- a/oleander-node/tests/evacuation.rs
+++ b/oleander-node/tests/evacuation.rs
@@ -147,9 +147,9 @@
         cold_until: None,
         leaving_since,
         entry: DirectoryEntry {
-            instance: "i".to_owned(),
+            instance: support::name("i"),
             life: 1,
-            database: "ledger".to_owned(),
+            database: support::name("ledger"),
             address: "127.0.0.1:1".parse().unwrap(),
             zone: zone.to_owned(),
             slots: 2,
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -19,6 +19,7 @@
 use oleander_core::ids::VmId;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
+use oleander_core::line::Word;
 use oleander_core::places::Place;
 use oleander_core::places::Regions;
 use oleander_core::terms::LogPoint;
@@ -102,7 +103,7 @@
         None
     }
 
-    async fn open(&self, _: &Target, _: &str) -> Result<Box<dyn Link>, LinkError> {
+    async fn open(&self, _: &Target, _: Word<'_>) -> Result<Box<dyn Link>, LinkError> {
         self.0.connect_attempts.fetch_add(1, Ordering::AcqRel);
         if self.0.refuses_connections.load(Ordering::Acquire) {
             let failure = Failure { kind: FailureKind::TooManyConnections, detail: String::new() };
@@ -201,9 +202,9 @@
         place: Place::default(),
         leaving_since: None,
         entry: DirectoryEntry {
-            instance: "i-1".to_owned(),
+            instance: support::name("i-1"),
             life: 1,
-            database: "ledger".to_owned(),
+            database: support::name("ledger"),
             address: "127.0.0.1:1".parse().unwrap(),
             zone: ZONE.to_owned(),
             slots: 2,
--- a/oleander-node/tests/regions.rs
+++ b/oleander-node/tests/regions.rs
@@ -16,6 +16,7 @@
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
 use oleander_core::level::Level;
+use oleander_core::line::Word;
 use oleander_core::places::Place;
 use oleander_core::places::Regions;
 use oleander_core::terms::LogPoint;
@@ -73,7 +74,7 @@
         None
     }
 
-    async fn open(&self, _: &Target, _: &str) -> Result<Box<dyn Link>, LinkError> {
+    async fn open(&self, _: &Target, _: Word<'_>) -> Result<Box<dyn Link>, LinkError> {
         self.0.fetch_add(1, Ordering::AcqRel);
         Err(LinkError::NotListening)
     }
@@ -114,9 +115,9 @@
             leaving_since: None,
             cold_until: None,
             entry: DirectoryEntry {
-                instance: "i-1".to_owned(),
+                instance: support::name("i-1"),
                 life: 1,
-                database: "ledger".to_owned(),
+                database: support::name("ledger"),
                 address: "127.0.0.1:1".parse().unwrap(),
                 zone: "zone-of-coast".to_owned(),
                 slots: 2,
--- a/oleander-node/tests/restored.rs
+++ b/oleander-node/tests/restored.rs
@@ -48,9 +48,9 @@
         },
         decode_entry: |key, _| {
             Ok(DirectoryEntry {
-                instance: key.strip_prefix("instances/").unwrap().to_owned(),
+                instance: support::name(key.strip_prefix("instances/").unwrap()),
                 life: 1,
-                database: "ledger".to_owned(),
+                database: support::name("ledger"),
                 address: "127.0.0.1:1".parse().unwrap(),
                 zone: String::new(),
                 slots: 2,
@@ -120,7 +120,7 @@
     };
     let names = |view: &View| {
         let mut found: Vec<String> =
-            view.instances.values().map(|instance| instance.entry.instance.clone()).collect();
+            view.instances.values().map(|instance| instance.entry.instance.to_string()).collect();
         found.sort();
         found
     };
--- a/oleander-node/tests/support/mod.rs
+++ b/oleander-node/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Fixtures shared by several tests.
 
+use oleander_core::line::Name;
 use oleander_core::places::Place;
 use oleander_core::time::Span;
 use oleander_node::settings::HomePlacement;
@@ -28,3 +29,9 @@
         recovery: Span::from_secs(12),
     }
 }
+
+/// Returns the name of an instance or a database.
+#[allow(dead_code, reason = "not each test file lists instances")]
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("a word")
+}
--- a/oleander-node/tests/warmup.rs
+++ b/oleander-node/tests/warmup.rs
@@ -48,9 +48,9 @@
         leaving_since: None,
         cold_until: cold_for.map(|span| fleet.now() + span),
         entry: DirectoryEntry {
-            instance: "i-1".to_owned(),
+            instance: support::name("i-1"),
             life: 1,
-            database: "ledger".to_owned(),
+            database: support::name("ledger"),
             address: "127.0.0.1:1".parse().unwrap(),
             zone: String::new(),
             slots: 2,
--- a/oleander-ports/src/directory.rs
+++ b/oleander-ports/src/directory.rs
@@ -2,19 +2,20 @@
 
 use std::net::SocketAddr;
 
+use oleander_core::line::Name;
 use oleander_core::time::Span;
 
 /// `DirectoryEntry` is the registration of one instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DirectoryEntry {
     /// The unique identifier of the instance.
-    pub instance: String,
+    pub instance: Name,
     /// Distinguishes restarts of an instance under the same identifier: every start has another
     /// value.
     pub life: u64,
     /// The name of the database that the instance serves. Instances with the same name serve
     /// one database.
-    pub database: String,
+    pub database: Name,
     /// The address at which the instance accepts connections.
     pub address: SocketAddr,
     /// The name of the availability zone.
--- a/oleander-ports/src/upstream.rs
+++ b/oleander-ports/src/upstream.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
+use oleander_core::line::Name;
+use oleander_core::line::Tail;
+use oleander_core::line::Word;
 use oleander_core::statement::Access;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
@@ -15,10 +18,10 @@
     /// The address of the instance.
     pub address: SocketAddr,
     /// The name of the database.
-    pub database: String,
+    pub database: Name,
     /// The identifier of the instance. If another instance listens at the address, it refuses the
     /// connection.
-    pub instance: String,
+    pub instance: Name,
 }
 
 /// `InstanceCommand` is a command to an instance.
@@ -34,31 +37,31 @@
     /// Rolls back the open transaction.
     Rollback,
     /// Runs a read; the text is the statement.
-    Read(&'a str),
+    Read(Tail<'a>),
     /// Runs a write; the text is the statement.
-    Write(&'a str),
+    Write(Tail<'a>),
     /// Sets a session setting on the connection.
     Set {
         /// The name of the setting.
-        name: &'a str,
+        name: Word<'a>,
         /// The value.
-        value: &'a str,
+        value: Tail<'a>,
     },
     /// Prepares a statement.
     Prepare {
         /// The name under which the connection stores the statement.
-        name: &'a str,
+        name: Word<'a>,
         /// Whether it reads or writes.
         access: Access,
         /// The text of the statement, without arguments.
-        shape: &'a str,
+        shape: Tail<'a>,
     },
     /// Executes a prepared statement.
     Execute {
         /// The name of the prepared statement.
-        name: &'a str,
+        name: Word<'a>,
         /// The arguments of this execution, as one text.
-        arguments: &'a str,
+        arguments: Tail<'a>,
     },
     /// Resets the connection's session: drops all settings and prepared statements.
     Reset,
@@ -76,7 +79,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Message<'a> {
     /// The caller's statement identifier; `None` for commands of the proxy itself.
-    pub id: Option<&'a str>,
+    pub id: Option<Word<'a>>,
     /// The log point that the instance must have applied before it runs a read or opens a
     /// transaction; `None` if any state is acceptable.
     pub after: Option<LogPoint>,
@@ -219,7 +222,7 @@
     fn leading_term(&self, reply: &Reply) -> Option<Term>;
 
     /// Opens a connection on behalf of `workspace`. It has no time limit; the caller applies one.
-    async fn open(&self, target: &Target, workspace: &str) -> Result<Box<dyn Link>, LinkError>;
+    async fn open(&self, target: &Target, workspace: Word<'_>) -> Result<Box<dyn Link>, LinkError>;
 }
 
 /// `Link` is an open connection to an instance. It must be dropped after an error.
