Escape the values of metric labels

A caller without a key could end a line of /metrics, or add one, by a name with a quote or a line feed for a database that does not exist; a reader of the text format then refuses the whole page. StatsD got a metric of the caller's choice.

Cause: values of labels and tags were written as they were, but for zones.

Change: labels are escaped in one place, as the text format demands, for counters, latencies, primaries, ejected instances and zones. In StatsD tags, which have no escapes, separators and control characters become underscores.

--- a/oleander-node/src/entry/outliers.rs
+++ b/oleander-node/src/entry/outliers.rs
@@ -12,12 +12,14 @@
 use oleander_core::verdict::RefusalCode;
 use oleander_routing::budget::RetryBudget;
 use oleander_routing::budget::RetryOptions;
+use oleander_routing::outliers::Cause;
 use oleander_routing::outliers::Change;
 use oleander_routing::outliers::Finding;
 use oleander_routing::outliers::Outliers;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
+use oleander_runtime::metrics::with_labels;
 use oleander_runtime::timer::TimerService;
 use oleander_session::report::InstanceReport;
 use oleander_session::work::HomeRequest;
@@ -174,9 +176,10 @@
     /// Returns the ejected instances as metrics text, one line each with the cause.
     pub fn text(&self, view: &View) -> String {
         let ejected = self.lock().outliers.ejected();
-        let line = |(key, cause)| {
-            let name = instance_name(view, key);
-            format!("ejected{{instance=\"{name}\",cause=\"{cause}\"}} 1\n")
+        let line = |(key, cause): (InstanceKey, Cause)| {
+            let (name, cause) = (instance_name(view, key), cause.to_string());
+            let labels = [("instance", name), ("cause", cause.as_str())];
+            format!("{} 1\n", with_labels("ejected", &labels))
         };
         ejected.into_iter().map(line).collect()
     }
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -8,6 +8,7 @@
 use oleander_core::time::Span;
 use oleander_peer::traffic::Count;
 use oleander_peer::traffic::Traffic;
+use oleander_runtime::metrics::with_labels;
 use serde::Serialize;
 
 use crate::fleet::Fleet;
@@ -112,11 +113,11 @@
         ("evacuation_refused_at_home", status.evacuation_refused_at_home),
     ];
     let lines = gauges.map(|(name, value)| format!("{name} {value}\n"));
-    let primaries = status.primaries.into_iter().map(|(database, primary)| {
-        format!("primary{{database=\"{database}\",instance=\"{primary}\"}} 1\n")
+    let line = |name: &str, labels: &[(&str, &str)]| format!("{} 1\n", with_labels(name, labels));
+    let primaries = status.primaries.iter().map(|(database, primary)| {
+        line("primary", &[("database", database.as_str()), ("instance", primary.as_str())])
     });
-    // Operators choose the names, which may have any characters.
-    let zones = status.evacuated.into_iter().map(|zone| format!("evacuated{{zone={zone:?}}} 1\n"));
+    let zones = status.evacuated.iter().map(|zone| line("evacuated", &[("zone", zone.as_str())]));
     let age = age_ms.map(|age| format!("store_age_ms {age}\n"));
     lines.into_iter().chain(age).chain(primaries).chain(zones).collect()
 }
--- a/oleander-runtime/src/metrics.rs
+++ b/oleander-runtime/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics: counters, gauges and timings sent over StatsD, and a latency histogram for each pair of
 //! workspace and kind of request.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -127,8 +128,8 @@
         self.record_histogram(workspace, kind, span);
         self.client
             .time_with_tags("request.latency", span.duration())
-            .with_tag("workspace", workspace)
-            .with_tag("kind", kind)
+            .with_tag("workspace", &tag_value(workspace))
+            .with_tag("kind", &tag_value(kind))
             .send();
     }
 
@@ -155,8 +156,8 @@
         self.add_to_counter(with_labels("request.refused", &labels), 1);
         self.client
             .count_with_tags("request.refused", 1_u64)
-            .with_tag("workspace", workspace)
-            .with_tag("kind", kind)
+            .with_tag("workspace", &tag_value(workspace))
+            .with_tag("kind", &tag_value(kind))
             .with_tag("code", &code)
             .send();
     }
@@ -208,10 +209,45 @@
     }
 }
 
-fn with_labels(name: &str, labels: &[(&str, &str)]) -> String {
-    let labels: Vec<String> =
-        labels.iter().map(|(label, value)| format!("{label}=\"{value}\"")).collect();
-    format!("{name}{{{}}}", labels.join(","))
+/// Returns a metric's name with its labels, as in the text format. Values may have any characters, as
+/// callers and operators choose them: they are escaped, so that they can neither end the line nor the
+/// value.
+pub fn with_labels(name: &str, labels: &[(&str, &str)]) -> String {
+    let mut text = format!("{name}{{");
+    for (index, (label, value)) in labels.iter().enumerate() {
+        let separator = if index == 0 { "" } else { "," };
+        let _ = write!(text, "{separator}{label}=\"{}\"", escaped(value));
+    }
+    text.push('}');
+    text
+}
+
+/// Escapes a label's value as the text format demands. Control characters other than a line feed have
+/// no escape there and are replaced.
+fn escaped(value: &str) -> String {
+    let mut text = String::with_capacity(value.len());
+    for character in value.chars() {
+        match character {
+            '\\' => text.push_str("\\\\"),
+            '"' => text.push_str("\\\""),
+            '\n' => text.push_str("\\n"),
+            _ if character.is_control() => text.push(char::REPLACEMENT_CHARACTER),
+            _ => text.push(character),
+        }
+    }
+    text
+}
+
+/// Replaces what would end a tag or a datagram's line in StatsD, which has no escapes.
+fn tag_value(value: &str) -> Cow<'_, str> {
+    let is_separator = |character: char| {
+        character.is_control() || matches!(character, '|' | ',' | ':' | '#' | '@')
+    };
+    if value.contains(is_separator) {
+        value.replace(is_separator, "_").into()
+    } else {
+        value.into()
+    }
 }
 
 fn udp_sink(address: SocketAddr) -> Result<QueuingMetricSink> {
--- a/oleander-runtime/tests/parts.rs
+++ b/oleander-runtime/tests/parts.rs
@@ -9,6 +9,7 @@
 use oleander_core::events::Event;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
+use oleander_core::verdict::RefusalCode;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs;
 use oleander_runtime::logs::BUDGET_PERIOD;
@@ -22,6 +23,7 @@
 use oleander_runtime::metrics::OTHER;
 use oleander_runtime::shutdown::Shutdown;
 use oleander_runtime::timer::TimerService;
+use rstest::rstest;
 
 /// The timeout of every wait, far longer than any should take.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -157,6 +159,49 @@
     assert_eq!(other.count, 5);
 }
 
+/// `LabelCase` is a name as a caller or an operator gives it, and its label.
+struct LabelCase {
+    name: &'static str,
+    label: &'static str,
+}
+
+/// Guards against a name that ends its line, or its value, so that it counts as another metric or the
+/// whole text cannot be read.
+#[rstest]
+#[case::plain(LabelCase { name: "order", label: "order" })]
+#[case::line_feed(LabelCase { name: "a\nother 1", label: "a\\nother 1" })]
+#[case::line_end(LabelCase { name: "a\r\nother 1", label: "a\u{fffd}\\nother 1" })]
+#[case::quote(LabelCase { name: "a\"} 1", label: "a\\\"} 1" })]
+#[case::backslash(LabelCase { name: "a\\", label: "a\\\\" })]
+fn a_label_keeps_to_its_value(#[case] case: LabelCase) {
+    let metrics = Metrics::local();
+    metrics.count_refusal("rye", case.name, RefusalCode::UnknownRoute);
+    metrics.record_latency("rye", case.name, Span::from_millis(1));
+    let text = metrics.text();
+    // One counter and the four figures of a latency.
+    assert_eq!(text.lines().count(), 5, "{text}");
+    let label = format!("kind=\"{}\"", case.label);
+    assert!(text.lines().all(|line| line.contains(&label)), "{text}");
+}
+
+/// Guards against a name that becomes a metric of its own at the StatsD server.
+#[test]
+fn a_tag_keeps_to_its_metric() {
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    server.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let options =
+        MetricsOptions { statsd: Some(server.local_addr().unwrap()), prefix: String::new() };
+    {
+        let metrics = Metrics::new(&options).unwrap();
+        metrics.count_refusal("rye", "a\nother:1|c|#kind:b,c", RefusalCode::UnknownRoute);
+    }
+    let mut buffer = [0; 1_024];
+    let length = server.recv(&mut buffer).unwrap();
+    let text = String::from_utf8_lossy(&buffer[..length]);
+    assert_eq!(text.trim_end().lines().count(), 1, "{text}");
+    assert!(text.contains("kind:a_other_1_c__kind_b_c,"), "{text}");
+}
+
 #[test]
 fn counters_reach_the_statsd_server() {
     let server = UdpSocket::bind("127.0.0.1:0").unwrap();
