--- a/oleander-node/src/control/apply.rs
+++ b/oleander-node/src/control/apply.rs
@@ -30,6 +30,7 @@
 use crate::fleet::Instance;
 use crate::fleet::KeeperEntry;
 use crate::fleet::KeeperRecord;
+use crate::fleet::MAX_REJECTED;
 use crate::fleet::View;
 use crate::settings::NodeSettings;
 
@@ -65,6 +66,9 @@
     format!("{}{KEEPER_PREFIX}{database}", sources.own_prefix)
 }
 
+/// The number of characters to which the reason is cut for which an entry was rejected.
+const MAX_REASON_CHARS: usize = 200;
+
 /// The time for which an instance is remembered that the directory no longer names.
 const DEPARTED_TIME: Span = Span::from_secs(600);
 
@@ -187,6 +191,10 @@
         for key in dropped {
             drop_instance(draft, key);
         }
+        let is_present = |name: &str| present.contains(format!("{directory}{name}").as_str());
+        if draft.view.rejected.keys().any(|name| !is_present(name)) {
+            Arc::make_mut(&mut draft.view.rejected).retain(|name, _| is_present(name));
+        }
         let prefix = self.sources.evacuation_prefix;
         let is_requested = |zone: &str| present.contains(format!("{prefix}{zone}").as_str());
         let zones = draft.view.evacuated.keys();
@@ -239,6 +247,7 @@
     fn delete(&self, draft: &mut Draft, key: &str, revision: StoreRevision) {
         let view = &mut draft.view;
         if let Some(name) = key.strip_prefix(self.sources.directory_prefix) {
+            forget_rejected(draft, name);
             if drop_instance(draft, InstanceKey::from_name(name)) {
                 let fields = [
                     Field::text("instance", name),
@@ -328,16 +337,12 @@
         let decoded = match (self.sources.decode_entry)(&entry.key, &entry.value) {
             Ok(decoded) => decoded,
             Err(reason) => {
-                let fields = [
-                    Field::text("instance", name),
-                    Field::text("reason", reason),
-                    revision_field(entry.revision),
-                ];
-                self.journal.record(Event::EntryRejected, &fields);
+                self.note_rejected(draft, name, &reason, entry.revision);
                 drop_instance(draft, key);
                 return;
             }
         };
+        forget_rejected(draft, name);
         let former = draft.view.instances.get(&key);
         let leaving_since =
             former.and_then(|former| former.leaving_since).unwrap_or(self.leaving_start(draft));
@@ -379,6 +384,28 @@
         }
     }
 
+    /// Notes an entry that names no instance. Logs it unless it is known to be rejected for this reason:
+    /// its writer may write it again and again.
+    fn note_rejected(&self, draft: &mut Draft, name: &str, reason: &str, revision: StoreRevision) {
+        // A reason quotes the value, which may be long.
+        let reason: String = reason.chars().take(MAX_REASON_CHARS).collect();
+        let view = &mut draft.view;
+        if view.rejected.get(name) == Some(&reason) {
+            return;
+        }
+        let is_listed = view.instances.contains_key(&InstanceKey::from_name(name));
+        let fields = [
+            Field::text("instance", name),
+            Field::text("reason", &reason),
+            Field::text("former", if is_listed { "an instance" } else { "none" }),
+            revision_field(revision),
+        ];
+        self.journal.record(Event::EntryRejected, &fields);
+        if view.rejected.len() < MAX_REJECTED || view.rejected.contains_key(name) {
+            Arc::make_mut(&mut view.rejected).insert(name.to_owned(), reason);
+        }
+    }
+
     /// Returns the time since which an instance that is first seen leaving counts as leaving.
     ///
     /// On the first read of this process the instance may have been leaving for a while, so that
@@ -448,6 +475,13 @@
     }
 }
 
+/// Forgets that an entry was rejected, as it is whole now or gone.
+fn forget_rejected(draft: &mut Draft, name: &str) {
+    if draft.view.rejected.contains_key(name) {
+        Arc::make_mut(&mut draft.view.rejected).remove(name);
+    }
+}
+
 /// Drops an instance that the directory no longer names, and remembers it for a while. Returns
 /// `true` if it was known.
 fn drop_instance(draft: &mut Draft, key: InstanceKey) -> bool {
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -2,6 +2,7 @@
 //! long the VM may act on it.
 
 use smallvec::SmallVec;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -58,6 +59,9 @@
 /// The point of a commit whose place in the log is not known: after all others.
 const UNKNOWN_POINT: LogPoint = LogPoint { term: Term(u64::MAX), position: Position(u64::MAX) };
 
+/// The maximum number of rejected entries of the directory that a view remembers.
+pub const MAX_REJECTED: usize = 64;
+
 /// `KeeperRecord` is the stored record of a database's keeper: the VM whose duty it is to watch the
 /// database's primary and to replace it.
 ///
@@ -144,6 +148,9 @@
     pub instances: Arc<HashMap<InstanceKey, Instance>>,
     /// The instances that the directory no longer names, each with the time at which it was dropped.
     pub departed: Arc<HashMap<InstanceKey, (Instance, Time)>>,
+    /// The entries of the directory that name no instance, by identifier, each with the reason; at most
+    /// `MAX_REJECTED`.
+    pub rejected: Arc<BTreeMap<String, String>>,
     /// The VMs with a lease, and for a while those whose lease has ended.
     pub roster: Arc<LeasedRoster>,
     /// The keepers of the databases.
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -52,6 +52,9 @@
     /// The names of the instances that the directory lists for databases which the configuration does
     /// not name.
     pub unused: Vec<String>,
+    /// The entries of the directory that name no instance, by identifier, each with the reason; not all
+    /// if there are many.
+    pub rejected: BTreeMap<String, String>,
     /// The availability zones under evacuation, by name.
     pub evacuated: BTreeSet<String>,
     /// The number of statements of this VM's callers refused because of evacuations.
@@ -82,6 +85,7 @@
         primaries: fleet.primaries().into_iter().collect(),
         cold: fleet.cold_instances(),
         unused: fleet.unused_instances(),
+        rejected: view.rejected.as_ref().clone(),
         evacuated: view.evacuated.keys().cloned().collect(),
         evacuation_refused_at_entry: counts.at_entry.load(Ordering::Relaxed),
         evacuation_refused_at_home: counts.at_home.load(Ordering::Relaxed),
@@ -108,6 +112,7 @@
         ("instances", instances as u64),
         ("cold_instances", status.cold.len() as u64),
         ("unused_instances", status.unused.len() as u64),
+        ("rejected_entries", status.rejected.len() as u64),
         ("resting_transactions", transactions as u64),
         ("evacuation_refused_at_entry", status.evacuation_refused_at_entry),
         ("evacuation_refused_at_home", status.evacuation_refused_at_home),
--- a/oleander-node/tests/apply.rs
+++ b/oleander-node/tests/apply.rs
@@ -5,10 +5,12 @@
 use std::sync::Arc;
 
 use oleander_config::snapshot::Snapshot;
+use oleander_core::events::Event;
 use oleander_core::ids::InstanceKey;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_node::control::apply::Applier;
+use oleander_node::fleet::MAX_REJECTED;
 use oleander_node::fleet::View;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::sources::Sources;
@@ -23,6 +25,11 @@
 const DRAIN: Span = Span::from_secs(7);
 
 fn applier() -> Applier {
+    applier_with(Journal::new("test", Clock::new()))
+}
+
+/// Returns an applier to which a value that begins with "odd" names no instance, for that reason.
+fn applier_with(journal: Journal) -> Applier {
     let sources = Sources {
         configuration_key: "configuration",
         directory_prefix: "instances/",
@@ -30,6 +37,9 @@
         own_prefix: "own/",
         decode_configuration: |_| Ok(Snapshot::default()),
         decode_entry: |_, value| {
+            if value.starts_with(b"odd") {
+                return Err(String::from_utf8_lossy(value).into_owned());
+            }
             Ok(DirectoryEntry {
                 instance: support::name("i-1"),
                 life: 1,
@@ -43,7 +53,7 @@
             })
         },
     };
-    Applier::new(sources, Arc::new(support::settings()), Journal::new("test", Clock::new()))
+    Applier::new(sources, Arc::new(support::settings()), journal)
 }
 
 fn reading(revision: u64, state: &str) -> ReadResponse {
@@ -89,3 +99,71 @@
     let passed = now.since(leaving_since);
     assert!(observed.min_leaving <= passed && passed <= observed.max_leaving, "{passed:?}");
 }
+
+/// `RejectedCase` are the states that a VM reads one after the other, and the reasons that it logs, each
+/// with what the entry named before.
+struct RejectedCase {
+    states: &'static [&'static str],
+    logged: &'static [(&'static str, &'static str)],
+    rejected: usize,
+}
+
+/// Guards against a log that another writer fills with one entry, and against an instance whose entry
+/// becomes incomplete without a record of it.
+#[rstest]
+#[case::never_whole(RejectedCase {
+    states: &["odd", "odd", "odd"], logged: &[("odd", "none")], rejected: 1,
+})]
+#[case::another_reason(RejectedCase {
+    states: &["odd 1", "odd 2", "odd 2"], logged: &[("odd 1", "none"), ("odd 2", "none")], rejected: 1,
+})]
+#[case::incomplete_in_use(RejectedCase {
+    states: &["ready", "odd", "odd"], logged: &[("odd", "an instance")], rejected: 1,
+})]
+#[case::whole_in_between(RejectedCase {
+    states: &["odd", "ready", "odd"],
+    logged: &[("odd", "none"), ("odd", "an instance")],
+    rejected: 1,
+})]
+#[case::whole_again(RejectedCase { states: &["odd", "ready"], logged: &[("odd", "none")], rejected: 0 })]
+fn a_rejected_entry_is_logged_once_for_each_reason(#[case] case: RejectedCase) {
+    let journal = Journal::new("test", Clock::new());
+    let applier = applier_with(journal.clone());
+    let mut view = View::default();
+    for (index, state) in case.states.iter().enumerate() {
+        let reading = reading(index as u64 + 1, state);
+        view = applier.apply_reading(&view, &reading, Time(60_000_000));
+        let key = InstanceKey::from_name("i-1");
+        assert_eq!(view.instances.contains_key(&key), !state.starts_with("odd"));
+    }
+    let records = journal.recent();
+    let rejected = records.iter().filter(|record| record.event == Event::EntryRejected.to_string());
+    let logged: Vec<(&str, &str)> = rejected
+        .map(|record| {
+            let text = |field: &str| record.fields[field].as_str().unwrap();
+            (text("reason"), text("former"))
+        })
+        .collect();
+    assert_eq!(logged, case.logged);
+    assert_eq!(view.rejected.len(), case.rejected);
+}
+
+/// Guards against memory that entries of another writer use up, by their number or by the values that
+/// reasons quote.
+#[test]
+fn rejected_entries_are_bounded() {
+    let applier = applier();
+    let value = format!("odd{}", "x".repeat(10_000));
+    let entry = |number: usize| Entry {
+        key: format!("instances/i-{number}"),
+        value: value.clone().into_bytes(),
+        revision: StoreRevision(1),
+    };
+    let entries = (0..MAX_REJECTED + 10).map(entry).collect();
+    let reading = ReadResponse { revision: StoreRevision(1), entries };
+    let view = applier.apply_reading(&View::default(), &reading, Time(60_000_000));
+    assert_eq!(view.rejected.len(), MAX_REJECTED);
+    assert!(view.rejected.values().all(|reason| reason.len() <= 200));
+    let empty = ReadResponse { revision: StoreRevision(2), entries: Vec::new() };
+    assert!(applier.apply_reading(&view, &empty, Time(60_000_000)).rejected.is_empty());
+}
