Believe a later term only if an order explains it

An entry of another writer with all fields, at the address of a foreign database, made that one the primary as soon as the primary was silent: it claimed a later term, or to have received most.

Cause: the keeper took the term of any answer for one of the database.

Change: only an order starts a term, and the record tells of it first. An answer in a later term counts as none unless the latest primary gives it, an order may have taken effect unseen, or no term is known. It is logged once for each claim.

The case later_term_wins gave a replica a term that nothing explained; the primary now led it, and the choice that the case asks for is the same.

--- a/oleander-core/src/events.rs
+++ b/oleander-core/src/events.rs
@@ -102,6 +102,8 @@
     InstanceEjected = 414,
     /// An ejected instance gets reads again as before.
     InstanceReinstated = 415,
+    /// An instance claims to lead a term that no order has started, and is not believed.
+    LeaderUnexplained = 416,
     /// A request was refused.
     RequestRefused = 500,
     /// A request was retried after a failure.
--- a/oleander-failover/src/keeper/members.rs
+++ b/oleander-failover/src/keeper/members.rs
@@ -321,6 +321,9 @@
         answer: MemberAnswer,
     ) {
         let received = match answer {
+            MemberAnswer::Received(point) if !self.is_explained(now, instance, point.term) => {
+                return;
+            }
             MemberAnswer::Received(point) => Some(point),
             MemberAnswer::NotRunning | MemberAnswer::Replaced => None,
             MemberAnswer::NoAnswer => return,
--- a/oleander-failover/src/keeper/mod.rs
+++ b/oleander-failover/src/keeper/mod.rs
@@ -35,6 +35,7 @@
 mod replaced;
 mod scan;
 mod starts;
+mod terms;
 
 use oleander_core::events::Event;
 use oleander_core::ids::InstanceKey;
@@ -65,9 +66,9 @@
 /// The version of the rules by which a keeper chooses the instance to promote. A VM with a later one
 /// takes the duty from one with an earlier one.
 ///
-/// Version 0 goes by the directory alone, and version 1 takes the answer of any member for that of the
-/// start that the directory lists.
-pub const RULES_VERSION: u32 = 2;
+/// Version 0 goes by the directory alone, version 1 takes the answer of any member for that of the
+/// start that the directory lists, and version 2 believes any instance that claims a later term.
+pub const RULES_VERSION: u32 = 3;
 
 /// The version from which on a VM tells which commits it has confirmed.
 pub const CONFIRMATIONS_VERSION: u32 = 1;
@@ -113,6 +114,13 @@
     stopped: bool,
     /// `true` once an instance has answered this keeper as primary.
     primary_seen: bool,
+    /// The latest primary, also after it has answered as replica.
+    last_primary: Option<InstanceKey>,
+    /// `true` until a primary is found after the store was restored from a copy, as the record may lack
+    /// promotions.
+    restored: bool,
+    /// The latest claim to a term that no order explains.
+    unexplained: Option<(InstanceKey, Term)>,
     /// Replicas with an order to resume that may still take effect. The time is set if the order
     /// was not answered, and is the latest at which it can take effect.
     resuming: SmallVec<[(InstanceKey, Option<Time>); INLINE_INSTANCES]>,
@@ -154,6 +162,9 @@
             record_ordered: false,
             stopped: true,
             primary_seen: false,
+            last_primary: None,
+            restored: false,
+            unexplained: None,
             resuming: SmallVec::new(),
         };
         match record {
@@ -173,6 +184,7 @@
                 keeper.note_unanswered(now, instance);
             }
             RecordState::Restored => {
+                keeper.restored = true;
                 // An order that the platform has accepted takes effect within `confirm_time`.
                 let options = keeper.options;
                 let since = now + options.order_expiry.unwrap_or(options.confirm_time);
@@ -180,6 +192,7 @@
                 keeper.phase = Phase::Scanning(Scan { since, answers: SmallVec::new() });
             }
         }
+        keeper.last_primary = keeper.primary;
         keeper
     }
 
@@ -327,6 +340,9 @@
             return self.handle_scan(now, instance, result);
         }
         match result {
+            ProbeResult::Primary(point) if !self.may_lead(now, instance, point.term) => {
+                self.log_unexplained(instance, point.term, out);
+            }
             ProbeResult::Primary(point) if self.term <= point.term => {
                 self.handle_primary(now, instance, point, out);
             }
@@ -369,6 +385,8 @@
         self.term = point.term;
         self.silence = None;
         let former = self.primary.replace(instance);
+        self.last_primary = self.primary;
+        self.restored = false;
         let is_first = !std::mem::replace(&mut self.primary_seen, true);
         if is_first || former != Some(instance) {
             out.push(log_event(
--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -41,8 +41,10 @@
             // An order to resume may still arrive and undo the stop.
             return;
         }
+        let Some(point) = point.filter(|point| self.is_explained(now, instance, point.term)) else {
+            return;
+        };
         let Phase::StoppingReplicas(stopping) = &mut self.phase else { return };
-        let Some(point) = point else { return };
         if !self.members.running().any(|running| running == instance) {
             return;
         }
--- a/oleander-failover/src/keeper/scan.rs
+++ b/oleander-failover/src/keeper/scan.rs
@@ -49,6 +49,8 @@
             Some((term, primary)) => {
                 self.term = self.term.max(term);
                 self.primary = Some(primary);
+                self.last_primary = self.primary;
+                self.restored = false;
                 if self.options.order_expiry.is_none() {
                     // A lost order is ended by a later one for the present primary.
                     self.unresolved = Some(UnresolvedOrder::from_record(primary));
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -1,5 +1,6 @@
 //! Tests of the keeper: single steps of promotions through the platform.
 
+use oleander_core::events::Event;
 use oleander_core::ids::InstanceKey;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Position;
@@ -138,19 +139,22 @@
     })
 }
 
-/// `ReplicaPoints` is what two replicas have received and which one is promoted.
+/// `ReplicaPoints` is the term that the primary led, what two replicas have received and which one is
+/// promoted.
 struct ReplicaPoints {
+    term: u64,
     near: LogPoint,
     far: LogPoint,
     best: InstanceKey,
 }
 
 #[rstest]
-#[case::near_is_ahead(ReplicaPoints { near: point(1, 12), far: point(1, 11), best: NEAR })]
-#[case::far_is_ahead(ReplicaPoints { near: point(1, 11), far: point(1, 12), best: FAR })]
-#[case::later_term_wins(ReplicaPoints { near: point(1, 99), far: point(2, 1), best: FAR })]
+#[case::near_is_ahead(ReplicaPoints { term: 1, near: point(1, 12), far: point(1, 11), best: NEAR })]
+#[case::far_is_ahead(ReplicaPoints { term: 1, near: point(1, 11), far: point(1, 12), best: FAR })]
+#[case::later_term_wins(ReplicaPoints { term: 2, near: point(1, 99), far: point(2, 1), best: FAR })]
 fn the_replica_that_has_received_most_is_promoted(#[case] case: ReplicaPoints) {
     let mut harness = Harness::settled();
+    harness.handle(Input::Probed(PRIMARY, ProbeResult::Primary(point(case.term, 1))));
     harness.lose_primary();
     let actions = harness.start_promotion(7);
     assert_eq!(stopped_replicas(&actions), [NEAR, FAR]);
@@ -163,6 +167,47 @@
     assert_eq!(sent_order(&actions), Some((case.best, 8)));
 }
 
+/// `ClaimCase` is what another instance than the primary tells while no order explains a later term than
+/// the first, and whether it counts.
+struct ClaimCase {
+    point: LogPoint,
+    counts: bool,
+}
+
+/// Guards against a foreign database, listed by an entry of another writer, that is promoted for what
+/// it claims to have received, or whose term makes the primary a replaced one.
+#[rstest]
+#[case::of_the_term(ClaimCase { point: point(1, 12), counts: true })]
+#[case::of_a_later_term(ClaimCase { point: point(2, 99), counts: false })]
+#[case::of_a_term_far_away(ClaimCase { point: point(1_000, 99), counts: false })]
+fn an_answer_in_a_term_that_no_order_explains_does_not_count(#[case] case: ClaimCase) {
+    let mut harness = Harness::settled();
+    harness.lose_primary();
+    harness.start_promotion(7);
+    harness.handle(Input::ReplicationStopped(NEAR, Some(point(1, 11))));
+    let actions = harness.handle(Input::ReplicationStopped(FAR, Some(case.point)));
+    assert_eq!(token_request(&actions).is_some(), case.counts);
+    assert_eq!(harness.keeper.term(), Term(1));
+}
+
+/// Guards against a foreign database that becomes the primary since it claims to lead a later term.
+#[test]
+fn a_claim_to_lead_a_term_that_no_order_explains_is_not_believed() {
+    let mut harness = Harness::settled();
+    let claim = Input::Probed(FAR, ProbeResult::Primary(point(2, 99)));
+    let is_logged = |action: &Action| {
+        matches!(action, Action::LogEvent { event: Event::LeaderUnexplained, .. })
+    };
+    let actions = harness.handle(claim.clone());
+    assert!(actions.iter().any(is_logged), "{actions:?}");
+    let actions = harness.handle(claim);
+    assert!(!actions.iter().any(is_logged), "the claim is logged once");
+    assert_eq!((harness.keeper.primary(), harness.keeper.term()), (Some(PRIMARY), Term(1)));
+    // The primary may be promoted anew, which it shows itself.
+    harness.handle(Input::Probed(PRIMARY, ProbeResult::Primary(point(2, 10))));
+    assert_eq!((harness.keeper.primary(), harness.keeper.term()), (Some(PRIMARY), Term(2)));
+}
+
 /// `AllowedRoutes` is the number of routes that allow each of two replicas to be the primary, what
 /// they have received, and which one is promoted.
 struct AllowedRoutes {
--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -30,6 +30,13 @@
 
 const INSTANCES: usize = 3;
 
+/// The index of the foreign database, whose entry names this one. It answers, and executes what it is
+/// told, but the platform does not know it.
+const FOREIGN: usize = INSTANCES;
+
+/// What the foreign database tells, as a primary with a history of its own.
+const FOREIGN_POINT: LogPoint = LogPoint { term: Term(1_000), position: Position(1_000_000) };
+
 /// The number of steps of one generated case.
 const STEPS: usize = 300;
 
@@ -108,6 +115,8 @@
     Reach,
     /// A VM reads the latest data.
     Read,
+    /// An entry of another writer lists a foreign database as an instance, or is removed.
+    Intrude,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -133,6 +142,7 @@
         4 => index().prop_map(Step::ReplicateReplaced),
         1 => Just(Step::Reach),
         4 => Just(Step::Read),
+        1 => Just(Step::Intrude),
     ]
 }
 
@@ -380,6 +390,8 @@
     record_life: Option<u64>,
     /// The point of the primary at its last answer to this keeper, unless a VM was lost since.
     sample: Option<LogPoint>,
+    /// `true` while the directory lists the foreign database.
+    intruded: bool,
     planted: Option<Planted>,
 }
 
@@ -409,6 +421,7 @@
             record_members: Vec::new(),
             record_life: None,
             sample: None,
+            intruded: false,
             planted: None,
         };
         world.update_directory();
@@ -469,7 +482,15 @@
             allowing_routes: 0,
         };
         let listed = (0..INSTANCES).filter(|index| !self.group.members[*index].unlisted);
-        self.handle(Input::Instances(listed.map(known).collect()));
+        let foreign = self.intruded.then_some(ListedInstance {
+            key: key(FOREIGN),
+            life: 1,
+            leaving: false,
+            evacuated: false,
+            primary: true,
+            allowing_routes: 0,
+        });
+        self.handle(Input::Instances(listed.map(known).chain(foreign).collect()));
     }
 
     /// Returns `true` if an order for an instance may still be executed.
@@ -495,6 +516,12 @@
     }
 
     fn perform(&mut self, step: &Step) -> Result<(), TestCaseError> {
+        self.perform_unchecked(step)?;
+        prop_assert!(self.published != Some(FOREIGN), "the record names the foreign database");
+        Ok(())
+    }
+
+    fn perform_unchecked(&mut self, step: &Step) -> Result<(), TestCaseError> {
         match *step {
             Step::Pass(millis) => {
                 self.now = self.now + Span::from_millis(millis);
@@ -614,6 +641,13 @@
                     self.update_directory();
                 }
             }
+            Step::Intrude => {
+                // While nothing is known of the database, or not since the store was restored, nothing
+                // tells a foreign one from it.
+                let is_known = !self.restored && self.record_term != Term(0);
+                self.intruded = !self.intruded && is_known;
+                self.update_directory();
+            }
             Step::LoseVm => self.sample = None,
             Step::Leave => {
                 self.leaving = Some(self.group.primary);
@@ -637,7 +671,12 @@
             Step::Restore => {
                 self.ordered = None;
                 self.restored = true;
-                self.replace(RecordState::Restored, Term(0));
+                self.intruded = false;
+                self.record_members.retain(|member| member.key != key(FOREIGN));
+                // The copy lacks the record, or its latest term.
+                let earlier = Term(self.record_term.0.saturating_sub(1));
+                let term = if self.revision % 2 == 0 { Term(0) } else { earlier };
+                self.replace(RecordState::Restored, term);
             }
         }
         Ok(())
@@ -680,7 +719,25 @@
     }
 
     fn execute(&mut self, action: Action) -> Result<Input, TestCaseError> {
+        let foreign = key(FOREIGN);
         Ok(match action {
+            Action::Probe(key) if key == foreign => {
+                self.handle(Input::Reached(key, FOREIGN_POINT, self.now));
+                Input::Probed(key, ProbeResult::Primary(FOREIGN_POINT))
+            }
+            Action::CheckMember(key) if key == foreign => {
+                Input::MemberChecked(key, MemberAnswer::Received(FOREIGN_POINT))
+            }
+            Action::StopReplication(key, _) if key == foreign => {
+                Input::ReplicationStopped(key, Some(FOREIGN_POINT))
+            }
+            Action::ResumeReplication(key) if key == foreign => {
+                Input::ReplicationResumed(key, true)
+            }
+            Action::StepDown(key, _) if key == foreign => Input::SteppedDown(key, true),
+            Action::OrderPromotion { instance, .. } if instance == foreign => {
+                Input::PromotionOrdered(OrderOutcome::Rejected)
+            }
             Action::Probe(key) => {
                 let result = self.group.probe(index_of(key));
                 if matches!(result, ProbeResult::Primary(_)) {
@@ -849,6 +906,61 @@
     assert_eq!((world.group.primary, world.group.promotions), (1, 1));
 }
 
+/// Guards against a foreign database that is taken for the primary while that is silent, against an
+/// order to the primary to step down for its sake, and against a promotion that waits for its answer.
+#[test]
+fn a_foreign_database_neither_leads_nor_delays_a_promotion() {
+    let mut world = World::new(Span::ZERO, Rules::Checked);
+    while world.published.is_none() {
+        pass_or_deliver(&mut world);
+    }
+    world.group.members[0].received = 5;
+    for index in 1..INSTANCES {
+        world.group.replicate(index);
+    }
+    world.group.acknowledge(5, 1);
+    world.perform(&Step::Intrude).unwrap();
+    // The primary is dark for 2 s.
+    world.group.members[0].down = true;
+    let dark_until = world.now + Span::from_secs(2);
+    while world.now < dark_until && world.group.promotions == 0 {
+        pass_or_deliver(&mut world);
+    }
+    world.group.members[0].down = false;
+    for _ in 0..200 {
+        pass_or_deliver(&mut world);
+    }
+    let primary = world.group.primary;
+    assert_eq!(world.published, Some(primary));
+    assert_ne!(world.group.members[primary].leads, 0, "the primary was told to step down");
+    // It is lost for good, and one that holds its commits replaces it.
+    let promotions = world.group.promotions;
+    world.group.members[primary].down = true;
+    for _ in 0..600 {
+        pass_or_deliver(&mut world);
+    }
+    assert_eq!(world.group.promotions, promotions + 1);
+    assert_eq!(world.published, Some(world.group.primary));
+}
+
+/// Guards against a database that stays without a primary after another was promoted by hand: the former
+/// one shows the new term.
+#[test]
+fn a_promotion_by_hand_leaves_no_database_without_a_primary() {
+    let mut world = World::new(Span::ZERO, Rules::Checked);
+    while world.published.is_none() {
+        pass_or_deliver(&mut world);
+    }
+    world.group.make_primary(1).unwrap();
+    world.group.members[1].received = 1;
+    world.group.replicate(0);
+    world.update_directory();
+    for _ in 0..600 {
+        pass_or_deliver(&mut world);
+    }
+    assert_eq!(world.published, Some(world.group.primary));
+}
+
 /// `EvacuationCase` is what the instances have received, which of them are in the evacuated zone, and
 /// the instances that lead in turn.
 struct EvacuationCase {
