Keep no names of unknown databases in metrics and events

Cause: the name became a label of a counter, of which 4,096 are kept whatever their length, and a field of one of the 1,024 recent events.

Change: refusals for names that the configuration does not have are counted under `unknown`. A text in a record is cut at 256 bytes and its full length told.

--- a/oleander-node/src/entry/records.rs
+++ b/oleander-node/src/entry/records.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::Ordering;
 
+use oleander_config::model::Matcher;
 use oleander_core::events::Event;
 use oleander_core::level::Level;
 use oleander_core::time::Span;
@@ -14,6 +15,10 @@
 /// One in this many served requests is logged.
 pub const LOG_SAMPLE_INTERVAL: u64 = 256;
 
+/// The label under which refusals are counted for names that the configuration does not have. Callers
+/// choose such names without a key, so that labels made of them would have no bound.
+pub const UNKNOWN_NAME: &str = "unknown";
+
 impl Entry {
     /// Counts and logs a refusal. `name` is the database name that the caller gave, and `admitted`
     /// is `None` if the request was refused before its admission.
@@ -43,7 +48,10 @@
         let fields: Vec<Field> =
             fields.into_iter().chain(age).chain(level.map(level_field)).collect();
         self.journal.record(Event::RequestRefused, &fields);
-        self.metrics.count_refusal(workspace, name, refusal.code);
+        let is_configured =
+            admitted.is_some() || view.snapshot.route(&Matcher::Session(name.to_owned())).is_some();
+        let kind = if is_configured { name } else { UNKNOWN_NAME };
+        self.metrics.count_refusal(workspace, kind, refusal.code);
         if let Some(level) = level {
             self.metrics.count(&format!("level.refused.{level}"), 1);
         }
--- a/oleander-runtime/src/logs.rs
+++ b/oleander-runtime/src/logs.rs
@@ -36,6 +36,9 @@
 /// The period after which the budget of an event is renewed.
 pub const BUDGET_PERIOD: Span = Span::from_secs(1);
 
+/// The maximum length in bytes of a text in a record; a longer one is cut, and its full length is told.
+pub const MAX_TEXT_BYTES: usize = 256;
+
 /// `FieldValue` is the value of a field.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
@@ -171,7 +174,8 @@
         for field in fields {
             let value = match &field.value {
                 FieldValue::Number(number) => (*number).into(),
-                FieldValue::Text(text) => text.as_str().into(),
+                FieldValue::Text(text) if text.len() <= MAX_TEXT_BYTES => text.as_str().into(),
+                FieldValue::Text(text) => shortened(text).into(),
             };
             map.insert(field.name.to_owned(), value);
         }
@@ -224,6 +228,15 @@
     }
 }
 
+/// Cuts a text to `MAX_TEXT_BYTES` and appends its full length.
+fn shortened(text: &str) -> String {
+    let mut end = MAX_TEXT_BYTES;
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    format!("{}... ({} bytes)", &text[..end], text.len())
+}
+
 fn write_line(event: Event, record: &EventRecord) {
     let level = level(event);
     if log::max_level() < level {
--- a/oleander-runtime/tests/parts.rs
+++ b/oleander-runtime/tests/parts.rs
@@ -133,6 +133,17 @@
     assert_eq!((records.len(), records[0].serial), (RING_LENGTH, extra as u64 + 1));
 }
 
+/// Guards against memory that the ring buffer keeps because of texts which callers choose.
+#[rstest]
+#[case::short("a".repeat(256), "a".repeat(256))]
+#[case::long("a".repeat(257), "a".repeat(256) + "... (257 bytes)")]
+#[case::within_a_character("a".repeat(255) + "\u{e4}b", "a".repeat(255) + "... (258 bytes)")]
+fn a_long_text_is_cut(#[case] text: String, #[case] kept: String) {
+    let journal = Journal::new("proxy/a", Clock::new());
+    journal.record(Event::RequestRefused, &[Field::text("database", text)]);
+    assert_eq!(journal.recent()[0].fields["database"], kept);
+}
+
 #[test]
 fn latencies_are_kept_for_each_workspace_and_kind() {
     let metrics = Metrics::local();
