Bound what sessions keep in bytes

Cause: values and prepared statements of a session were bounded in number, not in bytes, and nothing bounded the sum over the sessions of a VM.

Change: a session keeps 256 KiB at most; beyond it SET and PARSE are refused as MALFORMED and what stands stays. All sessions of a VM share 16 MiB; once that is used up, sessions above 2 KiB are refused as BUSY with a time to come back, and those that keep little may go on. The gauge session_bytes tells the sum. A lint of the model of promotions is mended.

--- a/oleander-failover/tests/keeper_model.rs
+++ b/oleander-failover/tests/keeper_model.rs
@@ -675,7 +675,7 @@
                 self.record_members.retain(|member| member.key != key(FOREIGN));
                 // The copy lacks the record, or its latest term.
                 let earlier = Term(self.record_term.0.saturating_sub(1));
-                let term = if self.revision % 2 == 0 { Term(0) } else { earlier };
+                let term = if self.revision.is_multiple_of(2) { Term(0) } else { earlier };
                 self.replace(RecordState::Restored, term);
             }
         }
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -18,6 +18,7 @@
 use oleander_core::verdict::Verdict;
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
+use oleander_session::budget::SessionBudget;
 use oleander_session::command::Command;
 use oleander_session::state::OwnCommits;
 use oleander_session::state::SessionState;
@@ -52,6 +53,8 @@
     pub charges: Charges,
     /// Sends statements to homes.
     pub forwarder: Forwarder,
+    /// What the sessions may keep together.
+    pub sessions: Arc<SessionBudget>,
     /// The number of served requests, for sampling the log.
     pub served: AtomicU64,
     /// Logs refusals and sampled requests.
@@ -114,7 +117,7 @@
             entry: self.clone(),
             name: name.to_owned(),
             key,
-            state: SessionState::default(),
+            state: SessionState::new(self.sessions.clone()),
             operation: None,
             transaction: None,
             in_doubt: false,
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -20,6 +20,8 @@
 use oleander_runtime::logs::Journal;
 use oleander_runtime::metrics::Metrics;
 use oleander_runtime::timer::TimerService;
+use oleander_session::budget;
+use oleander_session::budget::SessionBudget;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -168,6 +170,7 @@
                 journal: journal.clone(),
                 metrics: metrics.clone(),
             },
+            sessions: SessionBudget::new(budget::MAX_TOTAL_BYTES),
             served: AtomicU64::new(0),
             journal: journal.clone(),
             metrics: metrics.clone(),
@@ -281,6 +284,7 @@
         let outliers = &self.entry.forwarder.outliers;
         let ejected = outliers.as_ref().map(|outliers| outliers.text(&self.fleet.view()));
         status::text(&self.fleet, &self.homes)
+            + &format!("session_bytes {}\n", self.entry.sessions.used())
             + &status::traffic_text(&self.traffic, &self.store.counts())
             + &ejected.unwrap_or_default()
             + &self.metrics.text()
--- a/oleander-session/src/lib.rs
+++ b/oleander-session/src/lib.rs
@@ -30,6 +30,7 @@
 //! state that the entry VM keeps for the connection, and `work` the requests from the entry VM to a
 //! home; `report` is what a home tells about an instance in its replies.
 
+pub mod budget;
 pub mod codec;
 pub mod command;
 pub mod errors;
--- a/oleander-session/src/state.rs
+++ b/oleander-session/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use oleander_core::ids::DatabaseId;
 use oleander_core::terms::LogPoint;
@@ -9,12 +10,15 @@
 use oleander_core::verdict::RefusalCode;
 use smallvec::SmallVec;
 
+use crate::budget::ENTRY_BYTES;
+use crate::budget::Holding;
+use crate::budget::SessionBudget;
 use crate::command::Command;
 use crate::work::Prepared;
 use crate::work::Work;
 
-/// The maximum number of values, and likewise of prepared statements, of one session; it bounds the
-/// memory of the session.
+/// The maximum number of values, and likewise of prepared statements, of one session. Their size is
+/// bounded by `budget`.
 pub const MAX_NAMES: usize = 1_024;
 
 /// The maximum number of databases of which a session keeps its last commit. A session writes to
@@ -69,8 +73,10 @@
 }
 
 /// `SessionState` is the state that the entry VM keeps for one connection.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct SessionState {
+    /// What the values and prepared statements hold of the budget.
+    holding: Holding,
     values: BTreeMap<String, String>,
     prepared: HashMap<String, Prepared>,
     phase: TransactionPhase,
@@ -82,6 +88,11 @@
 }
 
 impl SessionState {
+    /// Creates the state of a session that shares a budget with others.
+    pub fn new(budget: Arc<SessionBudget>) -> Self {
+        Self { holding: Holding::new(budget), ..Self::default() }
+    }
+
     /// Returns the state of the transaction.
     pub fn transaction(&self) -> TransactionPhase {
         self.phase
@@ -126,7 +137,10 @@
                 None => refuse(RefusalCode::UnknownStatement, "no statement of this name"),
             },
             Command::Close { name } => {
-                self.prepared.remove(&name);
+                if let Some(removed) = self.prepared.remove(&name) {
+                    // A session that shrinks is never refused.
+                    let _ = self.holding.exchange(entry_bytes(&name, &removed.shape), 0);
+                }
                 Step::Done
             }
         }
@@ -207,6 +221,10 @@
         if MAX_NAMES <= self.values.len() && !self.values.contains_key(&name) {
             return refuse(RefusalCode::BadRequest, "the session holds too many values");
         }
+        let removed = self.values.get(&name).map_or(0, |former| entry_bytes(&name, former));
+        if let Err(refusal) = self.holding.exchange(removed, entry_bytes(&name, &value)) {
+            return Step::Refuse(refusal);
+        }
         self.values.insert(name, value);
         Step::Done
     }
@@ -215,6 +233,11 @@
         if MAX_NAMES <= self.prepared.len() && !self.prepared.contains_key(&name) {
             return refuse(RefusalCode::BadRequest, "the session holds too many statements");
         }
+        let removed =
+            self.prepared.get(&name).map_or(0, |former| entry_bytes(&name, &former.shape));
+        if let Err(refusal) = self.holding.exchange(removed, entry_bytes(&name, &prepared.shape)) {
+            return Step::Refuse(refusal);
+        }
         self.prepared.insert(name, prepared);
         Step::Done
     }
@@ -231,6 +254,11 @@
     }
 }
 
+/// Returns what a value or a prepared statement holds of the budget.
+fn entry_bytes(name: &str, text: &str) -> usize {
+    ENTRY_BYTES + name.len() + text.len()
+}
+
 fn refuse(code: RefusalCode, detail: &str) -> Step {
     Step::Refuse(Refusal::not_run(code, detail))
 }
