Bound the statements that a connection to an instance keeps in bytes

Cause: a connection kept the texts of up to 256 statements, whatever their length, after the sessions had ended.

Change: a connection keeps 32 KiB of texts, or one longer text, and is reset before another is prepared. One that holds more than 64 KiB with its settings is closed instead of kept idle.

Measured: without the bounds a connection holds 5.1 MB after 400 sessions, and two of three cases of the new test fail; all pass now.

--- a/oleander-node/src/home/upstream.rs
+++ b/oleander-node/src/home/upstream.rs
@@ -29,12 +29,21 @@
 /// drops its whole session state first.
 const MAX_PREPARED: usize = 256;
 
+/// The maximum length in bytes of their texts together, but for a single longer one.
+const MAX_PREPARED_BYTES: usize = 32 << 10;
+
+/// The maximum length in bytes of the settings and statements on a connection that is kept while no
+/// statement runs. Many connections are idle; one that holds more is closed.
+const MAX_IDLE_BYTES: usize = 64 << 10;
+
 /// `UpstreamConnection` is a connection with the session settings and prepared statements on it.
 pub struct UpstreamConnection {
     link: Box<dyn Link>,
     settings: Vec<(String, String)>,
     /// The prepared statements, each with its name on the connection.
     prepared: HashMap<Prepared, String>,
+    /// The length of their texts.
+    prepared_bytes: usize,
     /// The number in the name of the next prepared statement.
     serial: u32,
     /// `false` once an exchange has left the connection in an unknown or unexpected state.
@@ -122,18 +131,19 @@
     pub fn new(link: Box<dyn Link>) -> Self {
         let state = TransactionState::Idle;
         let (settings, prepared) = (Vec::new(), HashMap::new());
-        Self { link, settings, prepared, serial: 0, reusable: true, state }
+        Self { link, settings, prepared, prepared_bytes: 0, serial: 0, reusable: true, state }
     }
 
     /// Returns the connection as one that may serve another caller, if the link is open, no exchange
-    /// has left it in an unknown or unexpected state, and no transaction is open.
+    /// has left it in an unknown or unexpected state, no transaction is open, and it does not hold too
+    /// much.
     ///
     /// # Errors
     /// Returns the connection itself otherwise; dropping it closes the link, which rolls back a
     /// transaction.
     pub fn into_idle(mut self) -> Result<IdleConnection, Self> {
         let is_idle = self.state == TransactionState::Idle;
-        if self.reusable && is_idle && self.link.is_open() {
+        if self.reusable && is_idle && self.held_bytes() <= MAX_IDLE_BYTES && self.link.is_open() {
             Ok(IdleConnection(self))
         } else {
             Err(self)
@@ -221,7 +231,7 @@
         };
         let is_missing = executed.is_some_and(|prepared| !self.prepared.contains_key(prepared));
         let reset = self.settings.iter().any(is_surplus)
-            || (is_missing && MAX_PREPARED <= self.prepared.len());
+            || executed.is_some_and(|prepared| is_missing && !self.has_room(prepared));
         if !reset && !is_missing && self.settings == statement.settings {
             return Ok(());
         }
@@ -242,6 +252,7 @@
         self.settings.clear();
         if reset {
             self.prepared.clear();
+            self.prepared_bytes = 0;
         }
         let replies = self.exchange(&messages).await?;
         if let Some(failure) = replies.iter().find_map(|reply| reply.outcome.as_ref().err()) {
@@ -251,12 +262,26 @@
         }
         self.settings = statement.settings.to_vec();
         if let Some(prepared) = wanted {
+            self.prepared_bytes += prepared.shape.len();
             self.prepared.insert(prepared.clone(), name);
             self.serial += 1;
         }
         Ok(())
     }
 
+    /// Returns the length of the settings and prepared statements that the connection holds.
+    fn held_bytes(&self) -> usize {
+        let settings = self.settings.iter().map(|(name, value)| name.len() + value.len());
+        settings.sum::<usize>() + self.prepared_bytes
+    }
+
+    /// Returns `true` if another statement may be prepared on the connection beside those on it.
+    fn has_room(&self, prepared: &Prepared) -> bool {
+        self.prepared.is_empty()
+            || (self.prepared.len() < MAX_PREPARED
+                && self.prepared_bytes + prepared.shape.len() <= MAX_PREPARED_BYTES)
+    }
+
     async fn run(
         &mut self,
         statement: Statement<'_>,
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -22,6 +22,7 @@
 use oleander_core::line::Word;
 use oleander_core::places::Place;
 use oleander_core::places::Regions;
+use oleander_core::statement::Access;
 use oleander_core::terms::LogPoint;
 use oleander_core::terms::Term;
 use oleander_core::time::Span;
@@ -60,6 +61,7 @@
 use oleander_session::work::Freshness;
 use oleander_session::work::HomeAnswer;
 use oleander_session::work::HomeRequest;
+use oleander_session::work::Prepared;
 use oleander_session::work::RateCharge;
 use oleander_session::work::Scope;
 use oleander_session::work::Work;
@@ -80,6 +82,8 @@
     open: AtomicUsize,
     /// The number of attempts to open a connection.
     connect_attempts: AtomicUsize,
+    /// The length of the statements that a connection has prepared and of its settings, at most.
+    most_held: AtomicUsize,
     /// The number of reads that ran in an open transaction.
     reads_in_transaction: AtomicUsize,
     /// Called while a statement runs.
@@ -90,6 +94,8 @@
 
 struct FakeLink {
     instance: Arc<FakeInstance>,
+    /// The length of the statements that it has prepared.
+    held: usize,
     state: TransactionState,
 }
 
@@ -110,7 +116,8 @@
             return Err(LinkError::Refused(failure));
         }
         self.0.open.fetch_add(1, Ordering::AcqRel);
-        Ok(Box::new(FakeLink { instance: self.0.clone(), state: TransactionState::Idle }))
+        let (instance, state) = (self.0.clone(), TransactionState::Idle);
+        Ok(Box::new(FakeLink { instance, held: 0, state }))
     }
 }
 
@@ -129,6 +136,11 @@
                 InstanceCommand::Commit | InstanceCommand::Rollback => {
                     self.state = TransactionState::Idle;
                 }
+                InstanceCommand::Reset => self.held = 0,
+                InstanceCommand::Prepare { shape, .. } => {
+                    self.held += shape.as_str().len();
+                    self.instance.most_held.fetch_max(self.held, Ordering::AcqRel);
+                }
                 InstanceCommand::Read(_) if self.state == TransactionState::Open => {
                     self.instance.reads_in_transaction.fetch_add(1, Ordering::AcqRel);
                 }
@@ -273,6 +285,36 @@
     assert_eq!(fake.connect_attempts.load(Ordering::Acquire), 1);
 }
 
+/// `KeptCase` is the length of the statements that sessions prepare one after the other, what their
+/// connection may hold of them, and whether it stays open.
+struct KeptCase {
+    length: usize,
+    most_held: usize,
+    is_kept: bool,
+}
+
+/// Guards against memory that the texts of ended sessions take at the home of an instance.
+#[rstest]
+#[case::short(KeptCase { length: 100, most_held: 32 << 10, is_kept: true })]
+#[case::long(KeptCase { length: 20_000, most_held: 32 << 10, is_kept: true })]
+#[case::longer_than_all(KeptCase { length: 200_000, most_held: 200_100, is_kept: false })]
+#[tokio::test]
+async fn a_connection_keeps_few_bytes_of_statements(#[case] case: KeptCase) {
+    let fake = Arc::new(FakeInstance::default());
+    let (home, timers) = home(&fake);
+    for number in 0..400 {
+        let shape = format!("q{number:06}{}", "x".repeat(case.length));
+        let prepared = Prepared { access: Access::Write, shape };
+        let work = Work::Execute { prepared, arguments: "loaf rye".to_owned() };
+        let request = HomeRequest { work, ..write() };
+        let deadline = timers.now() + request.patience;
+        home.run_single(&request, deadline).await.unwrap();
+        assert_eq!(home.connection_count(), u32::from(case.is_kept));
+    }
+    let most_held = fake.most_held.load(Ordering::Acquire);
+    assert!(most_held <= case.most_held, "{most_held} bytes");
+}
+
 /// Guards against statements that time out and leave slots or connections in use.
 #[tokio::test]
 async fn statements_that_time_out_free_slots_and_connections() {
