Let no claimed term overflow

An instance, or a foreign database that an entry names, may tell the last term that a number holds; the next term was computed without a check, which ends a process built with overflow checks and starts again at 0 otherwise.

Found by reading the change of the terms that are believed. The new test panics before and passes now.

--- a/oleander-failover/src/keeper/promotion.rs
+++ b/oleander-failover/src/keeper/promotion.rs
@@ -337,7 +337,7 @@
     }
 
     fn next_term(&self) -> Term {
-        Term(self.term.0 + 1)
+        Term(self.term.0.saturating_add(1))
     }
 
     fn stop_replicas(&mut self, now: Time, planned: bool, points: VmPoints, out: &mut Vec<Action>) {
--- a/oleander-failover/src/keeper/terms.rs
+++ b/oleander-failover/src/keeper/terms.rs
@@ -28,7 +28,7 @@
         term <= self.term
             || self.knows_no_term()
             || self.last_primary == Some(instance)
-            || (term.0 <= self.term.0 + MAX_UNSEEN_TERMS && self.may_be_ordered(now))
+            || (term.0 <= self.term.0.saturating_add(MAX_UNSEEN_TERMS) && self.may_be_ordered(now))
     }
 
     /// Returns `true` if an instance may lead this term: it may be in it, and if that is a later one, an
--- a/oleander-failover/tests/keeper.rs
+++ b/oleander-failover/tests/keeper.rs
@@ -190,6 +190,22 @@
     assert_eq!(harness.keeper.term(), Term(1));
 }
 
+/// Guards against a process that ends, since the term that an instance claims has no next one.
+#[test]
+fn the_last_term_does_not_overflow() {
+    let mut harness = Harness::new();
+    harness.handle(Input::Probed(PRIMARY, ProbeResult::Primary(point(u64::MAX, 10))));
+    harness.handle(Input::ReplicationResumed(NEAR, true));
+    harness.handle(Input::ReplicationResumed(FAR, true));
+    harness.lose_primary();
+    harness.start_promotion(7);
+    harness.handle(Input::ReplicationStopped(NEAR, Some(point(u64::MAX, 10))));
+    let actions = harness.handle(Input::ReplicationStopped(FAR, Some(point(1, 10))));
+    assert_eq!(token_request(&actions), Some(Some(NEAR)));
+    harness.handle(Input::TokenAcquired(Some(8)));
+    harness.handle(Input::Probed(FAR, ProbeResult::Primary(point(1, 10))));
+}
+
 /// Guards against a foreign database that becomes the primary since it claims to lead a later term.
 #[test]
 fn a_claim_to_lead_a_term_that_no_order_explains_is_not_believed() {
