Report shares as in use only once they are

Cause: the status of a VM, and its gauge shares_in_use, said that the VM uses its shares of the rates from the registration on. For 510 ms after that it waits for loans of earlier owners, and has no tokens of its own. Statements that came within 10 ms of the registration waited for 450 ms and were refused with "the workspace is over its rate".

Change: the status asks the limiter whether a share that the VM owns is usable.

--- a/oleander-limits/src/rates/limiter.rs
+++ b/oleander-limits/src/rates/limiter.rs
@@ -308,6 +308,11 @@
         until.unwrap_or_default().max(self.shared.ownership.latest_usable()).since(now)
     }
 
+    /// Returns `true` if this VM spends tokens of shares that it owns.
+    pub fn uses_shares(&self, now: Time) -> bool {
+        self.shared.ownership.has_usable(now)
+    }
+
     /// Returns the time at which the oldest unanswered call was sent.
     pub fn oldest_call(&self) -> Option<Time> {
         self.shared.calls.values().map(|call| call.sent).min()
--- a/oleander-limits/src/rates/ownership.rs
+++ b/oleander-limits/src/rates/ownership.rs
@@ -182,6 +182,13 @@
         now < self.until
     }
 
+    /// Returns `true` if this VM may use its own shares at `now` and at least one has become usable.
+    pub fn has_usable(&self, now: Time) -> bool {
+        let is_usable =
+            |share: &ShareState| share.owner == Some(self.vm) && share.usable_from <= now;
+        self.is_valid(now) && self.shares.iter().any(is_usable)
+    }
+
     /// Returns the VMs that own fractions of `workspace`.
     pub fn owners(&self, workspace: WorkspaceId) -> SmallVec<[FractionOwner; INLINE_OWNERS]> {
         let mut owners: SmallVec<[FractionOwner; INLINE_OWNERS]> = SmallVec::new();
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -212,7 +212,7 @@
             store: store.clone(),
             rates: rates.clone(),
             journal: journal.clone(),
-            status: Box::new(status::json(fleet.clone(), homes.clone())),
+            status: Box::new(status::json(fleet.clone(), homes.clone(), rates.clone())),
         });
         let peer_traffic = peer_client.traffic().clone();
         let traffic = peer_traffic.clone();
@@ -283,7 +283,7 @@
     pub fn metrics_text(&self) -> String {
         let outliers = &self.entry.forwarder.outliers;
         let ejected = outliers.as_ref().map(|outliers| outliers.text(&self.fleet.view()));
-        status::text(&self.fleet, &self.homes)
+        status::text(&self.fleet, &self.homes, &self.rates)
             + &format!("session_bytes {}\n", self.entry.sessions.used())
             + &status::traffic_text(&self.traffic, &self.store.counts())
             + &ejected.unwrap_or_default()
@@ -292,7 +292,7 @@
 
     /// Returns the current state for operators.
     pub fn status(&self) -> NodeStatus {
-        status::collect(&self.fleet, &self.homes)
+        status::collect(&self.fleet, &self.homes, &self.rates)
     }
 
     /// Starts the graceful stop: the node takes no new sessions, and its record in the store is
--- a/oleander-node/src/rates.rs
+++ b/oleander-node/src/rates.rs
@@ -178,6 +178,11 @@
         self.lock().limiter.lent(self.inner.timers.now())
     }
 
+    /// Returns `true` if this VM spends tokens of shares that it owns.
+    pub fn uses_shares(&self) -> bool {
+        self.lock().limiter.uses_shares(self.inner.timers.now())
+    }
+
     /// Ends the use of own shares, returns all loans and refuses the waiting requests, as before a
     /// planned stop.
     pub fn stop(&self) {
--- a/oleander-node/src/status.rs
+++ b/oleander-node/src/status.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::Fleet;
 use crate::home::registry::Homes;
+use crate::rates::Rates;
 
 /// `NodeStatus` is the state of a VM at one moment; its field names are the JSON keys.
 #[derive(Clone, Debug, Serialize)]
@@ -34,7 +35,8 @@
     /// `true` if the configuration in force is that of the store, which the VM has followed for long
     /// enough since it was restored.
     pub settled: bool,
-    /// `true` if the VM may use its own shares of the rates.
+    /// `true` if the VM uses shares of the rates that it owns; `false` while loans of earlier owners
+    /// may still be in use.
     pub shares: bool,
     /// `true` once the VM is draining.
     pub draining: bool,
@@ -65,9 +67,8 @@
 }
 
 /// Returns the current state.
-pub fn collect(fleet: &Fleet, homes: &Homes) -> NodeStatus {
+pub fn collect(fleet: &Fleet, homes: &Homes, rates: &Rates) -> NodeStatus {
     let view = fleet.view();
-    let now = fleet.now();
     let counts = &fleet.evacuation_counts;
     NodeStatus {
         name: fleet.settings.name.clone(),
@@ -77,7 +78,7 @@
         current: fleet.is_current(),
         confirmed: !*fleet.held().borrow(),
         settled: fleet.is_settled(),
-        shares: now < fleet.shares_until(),
+        shares: rates.uses_shares(),
         draining: fleet.is_draining(),
         vms: view.roster.present().count(),
         instances: view.instances.len(),
@@ -93,13 +94,17 @@
 }
 
 /// Returns a function that returns the current state as JSON.
-pub fn json(fleet: Arc<Fleet>, homes: Arc<Homes>) -> impl Fn() -> String + Send + Sync {
-    move || serde_json::to_string(&collect(&fleet, &homes)).unwrap_or_default()
+pub fn json(
+    fleet: Arc<Fleet>,
+    homes: Arc<Homes>,
+    rates: Rates,
+) -> impl Fn() -> String + Send + Sync {
+    move || serde_json::to_string(&collect(&fleet, &homes, &rates)).unwrap_or_default()
 }
 
 /// Returns the state as metrics text: one line with name, labels and value each.
-pub fn text(fleet: &Fleet, homes: &Homes) -> String {
-    let status = collect(fleet, homes);
+pub fn text(fleet: &Fleet, homes: &Homes, rates: &Rates) -> String {
+    let status = collect(fleet, homes, rates);
     let NodeStatus { configuration, store, age_ms, vms, instances, transactions, .. } = status;
     let gauges = [
         ("configuration_version", configuration),
--- a/oleander-node/tests/shares.rs
+++ b/oleander-node/tests/shares.rs
@@ -61,7 +61,8 @@
     fleet.mark_synced(timers.now());
     fleet.set_leased_until(timers.now() + Span::from_secs(60));
     let (apply, mut applied) = watch::channel(AppliedView::default());
-    let following = tokio::spawn(shares::follow(fleet.clone(), rates, journal.clone(), apply));
+    let following =
+        tokio::spawn(shares::follow(fleet.clone(), rates.clone(), journal.clone(), apply));
     applied.wait_for(|at| at.revision == StoreRevision(1)).await.unwrap();
     let left = timers.now();
     fleet.set_view(view(2, lent));
@@ -75,3 +76,26 @@
     assert_eq!(LENT <= waited, lent.is_some(), "shares are in use after {waited:?}");
     following.abort();
 }
+
+/// Guards against a VM that reports its shares as in use while it still waits for loans of earlier
+/// owners: statements were sent to it and refused, since it had no tokens.
+#[tokio::test]
+async fn shares_that_wait_for_loans_are_not_reported_as_in_use() {
+    const WAIT: Span = Span::from_millis(300);
+    let timers = TimerService::start(Clock::new());
+    let address_of = Box::new(|_| None);
+    let limiter = RateLimiter::new(VmId(1), 1);
+    let rates = Rates::new(VmId(1), limiter, timers.clone(), PeerClient::default(), address_of);
+    let until = timers.now() + Span::from_secs(60);
+    let owners = [Some(VmId(1)), Some(VmId(2))];
+    rates.suspend_shares(&owners);
+    assert!(!rates.uses_shares(), "the shares are suspended");
+    rates.activate_shares(&owners, until, timers.now());
+    assert!(rates.uses_shares(), "the shares are active");
+    rates.set_shares(&owners[1..], until, WAIT);
+    assert!(!rates.uses_shares(), "the other VM owns all shares");
+    rates.set_shares(&owners[..1], until, WAIT);
+    assert!(!rates.uses_shares(), "a loan of the other VM may be in use");
+    timers.sleep(WAIT).await;
+    assert!(rates.uses_shares(), "all loans have ended");
+}
