Bound the rows of answers in bytes

Cause: results were collected as a whole at the home and at the entry VM, whatever their size. Three readers of 80 MiB at each VM brought VMs above 260 MB within 4 s. A result above 8 MiB broke the stream between VMs, and the entry VM took the home for lost.

Change: rows are counted while they are read. Above 4 MiB a read fails, and above 64 KiB rows are held from a budget of 24 MiB on each VM until they have been read on; without room a read is refused as not run.

Passing rows on as they come stays open.

--- a/oleander-core/src/lib.rs
+++ b/oleander-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate defines identifiers, log positions, time, refusals, statements and event numbers. It
 //! does no I/O, reads no clock and draws no random numbers.
 
+pub mod budget;
 pub mod events;
 pub mod hash;
 pub mod ids;
--- a/oleander-node/src/entry/forward.rs
+++ b/oleander-node/src/entry/forward.rs
@@ -18,8 +18,10 @@
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
 use oleander_peer::client::PeerClient;
+use oleander_peer::errors::Error;
 use oleander_peer::messages::Reply;
 use oleander_peer::messages::Request;
+use oleander_ports::upstream::LinkError;
 use oleander_routing::lag_backoff::LagBackoff;
 use oleander_runtime::logs::Field;
 use oleander_runtime::logs::Journal;
@@ -46,6 +48,7 @@
 use crate::fleet::Instance;
 use crate::fleet::View;
 use crate::home::registry::Homes;
+use crate::home::upstream;
 use crate::primaries::Primaries;
 
 /// The maximum number of VMs tried as the home of one instance.
@@ -167,7 +170,10 @@
                 Err(refusal) => refusal,
             };
             let retry = refusal.verdict == Verdict::NotRun || (is_read && is_transient(&refusal));
-            let retry = retry && !charges::is_over_rate(request.charge, &refusal);
+            // Another answer would take as much of this VM's memory.
+            let retry = retry
+                && !charges::is_over_rate(request.charge, &refusal)
+                && refusal.code != RefusalCode::AnswerTooLarge;
             request.charge = charges::remaining_charge(request.charge, &refusal);
             // An instance may fail a read that another one answers.
             let retry = retry || (reads.is_some() && refusal.code == RefusalCode::UpstreamError);
@@ -359,6 +365,10 @@
                 outcome
             }
             Ok(_) => Err(Refusal::may_have_run(RefusalCode::Internal, "an answer of another kind")),
+            Err(Error::NoRoom(_)) => {
+                let refusal = upstream::link_refusal(&LinkError::NoRoom);
+                Err(upstream::answer_refusal(&request.work, refusal))
+            }
             Err(error) => {
                 if self.fleet.suspect(home) {
                     let fields = [Field::number("vm", home.0), Field::text("reason", error)];
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -6,6 +6,7 @@
 use oleander_config::keys;
 use oleander_config::model::Consistency;
 use oleander_config::model::KeyHash;
+use oleander_core::budget::HeldBytes;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
 use oleander_core::level::Level;
@@ -101,6 +102,8 @@
     /// The signature that the instance sent with its answer; `None` if no instance had to run the
     /// command.
     pub signature: Option<String>,
+    /// What the rows hold of this VM's budget of answers, until the caller has them.
+    pub held: HeldBytes,
 }
 
 impl Entry {
@@ -167,7 +170,7 @@
         if self.state.transaction() == TransactionPhase::Idle {
             self.operation = None;
         }
-        let empty = CommandOutput { rows: Vec::new(), signature: None };
+        let empty = CommandOutput { rows: Vec::new(), signature: None, held: HeldBytes::default() };
         outcome.map(|output| output.unwrap_or(empty))
     }
 
@@ -234,10 +237,11 @@
                 self.state.failed(&work);
                 if let Some(transaction) = self.transaction.take() {
                     // The home ends a transaction whose statement fails. These refusals can come from
-                    // this VM before the statement is sent, so the home has to be told.
+                    // this VM, so the home has to be told.
                     if matches!(
                         refusal.code,
                         RefusalCode::KeyRejected
+                            | RefusalCode::AnswerTooLarge
                             | RefusalCode::NotCurrent
                             | RefusalCode::UpstreamUnavailable
                     ) {
@@ -273,8 +277,9 @@
         let (answer, home, instance) = outcome?;
         self.entry.record_wait(operation.admitted.level, answer.queued);
         self.transaction = answer.transaction.map(|id| TransactionHandle { home, id, instance });
-        let output = CommandOutput { rows: answer.rows, signature: Some(answer.signature) };
-        Ok((output, answer.point))
+        let HomeAnswer { rows, signature, held, point, .. } = answer;
+        let output = CommandOutput { rows, signature: Some(signature), held };
+        Ok((output, point))
     }
 
     /// Checks that the key is still valid before a further statement of a transaction.
--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwap;
 use oleander_config::model::Database;
 use oleander_config::snapshot::Snapshot;
+use oleander_core::budget::ByteBudget;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceKey;
 use oleander_core::ids::VmId;
@@ -41,6 +42,10 @@
 use crate::settings::HomePlacement;
 use crate::settings::NodeSettings;
 
+/// The maximum size of the rows of all large answers on this VM. Up to four copies of a row exist while
+/// it passes through.
+const MAX_ANSWERS_BYTES: usize = 24 << 20;
+
 /// The time after the start of a VM during which others may be starting as well: VMs that lost
 /// power together are back within a second of each other.
 pub const STARTUP_PERIOD: Span = Span::from_millis(1_500);
@@ -275,6 +280,8 @@
     withdrawn: Mutex<HashMap<DatabaseId, StoreRevision>>,
     /// A point at or after each commit of a database that this VM has confirmed.
     confirmed: Mutex<HashMap<DatabaseId, LogPoint>>,
+    /// What the rows of large answers are held from, until their callers have them.
+    answers: Arc<ByteBudget>,
 }
 
 impl Fleet {
@@ -304,6 +311,7 @@
             suspected_until: Mutex::default(),
             withdrawn: Mutex::default(),
             confirmed: Mutex::default(),
+            answers: ByteBudget::new(MAX_ANSWERS_BYTES),
         }
     }
 
@@ -322,6 +330,11 @@
         self.started
     }
 
+    /// Returns the budget of the rows of large answers.
+    pub fn answers(&self) -> &Arc<ByteBudget> {
+        &self.answers
+    }
+
     /// Returns the current view.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
--- a/oleander-node/src/home/connections.rs
+++ b/oleander-node/src/home/connections.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use oleander_core::budget::ByteBudget;
 use oleander_core::events::Event;
 use oleander_core::ids::WorkspaceId;
 use oleander_core::level::Level;
@@ -45,6 +46,8 @@
     pub timers: TimerService,
     /// Logs connections that could not be opened.
     pub journal: Journal,
+    /// What the rows of answers are held from.
+    pub answers: Arc<ByteBudget>,
 }
 
 /// `ConnectionPool` opens, reuses and closes the connections to one instance.
@@ -166,7 +169,8 @@
             Ok(link) => {
                 count.disarm();
                 self.lock().proof.record_opened(self.context.timers.now());
-                Ok(PooledConnection::new(self, request, UpstreamConnection::new(link)))
+                let connection = UpstreamConnection::new(link, self.context.answers.clone());
+                Ok(PooledConnection::new(self, request, connection))
             }
             Err(error) => {
                 // Uncounts the connection before `record_refusal`, which takes the number of open
--- a/oleander-node/src/home/instance.rs
+++ b/oleander-node/src/home/instance.rs
@@ -575,18 +575,22 @@
 }
 
 fn answer(permit: &Permit, reply: Reply) -> Result<HomeAnswer, Refusal> {
-    let Reply { rows, outcome, point, .. } = reply;
+    let Reply { rows, outcome, point, held, .. } = reply;
     let signature =
         outcome.map_err(|failure| upstream::failure_refusal(&failure, failure.kind.verdict()))?;
     let queued = permit.queued;
-    Ok(HomeAnswer { rows, signature, point, transaction: None, queued, horizon: Horizon::OPEN })
+    let (transaction, horizon) = (None, Horizon::OPEN);
+    Ok(HomeAnswer { rows, signature, point, transaction, queued, horizon, held })
 }
 
 /// Adjusts the refusal of a failed statement of a transaction: the failure rolls back the
 /// transaction, so that the statement counts as not run unless it was the commit or the instance
 /// reported an error of its own.
 fn transaction_refusal(request: &HomeRequest, refusal: Refusal) -> Refusal {
-    if request.work == Work::Commit || refusal.code == RefusalCode::UpstreamError {
+    // Another attempt would fail as well.
+    let is_too_large =
+        refusal.code == RefusalCode::AnswerTooLarge && refusal.verdict == Verdict::Ran;
+    if request.work == Work::Commit || refusal.code == RefusalCode::UpstreamError || is_too_large {
         return refusal;
     }
     Refusal { verdict: Verdict::NotRun, ..refusal }
--- a/oleander-node/src/home/upstream.rs
+++ b/oleander-node/src/home/upstream.rs
@@ -4,11 +4,14 @@
 use std::hash::DefaultHasher;
 use std::hash::Hash as _;
 use std::hash::Hasher as _;
+use std::sync::Arc;
 
+use oleander_core::budget::ByteBudget;
 use oleander_core::line::FieldError;
 use oleander_core::line::Tail;
 use oleander_core::line::Word;
 use oleander_core::terms::LogPoint;
+use oleander_core::time::Span;
 use oleander_core::verdict::Refusal;
 use oleander_core::verdict::RefusalCode;
 use oleander_core::verdict::Verdict;
@@ -20,6 +23,7 @@
 use oleander_ports::upstream::LinkError;
 use oleander_ports::upstream::Message;
 use oleander_ports::upstream::Reply;
+use oleander_ports::upstream::RowMeter;
 use oleander_ports::upstream::TransactionState;
 use oleander_session::work::HomeRequest;
 use oleander_session::work::Prepared;
@@ -36,9 +40,15 @@
 /// statement runs. Many connections are idle; one that holds more is closed.
 const MAX_IDLE_BYTES: usize = 64 << 10;
 
+/// The `retry_after` of a refusal because all answers together hold too much: the time in which a caller
+/// reads a large one.
+const ROOM_RETRY_AFTER: Span = Span::from_millis(200);
+
 /// `UpstreamConnection` is a connection with the session settings and prepared statements on it.
 pub struct UpstreamConnection {
     link: Box<dyn Link>,
+    /// What the rows of answers are held from.
+    answers: Arc<ByteBudget>,
     settings: Vec<(String, String)>,
     /// The prepared statements, each with its name on the connection.
     prepared: HashMap<Prepared, String>,
@@ -127,11 +137,18 @@
 }
 
 impl UpstreamConnection {
-    /// Wraps a newly opened link.
-    pub fn new(link: Box<dyn Link>) -> Self {
-        let state = TransactionState::Idle;
-        let (settings, prepared) = (Vec::new(), HashMap::new());
-        Self { link, settings, prepared, prepared_bytes: 0, serial: 0, reusable: true, state }
+    /// Wraps a newly opened link; the rows of its answers are held from `answers`.
+    pub fn new(link: Box<dyn Link>, answers: Arc<ByteBudget>) -> Self {
+        Self {
+            link,
+            answers,
+            settings: Vec::new(),
+            prepared: HashMap::new(),
+            prepared_bytes: 0,
+            serial: 0,
+            reusable: true,
+            state: TransactionState::Idle,
+        }
     }
 
     /// Returns the connection as one that may serve another caller, if the link is open, no exchange
@@ -291,7 +308,8 @@
         let name = self.prepared_name(statement.work);
         let command = command(statement.work, &name)?;
         let message = Message { id: Some(statement.id), after, command };
-        let reply = self.exchange(&[message]).await?.remove(0);
+        let replies = self.exchange(&[message]).await;
+        let reply = replies.map_err(|refusal| answer_refusal(statement.work, refusal))?.remove(0);
         self.check_reply(reply, state)
     }
 
@@ -300,8 +318,8 @@
         let name = self.prepared_name(statement.work);
         let command = command(statement.work, &name)?;
         let message = Message { id: Some(statement.id), after: None, command };
-        let mut replies =
-            self.exchange(&[message, Message::internal(InstanceCommand::Rollback)]).await?;
+        let replies = self.exchange(&[message, Message::internal(InstanceCommand::Rollback)]).await;
+        let mut replies = replies.map_err(|refusal| answer_refusal(statement.work, refusal))?;
         let end = replies.pop().map(|reply| reply.state);
         self.expect_state(end.unwrap_or(TransactionState::Failed), TransactionState::Idle)?;
         let reply = replies.remove(0);
@@ -333,7 +351,12 @@
         // If the exchange fails or its future is dropped, replies may still be in flight, so the
         // connection counts as not reusable until it has succeeded.
         let was_reusable = std::mem::replace(&mut self.reusable, false);
-        let replies = self.link.exchange(messages).await.map_err(|error| link_refusal(&error))?;
+        let mut meter = RowMeter::new(self.answers.clone());
+        let replies = self.link.exchange(messages, &mut meter).await;
+        let mut replies = replies.map_err(|error| link_refusal(&error))?;
+        if let Some(reply) = replies.first_mut() {
+            reply.held = meter.into_held();
+        }
         if replies.len() != messages.len() {
             return Err(link_refusal(&LinkError::Lost("answers are missing")));
         }
@@ -438,5 +461,20 @@
             Refusal::not_run(RefusalCode::UpstreamUnavailable, error.to_string())
         }
         LinkError::Lost(_) => Refusal::may_have_run(RefusalCode::UpstreamLost, error.to_string()),
+        LinkError::TooLarge => {
+            Refusal::may_have_run(RefusalCode::AnswerTooLarge, error.to_string())
+        }
+        LinkError::NoRoom => Refusal::may_have_run(RefusalCode::AnswerTooLarge, error.to_string())
+            .with_retry_after(ROOM_RETRY_AFTER),
+    }
+}
+
+/// Adjusts the refusal of a statement whose answer was not kept. A read has no effect, so that it counts
+/// as not run if it may succeed later, and as failed if its rows are too many.
+pub fn answer_refusal(work: &Work, refusal: Refusal) -> Refusal {
+    if refusal.code != RefusalCode::AnswerTooLarge || work.is_write() {
+        return refusal;
     }
+    let verdict = if refusal.retry_after.is_some() { Verdict::NotRun } else { Verdict::Ran };
+    Refusal { verdict, ..refusal }
 }
--- a/oleander-node/src/keeper/links.rs
+++ b/oleander-node/src/keeper/links.rs
@@ -22,6 +22,7 @@
 use oleander_ports::upstream::LinkError;
 use oleander_ports::upstream::Message;
 use oleander_ports::upstream::Reply;
+use oleander_ports::upstream::RowMeter;
 use oleander_ports::upstream::Target;
 use oleander_ports::upstream::TransactionState;
 use oleander_ports::upstream::Upstreams;
@@ -207,7 +208,8 @@
     ) -> Result<Vec<Reply>, LinkError> {
         let exchanging = async {
             let (life, mut link) = self.take(key).await?;
-            let replies = link.exchange(messages).await?;
+            let mut meter = RowMeter::new(self.fleet.answers().clone());
+            let replies = link.exchange(messages, &mut meter).await?;
             // A link with an open transaction is closed, which rolls it back.
             if replies.last().is_some_and(|reply| reply.state == TransactionState::Idle) {
                 self.lock().insert(key, (life, link));
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -118,7 +118,7 @@
         let journal = Journal::new("oleander-node", timers.clock());
         let metrics = Metrics::local();
         let fleet = Arc::new(Fleet::new(settings.clone(), timers.clone()).with_life(life));
-        let peer_client = PeerClient::new(PEER_OPTIONS);
+        let peer_client = PeerClient::new(PEER_OPTIONS).with_answers(fleet.answers().clone());
         let store =
             Arc::new(RelayedStore::new(ports.store.clone(), fleet.clone(), peer_client.clone()));
         let primaries = Arc::new(Primaries::new(fleet.clone()));
@@ -126,6 +126,7 @@
             upstreams: ports.upstreams.clone(),
             timers: timers.clone(),
             journal: journal.clone(),
+            answers: fleet.answers().clone(),
         };
         let address_fleet = fleet.clone();
         let rates = Rates::new(
@@ -285,6 +286,7 @@
         let ejected = outliers.as_ref().map(|outliers| outliers.text(&self.fleet.view()));
         status::text(&self.fleet, &self.homes, &self.rates)
             + &format!("session_bytes {}\n", self.entry.sessions.used())
+            + &format!("answer_bytes {}\n", self.fleet.answers().used())
             + &status::traffic_text(&self.traffic, &self.store.counts())
             + &ejected.unwrap_or_default()
             + &self.metrics.text()
--- a/oleander-node/tests/home.rs
+++ b/oleander-node/tests/home.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
+use oleander_core::budget::HeldBytes;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::Incarnation;
 use oleander_core::ids::InstanceKey;
@@ -52,6 +53,7 @@
 use oleander_ports::upstream::LinkError;
 use oleander_ports::upstream::Message;
 use oleander_ports::upstream::Reply;
+use oleander_ports::upstream::RowMeter;
 use oleander_ports::upstream::Target;
 use oleander_ports::upstream::TransactionState;
 use oleander_ports::upstream::Upstreams;
@@ -123,7 +125,11 @@
 
 #[async_trait]
 impl Link for FakeLink {
-    async fn exchange(&mut self, messages: &[Message<'_>]) -> Result<Vec<Reply>, LinkError> {
+    async fn exchange(
+        &mut self,
+        messages: &[Message<'_>],
+        _: &mut RowMeter,
+    ) -> Result<Vec<Reply>, LinkError> {
         if self.instance.hangs.load(Ordering::Acquire) {
             std::future::pending::<()>().await;
         }
@@ -147,7 +153,8 @@
                 _ => {}
             }
             let outcome = Ok("signature".to_owned());
-            Reply { rows: Vec::new(), outcome, state: self.state, point: None }
+            let (rows, held) = (Vec::new(), HeldBytes::default());
+            Reply { rows, outcome, state: self.state, point: None, held }
         };
         Ok(messages.iter().map(reply).collect())
     }
@@ -201,6 +208,7 @@
         upstreams: Arc::new(FakeUpstreams(fake.clone())),
         timers: timers.clone(),
         journal: Journal::new("test", timers.clock()),
+        answers: fleet.answers().clone(),
     };
     let home_context = HomeContext {
         links,
--- a/oleander-node/tests/regions.rs
+++ b/oleander-node/tests/regions.rs
@@ -141,6 +141,7 @@
             upstreams: upstreams.clone(),
             timers: timers.clone(),
             journal: journal.clone(),
+            answers: fleet.answers().clone(),
         };
         let primaries = Arc::new(Primaries::new(fleet.clone()));
         let peers = PeerClient::default();
--- a/oleander-peer/src/client.rs
+++ b/oleander-peer/src/client.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use oleander_core::budget::ByteBudget;
 use oleander_core::time::Span;
 use tokio::sync::Mutex;
 use tokio::time;
@@ -26,6 +27,7 @@
     connections: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
     options: ConnectionOptions,
     traffic: Traffic,
+    answers: Option<Arc<ByteBudget>>,
 }
 
 /// `Slot` holds the connection to one address. It is locked while the connection is being opened,
@@ -35,7 +37,13 @@
 impl PeerClient {
     /// Creates a client without connections; they are opened on demand.
     pub fn new(options: ConnectionOptions) -> Self {
-        Self { connections: Arc::default(), options, traffic: Traffic::default() }
+        Self { options, ..Self::default() }
+    }
+
+    /// Holds the rows of large answers from `answers`. Without a budget they are only bounded by the
+    /// size of a frame.
+    pub fn with_answers(self, answers: Arc<ByteBudget>) -> Self {
+        Self { answers: Some(answers), ..self }
     }
 
     /// Returns the counters of the messages that are sent by this client and its clones.
@@ -74,6 +82,9 @@
         let connection = connected.unwrap_or(Err(connect_error("no connection in time")))?;
         let exchange = async {
             let mut replies = connection.open_stream(request, Some(limit), &self.traffic).await?;
+            if matches!(request, Request::Home(_)) {
+                replies.meter(self.answers.clone());
+            }
             replies.next().await?.ok_or(lost_error("the stream ended without a reply"))
         };
         time::timeout_at(deadline, exchange).await.unwrap_or(Err(timeout_error("no reply in time")))
--- a/oleander-peer/src/codec.rs
+++ b/oleander-peer/src/codec.rs
@@ -66,7 +66,7 @@
         if self.bytes[0] != VERSION {
             return Err(decode_error("frame of another version"));
         }
-        let length = (&self.bytes[1..HEADER_SIZE]).get_u32() as usize;
+        let Some(length) = self.body_length() else { return Ok(None) };
         if MAX_BODY_SIZE < length {
             return Err(decode_error("frame too long"));
         }
@@ -78,6 +78,12 @@
         decode_body(&body).map(Some)
     }
 
+    /// Returns the length of the body of the first frame; `None` if its header is not complete yet.
+    pub fn body_length(&self) -> Option<usize> {
+        let mut length = self.bytes.get(1..HEADER_SIZE)?;
+        Some(length.get_u32() as usize)
+    }
+
     /// Returns `true` if no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
--- a/oleander-peer/src/connection.rs
+++ b/oleander-peer/src/connection.rs
@@ -11,6 +11,8 @@
 use h2::PingPong;
 use h2::RecvStream;
 use h2::client::SendRequest;
+use oleander_core::budget::ByteBudget;
+use oleander_core::budget::Holding;
 use oleander_core::time::Span;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -23,6 +25,7 @@
 use crate::errors::connect_error;
 use crate::errors::decode_error;
 use crate::errors::lost_error;
+use crate::errors::no_room_error;
 use crate::errors::refused_error;
 use crate::messages::Reply;
 use crate::messages::Request;
@@ -38,6 +41,9 @@
 /// The HTTP/2 flow-control window of a connection, in bytes.
 pub const CONNECTION_WINDOW: u32 = 8 * 1024 * 1024;
 
+/// The length of a reply up to which it takes nothing of the budget of large replies, in bytes.
+const FREE_REPLY_BYTES: usize = 64 << 10;
+
 /// `ConnectionOptions` are the timeouts and ping intervals of a peer connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionOptions {
@@ -117,6 +123,7 @@
             buffer: FrameBuffer::default(),
             kind: request.into(),
             traffic: traffic.clone(),
+            answers: None,
             _guard: guard,
         })
     }
@@ -152,16 +159,30 @@
     buffer: FrameBuffer,
     kind: &'static str,
     traffic: Traffic,
+    /// What large replies are held from.
+    answers: Option<Arc<ByteBudget>>,
     _guard: StreamGuard,
 }
 
 impl ReplyStream {
+    /// Holds replies above `FREE_REPLY_BYTES` from a budget.
+    pub(crate) fn meter(&mut self, answers: Option<Arc<ByteBudget>>) {
+        self.answers = answers;
+    }
+
     /// Waits for the next reply; `None` once the peer has ended the stream.
     pub async fn next(&mut self) -> Result<Option<Reply>> {
+        let mut holding = self.answers.clone().map(Holding::new);
         loop {
-            if let Some(reply) = self.buffer.take()? {
+            if let Some(mut reply) = self.buffer.take::<Reply>()? {
+                holding.into_iter().for_each(|holding| reply.hold(holding.into()));
                 return Ok(Some(reply));
             }
+            if let Some(length) = self.buffer.body_length().filter(|len| FREE_REPLY_BYTES < *len)
+                && holding.as_mut().is_some_and(|holding| !holding.raise(length))
+            {
+                return Err(no_room_error("this VM holds as many large replies as it may"));
+            }
             let Some(chunk) = self.body.data().await else {
                 return if self.buffer.is_empty() {
                     Ok(None)
--- a/oleander-peer/src/errors.rs
+++ b/oleander-peer/src/errors.rs
@@ -21,6 +21,8 @@
     Lost(&'static str),
     /// No reply arrived before the deadline.
     Timeout(&'static str),
+    /// The reply is large, and the budget of large replies has not enough left.
+    NoRoom(&'static str),
 }
 
 impl Error {
@@ -28,7 +30,9 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Error::Connect(_) | Error::Refused(_) | Error::Encode(_) => Verdict::NotRun,
-            Error::Decode(_) | Error::Lost(_) | Error::Timeout(_) => Verdict::MayHaveRun,
+            Error::Decode(_) | Error::Lost(_) | Error::Timeout(_) | Error::NoRoom(_) => {
+                Verdict::MayHaveRun
+            }
         }
     }
 }
@@ -42,6 +46,7 @@
             Error::Decode(detail) => ("cannot decode", detail),
             Error::Lost(detail) => ("stream lost", detail),
             Error::Timeout(detail) => ("timed out", detail),
+            Error::NoRoom(detail) => ("no room", detail),
         };
         write!(f, "peer: {kind}: {detail}")
     }
@@ -78,3 +83,8 @@
 pub fn timeout_error(detail: &'static str) -> Error {
     Error::Timeout(detail)
 }
+
+/// Returns the error of a reply that the budget of large replies has no room for.
+pub fn no_room_error(detail: &'static str) -> Error {
+    Error::NoRoom(detail)
+}
--- a/oleander-peer/src/messages.rs
+++ b/oleander-peer/src/messages.rs
@@ -1,5 +1,6 @@
 //! The requests and replies of the peer protocol.
 
+use oleander_core::budget::HeldBytes;
 use oleander_core::ids::DatabaseId;
 use oleander_core::ids::InstanceId;
 use oleander_core::ids::RequestId;
@@ -211,6 +212,23 @@
     Withdrawn(Confirmations),
 }
 
+impl Reply {
+    /// Returns `true` for an answer whose rows hold a part of this VM's budget of answers.
+    pub fn holds_bytes(&self) -> bool {
+        match self {
+            Reply::Home(Ok(answer)) | Reply::Reported(Ok(answer), ..) => answer.held.bytes() != 0,
+            _ => false,
+        }
+    }
+
+    /// Lets the rows of an answer hold what this VM's budget of answers has given for them.
+    pub fn hold(&mut self, held: HeldBytes) {
+        if let Reply::Home(Ok(answer)) | Reply::Reported(Ok(answer), ..) = self {
+            answer.held = held;
+        }
+    }
+}
+
 /// `Confirmations` tells which commits of a database a VM has confirmed to callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Confirmations {
--- a/oleander-peer/src/server.rs
+++ b/oleander-peer/src/server.rs
@@ -41,6 +41,9 @@
 /// stream waits.
 const REPLY_QUEUE_LEN: usize = 4;
 
+/// The size of the parts in which a large answer is written, in bytes.
+const MAX_PART_BYTES: usize = 64 << 10;
+
 /// `Incoming` is a received request with the responder for its replies.
 #[derive(Debug)]
 pub struct Incoming {
@@ -161,7 +164,7 @@
             reply = queue.recv() => {
                 // The queue closes when the handler has returned and all replies have been taken.
                 let Some(reply) = reply else { break };
-                if stream.send(&reply).is_err() {
+                if stream.send(&reply).await.is_err() {
                     return;
                 }
             }
@@ -181,8 +184,9 @@
 }
 
 impl ReplyWriter {
-    /// Writes a reply. A reply that cannot be encoded resets the stream.
-    fn send(&mut self, reply: &Reply) -> Result<()> {
+    /// Writes a reply. A reply that cannot be encoded resets the stream. An answer with large rows is
+    /// written as fast as the caller reads it, since the rows count as held until then.
+    async fn send(&mut self, reply: &Reply) -> Result<()> {
         let frame = match codec::encode(reply) {
             Ok(frame) => frame,
             Err(error) => {
@@ -191,8 +195,11 @@
             }
         };
         self.traffic.count_reply(self.kind, Side::Server, frame.len());
-        let sent = self.open_body()?.send_data(frame, false);
-        sent.map_err(|_| lost_error("the caller has gone"))
+        let body = self.open_body()?;
+        if reply.holds_bytes() {
+            return send_slowly(body, frame).await;
+        }
+        body.send_data(frame, false).map_err(|_| lost_error("the caller has gone"))
     }
 
     /// Ends the stream.
@@ -234,6 +241,23 @@
     }
 }
 
+/// Writes a frame in parts that the caller has room for.
+async fn send_slowly(body: &mut SendStream<Bytes>, mut frame: Bytes) -> Result<()> {
+    while !frame.is_empty() {
+        if body.capacity() == 0 {
+            body.reserve_capacity(frame.len().min(MAX_PART_BYTES));
+            // Ready only once the capacity has grown.
+            let grown = std::future::poll_fn(|context| body.poll_capacity(context)).await;
+            if !matches!(grown, Some(Ok(_))) {
+                return Err(lost_error("the caller has gone"));
+            }
+        }
+        let part = frame.split_to(body.capacity().min(frame.len()));
+        body.send_data(part, false).map_err(|_| lost_error("the caller has gone"))?;
+    }
+    Ok(())
+}
+
 /// Reads the single request of a stream.
 async fn read_request(mut body: RecvStream, traffic: &Traffic) -> Result<Request> {
     let mut buffer = FrameBuffer::default();
--- a/oleander-ports/src/upstream.rs
+++ b/oleander-ports/src/upstream.rs
@@ -1,8 +1,12 @@
 //! Connections to database instances.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use async_trait::async_trait;
+use oleander_core::budget::ByteBudget;
+use oleander_core::budget::HeldBytes;
+use oleander_core::budget::Holding;
 use oleander_core::line::Name;
 use oleander_core::line::Tail;
 use oleander_core::line::Word;
@@ -12,6 +16,52 @@
 use oleander_core::verdict::Verdict;
 use strum::Display;
 
+/// The maximum size of the rows of one exchange, in bytes. A reply of this size fits into one message
+/// between VMs.
+pub const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// The size of the rows of an exchange up to which they take nothing of the budget.
+pub const FREE_ANSWER_BYTES: usize = 64 << 10;
+
+/// What a row takes beside its text.
+const ROW_BYTES: usize = 32;
+
+/// `RowMeter` counts the rows of an exchange while they are read. Above `FREE_ANSWER_BYTES` they are
+/// held from a budget that all exchanges share.
+#[derive(Debug)]
+pub struct RowMeter {
+    holding: Holding,
+    bytes: usize,
+}
+
+impl RowMeter {
+    /// Creates a meter that has counted nothing.
+    pub fn new(budget: Arc<ByteBudget>) -> Self {
+        Self { holding: Holding::new(budget), bytes: 0 }
+    }
+
+    /// Counts a row. After an error the rest of the rows must not be read.
+    ///
+    /// # Errors
+    /// Fails with `TooLarge` if the rows exceed `MAX_ANSWER_BYTES`, and with `NoRoom` if the budget
+    /// has not enough left.
+    pub fn count(&mut self, row: &str) -> Result<(), LinkError> {
+        self.bytes += row.len() + ROW_BYTES;
+        if self.bytes <= FREE_ANSWER_BYTES {
+            return Ok(());
+        }
+        if MAX_ANSWER_BYTES < self.bytes {
+            return Err(LinkError::TooLarge);
+        }
+        if self.holding.raise(self.bytes) { Ok(()) } else { Err(LinkError::NoRoom) }
+    }
+
+    /// Returns what the counted rows hold.
+    pub fn into_held(self) -> HeldBytes {
+        self.holding.into()
+    }
+}
+
 /// `Target` identifies the instance to connect to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -117,6 +167,8 @@
     pub state: TransactionState,
     /// The log point of the instance; `None` if the answer does not contain one.
     pub point: Option<LogPoint>,
+    /// What the rows hold of the budget of answers.
+    pub held: HeldBytes,
 }
 
 /// `Failure` is an error that an instance reported.
@@ -185,13 +237,17 @@
     Closed,
     /// The connection broke after bytes were sent, or the answer was malformed.
     Lost(&'static str),
+    /// The rows of the answer exceed `MAX_ANSWER_BYTES`.
+    TooLarge,
+    /// All answers together hold as much as they may.
+    NoRoom,
 }
 
 impl LinkError {
     /// Returns whether the sent messages may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
-            LinkError::Lost(_) => Verdict::MayHaveRun,
+            LinkError::Lost(_) | LinkError::TooLarge | LinkError::NoRoom => Verdict::MayHaveRun,
             _ => Verdict::NotRun,
         }
     }
@@ -205,6 +261,10 @@
             LinkError::Refused(failure) => write!(f, "refused: {}", failure.kind),
             LinkError::Closed => f.write_str("the instance had closed the connection"),
             LinkError::Lost(detail) => write!(f, "connection lost: {detail}"),
+            LinkError::TooLarge => {
+                write!(f, "the rows of the answer exceed {MAX_ANSWER_BYTES} bytes")
+            }
+            LinkError::NoRoom => f.write_str("this VM holds as many large answers as it may"),
         }
     }
 }
@@ -228,10 +288,14 @@
 /// `Link` is an open connection to an instance. It must be dropped after an error.
 #[async_trait]
 pub trait Link: Send + Sync {
-    /// Sends all messages without waiting in between, and returns one reply for each, in order. It
-    /// has no time limit; the caller applies one. A link whose exchange was cancelled must be
-    /// dropped.
-    async fn exchange(&mut self, messages: &[Message<'_>]) -> Result<Vec<Reply>, LinkError>;
+    /// Sends all messages without waiting in between, and returns one reply for each, in order. Each
+    /// row is counted by `meter` before the next one is read. It has no time limit; the caller applies
+    /// one. A link whose exchange was cancelled must be dropped.
+    async fn exchange(
+        &mut self,
+        messages: &[Message<'_>],
+        meter: &mut RowMeter,
+    ) -> Result<Vec<Reply>, LinkError>;
 
     /// Returns `false` if the instance has closed the idle connection or has sent data that no
     /// message asked for.
--- a/oleander-session/src/work.rs
+++ b/oleander-session/src/work.rs
@@ -1,5 +1,6 @@
 //! Requests from an entry VM to the home of an instance for a session, and the answers.
 
+use oleander_core::budget::HeldBytes;
 use oleander_core::ids::TransactionId;
 use oleander_core::level::Horizon;
 use oleander_core::level::Level;
@@ -142,4 +143,7 @@
     pub queued: Span,
     /// The levels that the home admits now.
     pub horizon: Horizon,
+    /// What the rows hold of this VM's budget of answers.
+    #[serde(skip)]
+    pub held: HeldBytes,
 }
--- a/oleander-standin/src/replicas.rs
+++ b/oleander-standin/src/replicas.rs
@@ -50,6 +50,8 @@
     pub service: Duration,
     /// `true` while the instance fails 40% of its reads.
     pub fails: bool,
+    /// The number of further rows of a read, all like the first.
+    pub more_rows: usize,
     /// The number of reads so far.
     pub reads: u32,
     /// The number of connections accepted so far.
