Bound the long messages of callers in bytes

Cause: a connection was read until its line ended or exceeded 1 MiB, with and without a session, and nothing bounded all of them together or the time of one that never ends. 163 to 217 connections without a key that had each sent 1 MB brought a VM above 260 MB.

--- a/oleander-core/src/budget.rs
+++ b/oleander-core/src/budget.rs
@@ -51,11 +51,21 @@
         }
         is_taken
     }
+
+    /// Returns `true` if nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.bytes == 0
+    }
+
+    /// Returns all bytes to the budget.
+    pub fn clear(&mut self) {
+        self.budget.used.fetch_sub(std::mem::take(&mut self.bytes), Ordering::Relaxed);
+    }
 }
 
 impl Drop for Holding {
     fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.clear();
     }
 }
 
--- a/oleander-node/src/entry/session.rs
+++ b/oleander-node/src/entry/session.rs
@@ -6,6 +6,7 @@
 use oleander_config::keys;
 use oleander_config::model::Consistency;
 use oleander_config::model::KeyHash;
+use oleander_core::budget::ByteBudget;
 use oleander_core::budget::HeldBytes;
 use oleander_core::ids::TransactionId;
 use oleander_core::ids::VmId;
@@ -56,6 +57,8 @@
     pub forwarder: Forwarder,
     /// What the sessions may keep together.
     pub sessions: Arc<SessionBudget>,
+    /// What the long messages of callers are held from, from their reading until their answer is sent.
+    pub messages: Arc<ByteBudget>,
     /// The number of served requests, for sampling the log.
     pub served: AtomicU64,
     /// Logs refusals and sampled requests.
--- a/oleander-node/src/node.rs
+++ b/oleander-node/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 
+use oleander_core::budget::ByteBudget;
 use oleander_core::events::Event;
 use oleander_core::ids::Incarnation;
 use oleander_core::time::Span;
@@ -56,6 +57,10 @@
 use crate::status;
 use crate::status::NodeStatus;
 
+/// The maximum size of the long messages of all callers of a VM. Up to four copies of a message exist
+/// while its statement waits and runs.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
 /// The timeouts of connections between VMs: a silent connection is given up well within the time
 /// limit of one statement, but only after several round trips between regions.
 const PEER_OPTIONS: ConnectionOptions = ConnectionOptions {
@@ -172,6 +177,7 @@
                 metrics: metrics.clone(),
             },
             sessions: SessionBudget::new(budget::MAX_TOTAL_BYTES),
+            messages: ByteBudget::new(MAX_MESSAGE_BYTES),
             served: AtomicU64::new(0),
             journal: journal.clone(),
             metrics: metrics.clone(),
@@ -286,6 +292,7 @@
         let ejected = outliers.as_ref().map(|outliers| outliers.text(&self.fleet.view()));
         status::text(&self.fleet, &self.homes, &self.rates)
             + &format!("session_bytes {}\n", self.entry.sessions.used())
+            + &format!("message_bytes {}\n", self.entry.messages.used())
             + &format!("answer_bytes {}\n", self.fleet.answers().used())
             + &status::traffic_text(&self.traffic, &self.store.counts())
             + &ejected.unwrap_or_default()
