--- a/oleander-node/tests/apply.rs
+++ b/oleander-node/tests/apply.rs
@@ -7,18 +7,26 @@
 use oleander_config::snapshot::Snapshot;
 use oleander_core::events::Event;
 use oleander_core::ids::InstanceKey;
+use oleander_core::ids::VmId;
 use oleander_core::time::Span;
 use oleander_core::time::Time;
 use oleander_node::control::apply::Applier;
+use oleander_node::fleet::Fleet;
 use oleander_node::fleet::MAX_REJECTED;
 use oleander_node::fleet::View;
 use oleander_ports::directory::DirectoryEntry;
 use oleander_ports::sources::Sources;
+use oleander_ports::store::Change;
+use oleander_ports::store::Changes;
 use oleander_ports::store::Entry;
 use oleander_ports::store::ReadResponse;
 use oleander_ports::store::StoreRevision;
 use oleander_runtime::clock::Clock;
 use oleander_runtime::logs::Journal;
+use oleander_runtime::timer::TimerService;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 /// The drain limit of the settings.
@@ -167,3 +175,81 @@
     let empty = ReadResponse { revision: StoreRevision(2), entries: Vec::new() };
     assert!(applier.apply_reading(&view, &empty, Time(60_000_000)).rejected.is_empty());
 }
+
+/// Records of VMs, keepers and the era, as VMs write them.
+const RECORDS: [(&str, &str); 3] = [
+    (
+        "own/vm/vm-1",
+        r#"{"name":"vm-1","place":{"zone":"east","region":"coast"},"peers":"127.0.0.1:7","life":9,
+        "cpu":250,"leaving":true,"promotion":3,"leases":1,"lent":400000}"#,
+    ),
+    (
+        "own/keeper/ledger",
+        r#"{"holder":"vm-1","duty":7,"primary":"i-1","ordered":null,"term":3,"era":0,"restored":false,
+        "members":[],"ordered_life":null}"#,
+    ),
+    ("own/era", r#"{"era":2}"#),
+];
+
+/// Returns the value with parts replaced by other bytes, mostly digits.
+fn damaged(value: &str, damages: Vec<(prop::sample::Index, usize, Vec<u8>)>) -> Vec<u8> {
+    let mut bytes = value.as_bytes().to_vec();
+    for (at, length, new) in damages {
+        let start = at.index(bytes.len() + 1);
+        let end = (start + length).min(bytes.len());
+        bytes.splice(start..end, new);
+    }
+    bytes
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(61),
+        cases: 4_000,
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against a damaged record that ends the VMs which read it, or that hides the others.
+    #[test]
+    fn a_damaged_record_is_read_or_ignored(
+        (key, value) in prop::sample::select(RECORDS.to_vec()),
+        damages in prop::collection::vec(
+            (
+                any::<prop::sample::Index>(),
+                0..6_usize,
+                prop_oneof![
+                    prop::collection::vec(prop::sample::select(b"0123456789-e.".to_vec()), 0..24),
+                    prop::collection::vec(any::<u8>(), 0..6),
+                ],
+            ),
+            0..3,
+        ),
+    ) {
+        let entry = |key: &str, value: Vec<u8>| Entry {
+            key: key.to_owned(),
+            value,
+            revision: StoreRevision(3),
+        };
+        let whole = entry("own/vm/vm-2", RECORDS[0].1.replace("vm-1", "vm-2").into_bytes());
+        let damaged = entry(key, damaged(value, damages));
+        let entries = vec![damaged.clone(), whole, entry("instances/i-1", b"ready".to_vec())];
+        let applier = applier();
+        let now = Time(60_000_000);
+        let read = ReadResponse { revision: StoreRevision(3), entries };
+        let view = applier.apply_reading(&View::default(), &read, now);
+        let changes = Changes { revision: StoreRevision(4), changes: vec![Change::Put(damaged)] };
+        let view = applier.apply_changes(&view, &changes, now + Span::from_secs(1)).unwrap_or(view);
+        prop_assert!(view.roster.member(VmId::from_name("vm-2")).is_some());
+        prop_assert_eq!(view.instances.len(), 1);
+        // The timers of a fleet run on it.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let _guard = runtime.enter();
+        let fleet = Fleet::new(Arc::new(support::settings()), TimerService::start(Clock::new()));
+        let _ = view.roster.loan_wait(&Default::default(), Span::ZERO);
+        let _ = fleet.share_owners(&view.roster);
+        fleet.set_view(view);
+        let instance = fleet.view().instances[&InstanceKey::from_name("i-1")].clone();
+        let _ = (fleet.homes(&instance), fleet.write_homes(&instance));
+    }
+}
