Leave room beside the budgets: 16 MiB for large answers

With 24 MiB, in four copies, the account of a VM at the descriptors of the smaller deployments was 268 MB, above their memory. With 16 MiB it is 235 MB.

--- a/oleander-node/src/fleet.rs
+++ b/oleander-node/src/fleet.rs
@@ -44,7 +44,7 @@
 
 /// The maximum size of the rows of all large answers on this VM. Up to four copies of a row exist while
 /// it passes through.
-const MAX_ANSWERS_BYTES: usize = 24 << 20;
+const MAX_ANSWERS_BYTES: usize = 16 << 20;
 
 /// The time after the start of a VM during which others may be starting as well: VMs that lost
 /// power together are back within a second of each other.
