--- a/oleander-node/src/entry/mod.rs
+++ b/oleander-node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 //! It admits each operation by key, route and rate, keeps the state of each session, and forwards
 //! statements to the home of an instance on this or another VM.
 
+pub mod connections;
 pub mod forward;
 pub mod outliers;
 pub mod overload;
