--- a/oleander-peer/src/server.rs
+++ b/oleander-peer/src/server.rs
@@ -41,6 +41,9 @@
 /// stream waits.
 const REPLY_QUEUE_LEN: usize = 4;
 
+/// The time within which the caller must read a large answer, which holds a part of a budget meanwhile.
+const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The size of the parts in which a large answer is written, in bytes.
 const MAX_PART_BYTES: usize = 64 << 10;
 
@@ -197,7 +200,8 @@
         self.traffic.count_reply(self.kind, Side::Server, frame.len());
         let body = self.open_body()?;
         if reply.holds_bytes() {
-            return send_slowly(body, frame).await;
+            let sending = tokio::time::timeout(SEND_TIMEOUT, send_slowly(body, frame));
+            return sending.await.unwrap_or(Err(lost_error("the caller does not read")));
         }
         body.send_data(frame, false).map_err(|_| lost_error("the caller has gone"))
     }
