--- a/oleander-node/src/entry/mod.rs
+++ b/oleander-node/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod connections;
 pub mod forward;
+pub mod messages;
 pub mod outliers;
 pub mod overload;
 pub mod places;
