Check reads of the soak against the log

The soak compared the value of a read with the write that was acknowledged last, and counted any earlier value as STALE. A rule is broken only if the read ran on a log that lacks the acknowledged commit. A write whose caller was told that nothing is known may take effect after later ones, and its value is then the right one to read.

--- a/oleander-standin/src/replicas.rs
+++ b/oleander-standin/src/replicas.rs
@@ -348,6 +348,12 @@
         kept
     }
 
+    /// Returns the index of a commit in the log of the primary.
+    pub fn index_in_log(&self, id: &str) -> Option<usize> {
+        let primary = self.find(&self.primary)?;
+        primary.log.iter().position(|record| record.id == id)
+    }
+
     /// Returns the first change of primary since `confirmed` whose instance lacked a commit.
     pub fn lost_at(&self, id: &str, confirmed: Instant) -> Option<&Promotion> {
         let lacks = |change: &&Promotion| change.log.iter().all(|record| record.id != id);
