Record a test of the load tool that failed once beside load

upstreams_never_receive_api_keys expects two requests to succeed right after the fleet has started. In one run beside five busy processes the read got 429 after the write had been served. What the test is about, keys at instances, was not reached.

The test now shows the answer that it did not expect; it demands the same as before.

--- a/oleander-load/tests/answers.rs
+++ b/oleander-load/tests/answers.rs
@@ -237,11 +237,10 @@
     }
     let client = raw_client(&fleet, 0);
     let body = json!({ "class": "orders.write", "sql": WRITE_SQL, "parameters": ["loaf", "dark"] });
-    assert_eq!(client.post("/v1/statements", Some(&key), None, body.to_string()).await.status, 200);
-    assert_eq!(
-        client.post("/v1/statements", Some(&key), None, read_body("orders.read")).await.status,
-        200
-    );
+    for body in [body.to_string(), read_body("orders.read")] {
+        let answer = client.post("/v1/statements", Some(&key), None, body).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
     let match_count: u64 = fleet
         .groups
         .iter()
